--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+.PHONY: demo test lint types bench generate check-generated clean
+VENV := .venv
+PYTHON ?= $(VENV)/bin/python
+export PYTHONPATH := src
+
+demo: $(VENV)/ready
+	$(PYTHON) -m magnoliatrail demo
+
+test: $(VENV)/ready
+	$(PYTHON) -m pytest
+
+lint: $(VENV)/ready
+	$(PYTHON) -m ruff format --check .
+	$(PYTHON) -m ruff check .
+
+types: $(VENV)/ready
+	$(PYTHON) -m mypy
+
+generate: $(VENV)/ready
+	$(PYTHON) scripts/generate.py
+
+check-generated: $(VENV)/ready
+	$(PYTHON) scripts/generate.py --check
+
+$(VENV)/ready: requirements.lock pyproject.toml
+	test -x $(VENV)/bin/python || python3 -m venv $(VENV)
+	$(VENV)/bin/python -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(VENV)/bin/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $@
+
+clean:
+	rm -rf $(VENV) .pytest_cache .mypy_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/src/magnoliatrail/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/magnoliatrail/cli/exit_codes.py
@@ -0,0 +1,13 @@
+"""Exit codes of the command line."""
+
+from enum import IntEnum
+
+
+class ExitCode(IntEnum):
+    """What an exit code of `magnoliatrail` means."""
+
+    OK = 0
+    FAILED = 1
+    USAGE = 2
+    UNAVAILABLE = 3
+    CONFLICT = 4
--- /dev/null
+++ b/src/magnoliatrail/config/__init__.py
@@ -0,0 +1,1 @@
+"""The fleet's configuration: defaults, exceptions and revisions."""
--- /dev/null
+++ b/src/magnoliatrail/config/resolve.py
@@ -0,0 +1,60 @@
+"""The value of a setting where it is used: defaults, then exceptions."""
+
+from dataclasses import dataclass
+from typing import TypeVar
+
+import msgspec
+
+from magnoliatrail.generated.configuration import (
+    Configuration,
+    ConfigurationException,
+    Defaults,
+    ScopeKind,
+)
+
+T = TypeVar("T")
+
+# An exception with a narrower scope goes before one with a wider scope.
+NARROWEST_FIRST = [
+    ScopeKind.OPERATION,
+    ScopeKind.ADAPTER,
+    ScopeKind.CALLER,
+    ScopeKind.SERVICE,
+    ScopeKind.BASE_MODEL,
+    ScopeKind.FAILURE_DOMAIN,
+]
+
+
+@dataclass(frozen=True, slots=True)
+class Scopes:
+    """Name what a setting is looked up for; empty parts match nothing."""
+
+    caller: str = ""
+    adapter: str = ""
+    base_model: str = ""
+    operation: str = ""
+    service: str = ""
+    failure_domain: str = ""
+
+
+def applies(exception: ConfigurationException, scopes: Scopes) -> bool:
+    """Return whether an exception applies within some scopes."""
+    named: str = getattr(scopes, exception.scope.value)
+    return exception.name == named
+
+
+def setting_of(
+    configuration: Configuration, setting: str, value_type: type[T], scopes: Scopes
+) -> T:
+    """Return the value of a setting within some scopes."""
+    assert setting in Defaults.__struct_fields__, setting
+    matching = [
+        exception
+        for exception in configuration.exceptions
+        if exception.setting == setting and applies(exception, scopes)
+    ]
+    if not matching:
+        value: T = getattr(configuration.defaults, setting)
+        return value
+    narrowest = min(matching, key=lambda item: NARROWEST_FIRST.index(item.scope))
+    return msgspec.json.decode(narrowest.value, type=value_type)
--- /dev/null
+++ b/src/magnoliatrail/demo.py
@@ -0,0 +1,241 @@
+"""The demo: one instance before stand-ins, a few hundred requests, and a check."""
+
+import asyncio
+import hashlib
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from itertools import accumulate
+
+import msgspec
+from expression import Ok, Result
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+
+from magnoliatrail.clock import SystemClock
+from magnoliatrail.config.store import ConfigurationStore
+from magnoliatrail.daemon import Daemon
+from magnoliatrail.errors import Failure
+from magnoliatrail.generated.configuration import (
+    Configuration,
+    ConfigurationException,
+    ScopeKind,
+)
+from magnoliatrail.generated.engine import Completion
+from magnoliatrail.generated.settings import Settings
+from magnoliatrail.ids import Revision
+from magnoliatrail.metrics import RecordedMetrics
+from magnoliatrail.standins.world import World, WorldSize, start_world
+from magnoliatrail.wire import CallFailed, CallLimits, call, encode, new_http_client
+
+COMPLETIONS = 300
+BOOKINGS = 30
+REPEATS_PER_BOOKING = 3
+CONCURRENCY = 24
+TOKENS = 12
+ZIPF_EXPONENT = 1.1
+SEED = 20
+LIMITS = CallLimits(timedelta(seconds=5), timedelta(seconds=120))
+BOOKING_PATH = "/services/bookings/confirm"
+HTTP_OK = 200
+
+
+@dataclass
+class DemoResult:
+    """Count what came of the demo's requests."""
+
+    answered: int = 0
+    wrong: int = 0
+    lost: int = 0
+    repeated: int = 0
+    repeats_refused: int = 0
+    loads: int = 0
+    stalls: list[timedelta] = field(default_factory=list)
+    batch_fill: list[float] = field(default_factory=list)
+
+    @property
+    def good(self) -> bool:
+        """Return whether every request had the outcome it should have."""
+        return not (self.wrong or self.lost or self.repeated)
+
+    @property
+    def closing_line(self) -> str:
+        """Return the last line of the demo."""
+        return (
+            f"demo: {self.answered} answered, {self.wrong} wrong, "
+            f"{self.lost} lost, {self.repeated} repeated"
+        )
+
+
+def expected_text(model: str, prompt: str, tokens: int) -> str:
+    """Return the text that the stand-in engine generates."""
+    digest = hashlib.sha256(prompt.encode()).hexdigest()[:8]
+    return "".join(f" {model}:{digest}:{position}" for position in range(tokens))
+
+
+def streamed_text(body: bytes) -> str | None:
+    """Return the text of a whole stream, None if it is not whole."""
+    events = body.decode().split("\n\n")
+    if "data: [DONE]" not in events:
+        return None
+    texts = []
+    for event in events:
+        data = event.partition("data: ")[2]
+        if data and data != "[DONE]":
+            message = msgspec.json.decode(data, type=Completion)
+            texts.append(message.choices[0].text)
+    return "".join(texts)
+
+
+def whole_text(body: bytes) -> str:
+    """Return the text of an answer that was not streamed."""
+    return msgspec.json.decode(body, type=Completion).choices[0].text
+
+
+class DemoCaller:
+    """Send the demo's requests and check the answers."""
+
+    def __init__(
+        self, url: str, client: AsyncHTTPClient, step: Callable[[], None]
+    ) -> None:
+        self.url = url
+        self.client = client
+        self.step = step
+        self.result = DemoResult()
+
+    async def complete(self, model: str, number: int) -> None:
+        """Ask for a completion, streamed or whole, and check it."""
+        prompt = f"brief {number}"
+        stream = number % 2 == 0
+        fields = {
+            "model": model,
+            "prompt": prompt,
+            "max_tokens": TOKENS,
+            "stream": stream,
+        }
+        request = HTTPRequest(
+            f"{self.url}/v1/completions", method="POST", body=encode(fields)
+        )
+        body = await self.send(request)
+        if body is None:
+            return
+        text = streamed_text(body) if stream else whole_text(body)
+        if text == expected_text(model, prompt, TOKENS):
+            self.result.answered += 1
+        else:
+            self.result.wrong += 1
+
+    async def book(self, number: int) -> None:
+        """Confirm a booking several times under one key."""
+        answers = []
+        for _ in range(REPEATS_PER_BOOKING):
+            request = HTTPRequest(
+                self.url + BOOKING_PATH,
+                method="POST",
+                headers={"Idempotency-Key": f"booking-{number}"},
+                body=encode({"booking": number}),
+            )
+            answers.append(await self.send(request))
+        self.result.repeats_refused += REPEATS_PER_BOOKING - 1
+        if None in answers:
+            return
+        if len(set(answers)) == 1:
+            self.result.answered += len(answers)
+        else:
+            self.result.wrong += 1
+
+    async def send(self, request: HTTPRequest) -> bytes | None:
+        """Send a request and count it as lost if there is no answer."""
+        try:
+            response = await call(self.client, request, LIMITS)
+        except CallFailed:
+            response = None
+        self.step()
+        if response is None or response.code != HTTP_OK:
+            self.result.lost += 1
+            return None
+        return response.body
+
+
+def demo_settings(world: World) -> Settings:
+    """Return the settings of the demo's instance."""
+    return Settings(
+        instance_id="demo",
+        failure_domain="domain-0",
+        peer_token="demo-token-of-16-letters",
+        table_url=world.url("table"),
+        objects_url=world.url("objects"),
+        weights_url=world.url("weights"),
+        instance_list_url=world.url("instance-list"),
+        port=0,
+        peer_port=0,
+    )
+
+
+async def declare_bookings(world: World) -> None:
+    """Declare by an exception that bookings may not be repeated."""
+    exception = ConfigurationException(
+        id="bookings-once",
+        scope=ScopeKind.SERVICE,
+        name="bookings",
+        setting="idempotent",
+        value="false",
+        reason="a doubled confirmation double-books a model",
+        author="demo",
+        time=SystemClock().now().isoformat(),
+    )
+
+    def add(current: Configuration) -> Result[Configuration, Failure]:
+        return Ok(msgspec.structs.replace(current, exceptions=[exception]))
+
+    store = ConfigurationStore(world.table)
+    result = await store.edit(add, expected=Revision(0))
+    assert result.is_ok(), result
+
+
+async def run_demo(step: Callable[[], None]) -> DemoResult:
+    """Run the demo and return what came of it."""
+    world = start_world(SystemClock(), WorldSize())
+    await declare_bookings(world)
+    metrics = RecordedMetrics()
+    daemon = Daemon(demo_settings(world), metrics=metrics)
+    await daemon.start()
+    assert daemon.caller_listener is not None
+    caller = DemoCaller(daemon.caller_listener.url, new_http_client(), step)
+    await send_all(caller, [entry.adapter for entry in world.weights.adapters])
+    await daemon.shutdown()
+    result = caller.result
+    result.loads = sum(engine.loads for engine in world.engines)
+    result.stalls = sorted(metrics.timings.get("load_stall", []))
+    result.batch_fill = metrics.gauges.get("batch_fill", [])
+    executions: Counter[str] = Counter()
+    for service in world.services:
+        executions.update(service.executions)
+    result.repeated = sum(count - 1 for count in executions.values())
+    await world.close()
+    return result
+
+
+async def send_all(caller: DemoCaller, adapters: list[str]) -> None:
+    """Send all requests, a bounded number at a time."""
+    generator = random.Random(SEED)
+    weights = [1 / (rank + 1) ** ZIPF_EXPONENT for rank in range(len(adapters))]
+    names = generator.choices(
+        adapters, cum_weights=list(accumulate(weights)), k=COMPLETIONS
+    )
+    places = asyncio.Semaphore(CONCURRENCY)
+
+    async def complete(adapter: str, number: int) -> None:
+        async with places:
+            await caller.complete(f"{adapter}@1", number)
+
+    async def book(number: int) -> None:
+        async with places:
+            await caller.book(number)
+
+    async with asyncio.TaskGroup() as group:
+        for number, adapter in enumerate(names):
+            group.create_task(complete(adapter, number))
+        for number in range(BOOKINGS):
+            group.create_task(book(number))
--- /dev/null
+++ b/src/magnoliatrail/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Engines: their owner's task, and permits on both sides."""
--- /dev/null
+++ b/src/magnoliatrail/engines/owner.py
@@ -0,0 +1,246 @@
+"""The owner's task for one engine: loads, evictions and permits."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import Enum
+
+from expression import Error, Ok, Result
+
+from magnoliatrail.clock import Clock
+from magnoliatrail.engines.client import EngineClient
+from magnoliatrail.errors import ErrorKind, Failure
+from magnoliatrail.generated.engine import LoadReport
+from magnoliatrail.generated.permits import (
+    PermitGrant,
+    PermitRecall,
+    PermitRequest,
+    RecallState,
+)
+from magnoliatrail.generated.platform import ListedInstance
+from magnoliatrail.ids import (
+    AdapterVersion,
+    EngineId,
+    FencingNumber,
+    Handle,
+    InstanceId,
+    handle_for,
+)
+from magnoliatrail.logs import EventLog
+from magnoliatrail.metrics import Metrics
+from magnoliatrail.placement.eviction import EvictionCandidate, eviction_order
+
+log = EventLog("owner")
+
+Recall = Callable[[InstanceId, PermitRecall], Awaitable[RecallState]]
+
+
+class SlotState(Enum):
+    """What an adapter slot is doing."""
+
+    LOADING = "loading"
+    LOADED = "loaded"
+    EVICTING = "evicting"
+
+
+@dataclass
+class Slot:
+    """Hold one adapter on an engine, as its owner knows it."""
+
+    model: AdapterVersion
+    handle: Handle
+    state: SlotState
+    last_used: timedelta
+    holders: set[InstanceId] = field(default_factory=set)
+    waiters: int = 0
+    loaded: asyncio.Event = field(default_factory=asyncio.Event)
+    failure: Failure | None = None
+
+
+class EngineOwner:
+    """Own one engine: nobody else gives it orders."""
+
+    def __init__(
+        self,
+        *,
+        listed: ListedInstance,
+        fencing_number: FencingNumber,
+        client: EngineClient,
+        recall: Recall,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self.engine = EngineId(listed.id)
+        self.url = listed.url
+        self.fencing_number = fencing_number
+        self.client = client
+        self.recall = recall
+        self.clock = clock
+        self.metrics = metrics
+        self.report: LoadReport | None = None
+        self.slots: dict[AdapterVersion, Slot] = {}
+        self.ordering = asyncio.Lock()
+
+    async def refresh(self) -> None:
+        """Read the load report, and forget handles that a restart took."""
+        match await self.client.report():
+            case Result(tag="ok", ok=report):
+                self.take_report(report)
+            case Result(error=failure):
+                log.warning(
+                    "load_report_missing", engine=self.engine, reason=failure.message
+                )
+
+    def take_report(self, report: LoadReport) -> None:
+        """Use a load report."""
+        if self.report and self.report.boot_id != report.boot_id:
+            log.warning("engine_restarted", engine=self.engine)
+            self.metrics.count("engine.restarts")
+            self.slots = {
+                model: slot
+                for model, slot in self.slots.items()
+                if slot.state is SlotState.LOADING
+            }
+        self.report = report
+        self.metrics.gauge("batch_fill", report.running / report.batch_slots)
+
+    async def permit(self, request: PermitRequest) -> Result[PermitGrant, Failure]:
+        """Grant the use of an adapter, loading it first if need be."""
+        model = AdapterVersion(request.adapter, request.version)
+        slot = self.slots.get(model)
+        if slot is None or slot.state is SlotState.EVICTING:
+            match await self.start_load(model, request):
+                case Result(tag="ok", ok=started):
+                    slot = started
+                case Result(error=failure):
+                    return Error(failure)
+        slot.waiters += 1
+        try:
+            await slot.loaded.wait()
+        finally:
+            slot.waiters -= 1
+        if slot.failure:
+            return Error(slot.failure)
+        slot.last_used = self.clock.monotonic()
+        slot.holders.add(InstanceId(request.holder))
+        return Ok(self.grant(slot))
+
+    def grant(self, slot: Slot) -> PermitGrant:
+        """Return the grant for a loaded slot."""
+        assert self.report is not None
+        return PermitGrant(
+            engine=self.engine,
+            engine_url=self.url,
+            handle=slot.handle,
+            adapter=slot.model.adapter,
+            version=slot.model.version,
+            fencing_number=self.fencing_number,
+            places=self.report.batch_slots,
+        )
+
+    async def start_load(
+        self, model: AdapterVersion, request: PermitRequest
+    ) -> Result[Slot, Failure]:
+        """Take a slot for an adapter and start to load it."""
+        async with self.ordering:
+            present = self.slots.get(model)
+            if present and present.state is not SlotState.EVICTING:
+                return Ok(present)
+            if self.report is None:
+                await self.refresh()
+            if self.report is None:
+                message = f"engine {self.engine} gives no load report"
+                return Error(Failure(ErrorKind.NO_BACKEND_SERVER, message))
+            if len(self.slots) >= self.report.adapter_slots:
+                freed = await self.free_slot()
+                if not freed:
+                    message = f"every adapter slot of {self.engine} is in use"
+                    return Error(Failure(ErrorKind.QUEUE_FULL, message))
+            slot = Slot(
+                model,
+                handle_for(model, self.fencing_number),
+                SlotState.LOADING,
+                self.clock.monotonic(),
+            )
+            self.slots[model] = slot
+        log.info(
+            "load_started",
+            request=request.request_id,
+            engine=self.engine,
+            handle=slot.handle,
+            reason="not_loaded",
+        )
+        slot_task = asyncio.create_task(self.load(slot))
+        slot_task.add_done_callback(lambda task: task.result())
+        return Ok(slot)
+
+    async def load(self, slot: Slot) -> None:
+        """Load a slot's adapter and wake those who wait for it."""
+        started = self.clock.monotonic()
+        result = await self.client.load(slot.handle, slot.model, self.fencing_number)
+        duration = self.clock.monotonic() - started
+        match result:
+            case Result(tag="ok"):
+                slot.state = SlotState.LOADED
+                self.metrics.count("loads")
+                self.metrics.timing("load_time", duration)
+                log.info("load_ended", engine=self.engine, handle=slot.handle)
+            case Result(error=failure):
+                slot.failure = failure
+                self.slots.pop(slot.model, None)
+                self.metrics.count("loads_failed")
+                log.warning(
+                    "load_failed",
+                    engine=self.engine,
+                    handle=slot.handle,
+                    reason=failure.message,
+                )
+        slot.loaded.set()
+
+    async def free_slot(self) -> bool:
+        """Evict the least valuable adapter that nobody uses."""
+        by_handle = {slot.handle: slot for slot in self.slots.values()}
+        candidates = [
+            EvictionCandidate(
+                slot.handle,
+                slot.state is not SlotState.LOADED,
+                slot.waiters > 0,
+                slot.last_used,
+            )
+            for slot in self.slots.values()
+        ]
+        for handle in eviction_order(candidates):
+            if await self.evict(by_handle[handle]):
+                return True
+        return False
+
+    async def evict(self, slot: Slot) -> bool:
+        """Evict an adapter if every holder gives it back."""
+        slot.state = SlotState.EVICTING
+        if not await self.recall_all(slot):
+            slot.state = SlotState.LOADED
+            return False
+        result = await self.client.unload(slot.handle, self.fencing_number)
+        if result.is_error():
+            slot.state = SlotState.LOADED
+            return False
+        self.slots.pop(slot.model, None)
+        self.metrics.count("evictions")
+        log.info(
+            "evicted", engine=self.engine, handle=slot.handle, reason="slot_needed"
+        )
+        return True
+
+    async def recall_all(self, slot: Slot) -> bool:
+        """Ask every holder for a handle; silence counts as busy."""
+        recall = PermitRecall(
+            engine=self.engine,
+            handle=slot.handle,
+            fencing_number=self.fencing_number,
+        )
+        for holder in list(slot.holders):
+            if await self.recall(holder, recall) is RecallState.BUSY:
+                return False
+            slot.holders.discard(holder)
+        return True
--- /dev/null
+++ b/src/magnoliatrail/engines/permits.py
@@ -0,0 +1,98 @@
+"""Permits at their holder: the right to use a handle on an engine."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from magnoliatrail.generated.permits import (
+    PermitGrant,
+    PermitRecall,
+    RecallAnswer,
+    RecallState,
+)
+from magnoliatrail.ids import AdapterVersion, EngineId, Handle
+from magnoliatrail.logs import EventLog
+
+log = EventLog("permits")
+
+
+@dataclass
+class Permit:
+    """Hold one grant and count the requests that use it."""
+
+    grant: PermitGrant
+    in_flight: int = 0
+    revoked: bool = False
+
+    @property
+    def engine(self) -> EngineId:
+        """Return the engine that the permit is for."""
+        return EngineId(self.grant.engine)
+
+    @property
+    def handle(self) -> Handle:
+        """Return the handle that may be used."""
+        return Handle(self.grant.handle)
+
+    @property
+    def model(self) -> AdapterVersion:
+        """Return the adapter and version behind the handle."""
+        return AdapterVersion(self.grant.adapter, self.grant.version)
+
+    @property
+    def free_places(self) -> int:
+        """Return how many more requests may be dispatched."""
+        return 0 if self.revoked else self.grant.places - self.in_flight
+
+
+class PermitHolder:
+    """Keep the permits of one instance."""
+
+    def __init__(self) -> None:
+        self.permits: dict[AdapterVersion, dict[EngineId, Permit]] = {}
+
+    def put(self, grant: PermitGrant) -> Permit:
+        """Take a grant, or renew the permit that it repeats."""
+        model = AdapterVersion(grant.adapter, grant.version)
+        by_engine = self.permits.setdefault(model, {})
+        permit = by_engine.get(EngineId(grant.engine))
+        if permit and permit.handle == grant.handle and not permit.revoked:
+            permit.grant = grant
+            return permit
+        permit = Permit(grant)
+        by_engine[permit.engine] = permit
+        return permit
+
+    def usable(
+        self, model: AdapterVersion, allowed: Callable[[EngineId], bool]
+    ) -> list[Permit]:
+        """Return the permits for an adapter with a free place."""
+        permits = self.permits.get(model, {}).values()
+        return [item for item in permits if item.free_places and allowed(item.engine)]
+
+    def drop(self, permit: Permit) -> None:
+        """Forget a permit whose handle is gone."""
+        permit.revoked = True
+        by_engine = self.permits.get(permit.model, {})
+        if by_engine.get(permit.engine) is permit:
+            del by_engine[permit.engine]
+        if not by_engine:
+            self.permits.pop(permit.model, None)
+
+    def on_engine(self, engine: EngineId) -> list[Permit]:
+        """Return all permits on an engine."""
+        return [
+            by_engine[engine]
+            for by_engine in self.permits.values()
+            if engine in by_engine
+        ]
+
+    def recall(self, recall: PermitRecall) -> RecallAnswer:
+        """Give a handle back if no request uses it."""
+        for permit in self.on_engine(EngineId(recall.engine)):
+            if permit.handle != recall.handle:
+                continue
+            if permit.in_flight:
+                return RecallAnswer(state=RecallState.BUSY)
+            self.drop(permit)
+            log.info("permit_returned", engine=permit.engine, handle=permit.handle)
+        return RecallAnswer(state=RecallState.RETURNED)
--- /dev/null
+++ b/src/magnoliatrail/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The listener for callers."""
--- /dev/null
+++ b/src/magnoliatrail/entry/application.py
@@ -0,0 +1,47 @@
+"""The HTTP application for callers."""
+
+from tornado.web import Application
+
+from magnoliatrail.entry.completions import CompletionHandler, ModelsHandler
+from magnoliatrail.entry.handlers import CallerHandler, UnknownPathHandler
+from magnoliatrail.entry.parts import EntryParts
+from magnoliatrail.entry.services import ServiceHandler
+
+
+class HealthHandler(CallerHandler):
+    """Serve `GET /healthz`."""
+
+    def get(self) -> None:
+        """Say that the process answers."""
+        self.finish(b"ok\n")
+
+
+class ReadyHandler(CallerHandler):
+    """Serve `GET /readyz`."""
+
+    def get(self) -> None:
+        """Say whether the instance takes new requests."""
+        lifecycle = self.parts.lifecycle
+        refusal = lifecycle.refusal()
+        if lifecycle.ready and refusal is None:
+            self.finish(b"ready\n")
+            return
+        self.set_status(503)
+        self.finish(b"not ready\n")
+
+
+def caller_application(parts: EntryParts) -> Application:
+    """Return the HTTP application of the caller's listener."""
+    use = {"parts": parts}
+    return Application(
+        [
+            ("/v1/(?:chat/)?completions", CompletionHandler, use),
+            ("/v1/models", ModelsHandler, use),
+            (r"/services/([A-Za-z0-9._-]+)/(.*)", ServiceHandler, use),
+            ("/healthz", HealthHandler, use),
+            ("/readyz", ReadyHandler, use),
+        ],
+        default_handler_class=UnknownPathHandler,
+        default_handler_args=use,
+        log_function=lambda handler: None,
+    )
--- /dev/null
+++ b/src/magnoliatrail/entry/catalogue.py
@@ -0,0 +1,32 @@
+"""The adapters that callers may name."""
+
+from expression import Error, Ok, Result
+
+from magnoliatrail.errors import ErrorKind, Failure
+from magnoliatrail.generated.platform import Catalogue
+from magnoliatrail.ids import AdapterVersion, parse_adapter_version
+
+
+class AdapterCatalogue:
+    """Keep the base model of each adapter version."""
+
+    def __init__(self) -> None:
+        self.base_models: dict[AdapterVersion, str] = {}
+
+    def replace(self, catalogue: Catalogue) -> None:
+        """Take a newer catalogue."""
+        self.base_models = {
+            AdapterVersion(entry.adapter, entry.version): entry.base_model
+            for entry in catalogue.adapters
+        }
+
+    def find(self, name: str) -> Result[AdapterVersion, Failure]:
+        """Return the adapter version that a caller names."""
+        model = parse_adapter_version(name)
+        if model is None:
+            message = f"model {name!r} does not name a version"
+            return Error(Failure(ErrorKind.VERSION_MISSING, message))
+        if model not in self.base_models:
+            message = f"model {name!r} is not in the catalogue"
+            return Error(Failure(ErrorKind.UNKNOWN_ADAPTER, message))
+        return Ok(model)
--- /dev/null
+++ b/src/magnoliatrail/entry/parts.py
@@ -0,0 +1,31 @@
+"""The parts of an instance that the caller's listener uses."""
+
+from dataclasses import dataclass
+
+from tornado.httpclient import AsyncHTTPClient
+
+from magnoliatrail.clock import Clock
+from magnoliatrail.config.store import ConfigurationInForce
+from magnoliatrail.entry.catalogue import AdapterCatalogue
+from magnoliatrail.entry.dispatch import Dispatcher
+from magnoliatrail.entry.lifecycle import Lifecycle
+from magnoliatrail.generated.settings import Settings
+from magnoliatrail.membership.fleet import Fleet
+from magnoliatrail.metrics import Metrics
+from magnoliatrail.operations.ledger import OperationLedger
+
+
+@dataclass(frozen=True)
+class EntryParts:
+    """Hold what the handlers use."""
+
+    settings: Settings
+    clock: Clock
+    metrics: Metrics
+    client: AsyncHTTPClient
+    fleet: Fleet
+    configuration: ConfigurationInForce
+    catalogue: AdapterCatalogue
+    dispatcher: Dispatcher
+    ledger: OperationLedger
+    lifecycle: Lifecycle
--- /dev/null
+++ b/src/magnoliatrail/errors.py
@@ -0,0 +1,164 @@
+"""The closed list of error kinds, and the table from kind to answer."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+
+from magnoliatrail.generated.answers import ErrorAnswer, ErrorDetail, Outcome
+from magnoliatrail.ids import RequestId
+
+
+class ErrorKind(Enum):
+    """Every way in which the system can refuse or fail."""
+
+    MALFORMED_REQUEST = "malformed_request"
+    VERSION_MISSING = "version_missing"
+    KEY_REQUIRED = "idempotency_key_required"
+    UNAUTHORIZED = "unauthorized"
+    UNKNOWN_ADAPTER = "unknown_adapter"
+    UNKNOWN_SERVICE = "unknown_service"
+    NOT_FOUND = "not_found"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    BODY_TOO_LARGE = "body_too_large"
+    KEY_REUSED = "idempotency_key_reused"
+    OPERATION_RUNNING = "operation_running"
+    OPERATION_UNKNOWN = "operation_unknown"
+    CONFLICT = "conflict"
+    INVALID_CONFIGURATION = "invalid_configuration"
+    QUEUE_FULL = "queue_full"
+    DEADLINE_UNREACHABLE = "deadline_unreachable"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    NO_BACKEND_SERVER = "no_backend_server"
+    LOAD_FAILED = "load_failed"
+    ADAPTER_NOT_LOADED = "adapter_not_loaded"
+    NOT_OWNER = "not_owner"
+    STALE_FENCING_NUMBER = "stale_fencing_number"
+    TABLE_UNAVAILABLE = "table_unavailable"
+    TABLE_OUTCOME_UNKNOWN = "table_outcome_unknown"
+    STORE_UNAVAILABLE = "store_unavailable"
+    PEER_UNAVAILABLE = "peer_unavailable"
+    BACKEND_UNREACHABLE = "backend_unreachable"
+    BACKEND_FAILED = "backend_failed"
+    ANSWER_INVALID = "answer_invalid"
+    SHUTTING_DOWN = "shutting_down"
+    SWITCHED_OFF = "switched_off"
+    INTERNAL = "internal"
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerRule:
+    """Say how one error kind is answered."""
+
+    status: int
+    outcome: Outcome
+    remedy: str
+    retry_after: timedelta | None = None
+
+
+SOON = timedelta(seconds=1)
+LATER = timedelta(seconds=5)
+NOT_RUN = Outcome.NOT_RUN
+UNKNOWN = Outcome.OUTCOME_UNKNOWN
+
+ANSWERS: dict[ErrorKind, AnswerRule] = {
+    ErrorKind.MALFORMED_REQUEST: AnswerRule(400, NOT_RUN, "correct the request"),
+    ErrorKind.VERSION_MISSING: AnswerRule(
+        400, NOT_RUN, "name the model as adapter@version"
+    ),
+    ErrorKind.KEY_REQUIRED: AnswerRule(
+        400, NOT_RUN, "send an Idempotency-Key header with this operation"
+    ),
+    ErrorKind.UNAUTHORIZED: AnswerRule(401, NOT_RUN, "send the fleet's token"),
+    ErrorKind.UNKNOWN_ADAPTER: AnswerRule(
+        404, NOT_RUN, "choose a model listed by GET /v1/models"
+    ),
+    ErrorKind.UNKNOWN_SERVICE: AnswerRule(
+        404, NOT_RUN, "choose a service that the platform lists"
+    ),
+    ErrorKind.NOT_FOUND: AnswerRule(404, NOT_RUN, "see docs/callers.md for the paths"),
+    ErrorKind.METHOD_NOT_ALLOWED: AnswerRule(405, NOT_RUN, "use the documented method"),
+    ErrorKind.BODY_TOO_LARGE: AnswerRule(413, NOT_RUN, "send a smaller body"),
+    ErrorKind.KEY_REUSED: AnswerRule(
+        422, NOT_RUN, "use a new key for a different body"
+    ),
+    ErrorKind.OPERATION_RUNNING: AnswerRule(
+        409, UNKNOWN, "ask again with the same key", SOON
+    ),
+    ErrorKind.OPERATION_UNKNOWN: AnswerRule(
+        409, UNKNOWN, "ask the operators to resolve this key"
+    ),
+    ErrorKind.CONFLICT: AnswerRule(
+        409, NOT_RUN, "read the configuration again and repeat the edit"
+    ),
+    ErrorKind.INVALID_CONFIGURATION: AnswerRule(422, NOT_RUN, "correct the edit"),
+    ErrorKind.QUEUE_FULL: AnswerRule(429, NOT_RUN, "ask again later", SOON),
+    ErrorKind.DEADLINE_UNREACHABLE: AnswerRule(
+        503, NOT_RUN, "ask again later or allow more time", SOON
+    ),
+    ErrorKind.DEADLINE_EXCEEDED: AnswerRule(
+        504, UNKNOWN, "ask again if the operation is idempotent", SOON
+    ),
+    ErrorKind.NO_BACKEND_SERVER: AnswerRule(503, NOT_RUN, "ask again later", LATER),
+    ErrorKind.LOAD_FAILED: AnswerRule(503, NOT_RUN, "ask again later", SOON),
+    ErrorKind.ADAPTER_NOT_LOADED: AnswerRule(503, NOT_RUN, "ask again", SOON),
+    ErrorKind.NOT_OWNER: AnswerRule(421, NOT_RUN, "ask the engine's owner", SOON),
+    ErrorKind.STALE_FENCING_NUMBER: AnswerRule(
+        409, NOT_RUN, "refresh ownership and ask again", SOON
+    ),
+    ErrorKind.TABLE_UNAVAILABLE: AnswerRule(503, NOT_RUN, "ask again later", LATER),
+    ErrorKind.TABLE_OUTCOME_UNKNOWN: AnswerRule(
+        503, UNKNOWN, "ask again with the same key", LATER
+    ),
+    ErrorKind.STORE_UNAVAILABLE: AnswerRule(503, NOT_RUN, "ask again later", LATER),
+    ErrorKind.PEER_UNAVAILABLE: AnswerRule(503, NOT_RUN, "ask again", SOON),
+    ErrorKind.BACKEND_UNREACHABLE: AnswerRule(503, NOT_RUN, "ask again", SOON),
+    ErrorKind.BACKEND_FAILED: AnswerRule(
+        502, UNKNOWN, "ask again if the operation is idempotent", SOON
+    ),
+    ErrorKind.ANSWER_INVALID: AnswerRule(
+        502, UNKNOWN, "ask again if the operation is idempotent", SOON
+    ),
+    ErrorKind.SHUTTING_DOWN: AnswerRule(503, NOT_RUN, "ask another instance", SOON),
+    ErrorKind.SWITCHED_OFF: AnswerRule(503, NOT_RUN, "ask the operators"),
+    ErrorKind.INTERNAL: AnswerRule(500, UNKNOWN, "report the request id"),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """Carry an error kind and what exactly went wrong."""
+
+    kind: ErrorKind
+    message: str
+    retry_after: timedelta | None = None
+
+    @property
+    def rule(self) -> AnswerRule:
+        """Return how this failure is answered."""
+        return ANSWERS[self.kind]
+
+    @property
+    def not_run(self) -> bool:
+        """Return whether the request certainly did not run."""
+        return self.rule.outcome is Outcome.NOT_RUN
+
+
+def retry_after_of(failure: Failure) -> timedelta | None:
+    """Return when to ask again, the failure's own time before the table's."""
+    if failure.retry_after is not None:
+        return failure.retry_after
+    return failure.rule.retry_after
+
+
+def answer_of(failure: Failure, request_id: RequestId) -> ErrorAnswer:
+    """Return the body that tells a caller about a failure."""
+    retry_after = retry_after_of(failure)
+    detail = ErrorDetail(
+        kind=failure.kind.value,
+        message=failure.message,
+        remedy=failure.rule.remedy,
+        outcome=failure.rule.outcome,
+        request_id=request_id,
+        retry_after_seconds=retry_after.total_seconds() if retry_after else None,
+    )
+    return ErrorAnswer(error=detail)
--- /dev/null
+++ b/src/magnoliatrail/listeners.py
@@ -0,0 +1,46 @@
+"""HTTP listeners of one process."""
+
+from dataclasses import dataclass
+
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application
+
+
+@dataclass(frozen=True)
+class Listener:
+    """Hold one listening HTTP server and its address."""
+
+    server: HTTPServer
+    host: str
+    port: int
+
+    @property
+    def url(self) -> str:
+        """Return the address that clients use."""
+        return f"http://{self.host}:{self.port}"
+
+    async def close(self) -> None:
+        """Stop listening and close all connections."""
+        self.server.stop()
+        await self.server.close_all_connections()
+
+
+def listen(
+    application: Application,
+    *,
+    host: str,
+    port: int = 0,
+    max_body_bytes: int = 16 * 1024 * 1024,
+) -> Listener:
+    """Serve an application; port 0 lets the kernel choose.
+
+    Raises OSError if the address is taken.
+    """
+    sockets = bind_sockets(port, address=host)
+    server = HTTPServer(
+        application, max_body_size=max_body_bytes, max_buffer_size=max_body_bytes * 2
+    )
+    server.add_sockets(sockets)
+    bound_port: int = sockets[0].getsockname()[1]
+    return Listener(server, host, bound_port)
--- /dev/null
+++ b/src/magnoliatrail/logs.py
@@ -0,0 +1,60 @@
+"""Log lines of key=value pairs, one for each event."""
+
+import sys
+from enum import Enum
+from typing import Any
+
+import logbook
+
+from magnoliatrail.generated.settings import LogLevel
+
+LINE_FORMAT = "time={record.time:%Y-%m-%dT%H:%M:%S.%fZ} level={record.level_name} part={record.channel} {record.message}"  # noqa: E501
+
+
+def quoted(value: object) -> str:
+    """Return a value as text that cannot be mistaken for another pair."""
+    text = str(value.value if isinstance(value, Enum) else value)
+    if text and not any(letter in text for letter in ' "=\n\r\t'):
+        return text
+    escaped = text.replace("\\", "\\\\").replace('"', '\\"')
+    flat = escaped.replace("\n", "\\n").replace("\r", "\\r").replace("\t", "\\t")
+    return f'"{flat}"'
+
+
+class EventLog:
+    """Write the events of one part of the program."""
+
+    def __init__(self, part: str) -> None:
+        self.logger = logbook.Logger(part)
+
+    def line(self, event: str, pairs: dict[str, Any]) -> str:
+        """Return the text of one event."""
+        parts = [f"event={event}"]
+        parts.extend(f"{key}={quoted(value)}" for key, value in pairs.items())
+        return " ".join(parts)
+
+    def debug(self, event: str, **pairs: object) -> None:
+        """Log what only helps to trace a single request."""
+        if self.logger.level <= logbook.DEBUG:
+            self.logger.debug("{}", self.line(event, pairs))
+
+    def info(self, event: str, **pairs: object) -> None:
+        """Log a decision or a change of state."""
+        self.logger.info("{}", self.line(event, pairs))
+
+    def warning(self, event: str, **pairs: object) -> None:
+        """Log what the system overcomes by itself."""
+        self.logger.warning("{}", self.line(event, pairs))
+
+    def error(self, event: str, **pairs: object) -> None:
+        """Log what an operator should look at."""
+        self.logger.error("{}", self.line(event, pairs))
+
+
+def log_to_stderr(level: LogLevel) -> None:
+    """Send all log lines of this process to standard error."""
+    handler = logbook.StreamHandler(
+        sys.stderr, level=level.value.upper(), format_string=LINE_FORMAT
+    )
+    logbook.set_datetime_format("utc")
+    handler.push_application()
--- /dev/null
+++ b/src/magnoliatrail/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which instances live, and who owns which engine."""
--- /dev/null
+++ b/src/magnoliatrail/metrics.py
@@ -0,0 +1,83 @@
+"""Counters, timings and gauges, sent by statsd."""
+
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Protocol
+
+from statsd import StatsClient
+
+from magnoliatrail.generated.settings import Settings
+
+
+class Metrics(Protocol):
+    """Take the measurements of one instance."""
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+
+    def timing(self, name: str, duration: timedelta) -> None:
+        """Record a duration."""
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+
+
+class NoMetrics:
+    """Drop every measurement."""
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Ignore a counter."""
+
+    def timing(self, name: str, duration: timedelta) -> None:
+        """Ignore a duration."""
+
+    def gauge(self, name: str, value: float) -> None:
+        """Ignore a gauge."""
+
+
+class StatsdMetrics:
+    """Send every measurement to a statsd server."""
+
+    def __init__(self, client: StatsClient) -> None:
+        self.client = client
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+        self.client.incr(name, amount)
+
+    def timing(self, name: str, duration: timedelta) -> None:
+        """Record a duration."""
+        self.client.timing(name, duration)
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        self.client.gauge(name, value)
+
+
+class RecordedMetrics:
+    """Keep every measurement in memory, for the demo and for tests."""
+
+    def __init__(self) -> None:
+        self.counters: dict[str, int] = {}
+        self.timings: dict[str, list[timedelta]] = {}
+        self.gauges: dict[str, list[float]] = {}
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+        self.counters[name] = self.counters.get(name, 0) + amount
+
+    def timing(self, name: str, duration: timedelta) -> None:
+        """Record a duration."""
+        self.timings.setdefault(name, []).append(duration)
+
+    def gauge(self, name: str, value: float) -> None:
+        """Record the new value of a gauge."""
+        self.gauges.setdefault(name, []).append(value)
+
+
+def metrics_from(settings: Settings, connect: Callable[..., StatsClient]) -> Metrics:
+    """Return metrics as the settings ask for."""
+    if not settings.statsd_host:
+        return NoMetrics()
+    client = connect(settings.statsd_host, settings.statsd_port, prefix="magnoliatrail")
+    return StatsdMetrics(client)
--- /dev/null
+++ b/src/magnoliatrail/operations/__init__.py
@@ -0,0 +1,1 @@
+"""Non-idempotent operations, which run at most once."""
--- /dev/null
+++ b/src/magnoliatrail/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Talk between instances: HTTP with JSON."""
--- /dev/null
+++ b/src/magnoliatrail/peers/server.py
@@ -0,0 +1,76 @@
+"""The listener for other instances."""
+
+import hmac
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Generic, TypeVar
+
+from expression import Error, Result
+from tornado.web import Application, RequestHandler
+
+from magnoliatrail.errors import ErrorKind, Failure
+from magnoliatrail.generated.membership import PeerRefusal
+from magnoliatrail.wire import JSON_TYPE, decode, encode
+
+M = TypeVar("M")
+
+
+@dataclass(frozen=True, slots=True)
+class PeerRoute(Generic[M]):
+    """Say which function answers the messages of one path."""
+
+    path: str
+    message_type: type[M]
+    answer: Callable[[M], Awaitable[Result[object, Failure]]]
+
+
+class PeerHandler(RequestHandler):
+    """Answer messages of one path, from instances with the shared token."""
+
+    def initialize(self, route: PeerRoute[object], token: str) -> None:
+        """Take the route to serve and the shared token."""
+        self.route = route
+        self.token = token
+
+    async def post(self) -> None:
+        """Answer one message."""
+        if not self.authorized():
+            self.refuse(Failure(ErrorKind.UNAUTHORIZED, "the peer token is wrong"))
+            return
+        match await self.answer():
+            case Result(tag="ok", ok=answer):
+                self.set_header("Content-Type", JSON_TYPE)
+                self.write(encode(answer))
+            case Result(error=failure):
+                self.refuse(failure)
+
+    def authorized(self) -> bool:
+        """Return whether the sender presents the shared token."""
+        presented = self.request.headers.get("Authorization", "")
+        expected = f"Bearer {self.token}"
+        return hmac.compare_digest(presented.encode(), expected.encode())
+
+    async def answer(self) -> Result[object, Failure]:
+        """Decode the message and pass it on."""
+        match decode(self.request.body, self.route.message_type):
+            case Result(tag="ok", ok=message):
+                return await self.route.answer(message)
+            case Result(error=failure):
+                return Error(failure)
+
+    def refuse(self, failure: Failure) -> None:
+        """Answer with a refusal."""
+        self.set_status(failure.rule.status)
+        refusal = PeerRefusal(kind=failure.kind.value, message=failure.message)
+        self.set_header("Content-Type", JSON_TYPE)
+        self.write(encode(refusal))
+
+
+def peer_application(routes: list[PeerRoute[object]], token: str) -> Application:
+    """Return the HTTP application of the peer listener."""
+    return Application(
+        [
+            (route.path, PeerHandler, {"route": route, "token": token})
+            for route in routes
+        ]
+    )
--- /dev/null
+++ b/src/magnoliatrail/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about which adapter is loaded where: plain functions on typed values."""
--- /dev/null
+++ b/src/magnoliatrail/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces and clients of the platform's services."""
--- /dev/null
+++ b/src/magnoliatrail/platform/instance_list.py
@@ -0,0 +1,40 @@
+"""The platform's list of live and leaving instances, which lags."""
+
+from typing import Protocol
+
+from expression import Error, Result
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+
+from magnoliatrail.errors import ErrorKind, Failure
+from magnoliatrail.generated.platform import InstanceList
+from magnoliatrail.wire import CallFailed, CallLimits, call, decode
+
+HTTP_OK = 200
+
+
+class InstanceListService(Protocol):
+    """Tell which instances and backend servers there are."""
+
+    async def read(self) -> Result[InstanceList, Failure]:
+        """Read the whole list."""
+
+
+class HttpInstanceList:
+    """Read the instance list over HTTP."""
+
+    def __init__(self, client: AsyncHTTPClient, url: str, limits: CallLimits) -> None:
+        self.client = client
+        self.url = url
+        self.limits = limits
+
+    async def read(self) -> Result[InstanceList, Failure]:
+        """Read the whole list."""
+        request = HTTPRequest(f"{self.url}/instances")
+        try:
+            response = await call(self.client, request, self.limits)
+        except CallFailed as error:
+            return Error(Failure(ErrorKind.STORE_UNAVAILABLE, str(error)))
+        if response.code != HTTP_OK:
+            message = f"the instance list answered {response.code}"
+            return Error(Failure(ErrorKind.STORE_UNAVAILABLE, message))
+        return decode(response.body, InstanceList)
--- /dev/null
+++ b/src/magnoliatrail/platform/objects.py
@@ -0,0 +1,60 @@
+"""The platform's object store."""
+
+from typing import Protocol
+
+from expression import Error, Ok, Result
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+
+from magnoliatrail.errors import ErrorKind, Failure
+from magnoliatrail.wire import CallFailed, CallLimits, call
+
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+
+
+class ObjectStore(Protocol):
+    """Keep large values by name."""
+
+    async def get(self, name: str) -> Result[bytes | None, Failure]:
+        """Read an object, None if there is none."""
+
+    async def put(self, name: str, body: bytes) -> Result[None, Failure]:
+        """Write an object; writing the same again is harmless."""
+
+
+class HttpObjects:
+    """Call the object store over HTTP."""
+
+    def __init__(self, client: AsyncHTTPClient, url: str, limits: CallLimits) -> None:
+        self.client = client
+        self.url = url
+        self.limits = limits
+
+    async def get(self, name: str) -> Result[bytes | None, Failure]:
+        """Read an object, None if there is none."""
+        request = HTTPRequest(f"{self.url}/objects/{name}")
+        try:
+            response = await call(self.client, request, self.limits)
+        except CallFailed as error:
+            return Error(Failure(ErrorKind.STORE_UNAVAILABLE, str(error)))
+        if response.code == HTTP_NOT_FOUND:
+            return Ok(None)
+        if response.code != HTTP_OK:
+            return Error(refused(response.code))
+        return Ok(response.body)
+
+    async def put(self, name: str, body: bytes) -> Result[None, Failure]:
+        """Write an object; writing the same again is harmless."""
+        request = HTTPRequest(f"{self.url}/objects/{name}", method="PUT", body=body)
+        try:
+            response = await call(self.client, request, self.limits)
+        except CallFailed as error:
+            return Error(Failure(ErrorKind.STORE_UNAVAILABLE, str(error)))
+        if response.code != HTTP_OK:
+            return Error(refused(response.code))
+        return Ok(None)
+
+
+def refused(status: int) -> Failure:
+    """Return the failure for a status that the object store should not give."""
+    return Failure(ErrorKind.STORE_UNAVAILABLE, f"the object store answered {status}")
--- /dev/null
+++ b/src/magnoliatrail/platform/table.py
@@ -0,0 +1,103 @@
+"""The platform's transactional table service."""
+
+from typing import Protocol
+
+from expression import Error, Result
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+from tornado.httputil import url_concat
+
+from magnoliatrail.errors import ErrorKind, Failure
+from magnoliatrail.generated.platform import (
+    Row,
+    RowList,
+    Transaction,
+    TransactionAnswer,
+)
+from magnoliatrail.wire import CallFailed, CallLimits, call, decode, encode
+
+HTTP_OK = 200
+HTTP_NOT_RUN = 503
+
+
+class TableService(Protocol):
+    """Keep rows that change in transactions."""
+
+    async def read(self, key: str) -> Result[Row | None, Failure]:
+        """Read one row."""
+
+    async def scan(self, prefix: str) -> Result[list[Row], Failure]:
+        """Read all rows whose key starts with a prefix."""
+
+    async def transact(
+        self, transaction: Transaction
+    ) -> Result[TransactionAnswer, Failure]:
+        """Commit a transaction.
+
+        TABLE_UNAVAILABLE means not committed for certain; TABLE_OUTCOME_UNKNOWN
+        that the answer was lost and the writes may stand.
+        """
+
+
+class HttpTable:
+    """Call the table service over HTTP."""
+
+    def __init__(self, client: AsyncHTTPClient, url: str, limits: CallLimits) -> None:
+        self.client = client
+        self.url = url
+        self.limits = limits
+
+    async def read(self, key: str) -> Result[Row | None, Failure]:
+        """Read one row."""
+        rows = await self.rows("/row", {"key": key})
+        return rows.map(lambda found: found[0] if found else None)
+
+    async def scan(self, prefix: str) -> Result[list[Row], Failure]:
+        """Read all rows whose key starts with a prefix."""
+        return await self.rows("/rows", {"prefix": prefix})
+
+    async def rows(
+        self, path: str, arguments: dict[str, str]
+    ) -> Result[list[Row], Failure]:
+        """Read rows of one path."""
+        request = HTTPRequest(url_concat(self.url + path, arguments))
+        try:
+            response = await call(self.client, request, self.limits)
+        except CallFailed as error:
+            return Error(Failure(ErrorKind.TABLE_UNAVAILABLE, str(error)))
+        if response.code != HTTP_OK:
+            message = f"the table service answered {response.code}"
+            return Error(Failure(ErrorKind.TABLE_UNAVAILABLE, message))
+        return decode(response.body, RowList).map(lambda answer: answer.rows)
+
+    async def transact(
+        self, transaction: Transaction
+    ) -> Result[TransactionAnswer, Failure]:
+        """Commit a transaction, or say whether it can have committed."""
+        request = HTTPRequest(
+            f"{self.url}/transactions", method="POST", body=encode(transaction)
+        )
+        try:
+            response = await call(self.client, request, self.limits)
+        except CallFailed as error:
+            kind = (
+                ErrorKind.TABLE_OUTCOME_UNKNOWN
+                if error.sent
+                else ErrorKind.TABLE_UNAVAILABLE
+            )
+            return Error(Failure(kind, str(error)))
+        if response.code == HTTP_OK:
+            return decode(response.body, TransactionAnswer)
+        message = f"the table service answered {response.code}"
+        if response.code == HTTP_NOT_RUN:
+            return Error(Failure(ErrorKind.TABLE_UNAVAILABLE, message))
+        return Error(Failure(ErrorKind.TABLE_OUTCOME_UNKNOWN, message))
+
+
+def value_of(row: Row | None) -> bytes | None:
+    """Return the value of a row that may be absent."""
+    return row.value.encode() if row else None
+
+
+def revision_of(row: Row | None) -> int:
+    """Return the revision of a row, 0 if it is absent."""
+    return row.revision if row else 0
--- /dev/null
+++ b/src/magnoliatrail/routing/rendezvous.py
@@ -0,0 +1,15 @@
+"""Rendezvous hashing."""
+
+import hashlib
+from collections.abc import Iterable
+
+
+def weight(member: str, key: str) -> int:
+    """Return the weight of a member for a key, uniform over 64 bits."""
+    digest = hashlib.blake2b(f"{member}\0{key}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+def ranked(key: str, members: Iterable[str]) -> list[str]:
+    """Return the members in the order in which they are preferred for a key."""
+    return sorted(members, key=lambda member: weight(member, key), reverse=True)
--- /dev/null
+++ b/src/magnoliatrail/standins/engine.py
@@ -0,0 +1,267 @@
+"""A stand-in for a batching model engine with few adapter slots."""
+
+import asyncio
+import hashlib
+import heapq
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from uuid import uuid4
+
+from magnoliatrail.clock import Clock
+from magnoliatrail.generated.engine import (
+    CacheEvent,
+    CacheEventKind,
+    CacheEvents,
+    Completion,
+    CompletionChoice,
+    CompletionOrder,
+    EngineRefusal,
+    LoadedHandle,
+    LoadReport,
+)
+from magnoliatrail.standins.faults import Faults
+
+Fetch = Callable[[str], Awaitable[None]]
+
+
+@dataclass(frozen=True, slots=True)
+class EngineLimits:
+    """Say how much an engine can hold and how fast it is."""
+
+    adapter_slots: int = 4
+    batch_slots: int = 8
+    token_time: timedelta = timedelta(milliseconds=5)
+    checks_fencing: bool = False
+    report_lag: timedelta = timedelta(seconds=0.2)
+    cache_event_gap: int = 0
+
+
+@dataclass
+class LoadedAdapter:
+    """Hold one adapter in a slot."""
+
+    source: str
+    running: int = 0
+
+
+@dataclass
+class GeneratedAnswer:
+    """Hold what was generated for one request, so that it can be resumed."""
+
+    request_id: str
+    handle: str
+    texts: list[str] = field(default_factory=list)
+    finished: bool = False
+    cancelled: bool = False
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def notify(self) -> None:
+        """Wake everyone who waits for more of this answer."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class Refused(Exception):  # noqa: N818
+    """Carry an engine's refusal."""
+
+    def __init__(self, status: int, code: str, message: str) -> None:
+        super().__init__(message)
+        self.status = status
+        self.refusal = EngineRefusal(code=code, message=message)
+
+
+class FakeEngine:
+    """Generate text in a batch, on adapters loaded into slots."""
+
+    def __init__(self, clock: Clock, limits: EngineLimits, fetch: Fetch) -> None:
+        self.clock = clock
+        self.limits = limits
+        self.fetch = fetch
+        self.faults = Faults()
+        self.violations: list[str] = []
+        self.loads = 0
+        self.evictions = 0
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.restart()
+
+    def restart(self) -> None:
+        """Start cold, with nothing loaded and nothing remembered."""
+        for task in self.tasks:
+            task.cancel()
+        self.boot_id = uuid4().hex
+        self.loaded: dict[str, LoadedAdapter] = {}
+        self.loading: set[str] = set()
+        self.answers: dict[str, GeneratedAnswer] = {}
+        self.queue: list[tuple[int, int, asyncio.Future[None]]] = []
+        self.queued = 0
+        self.running = 0
+        self.highest_fencing_number = 0
+        self.cache_events: list[CacheEvent] = []
+        self.last_report: tuple[timedelta, LoadReport] | None = None
+
+    def check_fencing_number(self, fencing_number: int) -> None:
+        """Refuse an order with an old fencing number, if this engine checks."""
+        if self.limits.checks_fencing and fencing_number < self.highest_fencing_number:
+            raise Refused(409, "stale_fencing_number", f"got {fencing_number}")
+        self.highest_fencing_number = max(self.highest_fencing_number, fencing_number)
+
+    async def load(self, handle: str, source: str, fencing_number: int) -> None:
+        """Load an adapter under a handle."""
+        self.check_fencing_number(fencing_number)
+        if handle in self.loaded or handle in self.loading:
+            return
+        if len(self.loaded) + len(self.loading) >= self.limits.adapter_slots:
+            raise Refused(409, "no_free_slot", "all adapter slots are taken")
+        boot_id = self.boot_id
+        self.loading.add(handle)
+        try:
+            await self.fetch(source)
+        finally:
+            self.loading.discard(handle)
+        if self.faults.fail_loads:
+            self.faults.fail_loads -= 1
+            raise Refused(500, "load_failed", f"loading {source} failed")
+        if boot_id != self.boot_id:
+            raise Refused(500, "restarted", "the engine restarted")
+        self.loads += 1
+        self.loaded[handle] = LoadedAdapter(source)
+
+    def unload(self, handle: str, fencing_number: int) -> None:
+        """Free a handle's slot, whoever uses it."""
+        self.check_fencing_number(fencing_number)
+        adapter = self.loaded.pop(handle, None)
+        if adapter is None:
+            return
+        self.evictions += 1
+        if adapter.running:
+            self.violations.append(f"{handle} evicted with {adapter.running} running")
+
+    def start(self, request_id: str, order: CompletionOrder) -> GeneratedAnswer:
+        """Start to generate, or refuse as not run."""
+        adapter = self.loaded.get(order.model)
+        if adapter is None:
+            raise Refused(404, "adapter_not_loaded", f"{order.model} is not loaded")
+        answer = GeneratedAnswer(request_id, order.model)
+        self.answers[request_id] = answer
+        adapter.running += 1
+        task = asyncio.create_task(self.generate(answer, order, adapter))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return answer
+
+    async def generate(
+        self, answer: GeneratedAnswer, order: CompletionOrder, adapter: LoadedAdapter
+    ) -> None:
+        """Generate an answer token by token, once the batch has a place."""
+        try:
+            await self.enter_batch(order.priority)
+            try:
+                await self.generate_tokens(answer, order, adapter.source)
+            finally:
+                self.leave_batch()
+        finally:
+            adapter.running -= 1
+            answer.finished = not answer.cancelled
+            answer.notify()
+
+    async def generate_tokens(
+        self, answer: GeneratedAnswer, order: CompletionOrder, source: str
+    ) -> None:
+        """Append the tokens of an answer, one a step."""
+        digest = hashlib.sha256(order.prompt.encode()).hexdigest()[:8]
+        self.record_cache_event(digest)
+        for position in range(order.max_tokens):
+            if answer.cancelled:
+                return
+            await self.clock.sleep(self.limits.token_time)
+            answer.texts.append(f" {source}:{digest}:{position}")
+            answer.notify()
+
+    async def enter_batch(self, priority: int) -> None:
+        """Wait for a place in the batch, lowest priority number first."""
+        if self.running < self.limits.batch_slots:
+            self.running += 1
+            return
+        self.queued += 1
+        place: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        heapq.heappush(self.queue, (priority, self.queued, place))
+        await place
+
+    def leave_batch(self) -> None:
+        """Give the place in the batch to the next that waits."""
+        while self.queue:
+            _, _, place = heapq.heappop(self.queue)
+            if not place.done():
+                place.set_result(None)
+                return
+        self.running -= 1
+
+    def cancel(self, request_id: str) -> None:
+        """Stop generating for a request."""
+        answer = self.answers.get(request_id)
+        if answer and not answer.finished:
+            answer.cancelled = True
+            answer.notify()
+
+    def record_cache_event(self, prefix_hash: str) -> None:
+        """Remember that a prompt prefix is now cached."""
+        sequence = len(self.cache_events) + 1
+        event = CacheEvent(
+            sequence=sequence, kind=CacheEventKind.STORED, prefix_hash=prefix_hash
+        )
+        self.cache_events.append(event)
+
+    def events_after(self, sequence: int) -> CacheEvents:
+        """Return cache events, without those that the gap setting drops."""
+        gap = self.limits.cache_event_gap
+        events = [
+            event
+            for event in self.cache_events[sequence:]
+            if not gap or event.sequence % gap
+        ]
+        return CacheEvents(boot_id=self.boot_id, events=events)
+
+    def report(self) -> LoadReport:
+        """Return a report of the load, as old as the lag makes it."""
+        now = self.clock.monotonic()
+        if self.last_report and now - self.last_report[0] < self.limits.report_lag:
+            taken, report = self.last_report
+            return replace_age(report, now - taken)
+        report = self.fresh_report()
+        self.last_report = (now, report)
+        return report
+
+    def fresh_report(self) -> LoadReport:
+        """Return a report of the load as it is."""
+        loaded = [
+            LoadedHandle(
+                lora_name=handle, lora_path=adapter.source, running=adapter.running
+            )
+            for handle, adapter in self.loaded.items()
+        ]
+        return LoadReport(
+            boot_id=self.boot_id,
+            batch_slots=self.limits.batch_slots,
+            adapter_slots=self.limits.adapter_slots,
+            running=self.running,
+            waiting=len(self.queue),
+            loaded=loaded,
+            fencing_number=self.highest_fencing_number,
+            age_seconds=0.0,
+        )
+
+
+def replace_age(report: LoadReport, age: timedelta) -> LoadReport:
+    """Return a report with another age."""
+    fields = {name: getattr(report, name) for name in report.__struct_fields__}
+    fields["age_seconds"] = age.total_seconds()
+    return LoadReport(**fields)
+
+
+def completion_of(answer: GeneratedAnswer, text: str, *, last: bool) -> Completion:
+    """Return the message that carries a text of an answer."""
+    choice = CompletionChoice(
+        index=0, text=text, finish_reason="length" if last else None
+    )
+    return Completion(id=answer.request_id, model=answer.handle, choices=[choice])
--- /dev/null
+++ b/src/magnoliatrail/standins/objects.py
@@ -0,0 +1,67 @@
+"""A stand-in for the platform's object store."""
+
+from expression import Error, Ok, Result
+from tornado.web import Application
+
+from magnoliatrail.errors import ErrorKind, Failure
+from magnoliatrail.standins.faults import FaultHandler, Faults, FaultyHandler
+
+
+class FakeObjects:
+    """Keep objects in memory, with faults; an ObjectStore of its own."""
+
+    def __init__(self) -> None:
+        self.objects: dict[str, bytes] = {}
+        self.faults = Faults()
+
+    async def get(self, name: str) -> Result[bytes | None, Failure]:
+        """Read an object, None if there is none."""
+        if self.faults.down:
+            return Error(outage())
+        return Ok(self.objects.get(name))
+
+    async def put(self, name: str, body: bytes) -> Result[None, Failure]:
+        """Write an object."""
+        if self.faults.down:
+            return Error(outage())
+        self.objects[name] = body
+        return Ok(None)
+
+
+def outage() -> Failure:
+    """Return the failure of an object store that is down."""
+    return Failure(ErrorKind.STORE_UNAVAILABLE, "the object store is down")
+
+
+class ObjectHandler(FaultyHandler):
+    """Serve `GET` and `PUT /objects/<name>`."""
+
+    def initialize(self, store: FakeObjects) -> None:
+        """Take the store to serve."""
+        self.store = store
+        self.faults = store.faults
+
+    def get(self, name: str) -> None:
+        """Read an object."""
+        body = self.store.objects.get(name)
+        if body is None:
+            self.send_error(404)
+            return
+        self.set_header("Content-Type", "application/octet-stream")
+        self.write(body)
+
+    def put(self, name: str) -> None:
+        """Write an object."""
+        self.store.objects[name] = self.request.body
+        if self.loses_answer():
+            self.drop_connection()
+
+
+def objects_application(store: FakeObjects) -> Application:
+    """Return the HTTP application of an object store."""
+    return Application(
+        [
+            (r"/objects/(.+)", ObjectHandler, {"store": store}),
+            ("/faults", FaultHandler, {"faults": store.faults}),
+        ]
+    )
--- /dev/null
+++ b/src/magnoliatrail/standins/weights.py
@@ -0,0 +1,97 @@
+"""A stand-in for the rate-limited weight store."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+import msgspec
+from tornado.web import Application
+
+from magnoliatrail.clock import Clock
+from magnoliatrail.generated.platform import Catalogue, CatalogueEntry
+from magnoliatrail.standins.faults import FaultHandler, Faults, FaultyHandler
+
+
+@dataclass(frozen=True, slots=True)
+class WeightStoreLimits:
+    """Say how fast the weight store gives adapters out."""
+
+    loads_per_second: float
+    burst: int
+    knee: int
+    load_time: timedelta = timedelta(seconds=0.25)
+
+
+NASSAR = WeightStoreLimits(loads_per_second=3.0, burst=1, knee=8)
+ANJS = WeightStoreLimits(loads_per_second=4.5, burst=2, knee=16)
+
+
+class FakeWeightStore:
+    """Give out adapters at a limited rate, slower beyond a number in flight."""
+
+    def __init__(
+        self, clock: Clock, limits: WeightStoreLimits, adapters: list[CatalogueEntry]
+    ) -> None:
+        self.clock = clock
+        self.limits = limits
+        self.adapters = adapters
+        self.faults = Faults()
+        self.in_flight = 0
+        self.loads = 0
+        self.next_start = clock.monotonic()
+
+    def reserve_start(self) -> timedelta:
+        """Take the next start that the rate allows, and return the wait for it."""
+        now = self.clock.monotonic()
+        interval = timedelta(seconds=1 / self.limits.loads_per_second)
+        earliest = now - interval * (self.limits.burst - 1)
+        start = max(self.next_start, earliest)
+        self.next_start = start + interval
+        return max(start - now, timedelta())
+
+    async def fetch(self) -> None:
+        """Take as long as fetching one adapter takes."""
+        await self.clock.sleep(self.reserve_start())
+        self.in_flight += 1
+        self.loads += 1
+        try:
+            slowdown = max(1.0, self.in_flight / self.limits.knee)
+            await self.clock.sleep(self.limits.load_time * slowdown)
+        finally:
+            self.in_flight -= 1
+
+
+class CatalogueHandler(FaultyHandler):
+    """Serve `GET /catalogue`."""
+
+    def initialize(self, store: FakeWeightStore) -> None:
+        """Take the store to serve."""
+        self.store = store
+        self.faults = store.faults
+
+    def get(self) -> None:
+        """Read the catalogue."""
+        self.write(msgspec.json.encode(Catalogue(adapters=self.store.adapters)))
+
+
+class WeightsHandler(CatalogueHandler):
+    """Serve `GET /weights/<adapter>@<version>`."""
+
+    async def get(self, name: str) -> None:  # type: ignore[override]
+        """Fetch one adapter at the pace of the store."""
+        known = {f"{entry.adapter}@{entry.version}" for entry in self.store.adapters}
+        if name not in known:
+            self.send_error(404)
+            return
+        await self.store.fetch()
+        self.write({"name": name})
+
+
+def weights_application(store: FakeWeightStore) -> Application:
+    """Return the HTTP application of a weight store."""
+    return Application(
+        [
+            ("/catalogue", CatalogueHandler, {"store": store}),
+            (r"/weights/(.+)", WeightsHandler, {"store": store}),
+            ("/faults", FaultHandler, {"faults": store.faults}),
+        ]
+    )
--- /dev/null
+++ b/src/magnoliatrail/wire.py
@@ -0,0 +1,85 @@
+"""HTTP calls with JSON bodies, and what their failures mean."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import TypeVar
+
+import msgspec
+from expression import Error, Ok, Result
+from tornado.httpclient import (
+    AsyncHTTPClient,
+    HTTPClientError,
+    HTTPRequest,
+    HTTPResponse,
+)
+from tornado.simple_httpclient import HTTPTimeoutError, SimpleAsyncHTTPClient
+
+from magnoliatrail.errors import ErrorKind, Failure
+
+T = TypeVar("T")
+
+JSON_TYPE = "application/json"
+MAX_CONNECTIONS = 20_000
+MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class CallLimits:
+    """Bound one HTTP call."""
+
+    connect: timedelta
+    total: timedelta
+
+
+class CallFailed(Exception):  # noqa: N818
+    """Carry why a call got no answer, and whether it can have had an effect."""
+
+    def __init__(self, message: str, *, sent: bool) -> None:
+        super().__init__(message)
+        self.sent = sent
+
+
+def new_http_client() -> AsyncHTTPClient:
+    """Return an HTTP client of its own, with no shared limits."""
+    return SimpleAsyncHTTPClient(
+        force_instance=True,
+        max_clients=MAX_CONNECTIONS,
+        max_body_size=MAX_RESPONSE_BYTES,
+        max_buffer_size=MAX_RESPONSE_BYTES,
+    )
+
+
+def encode(message: object) -> bytes:
+    """Encode a message as JSON."""
+    return msgspec.json.encode(message)
+
+
+def decode(body: bytes, message_type: type[T]) -> Result[T, Failure]:
+    """Decode a message, or say what is wrong with it."""
+    try:
+        return Ok(msgspec.json.decode(body, type=message_type))
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Error(Failure(ErrorKind.MALFORMED_REQUEST, str(error)))
+
+
+async def call(
+    client: AsyncHTTPClient,
+    request: HTTPRequest,
+    limits: CallLimits,
+) -> HTTPResponse:
+    """Make a call and return the answer, of whatever status.
+
+    Raises CallFailed if there is no answer.
+    """
+    request.connect_timeout = limits.connect.total_seconds()
+    request.request_timeout = limits.total.total_seconds()
+    request.follow_redirects = False
+    request.decompress_response = False
+    try:
+        return await client.fetch(request, raise_error=False)
+    except HTTPTimeoutError as error:
+        raise CallFailed(str(error), sent="during request" in str(error)) from error
+    except ConnectionRefusedError as error:
+        raise CallFailed(str(error), sent=False) from error
+    except (HTTPClientError, OSError) as error:
+        raise CallFailed(str(error), sent=True) from error
--- /dev/null
+++ b/tests/processes/fleet.py
@@ -0,0 +1,155 @@
+"""Daemons as processes on loopback, before stand-ins in this process."""
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+import threading
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from expression import Result
+from tornado.httpclient import HTTPRequest, HTTPResponse
+
+from magnoliatrail.clock import SystemClock
+from magnoliatrail.generated.membership import InstanceStatus
+from magnoliatrail.peers.client import PeerClient
+from magnoliatrail.standins.world import World, WorldSize, start_world
+from magnoliatrail.wire import CallLimits, call, encode, new_http_client
+
+TOKEN = "token-for-tests-only"
+LIMITS = CallLimits(timedelta(seconds=5), timedelta(seconds=60))
+GENEROUS_SECONDS = 60.0
+POLL_SECONDS = 0.05
+
+
+@dataclass
+class Process:
+    """Hold one daemon and its addresses."""
+
+    name: str
+    popen: subprocess.Popen[str]
+    caller_url: str
+    peer_url: str
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to this process only."""
+        self.popen.send_signal(number)
+
+
+@dataclass
+class Fleet:
+    """Hold the stand-ins and the daemons before them."""
+
+    world: World
+    processes: dict[str, Process] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.client = new_http_client()
+        self.peers = PeerClient(self.client, TOKEN)
+
+    async def start(self, name: str, *flags: str) -> Process:
+        """Start a daemon and wait until it says its addresses."""
+        return await asyncio.to_thread(self.start_blocking, name, flags)
+
+    def start_blocking(self, name: str, flags: tuple[str, ...]) -> Process:
+        """Start a daemon and read its log up to the line `started`."""
+        command = [sys.executable, "-m", "magnoliatrail", "serve", *self.flags(name)]
+        popen = subprocess.Popen(
+            [*command, *flags],
+            stderr=subprocess.PIPE,
+            text=True,
+            env={**os.environ, "PYTHONUNBUFFERED": "1"},
+        )
+        assert popen.stderr is not None
+        lines = []
+        for line in popen.stderr:
+            lines.append(line)
+            if "event=started" in line:
+                pairs = dict(pair.split("=", 1) for pair in line.split())
+                process = Process(name, popen, pairs["callers"], pairs["peers"])
+                self.processes[name] = process
+                threading.Thread(target=popen.stderr.read, daemon=True).start()
+                return process
+        raise AssertionError(f"{name} ended with {popen.wait()}: {lines}")
+
+    def flags(self, name: str) -> list[str]:
+        """Return the flags of a daemon."""
+        settings = {
+            "instance-id": name,
+            "failure-domain": "domain-0",
+            "port": "0",
+            "peer-port": "0",
+            "peer-token": TOKEN,
+            "table-url": self.world.url("table"),
+            "objects-url": self.world.url("objects"),
+            "weights-url": self.world.url("weights"),
+            "instance-list-url": self.world.url("instance-list"),
+        }
+        return [f"--{key}={value}" for key, value in settings.items()]
+
+    async def status(self, name: str) -> InstanceStatus | None:
+        """Return what an instance knows, None if it does not answer."""
+        url = f"{self.processes[name].peer_url}/peer/status"
+        match await self.peers.ask(url, {}, InstanceStatus, LIMITS):
+            case Result(tag="ok", ok=status):
+                return status
+            case _:
+                return None
+
+    async def until_settled(self) -> None:
+        """Wait until every engine has an owner and all instances know each other."""
+        names = sorted(self.processes)
+        async with asyncio.timeout(GENEROUS_SECONDS):
+            while not await self.settled(names):
+                await asyncio.sleep(POLL_SECONDS)
+
+    async def settled(self, names: list[str]) -> bool:
+        """Return whether every engine has one owner known to all."""
+        statuses = [await self.status(name) for name in names]
+        if any(status is None or status.peers != names for status in statuses):
+            return False
+        owned = [
+            engine for status in statuses if status for engine in status.engines_owned
+        ]
+        return len(owned) == len(set(owned)) == len(self.world.engines)
+
+    async def complete(
+        self, name: str, model: str, prompt: str, *, stream: bool, tokens: int = 8
+    ) -> HTTPResponse:
+        """Ask an instance for a completion."""
+        fields = {
+            "model": model,
+            "prompt": prompt,
+            "max_tokens": tokens,
+            "stream": stream,
+        }
+        url = f"{self.processes[name].caller_url}/v1/completions"
+        request = HTTPRequest(url, method="POST", body=encode(fields))
+        return await call(self.client, request, LIMITS)
+
+    async def close(self) -> None:
+        """End every process that was started here."""
+        for process in self.processes.values():
+            if process.popen.poll() is None:
+                process.popen.kill()
+            process.popen.wait()
+        await self.world.close()
+
+
+@asynccontextmanager
+async def running_fleet(
+    names: list[str], size: WorldSize | None = None
+) -> AsyncIterator[Fleet]:
+    """Run daemons before stand-ins, and end them all."""
+    fleet = Fleet(start_world(SystemClock(), size or WorldSize()))
+    try:
+        for name in names:
+            await fleet.start(name)
+        await fleet.until_settled()
+        yield fleet
+    finally:
+        await fleet.close()
