Split dispatch into search, engine call and retry

One module searches a permit, one calls the engine, one tries again, so that routing and outcomes can grow apart.

--- a/src/magnoliatrail/daemon.py
+++ b/src/magnoliatrail/daemon.py
@@ -14,8 +14,8 @@
 from magnoliatrail.engines.owner import EngineOwner
 from magnoliatrail.engines.permits import PermitHolder
 from magnoliatrail.entry.application import caller_application
-from magnoliatrail.entry.catalogue import AdapterCatalogue
 from magnoliatrail.entry.dispatch import Dispatcher
+from magnoliatrail.entry.engine_call import EngineCaller
 from magnoliatrail.entry.lifecycle import Lifecycle
 from magnoliatrail.entry.parts import EntryParts
 from magnoliatrail.errors import ErrorKind, Failure
@@ -50,9 +50,11 @@
 from magnoliatrail.operations.ledger import OperationLedger
 from magnoliatrail.peers.client import PeerClient
 from magnoliatrail.peers.server import PeerRoute, peer_application
+from magnoliatrail.placement.catalogue import AdapterCatalogue
 from magnoliatrail.platform.instance_list import HttpInstanceList
 from magnoliatrail.platform.table import HttpTable
 from magnoliatrail.platform.weights import HttpWeightStore
+from magnoliatrail.routing.permit_search import PermitSearch
 from magnoliatrail.settings import check_settings, control_limits, load_limits
 from magnoliatrail.wire import CallLimits, new_http_client
 
@@ -102,16 +104,7 @@
             fleet=self.fleet,
             configuration=self.configuration,
             catalogue=self.catalogue,
-            dispatcher=Dispatcher(
-                settings=settings,
-                clock=self.clock,
-                metrics=self.metrics,
-                client=self.client,
-                fleet=self.fleet,
-                catalogue=self.catalogue,
-                permits=self.permits,
-                ask_owner=self.ask_owner,
-            ),
+            dispatcher=self.new_dispatcher(),
             ledger=OperationLedger(self.table, self.clock),
             lifecycle=self.lifecycle,
         )
@@ -119,6 +112,27 @@
         self.peer_listener: Listener | None = None
         self.session: SessionLease | None = None
 
+    def new_dispatcher(self) -> Dispatcher:
+        """Return the part that answers completions."""
+        search = PermitSearch(
+            instance=self.instance,
+            clock=self.clock,
+            metrics=self.metrics,
+            fleet=self.fleet,
+            catalogue=self.catalogue,
+            permits=self.permits,
+            ask_owner=self.ask_owner,
+        )
+        caller = EngineCaller(
+            settings=self.settings,
+            clock=self.clock,
+            client=self.client,
+            permits=self.permits,
+        )
+        return Dispatcher(
+            clock=self.clock, metrics=self.metrics, search=search, caller=caller
+        )
+
     async def start(self) -> None:
         """Open the listeners, join the fleet and start the tasks."""
         settings = self.settings
--- a/src/magnoliatrail/entry/completions.py
+++ b/src/magnoliatrail/entry/completions.py
@@ -3,7 +3,6 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from magnoliatrail.entry.dispatch import CompletionCall
 from magnoliatrail.entry.handlers import CallerHandler
 from magnoliatrail.errors import Failure, answer_of
 from magnoliatrail.generated.answers import (
@@ -11,6 +10,7 @@
     ModelEntry,
     ModelList,
 )
+from magnoliatrail.requests import CompletionCall
 from magnoliatrail.wire import JSON_TYPE, decode, encode
 
 
--- a/src/magnoliatrail/entry/context.py
+++ b/src/magnoliatrail/entry/context.py
@@ -1,6 +1,5 @@
 """What the headers of a caller's request say."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 
 from expression import Error, Ok, Result
@@ -11,6 +10,7 @@
 from magnoliatrail.generated.permits import RequestClass
 from magnoliatrail.generated.settings import Settings
 from magnoliatrail.ids import CallerId, RequestId
+from magnoliatrail.requests import RequestContext
 
 CALLER_HEADER = "X-Caller"
 CLASS_HEADER = "X-Request-Class"
@@ -19,22 +19,6 @@
 ANONYMOUS = CallerId("anonymous")
 
 
-@dataclass(frozen=True, slots=True)
-class RequestContext:
-    """Say who asks, how urgently and until when."""
-
-    request_id: RequestId
-    caller: CallerId
-    request_class: RequestClass
-    started: timedelta
-    deadline: timedelta
-    idempotency_key: str
-
-    def time_left(self, clock: Clock) -> timedelta:
-        """Return the time left until the deadline, never negative."""
-        return max(self.deadline - clock.monotonic(), timedelta())
-
-
 def read_context(
     headers: HTTPHeaders, request_id: RequestId, settings: Settings, clock: Clock
 ) -> Result[RequestContext, Failure]:
--- a/src/magnoliatrail/entry/handlers.py
+++ b/src/magnoliatrail/entry/handlers.py
@@ -5,11 +5,12 @@
 from expression import Result
 from tornado.web import RequestHandler
 
-from magnoliatrail.entry.context import RequestContext, read_context
+from magnoliatrail.entry.context import read_context
 from magnoliatrail.entry.parts import EntryParts
 from magnoliatrail.errors import ErrorKind, Failure, answer_of, retry_after_of
 from magnoliatrail.ids import new_request_id
 from magnoliatrail.logs import EventLog
+from magnoliatrail.requests import RequestContext
 from magnoliatrail.wire import JSON_TYPE, encode
 
 log = EventLog("entry")
--- a/src/magnoliatrail/entry/parts.py
+++ b/src/magnoliatrail/entry/parts.py
@@ -6,13 +6,13 @@
 
 from magnoliatrail.clock import Clock
 from magnoliatrail.config.store import ConfigurationInForce
-from magnoliatrail.entry.catalogue import AdapterCatalogue
 from magnoliatrail.entry.dispatch import Dispatcher
 from magnoliatrail.entry.lifecycle import Lifecycle
 from magnoliatrail.generated.settings import Settings
 from magnoliatrail.membership.fleet import Fleet
 from magnoliatrail.metrics import Metrics
 from magnoliatrail.operations.ledger import OperationLedger
+from magnoliatrail.placement.catalogue import AdapterCatalogue
 
 
 @dataclass(frozen=True)
--- a/src/magnoliatrail/entry/services.py
+++ b/src/magnoliatrail/entry/services.py
@@ -7,12 +7,13 @@
 from tornado.httpclient import HTTPRequest, HTTPResponse
 
 from magnoliatrail.config.resolve import Scopes, setting_of
-from magnoliatrail.entry.context import KEY_HEADER, RequestContext
+from magnoliatrail.entry.context import KEY_HEADER
 from magnoliatrail.entry.handlers import CallerHandler
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.generated.platform import ListedInstance
 from magnoliatrail.logs import EventLog
 from magnoliatrail.operations.ledger import Claim, Operation, RecordedAnswer
+from magnoliatrail.requests import RequestContext
 from magnoliatrail.wire import CallFailed, CallLimits, call
 
 log = EventLog("services")
