Send peer messages over kept connections

simple_httpclient opens a connection for each message. A kept connection that stays silent is closed and the message is sent again on a new one; the new test fails without that second try, because the server never answers on the first connection again.

--- a/src/magnoliatrail/cli/status.py
+++ b/src/magnoliatrail/cli/status.py
@@ -11,7 +11,7 @@
 from magnoliatrail.cli.exit_codes import ExitCode
 from magnoliatrail.generated.membership import InstanceStatus
 from magnoliatrail.peers.client import PeerClient
-from magnoliatrail.wire import CallLimits, new_http_client
+from magnoliatrail.wire import CallLimits
 
 LIMITS = CallLimits(timedelta(seconds=2), timedelta(seconds=5))
 
@@ -26,7 +26,7 @@
 
 async def print_status(peer_url: str, peer_token: str) -> ExitCode:
     """Ask one instance for its status and print it."""
-    peers = PeerClient(new_http_client(), peer_token)
+    peers = PeerClient(peer_token)
     url = f"{peer_url}/peer/status"
     match await peers.ask(url, {}, InstanceStatus, LIMITS):
         case Result(tag="ok", ok=answer):
--- a/src/magnoliatrail/daemon.py
+++ b/src/magnoliatrail/daemon.py
@@ -80,7 +80,7 @@
         self.fleet = Fleet()
         self.catalogue = AdapterCatalogue()
         self.permits = PermitHolder()
-        self.peers = PeerClient(self.client, settings.peer_token)
+        self.peers = PeerClient(settings.peer_token)
         self.join_parts()
         self.lifecycle = Lifecycle(self.configuration)
         self.entry = self.new_entry()
@@ -230,6 +230,7 @@
             if listener:
                 await listener.close()
         self.client.close()
+        self.peers.close()
         log.info("stopped", instance=self.instance)
 
     def session_row(self, listener: Listener) -> SessionRow:
--- a/src/magnoliatrail/peers/client.py
+++ b/src/magnoliatrail/peers/client.py
@@ -3,11 +3,11 @@
 from typing import TypeVar
 
 from expression import Error, Result
-from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.generated.membership import PeerRefusal
-from magnoliatrail.wire import JSON_TYPE, CallFailed, CallLimits, call, decode, encode
+from magnoliatrail.peers.connections import KeptConnections
+from magnoliatrail.wire import CallFailed, CallLimits, decode, encode
 
 T = TypeVar("T")
 HTTP_OK = 200
@@ -16,28 +16,29 @@
 class PeerClient:
     """Call the peer listeners of other instances."""
 
-    def __init__(self, client: AsyncHTTPClient, token: str) -> None:
-        self.client = client
-        self.token = token
+    def __init__(self, token: str) -> None:
+        self.connections = KeptConnections()
+        self.headers = {"Authorization": f"Bearer {token}"}
 
     async def ask(
         self, url: str, message: object, answer_type: type[T], limits: CallLimits
     ) -> Result[T, Failure]:
         """Send a message to a peer and return its answer."""
-        headers = {
-            "Content-Type": JSON_TYPE,
-            "Authorization": f"Bearer {self.token}",
-        }
-        request = HTTPRequest(url, method="POST", headers=headers, body=encode(message))
+        body = encode(message)
         try:
-            response = await call(self.client, request, limits)
+            answer = await self.connections.post(url, self.headers, body, limits)
         except CallFailed as error:
             return Error(Failure(ErrorKind.PEER_UNAVAILABLE, str(error)))
-        if response.code == HTTP_OK:
-            return decode(response.body, answer_type)
-        match decode(response.body, PeerRefusal):
+        content = bytes(answer.body)
+        if answer.code == HTTP_OK:
+            return decode(content, answer_type)
+        match decode(content, PeerRefusal):
             case Result(tag="ok", ok=refusal):
                 return Error(Failure(ErrorKind(refusal.kind), refusal.message))
             case _:
-                message = f"a peer answered {response.code}"
-                return Error(Failure(ErrorKind.PEER_UNAVAILABLE, message))
+                text = f"a peer answered {answer.code}"
+                return Error(Failure(ErrorKind.PEER_UNAVAILABLE, text))
+
+    def close(self) -> None:
+        """Close the connections to all peers."""
+        self.connections.close()
--- a/src/magnoliatrail/peers/server.py
+++ b/src/magnoliatrail/peers/server.py
@@ -72,5 +72,6 @@
         [
             (route.path, PeerHandler, {"route": route, "token": token})
             for route in routes
-        ]
+        ],
+        log_function=lambda handler: None,
     )
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -49,7 +49,7 @@
 
     def __post_init__(self) -> None:
         self.client = new_http_client()
-        self.peers = PeerClient(self.client, TOKEN)
+        self.peers = PeerClient(TOKEN)
 
     async def start(self, name: str, *flags: str) -> Process:
         """Start a daemon and wait until it says its addresses."""
--- /dev/null
+++ b/tests/unit/test_connections.py
@@ -0,0 +1,97 @@
+import asyncio
+from datetime import timedelta
+
+import pytest
+from expression import Ok
+
+from magnoliatrail.generated.permits import HeldPermits, HeldPermitsRequest
+from magnoliatrail.listeners import listen
+from magnoliatrail.peers.client import PeerClient
+from magnoliatrail.peers.connections import KeptConnections
+from magnoliatrail.peers.server import PeerRoute, peer_application
+from magnoliatrail.wire import CallFailed, CallLimits
+
+TOKEN = "token-for-tests-only"
+LIMITS = CallLimits(timedelta(seconds=5), timedelta(seconds=10))
+SHORT = CallLimits(timedelta(seconds=5), timedelta(seconds=1))
+
+
+async def answer(request):
+    return Ok(HeldPermits(holder=request.engine, permits=[]))
+
+
+def served():
+    route = PeerRoute("/peer/held", HeldPermitsRequest, answer)
+    return listen(peer_application([route], TOKEN), host="127.0.0.1")
+
+
+def test_many_messages_go_over_one_connection(run):
+    async def scenario():
+        listener = served()
+        client = PeerClient(TOKEN)
+        for number in range(5):
+            message = HeldPermitsRequest(engine=f"e{number}")
+            result = await client.ask(
+                f"{listener.url}/peer/held", message, HeldPermits, LIMITS
+            )
+            assert result.ok.holder == f"e{number}"
+        assert client.connections.opened == 1
+        client.close()
+        await listener.close()
+
+    run(scenario())
+
+
+def test_a_wrong_token_is_refused(run):
+    async def scenario():
+        listener = served()
+        client = PeerClient("another-token-of-16")
+        message = HeldPermitsRequest(engine="e")
+        result = await client.ask(
+            f"{listener.url}/peer/held", message, HeldPermits, LIMITS
+        )
+        assert result.error.kind.value == "unauthorized"
+        client.close()
+        await listener.close()
+
+    run(scenario())
+
+
+def test_a_kept_connection_that_goes_silent_gives_way_to_a_new_one(run):
+    async def scenario():
+        connections = 0
+
+        async def serve(reader, writer):
+            nonlocal connections
+            connections += 1
+            silent_after = 1 if connections == 1 else 10
+            for _ in range(silent_after):
+                await reader.readuntil(b"\r\n\r\n")
+                await reader.readexactly(2)
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+            await reader.read(1000)
+            await asyncio.Event().wait()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        kept = KeptConnections()
+        url = f"http://127.0.0.1:{port}/peer/x"
+        for _ in range(3):
+            assert (await kept.post(url, {}, b"{}", SHORT)).code == 200
+        assert connections == kept.opened == 2
+        kept.close()
+        server.close()
+
+    run(scenario())
+
+
+def test_nobody_listening_means_not_sent(run):
+    async def scenario():
+        listener = served()
+        await listener.close()
+        kept = KeptConnections()
+        with pytest.raises(CallFailed) as caught:
+            await kept.post(f"{listener.url}/peer/held", {}, b"{}", SHORT)
+        assert not caught.value.sent
+
+    run(scenario())
