Accept, keep and spread configuration edits

Edits carry an id; head, history and edit row are written in one transaction, so a lost answer is settled by reading the edit row and a repeat is recognised. Accepted edits are pushed as changes, heartbeats and polls make up for losses, and an instance that never saw head or peer refuses work instead of serving initial defaults.

--- a/src/magnoliatrail/config/resolve.py
+++ b/src/magnoliatrail/config/resolve.py
@@ -1,9 +1,10 @@
 """The value of a setting where it is used: defaults, then exceptions."""
 
 from dataclasses import dataclass
-from typing import TypeVar
+from typing import Any, TypeVar
 
 import msgspec
+from msgspec.structs import fields
 
 from magnoliatrail.generated.configuration import (
     Configuration,
@@ -37,6 +38,11 @@
     failure_domain: str = ""
 
 
+def setting_type(setting: str) -> Any:
+    """Return the type of a default, with the bounds that the schema gives it."""
+    return next(field.type for field in fields(Defaults) if field.name == setting)
+
+
 def applies(exception: ConfigurationException, scopes: Scopes) -> bool:
     """Return whether an exception applies within some scopes."""
     named: str = getattr(scopes, exception.scope.value)
--- a/src/magnoliatrail/config/store.py
+++ b/src/magnoliatrail/config/store.py
@@ -1,103 +1,237 @@
 """The revisioned head of the configuration, changed by compare-and-set."""
 
-from collections.abc import Callable
+import asyncio
+from dataclasses import dataclass
+from datetime import timedelta
 
 from expression import Error, Ok, Result
+from msgspec.structs import replace
 
+from magnoliatrail.clock import Clock
+from magnoliatrail.config.changes import apply_change, describe
+from magnoliatrail.config.in_force import initial_configuration
 from magnoliatrail.errors import ErrorKind, Failure
-from magnoliatrail.generated.configuration import Configuration, Defaults
+from magnoliatrail.generated.configuration import (
+    AcceptedEdit,
+    Configuration,
+    ConfigurationEdit,
+)
 from magnoliatrail.generated.platform import (
     Row,
     RowCondition,
     RowWrite,
     Transaction,
+    TransactionAnswer,
 )
-from magnoliatrail.ids import Revision, new_write_id
 from magnoliatrail.platform.table import TableService, revision_of
 from magnoliatrail.wire import decode, encode
 
 HEAD = "configuration/head"
+HISTORY = "configuration/history/"
+EDITS = "configuration/edits/"
+HISTORY_KEPT_REVISIONS = 100_000
+HISTORY_READ_AT_ONCE = 32
+MAX_TRIES = 8
+TRY_INTERVAL = timedelta(milliseconds=200)
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """Hold the head row and the configuration in it."""
+
+    row: Row | None
+    configuration: Configuration
+
 
-Edit = Callable[[Configuration], Result[Configuration, Failure]]
+def history_key(revision: int) -> str:
+    """Return the key of the history row of a revision."""
+    return f"{HISTORY}{revision:012d}"
 
 
-def initial_configuration() -> Configuration:
-    """Return the configuration of a fleet that was never edited."""
-    return Configuration(revision=0, edit_id="", defaults=Defaults(), exceptions=[])
+def edit_key(edit_id: str) -> str:
+    """Return the key of the row by which a repeated edit is recognised."""
+    return EDITS + edit_id
 
 
 class ConfigurationStore:
-    """Read and edit the head row."""
+    """Read and edit the configuration in the table service."""
 
-    def __init__(self, table: TableService) -> None:
+    def __init__(self, table: TableService, clock: Clock) -> None:
         self.table = table
+        self.clock = clock
 
     async def read(self) -> Result[Configuration, Failure]:
         """Read the configuration that was accepted last."""
+        head = await self.read_head()
+        return head.map(lambda found: found.configuration)
+
+    async def read_head(self) -> Result[Head, Failure]:
+        """Read the head row."""
         match await self.table.read(HEAD):
             case Result(tag="ok", ok=row):
                 return decode_head(row)
             case Result(error=failure):
                 return Error(failure)
 
-    async def edit(
-        self, change: Edit, *, expected: Revision
-    ) -> Result[Configuration, Failure]:
-        """Commit an edit of the expected revision, or report a conflict."""
-        match await self.table.read(HEAD):
-            case Result(tag="ok", ok=row):
-                pass
-            case Result(error=failure):
+    async def edit(self, edit: ConfigurationEdit) -> Result[AcceptedEdit, Failure]:
+        """Accept an edit, or say why not.
+
+        An edit that was accepted before is recognised by its id, so that it may be
+        sent again after a lost answer. CONFLICT says what changed meanwhile.
+        """
+        uncertain = False
+        for _ in range(MAX_TRIES):
+            match await self.try_edit(edit):
+                case Result(tag="ok", ok=accepted) if accepted:
+                    return Ok(accepted)
+                case Result(tag="error", error=failure):
+                    if failure.kind is ErrorKind.TABLE_OUTCOME_UNKNOWN:
+                        uncertain = True
+                    elif uncertain:
+                        return await self.settle(edit, failure)
+                    else:
+                        return Error(failure)
+            await self.clock.sleep(TRY_INTERVAL)
+        message = f"edit {edit.edit_id} met {MAX_TRIES} racing edits or lost answers"
+        return await self.settle(edit, Failure(ErrorKind.CONFLICT, message))
+
+    async def settle(
+        self, edit: ConfigurationEdit, failure: Failure
+    ) -> Result[AcceptedEdit, Failure]:
+        """Refuse an edit, unless an attempt whose answer was lost was accepted."""
+        match await self.already_accepted(edit):
+            case Result(tag="ok", ok=accepted) if accepted:
+                return Ok(accepted)
+            case Result(tag="ok") if failure.kind is not ErrorKind.TABLE_UNAVAILABLE:
                 return Error(failure)
-        match decode_head(row):
-            case Result(tag="ok", ok=current):
+            case _:
+                message = f"whether edit {edit.edit_id} was accepted is not known"
+                return Error(Failure(ErrorKind.TABLE_OUTCOME_UNKNOWN, message))
+
+    async def try_edit(
+        self, edit: ConfigurationEdit
+    ) -> Result[AcceptedEdit | None, Failure]:
+        """Try an edit once; None asks for another try on the new head."""
+        match await self.already_accepted(edit):
+            case Result(tag="ok", ok=accepted) if accepted:
+                return Ok(accepted)
+            case Result(tag="error", error=failure):
+                return Error(failure)
+        match await self.read_head():
+            case Result(tag="ok", ok=head):
                 pass
             case Result(error=failure):
                 return Error(failure)
-        if current.revision != expected:
-            message = f"the configuration is at revision {current.revision}"
-            return Error(Failure(ErrorKind.CONFLICT, message))
-        match change(current):
+        current = head.configuration
+        expected = edit.expected_revision
+        if expected is not None and expected != current.revision:
+            return Error(await self.conflict(expected, current.revision))
+        match apply_change(current, edit.change):
             case Result(tag="ok", ok=changed):
-                edited = Configuration(
-                    revision=current.revision + 1,
-                    edit_id=new_write_id(),
-                    defaults=changed.defaults,
-                    exceptions=changed.exceptions,
-                )
+                pass
             case Result(error=failure):
                 return Error(failure)
-        condition = RowCondition(key=HEAD, revision=revision_of(row))
-        write = RowWrite(key=HEAD, value=encode(edited).decode())
-        result = await self.table.transact(
-            Transaction(conditions=[condition], writes=[write])
-        )
-        match result:
+        revision = current.revision + 1
+        accepted = AcceptedEdit(revision=revision, edit=edit)
+        document = replace(changed, revision=revision, edit_id=edit.edit_id)
+        match await self.commit(head, document, accepted):
             case Result(tag="ok", ok=answer) if answer.committed:
-                return Ok(edited)
+                return Ok(accepted)
             case Result(tag="ok"):
-                message = "another operator edited the configuration first"
-                return Error(Failure(ErrorKind.CONFLICT, message))
+                return Ok(None)
             case Result(error=failure):
                 return Error(failure)
 
+    async def commit(
+        self, head: Head, document: Configuration, accepted: AcceptedEdit
+    ) -> Result[TransactionAnswer, Failure]:
+        """Write head, history and edit row together, if the head is as it was."""
+        edit_row = edit_key(accepted.edit.edit_id)
+        entry = encode(accepted).decode()
+        writes = [
+            RowWrite(key=HEAD, value=encode(document).decode()),
+            RowWrite(key=history_key(accepted.revision), value=entry),
+            RowWrite(key=edit_row, value=entry),
+        ]
+        writes.extend(await self.forgotten(accepted.revision))
+        conditions = [
+            RowCondition(key=HEAD, revision=revision_of(head.row)),
+            RowCondition(key=edit_row, revision=0),
+        ]
+        return await self.table.transact(
+            Transaction(conditions=conditions, writes=writes)
+        )
+
+    async def forgotten(self, revision: int) -> list[RowWrite]:
+        """Return the deletions that keep the history bounded."""
+        oldest = revision - HISTORY_KEPT_REVISIONS
+        if oldest <= 0:
+            return []
+        match await self.history(oldest - 1, oldest):
+            case Result(tag="ok", ok=[accepted]):
+                keys = [history_key(oldest), edit_key(accepted.edit.edit_id)]
+                return [RowWrite(key=key, value=None) for key in keys]
+            case _:
+                return []
+
+    async def already_accepted(
+        self, edit: ConfigurationEdit
+    ) -> Result[AcceptedEdit | None, Failure]:
+        """Return the acceptance of an edit that was sent before."""
+        match await self.table.read(edit_key(edit.edit_id)):
+            case Result(tag="ok", ok=None):
+                return Ok(None)
+            case Result(tag="ok", ok=row):
+                return decode_accepted(row)
+            case Result(error=failure):
+                return Error(failure)
 
-def decode_head(row: Row | None) -> Result[Configuration, Failure]:
+    async def conflict(self, expected: int, current: int) -> Failure:
+        """Return the failure that tells an operator what changed meanwhile."""
+        message = f"the configuration is at revision {current}, not {expected}"
+        if expected > current:
+            return Failure(ErrorKind.CONFLICT, message)
+        match await self.history(expected, current):
+            case Result(tag="ok", ok=edits):
+                changes = [
+                    f"{item.edit.author}: {describe(item.edit.change)}"
+                    for item in edits
+                ]
+                message = f"{message}; since then {'; '.join(changes)}"
+        return Failure(ErrorKind.CONFLICT, message)
+
+    async def history(
+        self, after: int, up_to: int
+    ) -> Result[list[AcceptedEdit], Failure]:
+        """Read the edits after one revision up to another, the last ones first kept."""
+        first = max(after + 1, up_to - HISTORY_READ_AT_ONCE + 1, 1)
+        keys = [history_key(revision) for revision in range(first, up_to + 1)]
+        results = await asyncio.gather(*(self.table.read(key) for key in keys))
+        edits = []
+        for result in results:
+            match result:
+                case Result(tag="ok", ok=None):
+                    continue
+                case Result(tag="ok", ok=row):
+                    match decode_accepted(row):
+                        case Result(tag="ok", ok=accepted):
+                            edits.append(accepted)
+                        case Result(error=failure):
+                            return Error(failure)
+                case Result(error=failure):
+                    return Error(failure)
+        return Ok(edits)
+
+
+def decode_head(row: Row | None) -> Result[Head, Failure]:
     """Decode the head row, which is absent before the first edit."""
     if row is None:
-        return Ok(initial_configuration())
-    return decode(row.value.encode(), Configuration)
-
-
-class ConfigurationInForce:
-    """Hold the highest revision seen, which never goes back."""
+        return Ok(Head(None, initial_configuration()))
+    decoded = decode(row.value.encode(), Configuration)
+    return decoded.map(lambda configuration: Head(row, configuration))
 
-    def __init__(self) -> None:
-        self.configuration = initial_configuration()
 
-    def offer(self, configuration: Configuration) -> bool:
-        """Put a configuration in force if it is newer."""
-        if configuration.revision <= self.configuration.revision:
-            return False
-        self.configuration = configuration
-        return True
+def decode_accepted(row: Row | None) -> Result[AcceptedEdit, Failure]:
+    """Decode a row that holds an accepted edit."""
+    assert row is not None
+    return decode(row.value.encode(), AcceptedEdit)
--- a/src/magnoliatrail/daemon.py
+++ b/src/magnoliatrail/daemon.py
@@ -1,7 +1,7 @@
 """One instance: its parts, its tasks, and its graceful shutdown."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import Any
 
@@ -9,7 +9,9 @@
 from statsd import StatsClient
 
 from magnoliatrail.clock import Clock, SystemClock
-from magnoliatrail.config.store import ConfigurationInForce, ConfigurationStore
+from magnoliatrail.config.in_force import ConfigurationInForce
+from magnoliatrail.config.spread import ConfigurationSpread
+from magnoliatrail.config.store import ConfigurationStore
 from magnoliatrail.engines.client import EngineClient
 from magnoliatrail.engines.owner import EngineOwner
 from magnoliatrail.engines.permits import PermitHolder
@@ -49,6 +51,10 @@
 from magnoliatrail.metrics import Metrics, metrics_from
 from magnoliatrail.operations.ledger import OperationLedger
 from magnoliatrail.peers.client import PeerClient
+from magnoliatrail.peers.configuration import (
+    configuration_links,
+    configuration_routes,
+)
 from magnoliatrail.peers.server import PeerRoute, peer_application
 from magnoliatrail.placement.catalogue import AdapterCatalogue
 from magnoliatrail.platform.instance_list import HttpInstanceList
@@ -86,14 +92,14 @@
             self.client, settings.instance_list_url, self.limits
         )
         self.weights = HttpWeightStore(self.client, settings.weights_url, self.limits)
-        self.configuration_store = ConfigurationStore(self.table)
-        self.configuration = ConfigurationInForce()
+        self.configuration = ConfigurationInForce(self.clock)
         self.fleet = Fleet()
         self.catalogue = AdapterCatalogue()
         self.permits = PermitHolder()
         self.owned: dict[EngineId, EngineOwner] = {}
         self.ownership = OwnershipTable(self.table, self.instance, self.incarnation)
         self.peers = PeerClient(self.client, settings.peer_token)
+        self.spread = self.new_spread()
         self.lifecycle = Lifecycle(self.configuration)
         self.tasks: list[asyncio.Task[None]] = []
         self.entry = EntryParts(
@@ -112,6 +118,26 @@
         self.peer_listener: Listener | None = None
         self.session: SessionLease | None = None
 
+    def new_spread(self) -> ConfigurationSpread:
+        """Return the part that keeps the configuration up to date."""
+        links = configuration_links(
+            self.other_instances,
+            lambda peer: self.fleet.sessions[peer].peer_url,
+            self.peers,
+            self.limits,
+        )
+        return ConfigurationSpread(
+            instance=self.instance,
+            store=ConfigurationStore(self.table, self.clock),
+            in_force=self.configuration,
+            links=links,
+            metrics=self.metrics,
+        )
+
+    def other_instances(self) -> list[InstanceId]:
+        """Return the peers that are known to live."""
+        return [peer for peer in self.fleet.sessions if peer != self.instance]
+
     def new_dispatcher(self) -> Dispatcher:
         """Return the part that answers completions."""
         search = PermitSearch(
@@ -150,12 +176,12 @@
         )
         await self.renew_session()
         await self.refresh_catalogue()
-        await self.refresh_configuration()
         await self.refresh_fleet()
+        await self.spread.start()
         self.every(settings.renewal_seconds, self.renew_session)
         self.every(settings.instance_list_seconds, self.refresh_fleet)
         self.every(settings.load_report_seconds, self.refresh_engines)
-        self.every(settings.configuration_poll_seconds, self.refresh_configuration)
+        self.every(settings.configuration_poll_seconds, self.spread.poll)
         self.every(settings.heartbeat_seconds, self.send_heartbeats)
         self.every(CATALOGUE_SECONDS, self.refresh_catalogue)
         self.lifecycle.ready = True
@@ -227,17 +253,6 @@
             case Result(error=failure):
                 log.warning("catalogue_missing", reason=failure.message)
 
-    async def refresh_configuration(self) -> None:
-        """Read the configuration head."""
-        match await self.configuration_store.read():
-            case Result(tag="ok", ok=configuration):
-                if self.configuration.offer(configuration):
-                    log.info("configuration", revision=configuration.revision)
-            case Result(error=failure):
-                log.warning("configuration_missing", reason=failure.message)
-        revision = self.configuration.configuration.revision
-        self.metrics.gauge("configuration.revision", revision)
-
     async def refresh_fleet(self) -> None:
         """Read the instance list, the sessions and the owners."""
         match await self.instance_list.read():
@@ -315,15 +330,11 @@
         url = f"{peer.peer_url}/peer/heartbeat"
         match await self.peers.ask(url, heartbeat, HeartbeatAnswer, self.limits):
             case Result(tag="ok", ok=answer):
-                await self.catch_up(answer.configuration_revision)
+                peer_id = InstanceId(peer.instance)
+                await self.spread.catch_up(answer.configuration_revision, peer_id)
             case Result(error=failure):
                 log.warning("peer_silent", peer=peer.instance, reason=failure.message)
 
-    async def catch_up(self, revision: int) -> None:
-        """Read the configuration head if a peer knows a newer revision."""
-        if revision > self.configuration.configuration.revision:
-            await self.refresh_configuration()
-
     async def ask_owner(
         self, owner: InstanceId, request: PermitRequest
     ) -> Result[PermitGrant, Failure]:
@@ -370,7 +381,7 @@
         self, heartbeat: Heartbeat
     ) -> Result[HeartbeatAnswer, Failure]:
         """Answer a peer's heartbeat."""
-        self.tasks_of_heartbeat(heartbeat.configuration_revision)
+        self.catch_up_later(heartbeat)
         return Ok(
             HeartbeatAnswer(
                 instance=self.instance,
@@ -379,10 +390,13 @@
             )
         )
 
-    def tasks_of_heartbeat(self, revision: int) -> None:
+    def catch_up_later(self, heartbeat: Heartbeat) -> None:
         """Catch up with a peer's configuration without delaying its answer."""
-        start: Coroutine[Any, Any, None] = self.catch_up(revision)
-        task = asyncio.create_task(start)
+        peer = InstanceId(heartbeat.instance)
+        revision = heartbeat.configuration_revision
+        if peer not in self.fleet.sessions:
+            return
+        task = asyncio.create_task(self.spread.catch_up(revision, peer))
         task.add_done_callback(lambda done: done.exception())
 
     async def answer_status(self, request: object) -> Result[InstanceStatus, Failure]:
@@ -410,4 +424,5 @@
             PeerRoute("/peer/recalls", PermitRecall, self.answer_recall),
             PeerRoute("/peer/heartbeat", Heartbeat, self.answer_heartbeat),
             PeerRoute("/peer/status", object, self.answer_status),
+            *configuration_routes(self.spread),
         ]
--- a/src/magnoliatrail/demo.py
+++ b/src/magnoliatrail/demo.py
@@ -10,21 +10,21 @@
 from itertools import accumulate
 
 import msgspec
-from expression import Ok, Result
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
 from magnoliatrail.clock import SystemClock
 from magnoliatrail.config.store import ConfigurationStore
 from magnoliatrail.daemon import Daemon
-from magnoliatrail.errors import Failure
 from magnoliatrail.generated.configuration import (
-    Configuration,
+    Change,
+    ChangeKind,
+    ConfigurationEdit,
     ConfigurationException,
     ScopeKind,
 )
 from magnoliatrail.generated.engine import Completion
 from magnoliatrail.generated.settings import Settings
-from magnoliatrail.ids import Revision
+from magnoliatrail.ids import new_write_id
 from magnoliatrail.metrics import RecordedMetrics
 from magnoliatrail.standins.world import World, WorldSize, start_world
 from magnoliatrail.wire import CallFailed, CallLimits, call, encode, new_http_client
@@ -186,11 +186,13 @@
         time=SystemClock().now().isoformat(),
     )
 
-    def add(current: Configuration) -> Result[Configuration, Failure]:
-        return Ok(msgspec.structs.replace(current, exceptions=[exception]))
-
-    store = ConfigurationStore(world.table)
-    result = await store.edit(add, expected=Revision(0))
+    edit = ConfigurationEdit(
+        edit_id=new_write_id(),
+        author="demo",
+        time=exception.time,
+        change=Change(kind=ChangeKind.ADD_EXCEPTION, exception=exception),
+    )
+    result = await ConfigurationStore(world.table, SystemClock()).edit(edit)
     assert result.is_ok(), result
 
 
--- a/src/magnoliatrail/entry/lifecycle.py
+++ b/src/magnoliatrail/entry/lifecycle.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
-from magnoliatrail.config.store import ConfigurationInForce
+from magnoliatrail.config.in_force import ConfigurationInForce
 from magnoliatrail.errors import ErrorKind, Failure
 
 
@@ -24,6 +24,9 @@
         if self.stopping:
             message = "this instance is shutting down"
             return Failure(ErrorKind.SHUTTING_DOWN, message)
+        if not self.configuration.known:
+            message = "this instance has not read the configuration yet"
+            return Failure(ErrorKind.STARTING, message)
         if not self.configuration.configuration.defaults.accept_work:
             return Failure(ErrorKind.SWITCHED_OFF, "the fleet is switched off")
         return None
--- a/src/magnoliatrail/entry/parts.py
+++ b/src/magnoliatrail/entry/parts.py
@@ -5,7 +5,7 @@
 from tornado.httpclient import AsyncHTTPClient
 
 from magnoliatrail.clock import Clock
-from magnoliatrail.config.store import ConfigurationInForce
+from magnoliatrail.config.in_force import ConfigurationInForce
 from magnoliatrail.entry.dispatch import Dispatcher
 from magnoliatrail.entry.lifecycle import Lifecycle
 from magnoliatrail.generated.settings import Settings
--- a/src/magnoliatrail/errors.py
+++ b/src/magnoliatrail/errors.py
@@ -40,6 +40,7 @@
     BACKEND_UNREACHABLE = "backend_unreachable"
     BACKEND_FAILED = "backend_failed"
     ANSWER_INVALID = "answer_invalid"
+    STARTING = "starting"
     SHUTTING_DOWN = "shutting_down"
     SWITCHED_OFF = "switched_off"
     INTERNAL = "internal"
@@ -118,6 +119,7 @@
     ErrorKind.ANSWER_INVALID: AnswerRule(
         502, UNKNOWN, "ask again if the operation is idempotent", SOON
     ),
+    ErrorKind.STARTING: AnswerRule(503, NOT_RUN, "ask another instance", SOON),
     ErrorKind.SHUTTING_DOWN: AnswerRule(503, NOT_RUN, "ask another instance", SOON),
     ErrorKind.SWITCHED_OFF: AnswerRule(503, NOT_RUN, "ask the operators"),
     ErrorKind.INTERNAL: AnswerRule(500, UNKNOWN, "report the request id"),
