--- a/src/magnoliatrail/daemon.py
+++ b/src/magnoliatrail/daemon.py
@@ -6,8 +6,9 @@
 from statsd import StatsClient
 
 from magnoliatrail.clock import Clock, SystemClock
-from magnoliatrail.config.poll import ConfigurationPoll
-from magnoliatrail.config.store import ConfigurationInForce, ConfigurationStore
+from magnoliatrail.config.in_force import ConfigurationInForce
+from magnoliatrail.config.spread import ConfigurationSpread
+from magnoliatrail.config.store import ConfigurationStore
 from magnoliatrail.engines.client import EngineClient
 from magnoliatrail.engines.owned import OwnedEngines
 from magnoliatrail.engines.owner import EngineOwner
@@ -37,6 +38,10 @@
 from magnoliatrail.metrics import Metrics, metrics_from
 from magnoliatrail.operations.ledger import OperationLedger
 from magnoliatrail.peers.client import PeerClient
+from magnoliatrail.peers.configuration import (
+    configuration_links,
+    configuration_routes,
+)
 from magnoliatrail.peers.heartbeats import Heartbeats
 from magnoliatrail.peers.permit_calls import PermitCalls
 from magnoliatrail.peers.server import PeerRoute, peer_application
@@ -73,14 +78,12 @@
         self.limits = control_limits(settings)
         self.tasks = PeriodicTasks(self.clock)
         self.connect_platform()
-        self.configuration = ConfigurationInForce()
-        self.poll = ConfigurationPoll(
-            ConfigurationStore(self.table), self.configuration, self.metrics
-        )
+        self.configuration = ConfigurationInForce(self.clock)
         self.fleet = Fleet()
         self.catalogue = AdapterCatalogue()
         self.permits = PermitHolder()
         self.peers = PeerClient(settings.peer_token)
+        self.spread = self.new_spread()
         self.join_parts()
         self.lifecycle = Lifecycle(self.configuration)
         self.entry = self.new_entry()
@@ -98,6 +101,26 @@
         )
         self.weights = HttpWeightStore(self.client, settings.weights_url, limits)
 
+    def new_spread(self) -> ConfigurationSpread:
+        """Return the part that keeps the configuration up to date."""
+        links = configuration_links(
+            self.other_instances,
+            lambda peer: self.fleet.sessions[peer].peer_url,
+            self.peers,
+            self.limits,
+        )
+        return ConfigurationSpread(
+            instance=self.instance,
+            store=ConfigurationStore(self.table, self.clock),
+            in_force=self.configuration,
+            links=links,
+            metrics=self.metrics,
+        )
+
+    def other_instances(self) -> list[InstanceId]:
+        """Return the peers that are known to live."""
+        return [peer for peer in self.fleet.sessions if peer != self.instance]
+
     def join_parts(self) -> None:
         """Create the parts by which instances act together."""
         self.ownership = OwnershipTable(self.table, self.instance, self.incarnation)
@@ -128,8 +151,8 @@
             peers=self.peers,
             limits=self.limits,
             tasks=self.tasks,
-            revision=lambda: self.poll.revision,
-            catch_up=self.poll.catch_up,
+            revision=lambda: self.spread.in_force.revision,
+            catch_up=self.spread.catch_up,
         )
 
     def new_owner(self, listed: ListedInstance, row: OwnerRow) -> EngineOwner:
@@ -196,8 +219,8 @@
         )
         await self.renew_session()
         await self.refresh_catalogue()
-        await self.poll.refresh()
         await self.refresh_fleet()
+        await self.spread.start()
         self.start_tasks()
         self.lifecycle.ready = True
         log.info(
@@ -213,7 +236,7 @@
         self.tasks.every(settings.renewal_seconds, self.renew_session)
         self.tasks.every(settings.instance_list_seconds, self.refresh_fleet)
         self.tasks.every(settings.load_report_seconds, self.owned.refresh)
-        self.tasks.every(settings.configuration_poll_seconds, self.poll.refresh)
+        self.tasks.every(settings.configuration_poll_seconds, self.spread.poll)
         self.tasks.every(settings.heartbeat_seconds, self.heartbeats.send_all)
         self.tasks.every(CATALOGUE_SECONDS, self.refresh_catalogue)
 
@@ -275,7 +298,7 @@
                 instance=self.instance,
                 failure_domain=self.settings.failure_domain,
                 ready=self.lifecycle.ready,
-                configuration_revision=self.poll.revision,
+                configuration_revision=self.spread.in_force.revision,
                 engines_owned=sorted(self.owned.owners),
                 peers=sorted(self.fleet.sessions),
                 in_flight=self.lifecycle.in_flight,
@@ -291,4 +314,5 @@
             PeerRoute("/peer/recalls", PermitRecall, self.permit_calls.answer_recall),
             PeerRoute("/peer/heartbeat", Heartbeat, self.heartbeats.answer),
             PeerRoute("/peer/status", object, self.answer_status),
+            *configuration_routes(self.spread),
         ]
--- a/src/magnoliatrail/peers/heartbeats.py
+++ b/src/magnoliatrail/peers/heartbeats.py
@@ -16,7 +16,7 @@
 
 log = EventLog("peers")
 
-CatchUp = Callable[[int, str], Awaitable[None]]
+CatchUp = Callable[[int, InstanceId], Awaitable[None]]
 
 
 class Heartbeats:
@@ -60,13 +60,15 @@
         url = f"{peer.peer_url}/peer/heartbeat"
         match await self.peers.ask(url, heartbeat, HeartbeatAnswer, self.limits):
             case Result(tag="ok", ok=answer):
-                await self.catch_up(answer.configuration_revision, peer.instance)
+                peer_id = InstanceId(peer.instance)
+                await self.catch_up(answer.configuration_revision, peer_id)
             case Result(error=failure):
                 log.warning("peer_silent", peer=peer.instance, reason=failure.message)
 
     async def answer(self, heartbeat: Heartbeat) -> Result[HeartbeatAnswer, Failure]:
         """Answer a peer's heartbeat, and catch up without delaying the answer."""
-        revision, peer = heartbeat.configuration_revision, heartbeat.instance
+        revision = heartbeat.configuration_revision
+        peer = InstanceId(heartbeat.instance)
         self.tasks.once(lambda: self.catch_up(revision, peer))
         return Ok(
             HeartbeatAnswer(
