Add the messages of membership and the owner's hooks for handover

An unload whose answer was lost left its slot usable, so a request could be sent to a handle that a late order still unloads. Such a slot is now refused until a repeated unload is confirmed.

--- a/src/magnoliatrail/engines/owner.py
+++ b/src/magnoliatrail/engines/owner.py
@@ -10,6 +10,7 @@
 
 from magnoliatrail.clock import Clock
 from magnoliatrail.engines.client import EngineClient
+from magnoliatrail.engines.foreign import ForeignHandle, reported_idle
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.generated.engine import LoadReport
 from magnoliatrail.generated.permits import (
@@ -42,6 +43,10 @@
     LOADING = "loading"
     LOADED = "loaded"
     EVICTING = "evicting"
+    DOUBTFUL = "doubtful"
+
+
+UNUSABLE = {SlotState.EVICTING, SlotState.DOUBTFUL}
 
 
 @dataclass
@@ -56,6 +61,7 @@
     waiters: int = 0
     loaded: asyncio.Event = field(default_factory=asyncio.Event)
     failure: Failure | None = None
+    checks_idle: bool = False
 
 
 class EngineOwner:
@@ -80,13 +86,21 @@
         self.metrics = metrics
         self.report: LoadReport | None = None
         self.slots: dict[AdapterVersion, Slot] = {}
+        self.foreign: dict[Handle, ForeignHandle] = {}
+        self.closed: Failure | None = None
         self.ordering = asyncio.Lock()
 
+    @property
+    def slots_taken(self) -> int:
+        """Return how many adapter slots are taken, by whomever."""
+        return len(self.slots) + len(self.foreign)
+
     async def refresh(self) -> None:
         """Read the load report, and forget handles that a restart took."""
         match await self.client.report():
             case Result(tag="ok", ok=report):
                 self.take_report(report)
+                await self.repeat_unloads()
             case Result(error=failure):
                 log.warning(
                     "load_report_missing", engine=self.engine, reason=failure.message
@@ -102,6 +116,7 @@
                 for model, slot in self.slots.items()
                 if slot.state is SlotState.LOADING
             }
+            self.foreign.clear()
         self.report = report
         self.metrics.gauge("batch_fill", report.running / report.batch_slots)
 
@@ -109,7 +124,9 @@
         """Grant the use of an adapter, loading it first if need be."""
         model = AdapterVersion(request.adapter, request.version)
         slot = self.slots.get(model)
-        if slot is None or slot.state is SlotState.EVICTING:
+        if self.closed:
+            return Error(self.closed)
+        if slot is None or slot.state in UNUSABLE:
             match await self.start_load(model, request):
                 case Result(tag="ok", ok=started):
                     slot = started
@@ -120,8 +137,9 @@
             await slot.loaded.wait()
         finally:
             slot.waiters -= 1
-        if slot.failure:
-            return Error(slot.failure)
+        failure = slot.failure or self.closed
+        if failure:
+            return Error(failure)
         slot.last_used = self.clock.monotonic()
         slot.holders.add(InstanceId(request.holder))
         return Ok(self.grant(slot))
@@ -144,7 +162,12 @@
     ) -> Result[Slot, Failure]:
         """Take a slot for an adapter and start to load it."""
         async with self.ordering:
+            if self.closed:
+                return Error(self.closed)
             present = self.slots.get(model)
+            if present and present.state is SlotState.DOUBTFUL:
+                message = f"{present.handle} may still be unloaded"
+                return Error(Failure(ErrorKind.LOAD_FAILED, message))
             if present and present.state is not SlotState.EVICTING:
                 return Ok(present)
             if self.report is None:
@@ -152,7 +175,7 @@
             if self.report is None:
                 message = f"engine {self.engine} gives no load report"
                 return Error(Failure(ErrorKind.NO_BACKEND_SERVER, message))
-            if len(self.slots) >= self.report.adapter_slots:
+            if self.slots_taken >= self.report.adapter_slots:
                 freed = await self.free_slot()
                 if not freed:
                     message = f"every adapter slot of {self.engine} is in use"
@@ -218,12 +241,15 @@
     async def evict(self, slot: Slot) -> bool:
         """Evict an adapter if every holder gives it back."""
         slot.state = SlotState.EVICTING
-        if not await self.recall_all(slot):
+        idle = await self.recall_all(slot)
+        if slot.checks_idle:
+            idle = idle and await reported_idle(self, slot.handle)
+        if not idle:
             slot.state = SlotState.LOADED
             return False
         result = await self.client.unload(slot.handle, self.fencing_number)
         if result.is_error():
-            slot.state = SlotState.LOADED
+            slot.state = SlotState.DOUBTFUL
             return False
         self.slots.pop(slot.model, None)
         self.metrics.count("evictions")
@@ -232,6 +258,22 @@
         )
         return True
 
+    async def repeat_unloads(self) -> None:
+        """Unload again what may still be loaded; nobody may use it meanwhile."""
+        doubtful = [s for s in self.slots.values() if s.state is SlotState.DOUBTFUL]
+        for slot in doubtful:
+            result = await self.client.unload(slot.handle, self.fencing_number)
+            if result.is_ok() and self.slots.get(slot.model) is slot:
+                del self.slots[slot.model]
+
+    def rename_holder(self, holder: InstanceId, former: InstanceId) -> None:
+        """Keep the permits of a run that ended apart from those of the next run."""
+        for slot in self.slots.values():
+            if holder in slot.holders:
+                slot.holders.discard(holder)
+                slot.holders.add(former)
+                slot.checks_idle = True
+
     async def recall_all(self, slot: Slot) -> bool:
         """Ask every holder for a handle; silence counts as busy."""
         recall = PermitRecall(
--- /dev/null
+++ b/src/magnoliatrail/membership/members.py
@@ -0,0 +1,148 @@
+"""What one instance knows of the others."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+from msgspec.structs import replace
+
+from magnoliatrail.clock import Clock
+from magnoliatrail.generated.membership import MemberRecord, MemberState, SessionRow
+from magnoliatrail.ids import FailureDomain, Incarnation, InstanceId
+from magnoliatrail.logs import EventLog
+from magnoliatrail.membership.news import NewsLog
+
+log = EventLog("membership")
+
+STATE_RANK = {
+    MemberState.LIVE: 0,
+    MemberState.LEAVING: 1,
+    MemberState.GONE: 2,
+    MemberState.LEFT: 3,
+}
+REACHABLE = {MemberState.LIVE, MemberState.LEAVING}
+
+Run = tuple[InstanceId, Incarnation]
+
+
+def supersedes(record: MemberRecord, known: MemberRecord | None) -> bool:
+    """Return whether a record is newer than what is known."""
+    if known is None:
+        return True
+    rank, known_rank = STATE_RANK[record.state], STATE_RANK[known.state]
+    return (record.version, rank) > (known.version, known_rank)
+
+
+def member_of(row: SessionRow) -> MemberRecord:
+    """Return the member record that a session row stands for."""
+    return MemberRecord(
+        instance=row.instance,
+        incarnation=row.incarnation,
+        failure_domain=row.failure_domain,
+        region=row.region,
+        peer_url=row.peer_url,
+        version=row.version,
+        state=MemberState.LIVE,
+    )
+
+
+class Members:
+    """Keep the newest record of every instance; each writes only its own."""
+
+    def __init__(self, clock: Clock, news: NewsLog, own: MemberRecord) -> None:
+        self.clock = clock
+        self.news = news
+        self.own = own
+        self.records: dict[InstanceId, MemberRecord] = {}
+        self.ended: dict[Run, timedelta] = {}
+        self.on_change: list[Callable[[MemberRecord], None]] = []
+
+    @property
+    def instance(self) -> InstanceId:
+        """Return the id of this instance."""
+        return InstanceId(self.own.instance)
+
+    def publish(self, *, version: int = 0, state: MemberState | None = None) -> None:
+        """Tell the others a new record of this instance."""
+        self.own = replace(
+            self.own,
+            version=max(version, self.own.version + 1),
+            state=state or self.own.state,
+        )
+        self.take(self.own, self.instance)
+
+    def merge(self, record: MemberRecord, source: InstanceId) -> bool:
+        """Take a record if it is news; refute what others say of this instance."""
+        if record.instance == self.own.instance:
+            if record != self.own and not supersedes(self.own, record):
+                log.warning("refuted", state=record.state, version=record.version)
+                self.publish(version=record.version + 1)
+            return False
+        if not supersedes(record, self.records.get(InstanceId(record.instance))):
+            return False
+        self.take(record, source)
+        return True
+
+    def take(self, record: MemberRecord, source: InstanceId) -> None:
+        """Replace a record and tell everyone who listens."""
+        name = InstanceId(record.instance)
+        self.note_end(self.records.get(name), record)
+        self.records[name] = record
+        self.news.put(record, source)
+        log.info(
+            "member",
+            instance=name,
+            state=record.state,
+            version=record.version,
+            source=source,
+        )
+        for listener in self.on_change:
+            listener(record)
+
+    def note_end(self, known: MemberRecord | None, record: MemberRecord) -> None:
+        """Note when a run ended that never said goodbye."""
+        run = InstanceId(record.instance), Incarnation(record.incarnation)
+        now = self.clock.monotonic()
+        if known and known.incarnation != record.incarnation:
+            former = InstanceId(known.instance), Incarnation(known.incarnation)
+            if known.state is not MemberState.LEFT:
+                self.ended.setdefault(former, now)
+        if record.state is MemberState.GONE:
+            self.ended.setdefault(run, now)
+        else:
+            self.ended.pop(run, None)
+
+    def declare_gone(self, record: MemberRecord) -> None:
+        """Take an instance for gone, until it says otherwise itself."""
+        self.merge(replace(record, state=MemberState.GONE), self.instance)
+
+    def reachable(self) -> dict[InstanceId, MemberRecord]:
+        """Return the instances that should answer, this one among them."""
+        return {
+            name: record
+            for name, record in self.records.items()
+            if record.state in REACHABLE
+        }
+
+    def peers(self) -> list[InstanceId]:
+        """Return the other instances that should answer."""
+        return [name for name in self.reachable() if name != self.instance]
+
+    def get(self, instance: InstanceId) -> MemberRecord | None:
+        """Return the record of an instance that should answer."""
+        record = self.records.get(instance)
+        return record if record and record.state in REACHABLE else None
+
+    def runs(self, instance: str, incarnation: str) -> bool:
+        """Return whether one run of an instance should answer."""
+        record = self.get(InstanceId(instance))
+        return record is not None and record.incarnation == incarnation
+
+    def candidates(self, domain: FailureDomain, region: str) -> list[InstanceId]:
+        """Return who may own engines of a failure domain, the nearest only."""
+        live = [r for r in self.records.values() if r.state is MemberState.LIVE]
+        nearest = (
+            [r for r in live if r.failure_domain == domain]
+            or [r for r in live if r.region == region]
+            or live
+        )
+        return [InstanceId(record.instance) for record in nearest]
--- /dev/null
+++ b/src/magnoliatrail/membership/neighbours.py
@@ -0,0 +1,38 @@
+"""Choice of the peers that an instance exchanges heartbeats with."""
+
+from collections.abc import Iterable
+
+from magnoliatrail.generated.membership import MemberRecord
+from magnoliatrail.ids import InstanceId
+from magnoliatrail.routing.rendezvous import weight
+
+LINKS_IN_DOMAIN = 2
+LINKS = 4
+RING = "ring"
+
+
+def successors(own: MemberRecord, members: Iterable[MemberRecord]) -> list[InstanceId]:
+    """Return the members that follow an instance on a ring, the next one first."""
+    place = weight(own.instance, RING)
+    others = [record for record in members if record.instance != own.instance]
+    others.sort(key=lambda record: (weight(record.instance, RING) - place) % 2**64)
+    return [InstanceId(record.instance) for record in others]
+
+
+def neighbours(own: MemberRecord, members: Iterable[MemberRecord]) -> list[InstanceId]:
+    """Return the peers to link to: near ones, and one on each wider ring.
+
+    Successors on the ring of all members connect the fleet, whatever its size.
+    """
+    known = list(members)
+    in_domain = [r for r in known if r.failure_domain == own.failure_domain]
+    in_region = [r for r in known if r.region == own.region]
+    fleet = successors(own, known)
+    chosen = dict.fromkeys(fleet[:1])
+    chosen.update(dict.fromkeys(successors(own, in_domain)[:LINKS_IN_DOMAIN]))
+    chosen.update(dict.fromkeys(successors(own, in_region)[:1]))
+    for name in fleet:
+        if len(chosen) >= LINKS:
+            break
+        chosen[name] = None
+    return list(chosen)
