Edit and read the configuration from the command line

config show|get|set|except|history|diff|export|import|check|wait and a switch-off, through any instance.

--- a/src/magnoliatrail/cli/main.py
+++ b/src/magnoliatrail/cli/main.py
@@ -3,6 +3,7 @@
 import click
 
 from magnoliatrail import __version__
+from magnoliatrail.cli.config import config
 from magnoliatrail.cli.demo import demo
 from magnoliatrail.cli.serve import serve
 from magnoliatrail.cli.standin import standin
@@ -32,3 +33,4 @@
 main.add_command(demo)
 main.add_command(standin)
 main.add_command(status)
+main.add_command(config)
--- /dev/null
+++ b/tests/unit/test_configuration_changes.py
@@ -0,0 +1,104 @@
+import msgspec
+import pytest
+
+from magnoliatrail.config.changes import SCOPES_OF_SETTING, apply_change, setting_names
+from magnoliatrail.config.in_force import initial_configuration
+from magnoliatrail.config.resolve import Scopes, setting_of
+from magnoliatrail.errors import ErrorKind
+from magnoliatrail.generated.configuration import (
+    Change,
+    ChangeKind,
+    ConfigurationException,
+    ScopeKind,
+)
+
+
+def exception(**changes):
+    fields = {
+        "id": "x",
+        "scope": ScopeKind.SERVICE,
+        "name": "bookings",
+        "setting": "idempotent",
+        "value": "false",
+        "reason": "a reason",
+        "author": "a",
+        "time": "t",
+    }
+    return ConfigurationException(**{**fields, **changes})
+
+
+def added(*exceptions):
+    configuration = initial_configuration()
+    for item in exceptions:
+        change = Change(kind=ChangeKind.ADD_EXCEPTION, exception=item)
+        configuration = apply_change(configuration, change).ok
+    return configuration
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        {"reason": "  "},
+        {"name": " "},
+        {"value": "7"},
+        {"value": "nonsense"},
+        {"setting": "nothing"},
+        {"scope": ScopeKind.CALLER},
+        {"setting": "accept_work"},
+        {"reason": "x" * 2000},
+    ],
+)
+def test_a_bad_exception_is_refused(bad):
+    change = Change(kind=ChangeKind.ADD_EXCEPTION, exception=exception(**bad))
+    failure = apply_change(initial_configuration(), change).error
+    assert failure.kind is ErrorKind.INVALID_CONFIGURATION
+
+
+@pytest.mark.parametrize("twin", [exception(name="other"), exception(id="y")])
+def test_two_exceptions_cannot_clash(twin):
+    change = Change(kind=ChangeKind.ADD_EXCEPTION, exception=twin)
+    assert apply_change(added(exception()), change).is_error()
+
+
+@pytest.mark.parametrize("value", ['"text"', "-1", "0", "x"])
+def test_a_default_keeps_the_bounds_of_the_schema(value):
+    change = Change(kind=ChangeKind.SET_DEFAULT, setting="loads_in_flight", value=value)
+    assert apply_change(initial_configuration(), change).is_error()
+
+
+def test_an_exception_goes_before_the_default_in_its_scope_only():
+    configuration = added(exception())
+    assert not setting_of(configuration, "idempotent", bool, Scopes(service="bookings"))
+    assert setting_of(configuration, "idempotent", bool, Scopes(service="other"))
+
+
+def test_the_narrowest_exception_wins():
+    narrow = exception(
+        id="y", scope=ScopeKind.OPERATION, name="bookings/find", value="true"
+    )
+    configuration = added(exception(), narrow)
+    scopes = Scopes(service="bookings", operation="bookings/find")
+    assert setting_of(configuration, "idempotent", bool, scopes)
+
+
+def test_removing_what_is_not_there_is_refused():
+    change = Change(kind=ChangeKind.REMOVE_EXCEPTION, exception_id="x")
+    assert apply_change(initial_configuration(), change).is_error()
+
+
+def test_an_import_is_checked_like_single_edits():
+    change = Change(
+        kind=ChangeKind.REPLACE_ALL,
+        defaults=initial_configuration().defaults,
+        exceptions=[exception(), exception()],
+    )
+    assert apply_change(initial_configuration(), change).is_error()
+
+
+def test_every_setting_with_restricted_scopes_exists():
+    assert set(SCOPES_OF_SETTING) <= set(setting_names())
+
+
+def test_a_change_survives_its_encoding():
+    change = Change(kind=ChangeKind.ADD_EXCEPTION, exception=exception())
+    assert msgspec.json.decode(msgspec.json.encode(change), type=Change) == change
