--- a/src/magnoliatrail/cli/instance.py
+++ b/src/magnoliatrail/cli/instance.py
@@ -13,7 +13,7 @@
 from magnoliatrail.cli.exit_codes import ExitCode
 from magnoliatrail.errors import ErrorKind, Failure, retry_after_of
 from magnoliatrail.peers.client import PeerClient
-from magnoliatrail.wire import CallLimits, new_http_client
+from magnoliatrail.wire import CallLimits
 
 T = TypeVar("T")
 Command = Callable[..., Any]
@@ -38,7 +38,7 @@
         """Send a message and return the answer, or end with an error."""
 
         async def send() -> Result[T, Failure]:
-            peers = PeerClient(new_http_client(), self.peer_token)
+            peers = PeerClient(self.peer_token)
             return await peers.ask(self.peer_url + path, message, answer_type, LIMITS)
 
         result = asyncio.run(send())
