--- a/Makefile
+++ b/Makefile
@@ -1,3 +1,4 @@
+.PHONY: settings-table slopes
 .PHONY: demo test lint types bench generate check-generated clean
 VENV := .venv
 PYTHON ?= $(VENV)/bin/python
@@ -12,15 +13,24 @@
 lint: $(VENV)/ready
 	$(PYTHON) -m ruff format --check .
 	$(PYTHON) -m ruff check .
+	$(dir $(PYTHON))lint-imports --no-logo
 
 types: $(VENV)/ready
 	$(PYTHON) -m mypy
 
 generate: $(VENV)/ready
 	$(PYTHON) scripts/generate.py
+	$(PYTHON) scripts/settings_table.py
 
 check-generated: $(VENV)/ready
 	$(PYTHON) scripts/generate.py --check
+	$(PYTHON) scripts/settings_table.py --check
+
+settings-table: $(VENV)/ready
+	$(PYTHON) scripts/settings_table.py
+
+slopes: $(VENV)/ready
+	$(PYTHON) -m benchmarks.slopes
 
 $(VENV)/ready: requirements.lock pyproject.toml
 	test -x $(VENV)/bin/python || python3 -m venv $(VENV)
--- /dev/null
+++ b/tests/docs/test_tables.py
@@ -0,0 +1,106 @@
+"""The tables in the documentation say what the program does."""
+
+import ast
+import re
+import subprocess
+import sys
+from collections.abc import Iterator
+
+from magnoliatrail.errors import ANSWERS, ErrorKind
+from tests.docs.pages import ROOT, SOURCE, first_code_cells, table_rows
+
+METRIC_METHODS = {"count", "timing", "gauge"}
+NAME = re.compile(r"[a-z][a-z0-9_.]*")
+# Every module that sends no metric of its own but hands one on.
+HANDS_ON = {"metrics.py"}
+
+
+def metric_calls() -> Iterator[ast.Call]:
+    """Return every call in the sources that sends a metric."""
+    for file in SOURCE.rglob("*.py"):
+        if file.name in HANDS_ON:
+            continue
+        for node in ast.walk(ast.parse(file.read_text())):
+            if not isinstance(node, ast.Call):
+                continue
+            target = node.func
+            if not isinstance(target, ast.Attribute):
+                continue
+            receiver = ast.unparse(target.value)
+            if target.attr in METRIC_METHODS and receiver.endswith("metrics"):
+                yield node
+
+
+def metric_names(node: ast.expr) -> Iterator[str]:
+    """Return the names that an argument can have, `<x>` for what varies."""
+    match node:
+        case ast.Constant(value=str(name)):
+            yield name
+        case ast.IfExp(body=body, orelse=orelse):
+            yield from metric_names(body)
+            yield from metric_names(orelse)
+        case ast.JoinedStr(values=values):
+            parts = [
+                str(part.value) if isinstance(part, ast.Constant) else "<x>"
+                for part in values
+            ]
+            yield "".join(parts)
+
+
+def documented_metrics() -> set[str]:
+    """Return the metrics that the operators' page lists."""
+    text = (ROOT / "docs/operations/metrics.md").read_text()
+    return {re.sub(r"<[a-z_ ]+>", "<x>", name) for name in first_code_cells(text)}
+
+
+def test_every_metric_is_on_the_operators_page():
+    sent = {name for call in metric_calls() for name in metric_names(call.args[0])}
+    missing = sent - documented_metrics()
+    assert not missing, f"add a row for each of {missing} to docs/operations/metrics.md"
+
+
+def test_every_metric_on_the_operators_page_is_sent():
+    sent = {name for call in metric_calls() for name in metric_names(call.args[0])}
+    # A name that is not written where it is sent must still stand in the sources.
+    sources = "\n".join(file.read_text() for file in SOURCE.rglob("*.py"))
+    gone = {name for name in documented_metrics() - sent if f'"{name}"' not in sources}
+    assert not gone, f"take {gone} off docs/operations/metrics.md"
+
+
+def test_the_callers_error_table_is_the_programs():
+    text = (ROOT / "docs/callers.md").read_text()
+    rows = [row for row in table_rows(text) if row[0].strip("`") in kinds()]
+    listed = {row[0].strip("`"): row[1:4] for row in rows}
+    for kind in ErrorKind:
+        rule = ANSWERS[kind]
+        expected = [str(rule.status), f"`{rule.outcome.value}`", retry_text(kind)]
+        line = " | ".join([f"`{kind.value}`", *expected, rule.remedy])
+        assert listed.get(kind.value) == expected, (
+            f"docs/callers.md needs this row: | {line} |"
+        )
+
+
+def test_the_callers_error_table_lists_nothing_else():
+    text = (ROOT / "docs/callers.md").read_text()
+    _, _, errors = text.partition("## Errors")
+    table, _, _ = errors.partition("\n## ")
+    assert first_code_cells(table) <= kinds(), "docs/callers.md lists a kind too many"
+
+
+def kinds() -> set[str]:
+    """Return the names of all error kinds."""
+    return {kind.value for kind in ErrorKind}
+
+
+def retry_text(kind: ErrorKind) -> str:
+    """Return how the callers' page writes when to ask again."""
+    after = ANSWERS[kind].retry_after
+    return f"{after.total_seconds():g} s" if after else "no"
+
+
+def test_the_settings_table_matches_the_schema():
+    command = [sys.executable, "scripts/settings_table.py", "--check"]
+    result = subprocess.run(
+        command, check=False, cwd=ROOT, capture_output=True, text=True
+    )
+    assert result.returncode == 0, result.stderr
