--- /dev/null
+++ b/benchmarks/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""How the cost of each part grows with size: `make slopes`."""
--- /dev/null
+++ b/benchmarks/slopes/state.py
@@ -0,0 +1,273 @@
+"""Memory and processor time of what an instance knows: adapters, engines, permits."""
+
+from benchmarks.slopes.fit import Slope, fitted
+from benchmarks.slopes.measure import kept_bytes, peak_bytes, processor_microseconds
+
+from magnoliatrail.engines.permits import PermitHolder
+from magnoliatrail.generated.membership import OwnerRow, SessionRow
+from magnoliatrail.generated.permits import PermitGrant
+from magnoliatrail.generated.platform import (
+    Catalogue,
+    CatalogueEntry,
+    InstanceList,
+    ListedInstance,
+    ListedKind,
+    ListedState,
+)
+from magnoliatrail.ids import EngineId, InstanceId, new_incarnation, new_write_id
+from magnoliatrail.membership.fleet import Fleet
+from magnoliatrail.placement.catalogue import AdapterCatalogue
+from magnoliatrail.wire import decode, encode
+
+ADAPTERS = (1_000, 10_000, 130_000)
+SERVERS = (100, 1_000, 6_200)
+INSTANCES = (14, 100, 370)
+PERMITS = (100, 1_000, 10_000)
+BASE_MODELS = 3
+FAILURE_DOMAINS = 22
+
+
+def catalogue_body(adapters: int) -> bytes:
+    """Return the weight store's catalogue as it is sent."""
+    entries = [
+        CatalogueEntry(
+            adapter=f"adapter-{number:06d}",
+            version="1",
+            base_model=f"base-{number % BASE_MODELS}",
+        )
+        for number in range(adapters)
+    ]
+    return encode(Catalogue(adapters=entries))
+
+
+def read_catalogue(body: bytes) -> AdapterCatalogue:
+    """Return the catalogue as an instance keeps it."""
+    catalogue = AdapterCatalogue()
+    catalogue.replace(decode(body, Catalogue).ok)
+    return catalogue
+
+
+def list_body(servers: int) -> bytes:
+    """Return the platform's instance list as it is sent."""
+    entries = [
+        ListedInstance(
+            id=f"engine-{number:05d}",
+            kind=ListedKind.ENGINE,
+            url=f"http://10.20.{number // 250}.{number % 250}:8000",
+            failure_domain=f"domain-{number % FAILURE_DOMAINS}",
+            state=ListedState.LIVE,
+            name=f"base-{number % BASE_MODELS}",
+        )
+        for number in range(servers)
+    ]
+    return encode(InstanceList(instances=entries))
+
+
+def read_list(body: bytes) -> dict[str, ListedInstance]:
+    """Return the instance list as an instance keeps it."""
+    instances = decode(body, InstanceList).ok.instances
+    return {item.id: item for item in instances}
+
+
+def owner_bodies(engines: int) -> list[bytes]:
+    """Return the ownership rows of a number of engines."""
+    return [
+        encode(
+            OwnerRow(
+                engine=f"engine-{number:05d}",
+                instance=f"instance-{number % 370:03d}",
+                incarnation=new_incarnation(),
+                fencing_number=17,
+                write_id=new_write_id(),
+            )
+        )
+        for number in range(engines)
+    ]
+
+
+def read_owners(bodies: list[bytes]) -> dict[EngineId, OwnerRow]:
+    """Return ownership as an instance keeps it."""
+    rows = [decode(body, OwnerRow).ok for body in bodies]
+    return {EngineId(row.engine): row for row in rows}
+
+
+def session_bodies(instances: int) -> list[bytes]:
+    """Return the session rows of a number of instances."""
+    return [
+        encode(
+            SessionRow(
+                instance=f"instance-{number:03d}",
+                incarnation=new_incarnation(),
+                failure_domain=f"domain-{number % FAILURE_DOMAINS}",
+                region="region-1",
+                peer_url=f"http://10.30.{number // 250}.{number % 250}:8081",
+                renewals=100_000,
+            )
+        )
+        for number in range(instances)
+    ]
+
+
+def read_sessions(bodies: list[bytes]) -> dict[InstanceId, SessionRow]:
+    """Return the sessions as an instance keeps them."""
+    rows = [decode(body, SessionRow).ok for body in bodies]
+    return {InstanceId(row.instance): row for row in rows}
+
+
+def grant_bodies(count: int) -> list[bytes]:
+    """Return grants of permits as they are sent."""
+    return [
+        encode(
+            PermitGrant(
+                engine=f"engine-{number % 6_200:05d}",
+                engine_url=f"http://10.20.0.{number % 250}:8000",
+                handle=f"adapter-{number:06d}@1~17",
+                adapter=f"adapter-{number:06d}",
+                version="1",
+                fencing_number=17,
+                places=8,
+            )
+        )
+        for number in range(count)
+    ]
+
+
+def held_permits(bodies: list[bytes]) -> PermitHolder:
+    """Return permits as an instance keeps them."""
+    holder = PermitHolder()
+    for body in bodies:
+        holder.put(decode(body, PermitGrant).ok)
+    return holder
+
+
+def adapter_slopes() -> list[Slope]:
+    """Measure what the catalogue of adapters costs."""
+    bodies = {size: catalogue_body(size) for size in ADAPTERS}
+    return [
+        fitted("catalogue message", "adapter", "B", ADAPTERS, lambda n: len(bodies[n])),
+        fitted(
+            "catalogue in memory",
+            "adapter",
+            "B",
+            ADAPTERS,
+            lambda n: kept_bytes(lambda: read_catalogue(bodies[n])),
+        ),
+        fitted(
+            "catalogue in memory while it is read",
+            "adapter",
+            "B",
+            ADAPTERS,
+            lambda n: peak_bytes(lambda: read_catalogue(bodies[n])),
+        ),
+        fitted(
+            "reading the catalogue",
+            "adapter",
+            "us",
+            ADAPTERS,
+            lambda n: processor_microseconds(lambda: read_catalogue(bodies[n])),
+        ),
+    ]
+
+
+def fleet_slopes() -> list[Slope]:
+    """Measure what the instance list, ownership and sessions cost."""
+    lists = {size: list_body(size) for size in SERVERS}
+    owners = {size: owner_bodies(size) for size in SERVERS}
+    sessions = {size: session_bodies(size) for size in INSTANCES}
+    fleets = {size: Fleet(listed=read_list(body)) for size, body in lists.items()}
+    return [
+        fitted(
+            "instance list message", "server", "B", SERVERS, lambda n: len(lists[n])
+        ),
+        fitted(
+            "instance list in memory",
+            "server",
+            "B",
+            SERVERS,
+            lambda n: kept_bytes(lambda: read_list(lists[n])),
+        ),
+        fitted(
+            "reading the instance list",
+            "server",
+            "us",
+            SERVERS,
+            lambda n: processor_microseconds(lambda: read_list(lists[n])),
+        ),
+        fitted(
+            "live engines of a base model",
+            "server",
+            "us",
+            SERVERS,
+            lambda n: processor_microseconds(lambda: fleets[n].live_engines("base-0")),
+        ),
+        fitted(
+            "ownership rows",
+            "engine",
+            "B",
+            SERVERS,
+            lambda n: sum(len(body) for body in owners[n]),
+        ),
+        fitted(
+            "ownership in memory",
+            "engine",
+            "B",
+            SERVERS,
+            lambda n: kept_bytes(lambda: read_owners(owners[n])),
+        ),
+        fitted(
+            "reading ownership",
+            "engine",
+            "us",
+            SERVERS,
+            lambda n: processor_microseconds(lambda: read_owners(owners[n])),
+        ),
+        fitted(
+            "session rows",
+            "instance",
+            "B",
+            INSTANCES,
+            lambda n: sum(len(body) for body in sessions[n]),
+        ),
+        fitted(
+            "sessions in memory",
+            "instance",
+            "B",
+            INSTANCES,
+            lambda n: kept_bytes(lambda: read_sessions(sessions[n])),
+        ),
+        fitted(
+            "reading sessions",
+            "instance",
+            "us",
+            INSTANCES,
+            lambda n: processor_microseconds(lambda: read_sessions(sessions[n])),
+        ),
+    ]
+
+
+def permit_slopes() -> list[Slope]:
+    """Measure what held permits cost."""
+    bodies = {size: grant_bodies(size) for size in PERMITS}
+    return [
+        fitted(
+            "grant messages",
+            "permit",
+            "B",
+            PERMITS,
+            lambda n: sum(len(body) for body in bodies[n]),
+        ),
+        fitted(
+            "permits in memory",
+            "permit",
+            "B",
+            PERMITS,
+            lambda n: kept_bytes(lambda: held_permits(bodies[n])),
+        ),
+        fitted(
+            "taking grants",
+            "permit",
+            "us",
+            PERMITS,
+            lambda n: processor_microseconds(lambda: held_permits(bodies[n])),
+        ),
+    ]
--- /dev/null
+++ b/benchmarks/slopes/wire_bytes.py
@@ -0,0 +1,55 @@
+"""A TCP proxy that counts the bytes of a connection, headers included."""
+
+import asyncio
+
+HOST = "127.0.0.1"
+READ_BYTES = 65_536
+
+
+class CountingProxy:
+    """Pass connections on to one port and count what passes."""
+
+    def __init__(self, port: int) -> None:
+        self.target_port = port
+        self.bytes_passed = 0
+        self.server: asyncio.Server | None = None
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    @classmethod
+    async def before(cls, port: int) -> "CountingProxy":
+        """Listen before a port."""
+        proxy = cls(port)
+        proxy.server = await asyncio.start_server(proxy.connect, HOST, 0)
+        return proxy
+
+    @property
+    def url(self) -> str:
+        """Return the address that clients use."""
+        assert self.server is not None
+        return f"http://{HOST}:{self.server.sockets[0].getsockname()[1]}"
+
+    async def connect(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Pass one connection on, both ways."""
+        there, back = await asyncio.open_connection(HOST, self.target_port)
+        for source, target in ((reader, back), (there, writer)):
+            task = asyncio.create_task(self.pass_on(source, target))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def pass_on(
+        self, source: asyncio.StreamReader, target: asyncio.StreamWriter
+    ) -> None:
+        """Pass bytes on in one direction until the end."""
+        while data := await source.read(READ_BYTES):
+            self.bytes_passed += len(data)
+            target.write(data)
+        target.close()
+
+    async def close(self) -> None:
+        """Stop listening and drop what is open."""
+        assert self.server is not None
+        self.server.close()
+        for task in self.tasks:
+            task.cancel()
