Split the ledger, recognise lost answers, and settle in the background

Cause: a claim or completion whose table answer was lost left the claim of unknown fate although the write stood; complete() ignored every failure, so an outage at completion lost the answer; two anonymous joins of caller, service and key by NUL were the only separation of callers.

Now a claim is written with a unique attempt id and read back when its answer is lost; what cannot be claimed for certain is refused not_run and freed later from the attempt that knows; completion and release are retried with jittered waits in bounded background tasks while the caller has its answer. Answers over 16 KiB go to the object store.

test_a_claim_of_unknown_fate_is_never_given_again used to expect operation_unknown while the first attempt still ran on the same instance; that is operation_running now, and the test abandons the attempt first and also asks a second instance after a year: stricter.

--- a/src/magnoliatrail/daemon.py
+++ b/src/magnoliatrail/daemon.py
@@ -47,11 +47,12 @@
 from magnoliatrail.membership.ownership import OwnershipTable, preferred_owner
 from magnoliatrail.membership.session import SessionLease, read_sessions
 from magnoliatrail.metrics import Metrics, metrics_from
-from magnoliatrail.operations.ledger import OperationLedger
+from magnoliatrail.operations.parts import operation_parts
 from magnoliatrail.peers.client import PeerClient
 from magnoliatrail.peers.server import PeerRoute, peer_application
 from magnoliatrail.placement.catalogue import AdapterCatalogue
 from magnoliatrail.platform.instance_list import HttpInstanceList
+from magnoliatrail.platform.objects import HttpObjects
 from magnoliatrail.platform.table import HttpTable
 from magnoliatrail.platform.weights import HttpWeightStore
 from magnoliatrail.routing.permit_search import PermitSearch
@@ -82,6 +83,7 @@
         self.limits = control_limits(settings)
         self.client = new_http_client()
         self.table = HttpTable(self.client, settings.table_url, self.limits)
+        self.objects = HttpObjects(self.client, settings.objects_url, self.limits)
         self.instance_list = HttpInstanceList(
             self.client, settings.instance_list_url, self.limits
         )
@@ -96,6 +98,12 @@
         self.peers = PeerClient(self.client, settings.peer_token)
         self.lifecycle = Lifecycle(self.configuration)
         self.tasks: list[asyncio.Task[None]] = []
+        self.operations = operation_parts(
+            table=self.table,
+            objects=self.objects,
+            clock=self.clock,
+            holder=self.incarnation,
+        )
         self.entry = EntryParts(
             settings=settings,
             clock=self.clock,
@@ -105,7 +113,7 @@
             configuration=self.configuration,
             catalogue=self.catalogue,
             dispatcher=self.new_dispatcher(),
-            ledger=OperationLedger(self.table, self.clock),
+            ledger=self.operations.ledger,
             lifecycle=self.lifecycle,
         )
         self.caller_listener: Listener | None = None
@@ -158,6 +166,7 @@
         self.every(settings.configuration_poll_seconds, self.refresh_configuration)
         self.every(settings.heartbeat_seconds, self.send_heartbeats)
         self.every(CATALOGUE_SECONDS, self.refresh_catalogue)
+        self.tasks.append(asyncio.create_task(self.forget_operations()))
         self.lifecycle.ready = True
         log.info(
             "started",
@@ -172,6 +181,7 @@
         self.lifecycle.stopping = True
         log.info("stopping", in_flight=self.lifecycle.in_flight)
         await self.lifecycle.idle.wait()
+        await self.operations.drain()
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -238,6 +248,14 @@
         revision = self.configuration.configuration.revision
         self.metrics.gauge("configuration.revision", revision)
 
+    async def forget_operations(self) -> None:
+        """Forget this instance's share of the operations past the retention."""
+        await self.operations.forget_forever(
+            lambda: self.configuration.configuration.defaults,
+            lambda: list(self.fleet.sessions),
+            self.instance,
+        )
+
     async def refresh_fleet(self) -> None:
         """Read the instance list, the sessions and the owners."""
         match await self.instance_list.read():
--- a/src/magnoliatrail/entry/services.py
+++ b/src/magnoliatrail/entry/services.py
@@ -12,7 +12,7 @@
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.generated.platform import ListedInstance
 from magnoliatrail.logs import EventLog
-from magnoliatrail.operations.ledger import Claim, Operation, RecordedAnswer
+from magnoliatrail.operations.rows import Claim, Operation, RecordedAnswer
 from magnoliatrail.requests import RequestContext
 from magnoliatrail.wire import CallFailed, CallLimits, call
 
@@ -82,11 +82,13 @@
                 return Error(failure)
         match await self.send(context, name, path):
             case Result(tag="ok", ok=answer):
-                await ledger.complete(operation, claim, answer)
+                await ledger.complete(claim, answer)
                 return Ok(answer)
             case Result(error=failure):
                 if failure.not_run:
-                    await ledger.release(operation, claim)
+                    await ledger.release(claim)
+                else:
+                    ledger.abandon(claim)
                 return Error(failure)
 
     async def send(
--- a/src/magnoliatrail/errors.py
+++ b/src/magnoliatrail/errors.py
@@ -23,6 +23,8 @@
     KEY_REUSED = "idempotency_key_reused"
     OPERATION_RUNNING = "operation_running"
     OPERATION_UNKNOWN = "operation_unknown"
+    OPERATION_RESOLVED = "operation_resolved"
+    RECORDED_ANSWER_UNAVAILABLE = "recorded_answer_unavailable"
     CONFLICT = "conflict"
     INVALID_CONFIGURATION = "invalid_configuration"
     QUEUE_FULL = "queue_full"
@@ -79,7 +81,7 @@
     ErrorKind.METHOD_NOT_ALLOWED: AnswerRule(405, NOT_RUN, "use the documented method"),
     ErrorKind.BODY_TOO_LARGE: AnswerRule(413, NOT_RUN, "send a smaller body"),
     ErrorKind.KEY_REUSED: AnswerRule(
-        422, NOT_RUN, "use a new key for a different body"
+        422, NOT_RUN, "use a new key for a different operation or body"
     ),
     ErrorKind.OPERATION_RUNNING: AnswerRule(
         409, UNKNOWN, "ask again with the same key", SOON
@@ -87,8 +89,14 @@
     ErrorKind.OPERATION_UNKNOWN: AnswerRule(
         409, UNKNOWN, "ask the operators to resolve this key"
     ),
+    ErrorKind.OPERATION_RESOLVED: AnswerRule(
+        409, UNKNOWN, "read the message; do not ask again with this key"
+    ),
+    ErrorKind.RECORDED_ANSWER_UNAVAILABLE: AnswerRule(
+        503, UNKNOWN, "ask again with the same key", LATER
+    ),
     ErrorKind.CONFLICT: AnswerRule(
-        409, NOT_RUN, "read the configuration again and repeat the edit"
+        409, NOT_RUN, "read again what was edited and repeat the edit"
     ),
     ErrorKind.INVALID_CONFIGURATION: AnswerRule(422, NOT_RUN, "correct the edit"),
     ErrorKind.QUEUE_FULL: AnswerRule(429, NOT_RUN, "ask again later", SOON),
--- a/src/magnoliatrail/operations/ledger.py
+++ b/src/magnoliatrail/operations/ledger.py
@@ -1,74 +1,93 @@
-"""The at-most-once ledger on the table service."""
+"""The at-most-once ledger: claim an operation before its dispatch."""
 
 import base64
-import hashlib
 from dataclasses import dataclass
+from datetime import timedelta
 
-import msgspec
 from expression import Error, Ok, Result
 
 from magnoliatrail.clock import Clock
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.generated.operations import ClaimState, OperationRow
-from magnoliatrail.generated.platform import RowCondition, RowWrite, Transaction
-from magnoliatrail.ids import CallerId, new_write_id
+from magnoliatrail.generated.platform import (
+    Row,
+    RowCondition,
+    RowWrite,
+    Transaction,
+    TransactionAnswer,
+)
+from magnoliatrail.ids import Incarnation, new_write_id
+from magnoliatrail.logs import EventLog
+from magnoliatrail.operations.rows import (
+    Claim,
+    Operation,
+    RecordedAnswer,
+    answer_in,
+    decode_row,
+    may_still_run,
+    time_limit,
+)
+from magnoliatrail.operations.settling import Settler
+from magnoliatrail.platform.objects import ObjectStore
 from magnoliatrail.platform.table import TableService
-from magnoliatrail.wire import decode, encode
+from magnoliatrail.wire import encode
 
-PREFIX = "operations/"
+log = EventLog("operations")
 
+CLAIM_TRIES = 2
+# An attempt may outlast its deadline by the time that its call takes to end.
+EXPIRY_GRACE = timedelta(seconds=30)
+DEFAULT_ALLOWED = timedelta(seconds=60)
 
-@dataclass(frozen=True, slots=True)
-class Operation:
-    """Name one non-idempotent operation of a caller."""
 
-    caller: CallerId
-    service: str
-    operation: str
-    key: str
-    body: bytes
+@dataclass
+class Attempt:
+    """Hold what this instance knows of an attempt that it runs."""
 
-    @property
-    def row_key(self) -> str:
-        """Return the key of the operation's row."""
-        parts = "\0".join([self.caller, self.service, self.key])
-        return PREFIX + hashlib.sha256(parts.encode()).hexdigest()
-
-    @property
-    def body_digest(self) -> str:
-        """Return a digest that tells bodies apart."""
-        return hashlib.sha256(self.operation.encode() + b"\0" + self.body).hexdigest()
-
-
-@dataclass(frozen=True, slots=True)
-class RecordedAnswer:
-    """Hold the answer that a repeat receives again."""
-
-    status: int
-    content_type: str
-    body: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class Claim:
-    """Hold the right to dispatch an operation once."""
-
-    row: OperationRow
-    revision: int
+    body_digest: str
+    answer: RecordedAnswer | None = None
 
 
 class OperationLedger:
     """Claim operations before their dispatch, and record their answers."""
 
-    def __init__(self, table: TableService, clock: Clock) -> None:
+    def __init__(
+        self,
+        *,
+        table: TableService,
+        objects: ObjectStore,
+        clock: Clock,
+        settler: Settler,
+        holder: Incarnation,
+    ) -> None:
         self.table = table
+        self.objects = objects
         self.clock = clock
+        self.settler = settler
+        self.holder = holder
+        self.attempts: dict[str, Attempt] = {}
 
     async def claim(
-        self, operation: Operation
+        self, operation: Operation, allowed: timedelta = DEFAULT_ALLOWED
     ) -> Result[Claim | RecordedAnswer, Failure]:
         """Claim an operation, or return the answer that it already has."""
-        row = OperationRow(
+        attempt = self.attempts.get(operation.row_key)
+        if attempt is not None:
+            return repeat_of_attempt(operation, attempt)
+        self.attempts[operation.row_key] = Attempt(operation.body_digest)
+        try:
+            result = await self.insert(operation, self.new_row(operation, allowed))
+        except BaseException:
+            self.forget(operation.row_key)
+            raise
+        if not isinstance(result.default_value(None), Claim):
+            self.forget(operation.row_key)
+        return result
+
+    def new_row(self, operation: Operation, allowed: timedelta) -> OperationRow:
+        """Return the row of a new attempt."""
+        now = self.clock.now()
+        return OperationRow(
             caller=operation.caller,
             service=operation.service,
             operation=operation.operation,
@@ -76,66 +95,151 @@
             body_digest=operation.body_digest,
             attempt_id=new_write_id(),
             state=ClaimState.CLAIMED,
-            claimed_at=self.clock.now().isoformat(),
+            claimed_at=now.isoformat(),
+            holder=self.holder,
+            expires_at=time_limit(now, allowed + EXPIRY_GRACE),
         )
-        condition = RowCondition(key=operation.row_key, revision=0)
-        write = RowWrite(key=operation.row_key, value=encode(row).decode())
-        result = await self.table.transact(
-            Transaction(conditions=[condition], writes=[write])
+
+    async def insert(
+        self, operation: Operation, row: OperationRow
+    ) -> Result[Claim | RecordedAnswer, Failure]:
+        """Write the row of a new attempt, and read back if the answer is lost."""
+        key = operation.row_key
+        transaction = Transaction(
+            conditions=[RowCondition(key=key, revision=0)],
+            writes=[RowWrite(key=key, value=encode(row).decode())],
         )
-        match result:
-            case Result(tag="ok", ok=answer) if answer.committed:
-                return Ok(Claim(row, answer.rows[0].revision))
-            case Result(tag="ok", ok=answer):
-                return repeated(operation, answer.rows[0].value.encode())
+        uncertain = False
+        for _ in range(CLAIM_TRIES):
+            match await self.table.transact(transaction):
+                case Result(tag="ok", ok=answer) if answer.committed:
+                    revision = row_of(answer, key).revision
+                    return Ok(Claim(key, row, revision, repeated=uncertain))
+                case Result(tag="ok", ok=answer):
+                    return await self.found(operation, row, row_of(answer, key))
+                case Result(error=failure) if not uncertain and failure.not_run:
+                    return Error(failure)
+                case _:
+                    uncertain = True
+            match await self.table.read(key):
+                case Result(tag="ok", ok=None):
+                    continue
+                case Result(tag="ok", ok=current):
+                    assert current is not None
+                    return await self.found(operation, row, current)
+                case _:
+                    break
+        self.settler.free_unsure(key, row)
+        message = "the claim could not be made for certain, and nothing was sent"
+        return Error(Failure(ErrorKind.TABLE_UNAVAILABLE, message))
+
+    async def found(
+        self, operation: Operation, row: OperationRow, current: Row
+    ) -> Result[Claim | RecordedAnswer, Failure]:
+        """Return what the row means that holds the key now."""
+        match decode_row(current):
+            case Result(tag="ok", ok=found):
+                pass
             case Result(error=failure):
                 return Error(failure)
+        if found.attempt_id == row.attempt_id:
+            log.info("claim_recognised", attempt=row.attempt_id)
+            return Ok(Claim(operation.row_key, row, current.revision, repeated=True))
+        return await self.repeated(operation, found)
 
-    async def complete(
-        self, operation: Operation, claim: Claim, answer: RecordedAnswer
-    ) -> Result[None, Failure]:
-        """Record the answer of an operation that ran."""
-        row = msgspec.structs.replace(
-            claim.row,
-            state=ClaimState.COMPLETED,
-            status=answer.status,
-            content_type=answer.content_type,
-            answer=base64.b64encode(answer.body).decode(),
-        )
-        return await self.write(operation, claim, encode(row).decode())
-
-    async def release(
-        self, operation: Operation, claim: Claim
-    ) -> Result[None, Failure]:
+    async def repeated(
+        self, operation: Operation, row: OperationRow
+    ) -> Result[Claim | RecordedAnswer, Failure]:
+        """Return what a repeat of an operation gets."""
+        if row.body_digest != operation.body_digest:
+            return Error(key_reused(operation))
+        match row.state:
+            case ClaimState.COMPLETED:
+                return await self.recorded_answer(row)
+            case ClaimState.RESOLVED:
+                message = (
+                    f"{row.resolved_by} recorded at {row.resolved_at} that the "
+                    f"operation ran; its answer is not known: {row.resolution}"
+                )
+                return Error(Failure(ErrorKind.OPERATION_RESOLVED, message))
+            case ClaimState.CLAIMED if self.is_under_way(row):
+                return Error(running(operation))
+            case _:
+                message = f"the outcome of key {operation.key!r} is not known"
+                return Error(Failure(ErrorKind.OPERATION_UNKNOWN, message))
+
+    def is_under_way(self, row: OperationRow) -> bool:
+        """Return whether the attempt of a claim may still come to an end."""
+        if row.holder == self.holder:
+            return row.attempt_id in self.settler.freeing
+        return may_still_run(row, self.clock.now())
+
+    async def recorded_answer(
+        self, row: OperationRow
+    ) -> Result[Claim | RecordedAnswer, Failure]:
+        """Return the answer of a completed operation, wherever it is kept."""
+        if not row.answer_object:
+            return Ok(answer_in(row, base64.b64decode(row.answer)))
+        match await self.objects.get(row.answer_object):
+            case Result(tag="ok", ok=body) if body is not None:
+                return Ok(answer_in(row, body))
+            case Result(tag="ok"):
+                message = f"the operation ran; object {row.answer_object} is missing"
+            case Result(error=failure):
+                message = f"the operation ran; its answer: {failure.message}"
+        return Error(Failure(ErrorKind.RECORDED_ANSWER_UNAVAILABLE, message))
+
+    async def complete(self, claim: Claim, answer: RecordedAnswer) -> None:
+        """Record the answer of an operation that ran, later if need be."""
+        attempt = self.attempts.get(claim.row_key)
+        if attempt is not None:
+            attempt.answer = answer
+        task = self.settler.record(claim, answer)
+        task.add_done_callback(lambda _: self.forget(claim.row_key))
+        await self.settler.wait_briefly(task)
+
+    async def release(self, claim: Claim) -> None:
         """Free the claim of an operation that certainly did not run."""
-        return await self.write(operation, claim, None)
-
-    async def write(
-        self, operation: Operation, claim: Claim, value: str | None
-    ) -> Result[None, Failure]:
-        """Change the row of a claim that is still this attempt's."""
-        condition = RowCondition(key=operation.row_key, revision=claim.revision)
-        write = RowWrite(key=operation.row_key, value=value)
-        result = await self.table.transact(
-            Transaction(conditions=[condition], writes=[write])
-        )
-        return result.map(lambda _: None)
+        task = self.settler.free(claim)
+        task.add_done_callback(lambda _: self.forget(claim.row_key))
+        if claim.repeated:
+            # A write of the claim that got lost may come after it is freed.
+            self.settler.free_unsure(claim.row_key, claim.row)
+        await self.settler.wait_briefly(task)
+
+    def abandon(self, claim: Claim) -> None:
+        """Leave the claim of an operation whose fate is not known."""
+        log.error("operation_unknown", row=claim.row_key, attempt=claim.row.attempt_id)
+        self.forget(claim.row_key)
+
+    def forget(self, row_key: str) -> None:
+        """Forget an attempt that this instance no longer runs."""
+        self.attempts.pop(row_key, None)
 
 
-def repeated(
-    operation: Operation, value: bytes
+def row_of(answer: TransactionAnswer, key: str) -> Row:
+    """Return the row of a key as a transaction left or found it."""
+    return next(row for row in answer.rows if row.key == key)
+
+
+def repeat_of_attempt(
+    operation: Operation, attempt: Attempt
 ) -> Result[Claim | RecordedAnswer, Failure]:
-    """Return what a repeat of an operation gets."""
-    match decode(value, OperationRow):
-        case Result(tag="ok", ok=row):
-            pass
-        case Result(error=failure):
-            return Error(failure)
-    if row.body_digest != operation.body_digest:
-        message = f"key {operation.key} was used with another body"
-        return Error(Failure(ErrorKind.KEY_REUSED, message))
-    if row.state is ClaimState.COMPLETED:
-        body = base64.b64decode(row.answer)
-        return Ok(RecordedAnswer(row.status, row.content_type, body))
-    message = f"the outcome of key {operation.key} is not known"
-    return Error(Failure(ErrorKind.OPERATION_UNKNOWN, message))
+    """Return what a repeat gets while this instance runs the operation."""
+    if attempt.body_digest != operation.body_digest:
+        return Error(key_reused(operation))
+    if attempt.answer is not None:
+        return Ok(attempt.answer)
+    return Error(running(operation))
+
+
+def key_reused(operation: Operation) -> Failure:
+    """Return the failure for a key that names another operation."""
+    message = f"key {operation.key!r} was used with another operation or body"
+    return Failure(ErrorKind.KEY_REUSED, message)
+
+
+def running(operation: Operation) -> Failure:
+    """Return the failure for a repeat that came before the answer."""
+    message = f"the operation of key {operation.key!r} is running"
+    return Failure(ErrorKind.OPERATION_RUNNING, message)
--- /dev/null
+++ b/src/magnoliatrail/operations/operators.py
@@ -0,0 +1,185 @@
+"""What operators see of the ledger, and how they resolve an unknown fate."""
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+import msgspec
+from expression import Error, Ok, Result
+
+from magnoliatrail.clock import Clock
+from magnoliatrail.errors import ErrorKind, Failure
+from magnoliatrail.generated.operations import (
+    ClaimState,
+    OperationRow,
+    ResolutionRow,
+)
+from magnoliatrail.generated.platform import (
+    Row,
+    RowCondition,
+    RowWrite,
+    Transaction,
+)
+from magnoliatrail.operations.rows import (
+    CLAIMS,
+    RESOLUTIONS,
+    decode_row,
+    may_still_run,
+)
+from magnoliatrail.platform.table import TableService
+from magnoliatrail.wire import encode
+
+# A listing reads the claims in pages, one for each prefix of two hex digits.
+PAGES = [f"{number:02x}" for number in range(256)]
+
+
+@dataclass(frozen=True, slots=True)
+class Resolution:
+    """Hold what an operator decided, and why."""
+
+    ran: bool
+    reason: str
+    author: str
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """Hold one claim as operators see it."""
+
+    claim_id: str
+    row: OperationRow
+    revision: int
+
+
+class OperatorLedger:
+    """List, show and resolve the claims of the ledger."""
+
+    def __init__(self, table: TableService, clock: Clock) -> None:
+        self.table = table
+        self.clock = clock
+
+    async def unknown(self) -> AsyncIterator[Result[Listed, Failure]]:
+        """Yield the claims of unknown fate, page by page."""
+        for page in PAGES:
+            match await self.table.scan(CLAIMS + page):
+                case Result(tag="ok", ok=rows):
+                    for row in rows:
+                        for listed in self.unknown_in(row):
+                            yield listed
+                case Result(error=failure):
+                    yield Error(failure)
+                    return
+
+    def unknown_in(self, row: Row) -> list[Result[Listed, Failure]]:
+        """Return the claim of a row if its fate is unknown."""
+        match decode_row(row):
+            case Result(tag="ok", ok=found):
+                pass
+            case Result(error=failure):
+                return [Error(failure)]
+        if found.state is not ClaimState.CLAIMED:
+            return []
+        if may_still_run(found, self.clock.now()):
+            return []
+        return [Ok(Listed(row.key.removeprefix(CLAIMS), found, row.revision))]
+
+    async def show(self, claim_id: str) -> Result[Listed, Failure]:
+        """Return one claim, whatever its state."""
+        match await self.table.read(CLAIMS + claim_id):
+            case Result(tag="ok", ok=row):
+                pass
+            case Result(error=failure):
+                return Error(failure)
+        if row is None:
+            message = f"there is no claim {claim_id}"
+            return Error(Failure(ErrorKind.NOT_FOUND, message))
+        return decode_row(row).map(lambda found: Listed(claim_id, found, row.revision))
+
+    async def resolve(
+        self, claim_id: str, resolution: Resolution
+    ) -> Result[OperationRow, Failure]:
+        """Record what became of a claim of unknown fate.
+
+        A claim that did not run is freed, so that its key may be used again.
+        """
+        match await self.show(claim_id):
+            case Result(tag="ok", ok=listed):
+                pass
+            case Result(error=failure):
+                return Error(failure)
+        refusal = self.refusal(listed)
+        if refusal:
+            return Error(refusal)
+        row = resolved_row(listed.row, resolution, self.clock.now().isoformat())
+        transaction = resolving(listed, row, ran=resolution.ran)
+        match await self.table.transact(transaction):
+            case Result(tag="ok", ok=answer) if answer.committed:
+                return Ok(row)
+            case Result(tag="ok"):
+                return Error(changed(claim_id))
+            case Result(error=failure) if failure.not_run:
+                return Error(failure)
+            case _:
+                return await self.recognised(claim_id, row)
+
+    def refusal(self, listed: Listed) -> Failure | None:
+        """Return why a claim cannot be resolved, None if it can."""
+        if listed.row.state is not ClaimState.CLAIMED:
+            message = f"claim {listed.claim_id} is {listed.row.state.value} already"
+            return Failure(ErrorKind.CONFLICT, message)
+        if may_still_run(listed.row, self.clock.now()):
+            message = f"claim {listed.claim_id} may run until {listed.row.expires_at}"
+            return Failure(ErrorKind.CONFLICT, message)
+        return None
+
+    async def recognised(
+        self, claim_id: str, row: OperationRow
+    ) -> Result[OperationRow, Failure]:
+        """Return whether a resolution stands whose answer was lost."""
+        match await self.table.read(resolution_key(row)):
+            case Result(tag="ok", ok=found) if found is not None:
+                recorded = msgspec.json.decode(found.value, type=ResolutionRow)
+                if recorded.claim == row:
+                    return Ok(row)
+                return Error(changed(claim_id))
+            case _:
+                message = f"show claim {claim_id} to see whether it was resolved"
+                return Error(Failure(ErrorKind.TABLE_OUTCOME_UNKNOWN, message))
+
+
+def resolved_row(row: OperationRow, resolution: Resolution, time: str) -> OperationRow:
+    """Return the row of a claim that an operator resolved."""
+    return msgspec.structs.replace(
+        row,
+        state=ClaimState.RESOLVED,
+        resolution=resolution.reason,
+        resolved_by=resolution.author,
+        resolved_at=time,
+    )
+
+
+def resolution_key(row: OperationRow) -> str:
+    """Return the key under which the resolution of an attempt is kept."""
+    return RESOLUTIONS + row.attempt_id
+
+
+def resolving(listed: Listed, row: OperationRow, *, ran: bool) -> Transaction:
+    """Return the transaction that records a resolution."""
+    key = CLAIMS + listed.claim_id
+    kept = encode(row).decode() if ran else None
+    recorded = encode(ResolutionRow(claim=row, ran=ran)).decode()
+    return Transaction(
+        conditions=[
+            RowCondition(key=key, revision=listed.revision),
+            RowCondition(key=resolution_key(row), revision=0),
+        ],
+        writes=[
+            RowWrite(key=key, value=kept),
+            RowWrite(key=resolution_key(row), value=recorded),
+        ],
+    )
+
+
+def changed(claim_id: str) -> Failure:
+    """Return the failure for a claim that somebody else resolved first."""
+    message = f"claim {claim_id} was changed by somebody else first"
+    return Failure(ErrorKind.CONFLICT, message)
--- /dev/null
+++ b/src/magnoliatrail/operations/parts.py
@@ -0,0 +1,80 @@
+"""The parts of the ledger in one instance, and the task that forgets."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from random import Random
+
+from magnoliatrail.clock import Clock
+from magnoliatrail.generated.configuration import Defaults
+from magnoliatrail.ids import Incarnation, InstanceId
+from magnoliatrail.logs import EventLog
+from magnoliatrail.operations.ledger import OperationLedger
+from magnoliatrail.operations.settling import Settler
+from magnoliatrail.operations.sweep import Sweeper, round_interval
+from magnoliatrail.platform.objects import ObjectStore
+from magnoliatrail.platform.table import TableService
+from magnoliatrail.routing.rendezvous import ranked
+
+log = EventLog("operations")
+
+
+@dataclass(frozen=True)
+class OperationParts:
+    """Hold the parts of one instance's ledger."""
+
+    ledger: OperationLedger
+    settler: Settler
+    sweeper: Sweeper
+    clock: Clock
+    generator: Random
+
+    async def drain(self) -> None:
+        """Settle what is under way before the instance stops."""
+        await self.settler.drain()
+        await self.sweeper.flush()
+
+    async def forget_forever(
+        self,
+        defaults: Callable[[], Defaults],
+        instances: Callable[[], Sequence[InstanceId]],
+        instance: InstanceId,
+    ) -> None:
+        """Note what was completed and forget what is old, round by round."""
+
+        def is_mine(name: str) -> bool:
+            return ranked(name, instances())[:1] == [instance]
+
+        while True:
+            interval = round_interval(len(instances()))
+            await self.clock.sleep(interval * self.generator.uniform(0.5, 1.5))
+            seconds = defaults().operation_retention_seconds
+            try:
+                await self.sweeper.flush()
+                await self.sweeper.sweep(timedelta(seconds=seconds), is_mine)
+            except Exception as error:
+                log.error("task_failed", work="forget", reason=repr(error))
+
+
+def operation_parts(
+    *,
+    table: TableService,
+    objects: ObjectStore,
+    clock: Clock,
+    holder: Incarnation,
+    generator: Random | None = None,
+) -> OperationParts:
+    """Return the parts of one instance's ledger."""
+    generator = generator or Random()
+    sweeper = Sweeper(table=table, objects=objects, clock=clock)
+    settler = Settler(
+        table=table,
+        objects=objects,
+        clock=clock,
+        generator=generator,
+        on_completed=sweeper.note,
+    )
+    ledger = OperationLedger(
+        table=table, objects=objects, clock=clock, settler=settler, holder=holder
+    )
+    return OperationParts(ledger, settler, sweeper, clock, generator)
--- /dev/null
+++ b/src/magnoliatrail/operations/rows.py
@@ -0,0 +1,115 @@
+"""Rows of the ledger: what names an operation, and what its row says."""
+
+import base64
+import hashlib
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+
+import msgspec
+from expression import Error, Ok, Result
+
+from magnoliatrail.errors import ErrorKind, Failure
+from magnoliatrail.generated.operations import (
+    ClaimState,
+    HeaderField,
+    OperationRow,
+)
+from magnoliatrail.generated.platform import Row
+from magnoliatrail.ids import CallerId
+from magnoliatrail.wire import encode
+
+CLAIMS = "operations/claims/"
+RESOLUTIONS = "operations/resolutions/"
+ANSWERS = "operations-"
+ROW_ANSWER_BYTES = 16 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Operation:
+    """Name one non-idempotent operation of a caller."""
+
+    caller: CallerId
+    service: str
+    operation: str
+    key: str
+    body: bytes
+
+    @property
+    def row_key(self) -> str:
+        """Return the key of the operation's row."""
+        # JSON keeps the parts apart, whatever letters they hold.
+        parts = encode([self.caller, self.service, self.key])
+        return CLAIMS + hashlib.sha256(parts).hexdigest()
+
+    @property
+    def body_digest(self) -> str:
+        """Return a digest that tells operations and bodies apart."""
+        parts = encode([self.operation, hashlib.sha256(self.body).hexdigest()])
+        return hashlib.sha256(parts).hexdigest()
+
+
+@dataclass(frozen=True, slots=True)
+class RecordedAnswer:
+    """Hold the answer that a repeat receives again."""
+
+    status: int
+    content_type: str
+    body: bytes
+    headers: tuple[tuple[str, str], ...] = field(default=())
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """Hold the right to dispatch an operation once."""
+
+    row_key: str
+    row: OperationRow
+    revision: int
+    repeated: bool = False
+
+
+def decode_row(row: Row) -> Result[OperationRow, Failure]:
+    """Decode a row of the ledger; one that cannot be read has an unknown fate."""
+    try:
+        return Ok(msgspec.json.decode(row.value, type=OperationRow))
+    except msgspec.DecodeError as error:
+        message = f"row {row.key} cannot be read: {error}"
+        return Error(Failure(ErrorKind.OPERATION_UNKNOWN, message))
+
+
+def may_still_run(row: OperationRow, now: datetime) -> bool:
+    """Return whether the attempt of a claim may still be under way."""
+    return row.state is ClaimState.CLAIMED and now < expiry_of(row)
+
+
+def expiry_of(row: OperationRow) -> datetime:
+    """Return when the attempt of a claim has ended."""
+    return datetime.fromisoformat(row.expires_at or row.claimed_at)
+
+
+def completed_row(
+    row: OperationRow, answer: RecordedAnswer, now: datetime
+) -> OperationRow:
+    """Return the row of a claim with its answer, or the name of a large one."""
+    large = len(answer.body) > ROW_ANSWER_BYTES
+    return msgspec.structs.replace(
+        row,
+        state=ClaimState.COMPLETED,
+        completed_at=now.isoformat(),
+        status=answer.status,
+        content_type=answer.content_type,
+        headers=[HeaderField(name=name, value=text) for name, text in answer.headers],
+        answer="" if large else base64.b64encode(answer.body).decode(),
+        answer_object=ANSWERS + row.attempt_id if large else "",
+    )
+
+
+def answer_in(row: OperationRow, body: bytes) -> RecordedAnswer:
+    """Return the answer that a completed row records."""
+    headers = tuple((item.name, item.value) for item in row.headers)
+    return RecordedAnswer(row.status, row.content_type, body, headers)
+
+
+def time_limit(now: datetime, allowed: timedelta) -> str:
+    """Return when an attempt that starts now has certainly ended."""
+    return (now + allowed).isoformat()
--- /dev/null
+++ b/src/magnoliatrail/operations/settling.py
@@ -0,0 +1,230 @@
+"""What follows an attempt: record its answer or free its claim, with retries."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine
+from datetime import timedelta
+from random import Random
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from magnoliatrail.clock import Clock
+from magnoliatrail.errors import Failure
+from magnoliatrail.generated.operations import ClaimState, OperationRow, SweepEntry
+from magnoliatrail.generated.platform import (
+    Row,
+    RowCondition,
+    RowWrite,
+    Transaction,
+)
+from magnoliatrail.logs import EventLog
+from magnoliatrail.operations.backoff import Backoff, waits
+from magnoliatrail.operations.rows import (
+    Claim,
+    RecordedAnswer,
+    completed_row,
+    decode_row,
+)
+from magnoliatrail.platform.objects import ObjectStore
+from magnoliatrail.platform.table import TableService
+from magnoliatrail.wire import encode
+
+log = EventLog("operations")
+
+# How long an answer waits for its record before it goes to the caller anyway.
+RECORD_PATIENCE = timedelta(seconds=1)
+DRAIN_PATIENCE = timedelta(seconds=60)
+RECORDING = Backoff(
+    first=timedelta(seconds=0.2),
+    longest=timedelta(seconds=30),
+    total=timedelta(hours=1),
+)
+# A claim whose write was lost on the way may still take effect for a while.
+FREEING_UNSURE = Backoff(
+    first=timedelta(seconds=0.5),
+    longest=timedelta(seconds=30),
+    total=timedelta(minutes=5),
+)
+MAX_UNRECORDED_BYTES = 16 * 1024 * 1024
+
+# One try: Ok(True) ends the retries.
+Try = Callable[[], Awaitable[Result[bool, Failure]]]
+
+
+class Settler:
+    """Record answers and free claims, in tasks that outlive the request."""
+
+    def __init__(
+        self,
+        *,
+        table: TableService,
+        objects: ObjectStore,
+        clock: Clock,
+        generator: Random,
+        on_completed: Callable[[SweepEntry], None],
+    ) -> None:
+        self.table = table
+        self.objects = objects
+        self.clock = clock
+        self.generator = generator
+        self.on_completed = on_completed
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.watchers: set[asyncio.Task[None]] = set()
+        self.freeing: set[str] = set()
+        self.unrecorded_bytes = 0
+
+    def start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Start a task that is awaited at shutdown."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    async def wait_briefly(self, task: asyncio.Task[None]) -> None:
+        """Wait for a task for a bounded time, and leave it running."""
+        patience = asyncio.ensure_future(self.clock.sleep(RECORD_PATIENCE))
+        await asyncio.wait({task, patience}, return_when=asyncio.FIRST_COMPLETED)
+        patience.cancel()
+
+    async def drain(self) -> None:
+        """Wait a bounded time until everything is recorded and freed."""
+        patience = asyncio.ensure_future(self.clock.sleep(DRAIN_PATIENCE))
+        while self.tasks and not patience.done():
+            await asyncio.wait(
+                {*self.tasks, patience}, return_when=asyncio.FIRST_COMPLETED
+            )
+        for task in (*self.tasks, *self.watchers, patience):
+            task.cancel()
+
+    def record(self, claim: Claim, answer: RecordedAnswer) -> asyncio.Task[None]:
+        """Record an answer under its claim."""
+        return self.start(self.record_until_done(claim, answer))
+
+    async def record_until_done(self, claim: Claim, answer: RecordedAnswer) -> None:
+        """Record an answer, again and again within bounds."""
+        size = len(answer.body)
+        backlog = self.unrecorded_bytes
+        if backlog and backlog + size > MAX_UNRECORDED_BYTES:
+            log.error("answer_not_recorded", row=claim.row_key, reason="too many")
+            return
+        row = completed_row(claim.row, answer, self.clock.now())
+        self.unrecorded_bytes += size
+        try:
+            await self.until_done(
+                "record", claim, RECORDING, lambda: self.try_record(claim, row, answer)
+            )
+        finally:
+            self.unrecorded_bytes -= size
+
+    async def try_record(
+        self, claim: Claim, row: OperationRow, answer: RecordedAnswer
+    ) -> Result[bool, Failure]:
+        """Try once to record an answer."""
+        if row.answer_object:
+            stored = await self.objects.put(row.answer_object, answer.body)
+            if stored.is_error():
+                return Error(stored.error)
+        match await self.change(claim, encode(row).decode()):
+            case Result(tag="ok", ok=current):
+                self.recorded(claim, row, current)
+                return Ok(True)
+            case Result(error=failure):
+                return Error(failure)
+
+    def recorded(self, claim: Claim, row: OperationRow, current: Row | None) -> None:
+        """Note what the row holds after a record was written."""
+        found = decode_row(current).default_value(None) if current else None
+        if found is None or found.attempt_id != row.attempt_id:
+            log.error("record_came_late", row=claim.row_key, reason="row was freed")
+        elif found.state is not ClaimState.COMPLETED:
+            log.error("record_came_late", row=claim.row_key, state=found.state)
+        else:
+            assert current is not None
+            self.on_completed(
+                SweepEntry(
+                    key=claim.row_key,
+                    revision=current.revision,
+                    answer_object=row.answer_object,
+                )
+            )
+
+    def free(self, claim: Claim) -> asyncio.Task[None]:
+        """Free the claim of an operation that certainly did not run."""
+        self.freeing.add(claim.row.attempt_id)
+
+        async def try_free() -> Result[bool, Failure]:
+            result = await self.change(claim, None)
+            return result.map(lambda _: True)
+
+        return self.start(self.free_until_done(claim, RECORDING, try_free))
+
+    def free_unsure(self, row_key: str, row: OperationRow) -> asyncio.Task[None]:
+        """Free a claim that was never dispatched, if its write took effect."""
+        self.freeing.add(row.attempt_id)
+        claim = Claim(row_key, row, 0)
+        work = self.free_until_done(
+            claim, FREEING_UNSURE, lambda: self.try_free_unsure(claim)
+        )
+        task = asyncio.create_task(work)
+        self.watchers.add(task)
+        task.add_done_callback(self.watchers.discard)
+        return task
+
+    async def free_until_done(self, claim: Claim, backoff: Backoff, once: Try) -> None:
+        """Free a claim, again and again within bounds."""
+        try:
+            await self.until_done("free", claim, backoff, once)
+        finally:
+            self.freeing.discard(claim.row.attempt_id)
+
+    async def try_free_unsure(self, claim: Claim) -> Result[bool, Failure]:
+        """Try once to find the claim of an attempt by its id and free it."""
+        match await self.table.read(claim.row_key):
+            case Result(tag="ok", ok=current):
+                pass
+            case Result(error=failure):
+                return Error(failure)
+        found = decode_row(current).default_value(None) if current else None
+        if current is None or found is None:
+            return Ok(False)
+        if found.attempt_id != claim.row.attempt_id:
+            # The key is another attempt's; a late write of ours fails its condition.
+            return Ok(False)
+        known = Claim(claim.row_key, claim.row, current.revision)
+        result = await self.change(known, None)
+        return result.map(lambda _: True)
+
+    async def change(
+        self, claim: Claim, value: str | None
+    ) -> Result[Row | None, Failure]:
+        """Change the row of a claim that is still this attempt's.
+
+        Returns the row as it is now; the condition fails on a row that somebody
+        changed, and on one that an earlier try with a lost answer changed.
+        """
+        condition = RowCondition(key=claim.row_key, revision=claim.revision)
+        write = RowWrite(key=claim.row_key, value=value)
+        result = await self.table.transact(
+            Transaction(conditions=[condition], writes=[write])
+        )
+        return result.map(lambda answer: answer.rows[0] if answer.rows else None)
+
+    async def until_done(
+        self, work: str, claim: Claim, backoff: Backoff, once: Try
+    ) -> None:
+        """Try until done, or until the waits between tries are used up."""
+        for wait in waits(backoff, self.generator):
+            match await once():
+                case Result(tag="ok", ok=True):
+                    return
+                case Result(tag="ok"):
+                    pass
+                case Result(error=failure):
+                    log.warning(
+                        "settling_again",
+                        work=work,
+                        row=claim.row_key,
+                        reason=failure.message,
+                    )
+            await self.clock.sleep(wait)
+        log.warning("settling_given_up", work=work, row=claim.row_key)
--- a/src/magnoliatrail/platform/objects.py
+++ b/src/magnoliatrail/platform/objects.py
@@ -21,6 +21,9 @@
     async def put(self, name: str, body: bytes) -> Result[None, Failure]:
         """Write an object; writing the same again is harmless."""
 
+    async def delete(self, name: str) -> Result[None, Failure]:
+        """Delete an object; deleting it again is harmless."""
+
 
 class HttpObjects:
     """Call the object store over HTTP."""
@@ -54,6 +57,17 @@
             return Error(refused(response.code))
         return Ok(None)
 
+    async def delete(self, name: str) -> Result[None, Failure]:
+        """Delete an object; deleting it again is harmless."""
+        request = HTTPRequest(f"{self.url}/objects/{name}", method="DELETE")
+        try:
+            response = await call(self.client, request, self.limits)
+        except CallFailed as error:
+            return Error(Failure(ErrorKind.STORE_UNAVAILABLE, str(error)))
+        if response.code not in (HTTP_OK, HTTP_NOT_FOUND):
+            return Error(refused(response.code))
+        return Ok(None)
+
 
 def refused(status: int) -> Failure:
     """Return the failure for a status that the object store should not give."""
--- a/src/magnoliatrail/standins/faults.py
+++ b/src/magnoliatrail/standins/faults.py
@@ -15,6 +15,8 @@
     silent: bool = False
     delay_seconds: float = 0.0
     lose_answers: int = 0
+    lose_requests: int = 0
+    late_requests: int = 0
     fail_loads: int = 0
     break_streams: int = 0
     wrong_adapter: int = 0
--- a/src/magnoliatrail/standins/objects.py
+++ b/src/magnoliatrail/standins/objects.py
@@ -27,6 +27,13 @@
         self.objects[name] = body
         return Ok(None)
 
+    async def delete(self, name: str) -> Result[None, Failure]:
+        """Delete an object."""
+        if self.faults.down:
+            return Error(outage())
+        self.objects.pop(name, None)
+        return Ok(None)
+
 
 def outage() -> Failure:
     """Return the failure of an object store that is down."""
@@ -34,7 +41,7 @@
 
 
 class ObjectHandler(FaultyHandler):
-    """Serve `GET` and `PUT /objects/<name>`."""
+    """Serve `GET`, `PUT` and `DELETE /objects/<name>`."""
 
     def initialize(self, store: FakeObjects) -> None:
         """Take the store to serve."""
@@ -56,6 +63,10 @@
         if self.loses_answer():
             self.drop_connection()
 
+    def delete(self, name: str) -> None:
+        """Delete an object."""
+        self.store.objects.pop(name, None)
+
 
 def objects_application(store: FakeObjects) -> Application:
     """Return the HTTP application of an object store."""
--- a/src/magnoliatrail/standins/table.py
+++ b/src/magnoliatrail/standins/table.py
@@ -23,6 +23,7 @@
         self.reads = 0
         self.writes = 0
         self.last_revision = 0
+        self.late: list[Transaction] = []
 
     def commit(self, transaction: Transaction) -> TransactionAnswer:
         """Commit a transaction if its conditions hold."""
@@ -49,6 +50,12 @@
                     key=write.key, value=write.value, revision=self.last_revision
                 )
 
+    def deliver_late(self) -> None:
+        """Commit the transactions that were held up on their way."""
+        late, self.late = self.late, []
+        for transaction in late:
+            self.commit(transaction)
+
     def revision(self, key: str) -> int:
         """Return the revision of a row, 0 if it is absent."""
         row = self.rows.get(key)
@@ -75,9 +82,16 @@
     async def transact(
         self, transaction: Transaction
     ) -> Result[TransactionAnswer, Failure]:
-        """Commit a transaction, or lose its answer."""
+        """Commit a transaction, or lose it or its answer."""
         if self.faults.down:
             return Error(outage())
+        if self.faults.lose_requests:
+            self.faults.lose_requests -= 1
+            return Error(Failure(ErrorKind.TABLE_OUTCOME_UNKNOWN, "request lost"))
+        if self.faults.late_requests:
+            self.faults.late_requests -= 1
+            self.late.append(transaction)
+            return Error(Failure(ErrorKind.TABLE_OUTCOME_UNKNOWN, "request late"))
         answer = self.commit(transaction)
         if self.faults.lose_answers:
             self.faults.lose_answers -= 1
@@ -125,6 +139,10 @@
     def post(self) -> None:
         """Commit a transaction."""
         transaction = msgspec.json.decode(self.request.body, type=Transaction)
+        if self.faults.lose_requests:
+            self.faults.lose_requests -= 1
+            self.drop_connection()
+            return
         answer = self.table.commit(transaction)
         if self.loses_answer():
             self.drop_connection()
