--- a/src/magnoliatrail/daemon.py
+++ b/src/magnoliatrail/daemon.py
@@ -36,7 +36,7 @@
 from magnoliatrail.membership.refresh import FleetRefresh
 from magnoliatrail.membership.session import SessionLease
 from magnoliatrail.metrics import Metrics, metrics_from
-from magnoliatrail.operations.ledger import OperationLedger
+from magnoliatrail.operations.parts import operation_parts
 from magnoliatrail.peers.client import PeerClient
 from magnoliatrail.peers.configuration import (
     configuration_links,
@@ -48,6 +48,7 @@
 from magnoliatrail.periodic import PeriodicTasks
 from magnoliatrail.placement.catalogue import AdapterCatalogue
 from magnoliatrail.platform.instance_list import HttpInstanceList
+from magnoliatrail.platform.objects import HttpObjects
 from magnoliatrail.platform.table import HttpTable
 from magnoliatrail.platform.weights import HttpWeightStore
 from magnoliatrail.routing.permit_search import PermitSearch
@@ -86,6 +87,12 @@
         self.spread = self.new_spread()
         self.join_parts()
         self.lifecycle = Lifecycle(self.configuration)
+        self.operations = operation_parts(
+            table=self.table,
+            objects=self.objects,
+            clock=self.clock,
+            holder=self.incarnation,
+        )
         self.entry = self.new_entry()
         self.caller_listener: Listener | None = None
         self.peer_listener: Listener | None = None
@@ -96,6 +103,7 @@
         settings, limits = self.settings, self.limits
         self.client = new_http_client()
         self.table = HttpTable(self.client, settings.table_url, limits)
+        self.objects = HttpObjects(self.client, settings.objects_url, limits)
         self.instance_list = HttpInstanceList(
             self.client, settings.instance_list_url, limits
         )
@@ -177,7 +185,7 @@
             configuration=self.configuration,
             catalogue=self.catalogue,
             dispatcher=self.new_dispatcher(),
-            ledger=OperationLedger(self.table, self.clock),
+            ledger=self.operations.ledger,
             lifecycle=self.lifecycle,
         )
 
@@ -239,6 +247,7 @@
         self.tasks.every(settings.configuration_poll_seconds, self.spread.poll)
         self.tasks.every(settings.heartbeat_seconds, self.heartbeats.send_all)
         self.tasks.every(CATALOGUE_SECONDS, self.refresh_catalogue)
+        self.tasks.once(self.forget_operations)
 
     async def shutdown(self) -> None:
         """Refuse new requests, end those in flight, and leave the fleet."""
@@ -246,6 +255,7 @@
         self.lifecycle.stopping = True
         log.info("stopping", in_flight=self.lifecycle.in_flight)
         await self.lifecycle.idle.wait()
+        await self.operations.drain()
         await self.tasks.cancel()
         if self.session:
             await self.session.release()
@@ -256,6 +266,14 @@
         self.peers.close()
         log.info("stopped", instance=self.instance)
 
+    async def forget_operations(self) -> None:
+        """Forget this instance's share of the operations past the retention."""
+        await self.operations.forget_forever(
+            lambda: self.configuration.configuration.defaults,
+            lambda: list(self.fleet.sessions),
+            self.instance,
+        )
+
     def session_row(self, listener: Listener) -> SessionRow:
         """Return the session row of this instance before its first renewal."""
         host = self.settings.advertised_host or self.settings.host
