--- a/src/magnoliatrail/daemon.py
+++ b/src/magnoliatrail/daemon.py
@@ -7,10 +7,11 @@
 
 from magnoliatrail.clock import Clock, SystemClock
 from magnoliatrail.config.in_force import ConfigurationInForce
+from magnoliatrail.config.resolve import Scopes, setting_of
 from magnoliatrail.config.spread import ConfigurationSpread
 from magnoliatrail.config.store import ConfigurationStore
+from magnoliatrail.coordination import Coordination
 from magnoliatrail.engines.client import EngineClient
-from magnoliatrail.engines.owned import OwnedEngines
 from magnoliatrail.engines.owner import EngineOwner
 from magnoliatrail.engines.permits import PermitHolder
 from magnoliatrail.entry.application import caller_application
@@ -19,22 +20,12 @@
 from magnoliatrail.entry.lifecycle import Lifecycle
 from magnoliatrail.entry.parts import EntryParts
 from magnoliatrail.errors import Failure
-from magnoliatrail.generated.membership import (
-    Heartbeat,
-    InstanceStatus,
-    OwnerRow,
-    SessionRow,
-)
-from magnoliatrail.generated.permits import PermitRecall, PermitRequest
+from magnoliatrail.generated.membership import InstanceStatus, OwnerRow
 from magnoliatrail.generated.platform import ListedInstance
 from magnoliatrail.generated.settings import Settings
-from magnoliatrail.ids import FencingNumber, InstanceId, new_incarnation
+from magnoliatrail.ids import FencingNumber, InstanceId
 from magnoliatrail.listeners import Listener, listen
 from magnoliatrail.logs import EventLog
-from magnoliatrail.membership.fleet import Fleet
-from magnoliatrail.membership.ownership import OwnershipTable
-from magnoliatrail.membership.refresh import FleetRefresh
-from magnoliatrail.membership.session import SessionLease
 from magnoliatrail.metrics import Metrics, metrics_from
 from magnoliatrail.operations.parts import operation_parts
 from magnoliatrail.peers.client import PeerClient
@@ -42,8 +33,6 @@
     configuration_links,
     configuration_routes,
 )
-from magnoliatrail.peers.heartbeats import Heartbeats
-from magnoliatrail.peers.permit_calls import PermitCalls
 from magnoliatrail.peers.server import PeerRoute, peer_application
 from magnoliatrail.periodic import PeriodicTasks
 from magnoliatrail.placement.catalogue import AdapterCatalogue
@@ -75,28 +64,40 @@
         self.clock = clock or SystemClock()
         self.metrics = metrics or metrics_from(settings, StatsClient)
         self.instance = InstanceId(settings.instance_id)
-        self.incarnation = new_incarnation()
         self.limits = control_limits(settings)
         self.tasks = PeriodicTasks(self.clock)
         self.connect_platform()
         self.configuration = ConfigurationInForce(self.clock)
-        self.fleet = Fleet()
         self.catalogue = AdapterCatalogue()
         self.permits = PermitHolder()
         self.peers = PeerClient(settings.peer_token)
+        self.coordination = Coordination(
+            settings=settings,
+            clock=self.clock,
+            metrics=self.metrics,
+            table=self.table,
+            instance_list=self.instance_list,
+            permits=self.permits,
+            peers=self.peers,
+            tasks=self.tasks,
+            limits=self.limits,
+            new_owner=self.new_owner,
+            checks_fencing=self.checks_fencing,
+        )
+        self.fleet = self.coordination.fleet
+        self.gate = self.coordination.gate
         self.spread = self.new_spread()
-        self.join_parts()
         self.lifecycle = Lifecycle(self.configuration)
+        self.lifecycle.gate = self.gate
         self.operations = operation_parts(
             table=self.table,
             objects=self.objects,
             clock=self.clock,
-            holder=self.incarnation,
+            holder=self.coordination.incarnation,
         )
         self.entry = self.new_entry()
         self.caller_listener: Listener | None = None
         self.peer_listener: Listener | None = None
-        self.session: SessionLease | None = None
 
     def connect_platform(self) -> None:
         """Create the clients of the platform's services."""
@@ -112,8 +113,8 @@
     def new_spread(self) -> ConfigurationSpread:
         """Return the part that keeps the configuration up to date."""
         links = configuration_links(
-            self.other_instances,
-            lambda peer: self.fleet.sessions[peer].peer_url,
+            self.fleet.members.peers,
+            lambda peer: self.fleet.members.records[peer].peer_url,
             self.peers,
             self.limits,
         )
@@ -125,51 +126,24 @@
             metrics=self.metrics,
         )
 
-    def other_instances(self) -> list[InstanceId]:
-        """Return the peers that are known to live."""
-        return [peer for peer in self.fleet.sessions if peer != self.instance]
-
-    def join_parts(self) -> None:
-        """Create the parts by which instances act together."""
-        self.ownership = OwnershipTable(self.table, self.instance, self.incarnation)
-        self.refresh = FleetRefresh(
-            fleet=self.fleet,
-            table=self.table,
-            instance_list=self.instance_list,
-            ownership=self.ownership,
-        )
-        self.permit_calls = PermitCalls(
-            instance=self.instance,
-            fleet=self.fleet,
-            permits=self.permits,
-            peers=self.peers,
-            limits=self.limits,
-        )
-        self.owned = OwnedEngines(
-            instance=self.instance,
-            fleet=self.fleet,
-            ownership=self.ownership,
-            new_owner=self.new_owner,
-        )
-        self.permit_calls.answer_permit = self.owned.answer_permit
-        self.heartbeats = Heartbeats(
-            instance=self.instance,
-            incarnation=self.incarnation,
-            fleet=self.fleet,
-            peers=self.peers,
-            limits=self.limits,
-            tasks=self.tasks,
-            revision=lambda: self.spread.in_force.revision,
-            catch_up=self.spread.catch_up,
-        )
+    def checks_fencing(self, owner: EngineOwner) -> bool:
+        """Return whether an engine refuses orders with an old fencing number."""
+        listed = self.fleet.listed.get(owner.engine)
+        if listed is None:
+            return False
+        scopes = Scopes(base_model=listed.name, failure_domain=listed.failure_domain)
+        configuration = self.configuration.configuration
+        return setting_of(configuration, "engine_checks_fencing", bool, scopes)
 
     def new_owner(self, listed: ListedInstance, row: OwnerRow) -> EngineOwner:
         """Return the owner's task for one engine."""
         return EngineOwner(
             listed=listed,
             fencing_number=FencingNumber(row.fencing_number),
-            client=EngineClient(self.client, listed.url, load_limits(self.settings)),
-            recall=self.permit_calls.recall,
+            client=EngineClient(
+                self.client, listed.url, load_limits(self.settings), self.gate.passed
+            ),
+            recall=self.coordination.permit_calls.recall,
             clock=self.clock,
             metrics=self.metrics,
         )
@@ -198,7 +172,7 @@
             fleet=self.fleet,
             catalogue=self.catalogue,
             permits=self.permits,
-            ask_owner=self.permit_calls.ask_owner,
+            ask_owner=self.coordination.permit_calls.ask_owner,
         )
         caller = EngineCaller(
             settings=self.settings,
@@ -207,7 +181,11 @@
             permits=self.permits,
         )
         return Dispatcher(
-            clock=self.clock, metrics=self.metrics, search=search, caller=caller
+            clock=self.clock,
+            metrics=self.metrics,
+            search=search,
+            caller=caller,
+            gate=self.gate,
         )
 
     async def start(self) -> None:
@@ -218,18 +196,24 @@
             host=settings.host,
             port=settings.peer_port,
         )
-        self.session = SessionLease(self.table, self.session_row(self.peer_listener))
         self.caller_listener = listen(
             caller_application(self.entry),
             host=settings.host,
             port=settings.port,
             max_body_bytes=settings.max_body_bytes,
         )
-        await self.renew_session()
+        self.coordination.connect(
+            peer_url=self.advertised_url(self.peer_listener),
+            revision=lambda: self.configuration.revision,
+            catch_up=self.spread.catch_up,
+            poll_configuration=self.spread.poll,
+        )
         await self.refresh_catalogue()
-        await self.refresh_fleet()
+        await self.coordination.join()
         await self.spread.start()
-        self.start_tasks()
+        self.coordination.start_tasks()
+        self.tasks.every(settings.configuration_poll_seconds, self.spread.poll)
+        self.tasks.every(CATALOGUE_SECONDS, self.refresh_catalogue)
         self.lifecycle.ready = True
         log.info(
             "started",
@@ -238,27 +222,15 @@
             peers=self.peer_listener.url,
         )
 
-    def start_tasks(self) -> None:
-        """Start the tasks that repeat."""
-        settings = self.settings
-        self.tasks.every(settings.renewal_seconds, self.renew_session)
-        self.tasks.every(settings.instance_list_seconds, self.refresh_fleet)
-        self.tasks.every(settings.load_report_seconds, self.owned.refresh)
-        self.tasks.every(settings.configuration_poll_seconds, self.spread.poll)
-        self.tasks.every(settings.heartbeat_seconds, self.heartbeats.send_all)
-        self.tasks.every(CATALOGUE_SECONDS, self.refresh_catalogue)
-        self.tasks.once(self.forget_operations)
-
     async def shutdown(self) -> None:
-        """Refuse new requests, end those in flight, and leave the fleet."""
+        """Refuse new requests, pass the engines on, end what runs, and leave."""
         self.lifecycle.ready = False
         self.lifecycle.stopping = True
         log.info("stopping", in_flight=self.lifecycle.in_flight)
+        await self.coordination.hand_all_over()
         await self.lifecycle.idle.wait()
-        await self.operations.drain()
+        await self.coordination.say_goodbye()
         await self.tasks.cancel()
-        if self.session:
-            await self.session.release()
         for listener in (self.caller_listener, self.peer_listener):
             if listener:
                 await listener.close()
@@ -266,33 +238,10 @@
         self.peers.close()
         log.info("stopped", instance=self.instance)
 
-    async def forget_operations(self) -> None:
-        """Forget this instance's share of the operations past the retention."""
-        await self.operations.forget_forever(
-            lambda: self.configuration.configuration.defaults,
-            lambda: list(self.fleet.sessions),
-            self.instance,
-        )
-
-    def session_row(self, listener: Listener) -> SessionRow:
-        """Return the session row of this instance before its first renewal."""
+    def advertised_url(self, listener: Listener) -> str:
+        """Return the address by which peers reach a listener."""
         host = self.settings.advertised_host or self.settings.host
-        return SessionRow(
-            instance=self.instance,
-            incarnation=self.incarnation,
-            failure_domain=self.settings.failure_domain,
-            region=self.settings.region,
-            peer_url=f"http://{host}:{listener.port}",
-            renewals=0,
-        )
-
-    async def renew_session(self) -> None:
-        """Renew the session lease."""
-        assert self.session is not None
-        result = await self.session.renew()
-        self.metrics.gauge("lease.renewed", int(result.is_ok()))
-        if result.is_error():
-            log.warning("lease_not_renewed", reason=result.error.message)
+        return f"http://{host}:{listener.port}"
 
     async def refresh_catalogue(self) -> None:
         """Read the adapter catalogue."""
@@ -302,11 +251,6 @@
             case Result(error=failure):
                 log.warning("catalogue_missing", reason=failure.message)
 
-    async def refresh_fleet(self) -> None:
-        """Read who lives and who owns, and claim what nobody owns."""
-        await self.refresh.refresh()
-        await self.owned.claim_all()
-
     async def answer_status(self, request: object) -> Result[InstanceStatus, Failure]:
         """Describe this instance to operators."""
         assert self.caller_listener is not None
@@ -316,10 +260,12 @@
                 instance=self.instance,
                 failure_domain=self.settings.failure_domain,
                 ready=self.lifecycle.ready,
-                configuration_revision=self.spread.in_force.revision,
-                engines_owned=sorted(self.owned.owners),
-                peers=sorted(self.fleet.sessions),
+                configuration_revision=self.configuration.revision,
+                engines_owned=sorted(self.coordination.owned.owners),
+                peers=sorted(self.fleet.members.reachable()),
                 in_flight=self.lifecycle.in_flight,
+                leaving=sorted(self.fleet.servers.leaving),
+                paused=not self.gate.is_open,
                 caller_url=self.caller_listener.url,
                 peer_url=self.peer_listener.url,
             )
@@ -328,9 +274,7 @@
     def peer_routes(self) -> list[PeerRoute[Any]]:
         """Return what the peer listener serves."""
         return [
-            PeerRoute("/peer/permits", PermitRequest, self.owned.answer_permit),
-            PeerRoute("/peer/recalls", PermitRecall, self.permit_calls.answer_recall),
-            PeerRoute("/peer/heartbeat", Heartbeat, self.heartbeats.answer),
+            *self.coordination.peer_routes(),
             PeerRoute("/peer/status", object, self.answer_status),
             *configuration_routes(self.spread),
         ]
--- /dev/null
+++ b/src/magnoliatrail/engines/adoption.py
@@ -0,0 +1,171 @@
+"""Takeover of an engine after its owner's crash: which handles may be used."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from expression import Result
+
+from magnoliatrail.engines.foreign import (
+    ForeignHandle,
+    foreign_handle,
+    reported_idle,
+)
+from magnoliatrail.engines.owner import EngineOwner, Slot, SlotState
+from magnoliatrail.errors import Failure
+from magnoliatrail.generated.membership import OwnerRow, TakeoverInquiry
+from magnoliatrail.generated.permits import HeldPermits, PermitRecall, RecallState
+from magnoliatrail.ids import EngineId, Handle, Incarnation, InstanceId
+from magnoliatrail.logs import EventLog
+from magnoliatrail.membership.ended import EndedRuns, former_id
+from magnoliatrail.membership.members import Members, Run
+
+log = EventLog("adoption")
+
+Inquire = Callable[
+    [InstanceId, TakeoverInquiry], Awaitable[Result[HeldPermits, Failure]]
+]
+
+
+@dataclass
+class Takeover:
+    """Hold what is known of an engine that was taken over."""
+
+    former: Run | None
+    held: dict[Handle, set[InstanceId]] = field(default_factory=dict)
+    silent: set[InstanceId] = field(default_factory=set)
+    released: set[Handle] = field(default_factory=set)
+
+
+class Adoption:
+    """Find the handles of earlier owners and adopt them once that is safe."""
+
+    def __init__(
+        self,
+        *,
+        members: Members,
+        ended: EndedRuns,
+        inquire: Inquire,
+        checks_fencing: Callable[[EngineOwner], bool],
+    ) -> None:
+        self.members = members
+        self.ended = ended
+        self.inquire = inquire
+        self.checks_fencing = checks_fencing
+        self.takeovers: dict[EngineId, Takeover] = {}
+
+    async def start(
+        self, owner: EngineOwner, row: OwnerRow, previous: OwnerRow | None
+    ) -> None:
+        """Tell every peer of the new owner and ask which permits it holds.
+
+        Whoever does not answer, and every run that is not surely gone, may hold
+        a permit on any handle.
+        """
+        former = None
+        if previous:
+            former = InstanceId(previous.instance), Incarnation(previous.incarnation)
+        takeover = Takeover(former)
+        takeover.silent.update(former_id(run) for run in self.ended.doubtful())
+        if former and not self.ended.surely_gone(former):
+            takeover.silent.add(former_id(former))
+        inquiry = TakeoverInquiry(owner=row)
+        peers = list(self.members.reachable())
+        answers = await asyncio.gather(*(self.inquire(peer, inquiry) for peer in peers))
+        for peer, answer in zip(peers, answers, strict=True):
+            match answer:
+                case Result(tag="ok", ok=held):
+                    for grant in held.permits:
+                        holders = takeover.held.setdefault(Handle(grant.handle), set())
+                        holders.add(peer)
+                case Result(error=failure):
+                    log.warning("holder_silent", peer=peer, reason=failure.message)
+                    takeover.silent.add(peer)
+        self.takeovers[owner.engine] = takeover
+
+    def absorb(self, owner: EngineOwner) -> None:
+        """Count the reported handles of earlier owners as in use."""
+        if owner.report is None:
+            return
+        reported = {item.lora_name for item in owner.report.loaded}
+        for handle in set(owner.foreign) - reported:
+            del owner.foreign[handle]
+        known = {slot.handle for slot in owner.slots.values()}
+        takeover = self.takeovers.setdefault(owner.engine, Takeover(None))
+        for name in reported - known - set(owner.foreign):
+            found = foreign_handle(name)
+            if found is None or found.generation == owner.fencing_number:
+                continue
+            found.holders = takeover.held.get(found.handle, set()) | takeover.silent
+            owner.foreign[found.handle] = found
+
+    async def refresh(self, owner: EngineOwner) -> None:
+        """Absorb handles of earlier owners, and adopt those that are safe."""
+        self.absorb(owner)
+        if not owner.foreign or owner.closed:
+            return
+        fenced = await self.fenced(owner)
+        takeover = self.takeovers[owner.engine]
+        former_gone = takeover.former is not None and self.ended.surely_gone(
+            takeover.former
+        )
+        for found in list(owner.foreign.values()):
+            from_former = found.generation == owner.fencing_number - 1
+            released = found.handle in takeover.released
+            if fenced or released or (former_gone and from_former):
+                await self.adopt(owner, found)
+
+    async def fenced(self, owner: EngineOwner) -> bool:
+        """Return whether the engine refuses the orders of earlier owners."""
+        if not self.checks_fencing(owner) or owner.report is None:
+            return False
+        if owner.report.fencing_number >= owner.fencing_number:
+            return True
+        # An order that changes nothing shows the engine the higher number.
+        nothing = Handle(f"nothing@0~{owner.fencing_number}")
+        await owner.client.unload(nothing, owner.fencing_number)
+        return False
+
+    async def adopt(self, owner: EngineOwner, found: ForeignHandle) -> None:
+        """Take a handle into the owner's slots, or unload a duplicate."""
+        async with owner.ordering:
+            if owner.foreign.get(found.handle) is not found:
+                return
+            if found.model not in owner.slots:
+                del owner.foreign[found.handle]
+                owner.slots[found.model] = adopted_slot(owner, found)
+                log.info("adopted", engine=owner.engine, handle=found.handle)
+                return
+        await self.retire(owner, found)
+
+    async def retire(self, owner: EngineOwner, found: ForeignHandle) -> None:
+        """Unload a handle whose adapter is loaded under another one too."""
+        recall = PermitRecall(
+            engine=owner.engine,
+            handle=found.handle,
+            fencing_number=owner.fencing_number,
+        )
+        for holder in list(found.holders):
+            if await owner.recall(holder, recall) is RecallState.BUSY:
+                return
+            found.holders.discard(holder)
+        if not await reported_idle(owner, found.handle):
+            return
+        result = await owner.client.unload(found.handle, owner.fencing_number)
+        if result.is_ok():
+            owner.foreign.pop(found.handle, None)
+            log.info("retired", engine=owner.engine, handle=found.handle)
+
+
+def adopted_slot(owner: EngineOwner, found: ForeignHandle) -> Slot:
+    """Return the slot of a handle that an earlier owner loaded."""
+    slot = Slot(
+        found.model,
+        found.handle,
+        SlotState.LOADED,
+        owner.clock.monotonic(),
+        holders=set(found.holders),
+        checks_idle=True,
+    )
+    slot.loaded.set()
+    return slot
--- /dev/null
+++ b/src/magnoliatrail/engines/claims.py
@@ -0,0 +1,250 @@
+"""Claims and handovers, which bring each engine to the instance that should own it."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+from expression import Error, Ok, Result
+
+from magnoliatrail.engines.handover import await_loads, close_owner, take_slots
+from magnoliatrail.engines.owned import OwnedEngines
+from magnoliatrail.engines.owner import EngineOwner
+from magnoliatrail.errors import ErrorKind, Failure
+from magnoliatrail.generated.membership import (
+    Handover,
+    HandoverAnswer,
+    MemberState,
+    OwnerRow,
+)
+from magnoliatrail.generated.platform import ListedInstance
+from magnoliatrail.ids import EngineId, Handle, InstanceId
+from magnoliatrail.logs import EventLog
+from magnoliatrail.membership.ownership import OwnershipTable
+from magnoliatrail.membership.preference import Preference
+from magnoliatrail.periodic import PeriodicTasks
+
+log = EventLog("claims")
+
+SendHandover = Callable[
+    [InstanceId, Handover], Awaitable[Result[HandoverAnswer, Failure]]
+]
+FindMember = Callable[[InstanceId], Awaitable[None]]
+
+# A table that comes back is not met by the claims of all instances at once.
+CLAIMS_AT_ONCE = 4
+FIRST_DELAY = timedelta(seconds=0.5)
+LONGEST_DELAY = timedelta(seconds=8)
+TABLE_KINDS = {ErrorKind.TABLE_UNAVAILABLE, ErrorKind.TABLE_OUTCOME_UNKNOWN}
+
+
+class Claims:
+    """Claim engines that nobody owns, and hand over those that another should own."""
+
+    def __init__(
+        self,
+        *,
+        owned: OwnedEngines,
+        ownership: OwnershipTable,
+        preference: Preference,
+        tasks: PeriodicTasks,
+        send_handover: SendHandover,
+        find_member: FindMember,
+        wake: Callable[[], None],
+    ) -> None:
+        self.owned = owned
+        self.fleet = owned.fleet
+        self.instance = owned.instance
+        self.ownership = ownership
+        self.preference = preference
+        self.tasks = tasks
+        self.send_handover = send_handover
+        self.find_member = find_member
+        self.wake = wake
+        self.places = asyncio.Semaphore(CLAIMS_AT_ONCE)
+        self.settling = asyncio.Lock()
+        self.delay = FIRST_DELAY
+        self.not_before = timedelta()
+
+    async def settle(self) -> None:
+        """Bring every engine that concerns this instance to its right owner."""
+        if self.settling.locked():
+            return
+        async with self.settling:
+            engines = self.fleet.engines()
+            await asyncio.gather(*(self.settle_one(item) for item in engines))
+            self.drop_unlisted({EngineId(item.id) for item in engines})
+
+    async def settle_one(self, listed: ListedInstance) -> None:
+        """Claim, hand over, give up or leave alone one engine."""
+        engine = EngineId(listed.id)
+        owner = self.owned.owners.get(engine)
+        preferred = self.preference.owner(listed)
+        if owner is None:
+            if preferred == self.instance and self.fleet.owner_of(engine) is None:
+                await self.claim_in_turn(listed)
+            return
+        known = self.fleet.owners.get(engine)
+        if known and known.fencing_number > owner.fencing_number:
+            await self.lose(owner, known)
+        elif owner.closed:
+            await self.resolve(owner)
+        elif preferred not in (None, self.instance):
+            assert preferred is not None
+            await self.hand_over(owner, preferred)
+
+    def drop_unlisted(self, listed: set[EngineId]) -> None:
+        """Give up engines that are no longer on the list."""
+        for engine, owner in list(self.owned.owners.items()):
+            if engine not in listed:
+                self.owned.drop(owner, "not_listed")
+
+    async def claim_in_turn(self, listed: ListedInstance) -> None:
+        """Claim an engine, unless the table failed a moment ago."""
+        clock = self.fleet.clock
+        async with self.places:
+            if clock.monotonic() < self.not_before:
+                return
+            match await self.claim(listed):
+                case Result(tag="ok"):
+                    self.delay = FIRST_DELAY
+                case Result(error=failure):
+                    log.info("claim_lost", engine=listed.id, reason=failure.message)
+                    if failure.kind in TABLE_KINDS:
+                        wait = self.delay * random.uniform(0.5, 1.5)
+                        self.not_before = clock.monotonic() + wait
+                        self.delay = min(self.delay * 2, LONGEST_DELAY)
+
+    async def claim(self, listed: ListedInstance) -> Result[None, Failure]:
+        """Claim an engine whose owner, if it had one, does not live any more."""
+        engine = EngineId(listed.id)
+        match await self.ownership.read(engine):
+            case Result(tag="ok", ok=previous):
+                pass
+            case Result(error=failure):
+                return Error(failure)
+        if previous and await self.owner_lives(previous):
+            self.fleet.take_owner(previous, InstanceId(previous.instance))
+            return Ok(None)
+        expected = previous.fencing_number if previous else 0
+        match await self.ownership.claim(engine, expected=expected):
+            case Result(tag="ok", ok=row):
+                await self.take_over(listed, row, previous)
+                return Ok(None)
+            case Result(error=failure):
+                return Error(failure)
+
+    async def owner_lives(self, row: OwnerRow) -> bool:
+        """Return whether the owner in a row should answer."""
+        members = self.fleet.members
+        instance = InstanceId(row.instance)
+        if instance not in members.records:
+            await self.find_member(instance)
+        return members.runs(row.instance, row.incarnation)
+
+    async def take_over(
+        self, listed: ListedInstance, row: OwnerRow, previous: OwnerRow | None
+    ) -> None:
+        """Own an engine whose former owner handed nothing over."""
+        owner = self.owned.new_owner(listed, row)
+        await self.owned.adoption.start(owner, row, previous)
+        await self.owned.refresh_one(owner)
+        self.owned.put(owner, row)
+        self.wake()
+
+    async def hand_over(self, owner: EngineOwner, preferred: InstanceId) -> None:
+        """Pass an engine on, and go on owning it if that fails."""
+        handover = await close_owner(owner, self.instance, preferred)
+        match await self.send_handover(preferred, handover):
+            case Result(tag="ok", ok=answer):
+                self.fleet.take_owner(answer.owner, preferred)
+                self.owned.drop(owner, "handed_over")
+                self.wake()
+            case Result(error=failure):
+                log.warning(
+                    "handover_failed", engine=owner.engine, reason=failure.message
+                )
+                await self.resolve(owner)
+
+    async def resolve(self, owner: EngineOwner) -> None:
+        """Read who owns an engine after a handover of unknown outcome."""
+        match await self.ownership.read(owner.engine):
+            case Result(tag="ok", ok=OwnerRow() as row):
+                if row.fencing_number == owner.fencing_number:
+                    owner.closed = None
+                else:
+                    self.fleet.take_owner(row, InstanceId(row.instance))
+                    self.owned.drop(owner, "claimed_by_another")
+            case _:
+                log.warning("owner_unknown", engine=owner.engine)
+
+    async def lose(self, owner: EngineOwner, row: OwnerRow) -> None:
+        """Stop owning an engine that another claimed, and pass on what it lacks."""
+        next_owner = InstanceId(row.instance)
+        handover = await close_owner(owner, self.instance, next_owner)
+        self.owned.drop(owner, "claimed_by_another")
+        if next_owner in self.fleet.members.reachable():
+            await self.send_handover(next_owner, handover)
+
+    async def verify(self) -> None:
+        """Read after a pause whether the engines are still this instance's."""
+        owners = list(self.owned.owners.values())
+        await asyncio.gather(*(self.verify_one(owner) for owner in owners))
+
+    async def verify_one(self, owner: EngineOwner) -> None:
+        """Read whether one engine is still this instance's."""
+        match await self.ownership.read(owner.engine):
+            case Result(tag="ok", ok=OwnerRow() as row):
+                self.fleet.take_owner(row, InstanceId(row.instance))
+                if row.fencing_number > owner.fencing_number:
+                    self.tasks.once(lambda: self.lose(owner, row))
+                    message = f"{owner.engine} was claimed by {row.instance}"
+                    owner.closed = Failure(ErrorKind.NOT_OWNER, message)
+            case _:
+                log.warning("owner_unknown", engine=owner.engine)
+
+    async def answer_handover(
+        self, handover: Handover
+    ) -> Result[HandoverAnswer, Failure]:
+        """Take an engine from its owner until now."""
+        engine = EngineId(handover.engine)
+        owner = self.owned.owners.get(engine)
+        if owner:
+            return self.take_late(owner, handover)
+        listed = self.fleet.listed.get(engine)
+        if listed is None or self.fleet.members.own.state is not MemberState.LIVE:
+            message = f"{self.instance} cannot take {engine}"
+            return Error(Failure(ErrorKind.SHUTTING_DOWN, message))
+        expected = handover.fencing_number
+        match await self.ownership.claim(engine, expected=expected):
+            case Result(tag="ok", ok=row):
+                owner = self.owned.new_owner(listed, row)
+                take_slots(owner, handover)
+                self.owned.put(owner, row)
+                self.wake()
+                taken = owner
+                self.tasks.once(lambda: await_loads(taken, handover))
+                return Ok(HandoverAnswer(owner=row))
+            case Result(error=failure):
+                return Error(failure)
+
+    def take_late(
+        self, owner: EngineOwner, handover: Handover
+    ) -> Result[HandoverAnswer, Failure]:
+        """Take what an earlier owner says of an engine that was claimed before.
+
+        Only the owner just before can tell that nobody else gives orders for its
+        handles.
+        """
+        known = self.fleet.owners[owner.engine]
+        if handover.fencing_number == owner.fencing_number - 1:
+            takeover = self.owned.adoption.takeovers.get(owner.engine)
+            if takeover:
+                for slot in handover.slots:
+                    handle = Handle(slot.handle)
+                    takeover.released.add(handle)
+                    holders = {InstanceId(holder) for holder in slot.holders}
+                    takeover.held.setdefault(handle, set()).update(holders)
+                    if handle in owner.foreign:
+                        owner.foreign[handle].holders |= holders
+        return Ok(HandoverAnswer(owner=known))
--- a/src/magnoliatrail/engines/client.py
+++ b/src/magnoliatrail/engines/client.py
@@ -1,5 +1,7 @@
 """Calls to a model engine."""
 
+from collections.abc import Awaitable, Callable
+
 from expression import Error, Ok, Result
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
@@ -16,13 +18,27 @@
 }
 
 
+Gate = Callable[[], Awaitable[None]]
+
+
+async def no_gate() -> None:
+    """Let every order pass."""
+
+
 class EngineClient:
     """Give one engine its orders and read its reports."""
 
-    def __init__(self, client: AsyncHTTPClient, url: str, limits: CallLimits) -> None:
+    def __init__(
+        self,
+        client: AsyncHTTPClient,
+        url: str,
+        limits: CallLimits,
+        gate: Gate = no_gate,
+    ) -> None:
         self.client = client
         self.url = url
         self.limits = limits
+        self.gate = gate
 
     async def load(
         self, handle: Handle, model: AdapterVersion, fencing_number: FencingNumber
@@ -42,6 +58,7 @@
         self, path: str, order: AdapterOrder, fencing_number: FencingNumber
     ) -> Result[None, Failure]:
         """Give an order, with the fencing number of the engine's owner."""
+        await self.gate()
         headers = {
             "Content-Type": JSON_TYPE,
             "X-Fencing-Number": str(fencing_number),
--- /dev/null
+++ b/src/magnoliatrail/engines/handover.py
@@ -0,0 +1,89 @@
+"""Handover of an engine, with its handles and permits, to its next owner."""
+
+import asyncio
+from datetime import timedelta
+
+from magnoliatrail.engines.owner import EngineOwner, Slot, SlotState
+from magnoliatrail.errors import ErrorKind, Failure
+from magnoliatrail.generated.membership import HandedSlot, Handover
+from magnoliatrail.ids import AdapterVersion, Handle, InstanceId
+from magnoliatrail.logs import EventLog
+
+log = EventLog("handover")
+
+LOAD_LIMIT = timedelta(seconds=30)
+POLL = timedelta(milliseconds=50)
+PASSED_ON = {SlotState.LOADED, SlotState.LOADING}
+
+
+async def close_owner(
+    owner: EngineOwner, instance: InstanceId, next_owner: str
+) -> Handover:
+    """Stop an owner's orders and grants, and return what it passes on.
+
+    Loads that were ordered go on. A handle whose unload has no answer stays behind:
+    the next owner counts it as in use.
+    """
+    message = f"{owner.engine} goes to {next_owner}"
+    owner.closed = Failure(ErrorKind.NOT_OWNER, message)
+    async with owner.ordering:
+        slots = [s for s in owner.slots.values() if s.state in PASSED_ON]
+    return Handover(
+        engine=owner.engine,
+        instance=instance,
+        fencing_number=owner.fencing_number,
+        slots=[handed_slot(slot) for slot in slots],
+    )
+
+
+def handed_slot(slot: Slot) -> HandedSlot:
+    """Describe one slot to the next owner."""
+    return HandedSlot(
+        handle=slot.handle,
+        adapter=slot.model.adapter,
+        version=slot.model.version,
+        loaded=slot.state is SlotState.LOADED,
+        holders=sorted(slot.holders),
+    )
+
+
+def take_slots(owner: EngineOwner, handover: Handover) -> None:
+    """Take the slots that an earlier owner passes on."""
+    for handed in handover.slots:
+        model = AdapterVersion(handed.adapter, handed.version)
+        slot = Slot(
+            model,
+            Handle(handed.handle),
+            SlotState.LOADED if handed.loaded else SlotState.LOADING,
+            owner.clock.monotonic(),
+            holders={InstanceId(holder) for holder in handed.holders},
+            checks_idle=any("#" in holder for holder in handed.holders),
+        )
+        if handed.loaded:
+            slot.loaded.set()
+        owner.slots[model] = slot
+
+
+async def await_loads(owner: EngineOwner, handover: Handover) -> None:
+    """Wait for the loads that an earlier owner ordered, by the engine's reports."""
+    handles = {handed.handle for handed in handover.slots if not handed.loaded}
+    slots = [slot for slot in owner.slots.values() if slot.handle in handles]
+    await asyncio.gather(*(await_load(owner, slot) for slot in slots))
+
+
+async def await_load(owner: EngineOwner, slot: Slot) -> None:
+    """Wait until a report shows a handle, or its load has surely failed."""
+    deadline = owner.clock.monotonic() + LOAD_LIMIT
+    while not owner.closed and owner.clock.monotonic() < deadline:
+        result = await owner.client.report()
+        if result.is_ok():
+            names = {item.lora_name for item in result.ok.loaded}
+            if slot.handle in names:
+                slot.state = SlotState.LOADED
+                slot.loaded.set()
+                log.info("load_ended", engine=owner.engine, handle=slot.handle)
+                return
+        await owner.clock.sleep(POLL)
+    slot.failure = Failure(ErrorKind.LOAD_FAILED, f"{slot.handle} was not loaded")
+    owner.slots.pop(slot.model, None)
+    slot.loaded.set()
--- a/src/magnoliatrail/engines/owned.py
+++ b/src/magnoliatrail/engines/owned.py
@@ -5,15 +5,16 @@
 
 from expression import Error, Result
 
+from magnoliatrail.engines.adoption import Adoption
 from magnoliatrail.engines.owner import EngineOwner
 from magnoliatrail.errors import ErrorKind, Failure
-from magnoliatrail.generated.membership import OwnerRow
+from magnoliatrail.generated.membership import MemberRecord, MemberState, OwnerRow
 from magnoliatrail.generated.permits import PermitGrant, PermitRequest
 from magnoliatrail.generated.platform import ListedInstance
-from magnoliatrail.ids import EngineId, InstanceId
+from magnoliatrail.ids import EngineId, Incarnation, InstanceId
 from magnoliatrail.logs import EventLog
+from magnoliatrail.membership.ended import former_id
 from magnoliatrail.membership.fleet import Fleet
-from magnoliatrail.membership.ownership import OwnershipTable, preferred_owner
 
 log = EventLog("ownership")
 
@@ -21,49 +22,63 @@
 
 
 class OwnedEngines:
-    """Claim engines for one instance and keep their owner's tasks."""
+    """Keep the owner's tasks of one instance."""
 
     def __init__(
         self,
         *,
         instance: InstanceId,
         fleet: Fleet,
-        ownership: OwnershipTable,
+        adoption: Adoption,
         new_owner: NewOwner,
     ) -> None:
         self.instance = instance
         self.fleet = fleet
-        self.ownership = ownership
+        self.adoption = adoption
         self.new_owner = new_owner
         self.owners: dict[EngineId, EngineOwner] = {}
+        fleet.members.on_change.append(self.note_ended)
 
-    async def claim_all(self) -> None:
-        """Claim the engines that this instance should own and nobody owns."""
-        for listed in self.fleet.engines():
-            engine = EngineId(listed.id)
-            if engine in self.owners:
-                continue
-            if self.fleet.owner_of(engine) not in (None, self.instance):
-                continue
-            if preferred_owner(engine, self.fleet.sessions) != self.instance:
-                continue
-            match await self.ownership.claim(engine):
-                case Result(tag="ok", ok=row):
-                    await self.own(listed, row)
-                case Result(error=failure):
-                    log.info("claim_lost", engine=engine, reason=failure.message)
-
-    async def own(self, listed: ListedInstance, row: OwnerRow) -> None:
-        """Become the owner of an engine."""
-        owner = self.new_owner(listed, row)
+    def put(self, owner: EngineOwner, row: OwnerRow) -> None:
+        """Become the owner of an engine, and tell the others."""
         self.owners[owner.engine] = owner
-        self.fleet.owners[owner.engine] = row
-        log.info("engine_owned", engine=owner.engine, fencing=row.fencing_number)
-        await owner.refresh()
+        self.fleet.take_owner(row, self.instance)
+        log.info(
+            "engine_owned",
+            engine=owner.engine,
+            fencing=row.fencing_number,
+            slots=len(owner.slots),
+            foreign=len(owner.foreign),
+        )
+
+    def drop(self, owner: EngineOwner, reason: str) -> None:
+        """Stop owning an engine."""
+        if owner.closed is None:
+            message = f"{self.instance} no longer owns {owner.engine}"
+            owner.closed = Failure(ErrorKind.NOT_OWNER, message)
+        if self.owners.get(owner.engine) is owner:
+            del self.owners[owner.engine]
+        self.adoption.takeovers.pop(owner.engine, None)
+        log.info("engine_dropped", engine=owner.engine, reason=reason)
 
     async def refresh(self) -> None:
-        """Read the load reports of the engines that this instance owns."""
-        await asyncio.gather(*(owner.refresh() for owner in self.owners.values()))
+        """Read the load reports, and adopt what has become safe."""
+        await asyncio.gather(*(self.refresh_one(o) for o in self.owners.values()))
+
+    async def refresh_one(self, owner: EngineOwner) -> None:
+        """Read one engine's load report, and adopt what has become safe."""
+        await owner.refresh()
+        await self.adoption.refresh(owner)
+
+    def note_ended(self, record: MemberRecord) -> None:
+        """Keep the permits of runs that ended apart from those of later runs."""
+        if record.state is MemberState.LEFT:
+            return
+        for run in self.fleet.members.ended:
+            if run[0] == record.instance:
+                former = former_id((run[0], Incarnation(run[1])))
+                for owner in self.owners.values():
+                    owner.rename_holder(run[0], former)
 
     async def answer_permit(
         self, request: PermitRequest
--- a/src/magnoliatrail/engines/owner.py
+++ b/src/magnoliatrail/engines/owner.py
@@ -137,9 +137,14 @@
             await slot.loaded.wait()
         finally:
             slot.waiters -= 1
-        failure = slot.failure or self.closed
-        if failure:
-            return Error(failure)
+        refusal = slot.failure or self.closed
+        if refusal:
+            return Error(refusal)
+        if self.report is None:
+            await self.refresh()
+        if self.report is None:
+            message = f"engine {self.engine} gives no load report"
+            return Error(Failure(ErrorKind.NO_BACKEND_SERVER, message))
         slot.last_used = self.clock.monotonic()
         slot.holders.add(InstanceId(request.holder))
         return Ok(self.grant(slot))
--- a/src/magnoliatrail/engines/permits.py
+++ b/src/magnoliatrail/engines/permits.py
@@ -49,6 +49,7 @@
 
     def __init__(self) -> None:
         self.permits: dict[AdapterVersion, dict[EngineId, Permit]] = {}
+        self.superseded: list[Permit] = []
 
     def put(self, grant: PermitGrant) -> Permit:
         """Take a grant, or renew the permit that it repeats."""
@@ -58,6 +59,9 @@
         if permit and permit.handle == grant.handle and not permit.revoked:
             permit.grant = grant
             return permit
+        if permit and permit.in_flight:
+            # Requests still run on the old handle, so a recall of it has to wait.
+            self.superseded.append(permit)
         permit = Permit(grant)
         by_engine[permit.engine] = permit
         return permit
@@ -80,7 +84,9 @@
 
     def on_engine(self, engine: EngineId) -> list[Permit]:
         """Return all permits on an engine."""
-        return [
+        self.superseded = [permit for permit in self.superseded if permit.in_flight]
+        superseded = [permit for permit in self.superseded if permit.engine == engine]
+        return superseded + [
             by_engine[engine]
             for by_engine in self.permits.values()
             if engine in by_engine
--- a/src/magnoliatrail/entry/dispatch.py
+++ b/src/magnoliatrail/entry/dispatch.py
@@ -7,6 +7,7 @@
 from magnoliatrail.clock import Clock
 from magnoliatrail.entry.engine_call import AnswerSink, EngineCaller
 from magnoliatrail.errors import ErrorKind, Failure
+from magnoliatrail.membership.pause import PauseGate
 from magnoliatrail.metrics import Metrics
 from magnoliatrail.requests import CompletionCall
 from magnoliatrail.routing.permit_search import PermitSearch
@@ -24,11 +25,13 @@
         metrics: Metrics,
         search: PermitSearch,
         caller: EngineCaller,
+        gate: PauseGate | None = None,
     ) -> None:
         self.clock = clock
         self.metrics = metrics
         self.search = search
         self.caller = caller
+        self.gate = gate
 
     async def dispatch(
         self, request: CompletionCall, sink: AnswerSink
@@ -51,6 +54,10 @@
     ) -> Result[None, Failure]:
         """Get a permit and run the request under it."""
         match await self.search.obtain(request):
+            case Result(tag="ok") if self.gate and not self.gate.is_open:
+                await self.gate.passed()
+                message = "this instance was paused while it looked for a permit"
+                return Error(Failure(ErrorKind.STALE_FENCING_NUMBER, message))
             case Result(tag="ok", ok=permit):
                 return await self.caller.run(request, permit, sink)
             case Result(error=failure):
--- a/src/magnoliatrail/entry/handlers.py
+++ b/src/magnoliatrail/entry/handlers.py
@@ -31,6 +31,10 @@
         self.parts = parts
         self.request_id = new_request_id()
 
+    async def prepare(self) -> None:
+        """Hold a request back while this instance refreshes after a pause."""
+        await self.parts.lifecycle.admitted()
+
     def set_default_headers(self) -> None:
         """Leave the server's version out."""
         self.clear_header("Server")
@@ -73,6 +77,6 @@
 class UnknownPathHandler(CallerHandler):
     """Refuse paths that do not exist."""
 
-    def prepare(self) -> None:
+    async def prepare(self) -> None:
         """Refuse the request, whatever its method."""
         self.refuse(Failure(ErrorKind.NOT_FOUND, f"no path {self.request.path}"))
--- a/src/magnoliatrail/entry/lifecycle.py
+++ b/src/magnoliatrail/entry/lifecycle.py
@@ -6,6 +6,7 @@
 
 from magnoliatrail.config.in_force import ConfigurationInForce
 from magnoliatrail.errors import ErrorKind, Failure
+from magnoliatrail.membership.pause import PauseGate
 
 
 class Lifecycle:
@@ -13,6 +14,7 @@
 
     def __init__(self, configuration: ConfigurationInForce) -> None:
         self.configuration = configuration
+        self.gate: PauseGate | None = None
         self.ready = False
         self.stopping = False
         self.in_flight = 0
@@ -31,6 +33,11 @@
             return Failure(ErrorKind.SWITCHED_OFF, "the fleet is switched off")
         return None
 
+    async def admitted(self) -> None:
+        """Return once nothing known here is older than the last pause."""
+        if self.gate:
+            await self.gate.passed()
+
     @contextmanager
     def request(self) -> Iterator[None]:
         """Count a request as in flight."""
--- /dev/null
+++ b/src/magnoliatrail/membership/pause.py
@@ -0,0 +1,82 @@
+"""Detection of pauses of this process, and the refresh that has to follow."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+from magnoliatrail.clock import Clock
+from magnoliatrail.logs import EventLog
+from magnoliatrail.metrics import Metrics
+
+log = EventLog("pause")
+
+TICK = timedelta(milliseconds=250)
+PAUSE_LIMIT = timedelta(seconds=1.5)
+REFRESH_LIMIT = timedelta(seconds=5)
+
+
+class PauseGate:
+    """Hold orders and dispatches back after a gap in the monotonic clock."""
+
+    def __init__(
+        self, *, clock: Clock, metrics: Metrics, refresh: Callable[[], Awaitable[None]]
+    ) -> None:
+        self.clock = clock
+        self.metrics = metrics
+        self.refresh = refresh
+        self.last_tick = clock.monotonic()
+        self.pauses = 0
+        self.stale = False
+        self.refreshing: asyncio.Task[None] | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether work may go on at once."""
+        self.observe()
+        return not self.stale
+
+    def observe(self) -> None:
+        """Look for a gap since the last tick."""
+        gap = self.clock.monotonic() - self.last_tick
+        if gap <= PAUSE_LIMIT:
+            return
+        self.pauses += 1
+        self.stale = True
+        self.last_tick = self.clock.monotonic()
+        self.metrics.count("pauses")
+        log.warning("resumed", gap_seconds=round(gap.total_seconds(), 3))
+
+    async def tick(self) -> None:
+        """Note that this process runs, and start the refresh after a pause."""
+        if not self.is_open:
+            self.start_refresh()
+        self.last_tick = self.clock.monotonic()
+
+    async def passed(self) -> None:
+        """Return once nothing known here is older than the last pause."""
+        while not self.is_open:
+            await asyncio.shield(self.start_refresh())
+
+    def start_refresh(self) -> asyncio.Task[None]:
+        """Return the refresh that runs, started if there is none."""
+        if self.refreshing is None:
+            self.refreshing = asyncio.create_task(self.recover())
+        return self.refreshing
+
+    async def recover(self) -> None:
+        """Refresh; another pause in between means that it has to be repeated.
+
+        While the platform is down there is nothing to refresh from, and whoever
+        took over meanwhile had to reach the platform too, so work goes on after
+        the limit.
+        """
+        pauses = self.pauses
+        try:
+            async with asyncio.timeout(REFRESH_LIMIT.total_seconds()):
+                await self.refresh()
+        except Exception as error:
+            log.warning("refresh_failed", reason=repr(error))
+        finally:
+            self.refreshing = None
+        if pauses == self.pauses:
+            self.stale = False
--- a/src/magnoliatrail/membership/refresh.py
+++ b/src/magnoliatrail/membership/refresh.py
@@ -2,9 +2,11 @@
 
 from expression import Result
 
-from magnoliatrail.ids import InstanceId
+from magnoliatrail.generated.platform import InstanceList
+from magnoliatrail.ids import EngineId, InstanceId
 from magnoliatrail.logs import EventLog
 from magnoliatrail.membership.fleet import Fleet
+from magnoliatrail.membership.members import member_of
 from magnoliatrail.membership.ownership import OwnershipTable
 from magnoliatrail.membership.session import read_sessions
 from magnoliatrail.platform.instance_list import InstanceListService
@@ -29,34 +31,44 @@
         self.instance_list = instance_list
         self.ownership = ownership
 
-    async def refresh(self) -> None:
-        """Read the instance list, the sessions and the owners."""
-        await self.read_list()
-        await self.read_sessions()
-        await self.read_owners()
-
-    async def read_list(self) -> None:
-        """Read the instance list."""
+    async def read_list(self) -> bool:
+        """Read the instance list, and return whether a server began to leave."""
+        asked_at = self.fleet.clock.monotonic()
         match await self.instance_list.read():
-            case Result(tag="ok", ok=instances):
-                self.fleet.listed = {item.id: item for item in instances.instances}
+            case Result(tag="ok", ok=InstanceList() as instances):
+                return self.fleet.servers.take_list(instances, asked_at)
             case Result(error=failure):
                 log.warning("instance_list_missing", reason=failure.message)
+                return False
+
+    async def scan(self) -> None:
+        """Read all sessions and owners, which news should have brought already."""
+        await self.scan_sessions()
+        await self.scan_owners()
 
-    async def read_sessions(self) -> None:
+    async def scan_sessions(self) -> None:
         """Read the sessions of all instances."""
         match await read_sessions(self.table):
-            case Result(tag="ok", ok=sessions):
-                self.fleet.sessions = {
-                    InstanceId(row.instance): row for row in sessions
-                }
+            case Result(tag="ok", ok=rows):
+                for row in rows:
+                    self.fleet.members.merge(member_of(row), InstanceId(row.instance))
             case Result(error=failure):
                 log.warning("sessions_missing", reason=failure.message)
 
-    async def read_owners(self) -> None:
+    async def scan_owners(self) -> None:
         """Read the owners of all engines."""
         match await self.ownership.read_all():
             case Result(tag="ok", ok=owners):
-                self.fleet.owners = owners
+                for row in owners.values():
+                    self.fleet.take_owner(row, InstanceId(row.instance))
             case Result(error=failure):
                 log.warning("owners_missing", reason=failure.message)
+
+    async def read_owner(self, engine: EngineId) -> None:
+        """Read the owner of one engine."""
+        match await self.ownership.read(engine):
+            case Result(tag="ok", ok=row):
+                if row:
+                    self.fleet.take_owner(row, InstanceId(row.instance))
+            case Result(error=failure):
+                log.warning("owner_missing", engine=engine, reason=failure.message)
--- /dev/null
+++ b/src/magnoliatrail/membership/servers.py
@@ -0,0 +1,113 @@
+"""Which backend servers may get new work, as far as this instance can know."""
+
+from datetime import timedelta
+
+from magnoliatrail.clock import Clock
+from magnoliatrail.generated.membership import LeavingServer
+from magnoliatrail.generated.platform import (
+    InstanceList,
+    ListedInstance,
+    ListedKind,
+    ListedState,
+)
+
+# An instance that hears neither the list nor a peer for this long cannot know
+# which backend servers are leaving.
+VOUCH_LIMIT = timedelta(seconds=2.5)
+# A list that was read this much later than a peer's view overrules it.
+LIST_LAG = timedelta(seconds=10)
+FORGET_AFTER = timedelta(seconds=60)
+UNKNOWN_AGE_SECONDS = 1e6
+
+
+class ServerView:
+    """Keep the instance list and what peers say of leaving backend servers."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.listed: dict[str, ListedInstance] = {}
+        self.list_read_at: timedelta | None = None
+        self.news_of_list_at: timedelta | None = None
+        self.heard: dict[str, timedelta] = {}
+        self.leaving: frozenset[str] = frozenset()
+        self.instances_seen: set[str] = set()
+
+    def take_list(self, instances: InstanceList, asked_at: timedelta) -> bool:
+        """Take a newer list, and return whether a server began to leave."""
+        self.listed = {item.id: item for item in instances.instances}
+        self.instances_seen.update(
+            item.id for item in instances.instances if item.kind is ListedKind.INSTANCE
+        )
+        self.confirm_list(asked_at)
+        for server, heard_at in list(self.heard.items()):
+            if asked_at - heard_at > LIST_LAG and self.listed_live(server):
+                del self.heard[server]
+        return self.renew_leaving()
+
+    def confirm_list(self, asked_at: timedelta) -> None:
+        """Note that the list was unchanged at a time."""
+        self.list_read_at = asked_at
+
+    def listed_live(self, server: str) -> bool:
+        """Return whether the list shows a server as live."""
+        item = self.listed.get(server)
+        return item is not None and item.state is ListedState.LIVE
+
+    def hear(self, leaving: list[LeavingServer], list_age: timedelta) -> bool:
+        """Take a peer's view, and return whether it says something new."""
+        now = self.clock.monotonic()
+        self.news_of_list_at = max(
+            self.news_of_list_at or timedelta.min, now - list_age
+        )
+        for item in leaving:
+            learned = now - timedelta(seconds=item.age_seconds)
+            self.heard[item.server] = max(
+                self.heard.get(item.server, timedelta.min), learned
+            )
+        return self.renew_leaving()
+
+    def renew_leaving(self) -> bool:
+        """Work out who is leaving, and return whether a server began to."""
+        before = self.leaving
+        self.leaving = frozenset(self.seen_leaving())
+        return bool(self.leaving - before)
+
+    def seen_leaving(self) -> dict[str, timedelta]:
+        """Return the leaving servers and when each was last seen to be leaving."""
+        now = self.clock.monotonic()
+        servers = {
+            name: at for name, at in self.heard.items() if now - at < FORGET_AFTER
+        }
+        for name, item in self.listed.items():
+            if item.state is ListedState.LEAVING:
+                servers[name] = self.list_read_at or timedelta()
+        return servers
+
+    def describe_leaving(self) -> list[LeavingServer]:
+        """Return the leaving servers for peers."""
+        now = self.clock.monotonic()
+        return [
+            LeavingServer(server=name, age_seconds=max(0.0, (now - at).total_seconds()))
+            for name, at in sorted(self.seen_leaving().items())
+        ]
+
+    def is_live(self, server: str) -> bool:
+        """Return whether a server is listed as live and nobody saw it leave."""
+        return self.listed_live(server) and server not in self.leaving
+
+    def off_list(self, instance: str) -> bool:
+        """Return whether the list once showed an instance and does no longer."""
+        return instance in self.instances_seen and instance not in self.listed
+
+    def list_age(self) -> timedelta:
+        """Return the age of the newest view of the list known here."""
+        times = [at for at in (self.list_read_at, self.news_of_list_at) if at]
+        if not times:
+            return timedelta(seconds=UNKNOWN_AGE_SECONDS)
+        return max(timedelta(), self.clock.monotonic() - max(times))
+
+    def own_list_age(self) -> timedelta:
+        """Return the time since this instance read the list itself."""
+        if self.list_read_at is None:
+            return timedelta(seconds=UNKNOWN_AGE_SECONDS)
+        return self.clock.monotonic() - self.list_read_at
--- a/src/magnoliatrail/membership/session.py
+++ b/src/magnoliatrail/membership/session.py
@@ -1,10 +1,12 @@
 """The session lease: one table row for each instance, renewed while it lives."""
 
 from expression import Error, Ok, Result
+from msgspec.structs import replace
 
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.generated.membership import SessionRow
 from magnoliatrail.generated.platform import (
+    Row,
     RowCondition,
     RowWrite,
     Transaction,
@@ -34,52 +36,87 @@
         """Return the key of the row."""
         return session_key(InstanceId(self.row.instance))
 
-    async def renew(self) -> Result[None, Failure]:
+    async def renew(self, *, version: int | None = None) -> Result[None, Failure]:
         """Write the row once more; a row of an earlier run is replaced."""
-        row = SessionRow(
-            instance=self.row.instance,
-            incarnation=self.row.incarnation,
-            failure_domain=self.row.failure_domain,
-            region=self.row.region,
-            peer_url=self.row.peer_url,
+        row = replace(
+            self.row,
             renewals=self.row.renewals + 1,
+            version=self.row.version if version is None else version,
         )
-        write = RowWrite(key=self.key, value=encode(row).decode())
-        condition = RowCondition(key=self.key, revision=self.revision)
-        result = await self.table.transact(
-            Transaction(conditions=[condition], writes=[write])
-        )
-        match result:
-            case Result(tag="ok", ok=answer) if answer.committed:
-                self.row = row
-                self.revision = answer.rows[0].revision
+        match await self.write(row):
+            case Result(tag="ok", ok=True):
                 return Ok(None)
             case Result(tag="ok"):
-                return await self.catch_up()
+                return await self.settle(row)
+            case Result(error=failure) if failure.not_run:
+                return Error(failure)
+            case Result(error=failure):
+                return await self.settle(row)
+
+    async def write(self, row: SessionRow) -> Result[bool, Failure]:
+        """Write a row over the revision that was seen last."""
+        write = RowWrite(key=self.key, value=encode(row).decode())
+        condition = RowCondition(key=self.key, revision=self.revision)
+        transaction = Transaction(conditions=[condition], writes=[write])
+        match await self.table.transact(transaction):
+            case Result(tag="ok", ok=answer):
+                if answer.committed:
+                    self.row = row
+                    self.revision = answer.rows[0].revision
+                return Ok(answer.committed)
             case Result(error=failure):
                 return Error(failure)
 
-    async def catch_up(self) -> Result[None, Failure]:
-        """Read the revision that the next renewal has to name."""
+    async def settle(self, tried: SessionRow) -> Result[None, Failure]:
+        """Read back whether a write took effect, and write once more if not."""
         match await self.table.read(self.key):
             case Result(tag="ok", ok=row):
                 self.revision = revision_of(row)
-                message = "the session row was changed by another writer"
+            case Result(error=failure):
+                return Error(failure)
+        found = row_of(row)
+        # Incarnation and renewals together name one write of one run.
+        if found and found.incarnation == tried.incarnation:
+            self.row = replace(tried, renewals=found.renewals)
+            return Ok(None)
+        match await self.write(tried):
+            case Result(tag="ok", ok=True):
+                return Ok(None)
+            case Result(tag="ok"):
+                message = "another run writes this instance's session row"
                 return Error(Failure(ErrorKind.CONFLICT, message))
             case Result(error=failure):
                 return Error(failure)
 
-    async def release(self) -> None:
+    async def release(self) -> Result[None, Failure]:
         """Delete the row, so that nobody waits for it to lapse."""
         write = RowWrite(key=self.key, value=None)
-        await self.table.transact(Transaction(conditions=[], writes=[write]))
+        condition = RowCondition(key=self.key, revision=self.revision)
+        result = await self.table.transact(
+            Transaction(conditions=[condition], writes=[write])
+        )
+        return result.map(lambda answer: None)
+
+
+def row_of(row: Row | None) -> SessionRow | None:
+    """Decode a session row, None if it is absent or damaged."""
+    if row is None:
+        return None
+    return decode(row.value.encode(), SessionRow).default_value(None)
+
+
+async def read_session(
+    table: TableService, instance: InstanceId
+) -> Result[SessionRow | None, Failure]:
+    """Read the session of one instance, None if it has none."""
+    return (await table.read(session_key(instance))).map(row_of)
 
 
 async def read_sessions(table: TableService) -> Result[list[SessionRow], Failure]:
     """Read the sessions of all instances."""
     match await table.scan(PREFIX):
         case Result(tag="ok", ok=rows):
-            decoded = [decode(row.value.encode(), SessionRow) for row in rows]
-            return Ok([item.ok for item in decoded if item.is_ok()])
+            found = [row_of(row) for row in rows]
+            return Ok([row for row in found if row])
         case Result(error=failure):
             return Error(failure)
--- /dev/null
+++ b/src/magnoliatrail/membership/suspicion.py
@@ -0,0 +1,119 @@
+"""Suspicion of instances: missed heartbeats and a second sign together."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from expression import Result
+
+from magnoliatrail.generated.membership import MemberRecord, SessionRow
+from magnoliatrail.generated.platform import ListedState
+from magnoliatrail.generated.settings import Settings
+from magnoliatrail.ids import Incarnation, InstanceId
+from magnoliatrail.logs import EventLog
+from magnoliatrail.membership.fleet import Fleet
+from magnoliatrail.membership.members import Run, member_of
+from magnoliatrail.membership.session import read_session
+from magnoliatrail.platform.table import TableService
+
+log = EventLog("suspicion")
+
+MISSES = 2
+RENEWAL_SLACK = timedelta(seconds=1)
+
+
+@dataclass
+class Watch:
+    """Hold what is known of one run of a peer's session."""
+
+    run: Run
+    renewals: int
+    renewed_at: timedelta
+    misses: int = 0
+
+
+class Suspicion:
+    """Watch the peers that this instance exchanges heartbeats with.
+
+    A lease is judged by this instance's own monotonic clock: it is overdue when
+    the row has not changed for longer than a renewal takes.
+    """
+
+    def __init__(
+        self, *, fleet: Fleet, table: TableService, settings: Settings
+    ) -> None:
+        self.fleet = fleet
+        self.table = table
+        self.overdue = timedelta(seconds=settings.renewal_seconds) + RENEWAL_SLACK
+        self.watches: dict[InstanceId, Watch] = {}
+
+    def heard(self, instance: InstanceId, incarnation: str, renewals: int) -> None:
+        """Note a heartbeat or its answer."""
+        self.fleet.last_contact = self.fleet.clock.monotonic()
+        watch = self.renewed((instance, Incarnation(incarnation)), renewals)
+        watch.misses = 0
+
+    def renewed(self, run: Run, renewals: int) -> Watch:
+        """Note how often a session was renewed."""
+        watch = self.watches.get(run[0])
+        now = self.fleet.clock.monotonic()
+        if watch is None or watch.run != run:
+            watch = Watch(run, renewals, now)
+            self.watches[run[0]] = watch
+        if renewals > watch.renewals:
+            watch.renewals = renewals
+            watch.renewed_at = now
+        return watch
+
+    def missed(self, record: MemberRecord) -> None:
+        """Note a heartbeat without an answer."""
+        run = InstanceId(record.instance), Incarnation(record.incarnation)
+        watch = self.watches.get(run[0])
+        if watch is None or watch.run != run:
+            watch = self.renewed(run, 0)
+        watch.misses += 1
+
+    async def check(self) -> None:
+        """Look for a second sign of each peer that misses heartbeats."""
+        for watch in list(self.watches.values()):
+            record = self.fleet.members.get(watch.run[0])
+            if record is None or record.incarnation != watch.run[1]:
+                del self.watches[watch.run[0]]
+            elif watch.misses >= MISSES:
+                await self.judge(watch, record)
+
+    async def judge(self, watch: Watch, record: MemberRecord) -> None:
+        """Declare a silent peer gone if the list or its lease says so too."""
+        sign = self.list_sign(record.instance) or await self.lease_sign(watch, record)
+        if sign and watch.misses >= MISSES:
+            log.warning("gone", instance=record.instance, sign=sign)
+            self.fleet.members.declare_gone(record)
+
+    def list_sign(self, instance: str) -> str | None:
+        """Return what the instance list says against an instance."""
+        if self.fleet.servers.off_list(instance):
+            return "off_list"
+        listed = self.fleet.listed.get(instance)
+        if listed and listed.state is ListedState.LEAVING:
+            return "list_leaving"
+        return None
+
+    async def lease_sign(self, watch: Watch, record: MemberRecord) -> str | None:
+        """Return what the session lease says against an instance."""
+        match await read_session(self.table, watch.run[0]):
+            case Result(tag="ok", ok=SessionRow() as row):
+                return self.row_sign(watch, record, row)
+            case Result(tag="ok"):
+                return "lease_released"
+            case _:
+                return None
+
+    def row_sign(
+        self, watch: Watch, record: MemberRecord, row: SessionRow
+    ) -> str | None:
+        """Return what a session row says against an instance."""
+        if row.incarnation != record.incarnation:
+            self.fleet.members.merge(member_of(row), InstanceId(row.instance))
+            return None
+        self.renewed(watch.run, row.renewals)
+        silent = self.fleet.clock.monotonic() - watch.renewed_at
+        return "lease_overdue" if silent > self.overdue else None
--- a/src/magnoliatrail/peers/heartbeats.py
+++ b/src/magnoliatrail/peers/heartbeats.py
@@ -1,15 +1,24 @@
-"""Heartbeats between instances."""
+"""Heartbeats between instances, which carry the news of the fleet."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import TypeAlias
 
 from expression import Ok, Result
 
 from magnoliatrail.errors import Failure
-from magnoliatrail.generated.membership import Heartbeat, HeartbeatAnswer, SessionRow
-from magnoliatrail.ids import Incarnation, InstanceId
+from magnoliatrail.generated.membership import (
+    Heartbeat,
+    HeartbeatAnswer,
+    MemberRecord,
+)
+from magnoliatrail.ids import InstanceId
 from magnoliatrail.logs import EventLog
 from magnoliatrail.membership.fleet import Fleet
+from magnoliatrail.membership.neighbours import neighbours
+from magnoliatrail.membership.suspicion import Suspicion
 from magnoliatrail.peers.client import PeerClient
 from magnoliatrail.periodic import PeriodicTasks
 from magnoliatrail.wire import CallLimits
@@ -17,6 +26,21 @@
 log = EventLog("peers")
 
 CatchUp = Callable[[int, InstanceId], Awaitable[None]]
+Message: TypeAlias = Heartbeat | HeartbeatAnswer
+
+# A burst of news goes out in one round.
+BURST = timedelta(milliseconds=20)
+AGAIN_AFTER_MISS = timedelta(milliseconds=300)
+HEARTBEAT_LIMITS = CallLimits(timedelta(seconds=1), timedelta(seconds=2))
+
+
+@dataclass
+class Link:
+    """Hold how far news went in both directions between two runs."""
+
+    incarnation: str
+    sent_through: int = 0
+    taken: int = 0
 
 
 class Heartbeats:
@@ -25,55 +49,129 @@
     def __init__(
         self,
         *,
-        instance: InstanceId,
-        incarnation: Incarnation,
         fleet: Fleet,
+        suspicion: Suspicion,
         peers: PeerClient,
-        limits: CallLimits,
         tasks: PeriodicTasks,
+        interval: timedelta,
         revision: Callable[[], int],
+        renewals: Callable[[], int],
         catch_up: CatchUp,
     ) -> None:
-        self.instance = instance
-        self.incarnation = incarnation
         self.fleet = fleet
+        self.suspicion = suspicion
         self.peers = peers
-        self.limits = limits
         self.tasks = tasks
+        self.interval = interval
         self.revision = revision
+        self.renewals = renewals
         self.catch_up = catch_up
+        self.links: dict[InstanceId, Link] = {}
+        self.woken = asyncio.Event()
+        self.sent = 0
 
-    async def send_all(self) -> None:
-        """Send a heartbeat to every peer."""
-        peers = [row for name, row in self.fleet.sessions.items()]
-        await asyncio.gather(
-            *(self.send(row) for row in peers if row.instance != self.instance)
-        )
+    def wake(self) -> None:
+        """Send news at once instead of with the next round."""
+        self.woken.set()
 
-    async def send(self, peer: SessionRow) -> None:
-        """Send a heartbeat to one peer, and catch up with its configuration."""
+    async def run(self) -> None:
+        """Send a round at every interval, and at once when there is news."""
+        while True:
+            await self.send_round()
+            try:
+                async with asyncio.timeout(self.interval.total_seconds()):
+                    await self.woken.wait()
+                await self.fleet.clock.sleep(BURST)
+            except TimeoutError:
+                pass
+            self.woken.clear()
+
+    async def send_round(self) -> None:
+        """Send a heartbeat to every neighbour."""
+        members = self.fleet.members
+        chosen = neighbours(members.own, members.reachable().values())
+        records = [members.records[name] for name in chosen]
+        await asyncio.gather(*(self.send(record) for record in records))
+
+    async def send(self, record: MemberRecord) -> None:
+        """Send a heartbeat to one peer, and note whether it answers."""
+        if await self.exchange(record):
+            return
+        await self.fleet.clock.sleep(AGAIN_AFTER_MISS)
+        await self.exchange(record)
+
+    async def exchange(self, record: MemberRecord) -> bool:
+        """Exchange news with one peer, and return whether it answered."""
+        peer = InstanceId(record.instance)
+        link = self.link(peer, record.incarnation)
+        batch = self.fleet.news.after(link.sent_through, peer)
         heartbeat = Heartbeat(
-            instance=self.instance,
-            incarnation=self.incarnation,
+            instance=self.fleet.members.own.instance,
+            incarnation=self.fleet.members.own.incarnation,
             configuration_revision=self.revision(),
+            renewals=self.renewals(),
+            taken=link.taken,
+            members=batch.members,
+            owners=batch.owners,
+            leaving=self.fleet.servers.describe_leaving(),
+            list_age_seconds=round(self.fleet.servers.list_age().total_seconds(), 3),
         )
-        url = f"{peer.peer_url}/peer/heartbeat"
-        match await self.peers.ask(url, heartbeat, HeartbeatAnswer, self.limits):
+        self.sent += 1
+        url = f"{record.peer_url}/peer/heartbeat"
+        match await self.peers.ask(url, heartbeat, HeartbeatAnswer, HEARTBEAT_LIMITS):
             case Result(tag="ok", ok=answer):
-                peer_id = InstanceId(peer.instance)
-                await self.catch_up(answer.configuration_revision, peer_id)
+                self.take(answer)
+                if answer.incarnation == link.incarnation:
+                    link.sent_through = max(link.sent_through, batch.through)
+                    link.taken = answer.through
+                if not batch.complete:
+                    self.wake()
+                await self.catch_up(answer.configuration_revision, peer)
+                return True
             case Result(error=failure):
-                log.warning("peer_silent", peer=peer.instance, reason=failure.message)
+                log.info("peer_silent", peer=peer, reason=failure.message)
+                self.suspicion.missed(record)
+                return False
+
+    def link(self, peer: InstanceId, incarnation: str) -> Link:
+        """Return the link to one run of a peer."""
+        link = self.links.get(peer)
+        if link is None or link.incarnation != incarnation:
+            link = Link(incarnation)
+            self.links[peer] = link
+        return link
+
+    def take(self, message: Message) -> None:
+        """Take the news of a heartbeat or of its answer."""
+        source = InstanceId(message.instance)
+        self.suspicion.heard(source, message.incarnation, message.renewals)
+        changed = [self.fleet.members.merge(item, source) for item in message.members]
+        changed += [self.fleet.take_owner(row, source) for row in message.owners]
+        list_age = timedelta(seconds=message.list_age_seconds)
+        changed.append(self.fleet.servers.hear(message.leaving, list_age))
+        if any(changed):
+            self.wake()
 
     async def answer(self, heartbeat: Heartbeat) -> Result[HeartbeatAnswer, Failure]:
         """Answer a peer's heartbeat, and catch up without delaying the answer."""
-        revision = heartbeat.configuration_revision
         peer = InstanceId(heartbeat.instance)
-        self.tasks.once(lambda: self.catch_up(revision, peer))
+        self.take(heartbeat)
+        if self.fleet.members.get(peer):
+            revision = heartbeat.configuration_revision
+            self.tasks.once(lambda: self.catch_up(revision, peer))
+        batch = self.fleet.news.after(heartbeat.taken, peer)
         return Ok(
             HeartbeatAnswer(
-                instance=self.instance,
-                incarnation=self.incarnation,
+                instance=self.fleet.members.own.instance,
+                incarnation=self.fleet.members.own.incarnation,
                 configuration_revision=self.revision(),
+                renewals=self.renewals(),
+                through=batch.through,
+                members=batch.members,
+                owners=batch.owners,
+                leaving=self.fleet.servers.describe_leaving(),
+                list_age_seconds=round(
+                    self.fleet.servers.list_age().total_seconds(), 3
+                ),
             )
         )
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -16,6 +16,11 @@
 
 from magnoliatrail.clock import SystemClock
 from magnoliatrail.generated.membership import InstanceStatus
+from magnoliatrail.generated.platform import (
+    ListedInstance,
+    ListedKind,
+    ListedState,
+)
 from magnoliatrail.peers.client import PeerClient
 from magnoliatrail.standins.world import World, WorldSize, start_world
 from magnoliatrail.wire import CallLimits, call, encode, new_http_client
@@ -46,6 +51,7 @@
 
     world: World
     processes: dict[str, Process] = field(default_factory=dict)
+    ended: list[Process] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self.client = new_http_client()
@@ -72,6 +78,7 @@
                 pairs = dict(pair.split("=", 1) for pair in line.split())
                 process = Process(name, popen, pairs["callers"], pairs["peers"])
                 self.processes[name] = process
+                self.world.instances.put(listed_instance(process))
                 threading.Thread(target=popen.stderr.read, daemon=True).start()
                 return process
         raise AssertionError(f"{name} ended with {popen.wait()}: {lines}")
@@ -131,15 +138,35 @@
         request = HTTPRequest(url, method="POST", body=encode(fields))
         return await call(self.client, request, LIMITS)
 
+    def kill(self, name: str) -> None:
+        """Kill a daemon as a crash would; the platform's list then drops it."""
+        process = self.processes.pop(name)
+        process.popen.kill()
+        process.popen.wait()
+        self.ended.append(process)
+        self.world.instances.remove(name)
+
     async def close(self) -> None:
         """End every process that was started here."""
-        for process in self.processes.values():
+        self.peers.close()
+        for process in [*self.processes.values(), *self.ended]:
             if process.popen.poll() is None:
                 process.popen.kill()
             process.popen.wait()
         await self.world.close()
 
 
+def listed_instance(process: Process) -> ListedInstance:
+    """Return what the platform lists of a daemon."""
+    return ListedInstance(
+        id=process.name,
+        kind=ListedKind.INSTANCE,
+        url=process.peer_url,
+        failure_domain="domain-0",
+        state=ListedState.LIVE,
+    )
+
+
 @asynccontextmanager
 async def running_fleet(
     names: list[str], size: WorldSize | None = None
