Pass on with a handover what is known of earlier owners' handles

A chain of takeover and handover lost the possible holders of handles that were not adopted: the third owner took them as held by nobody, and on an engine that checks fencing numbers it could have evicted one in use. The test of a falsely suspected owner showed it: first the resumed owner answered a handover of its own engine with the row of its successor, so that nobody owned it; then the released handle stayed foreign for good. Handovers now carry handles that were not adopted, their possible holders and the owner before.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: settings-table slopes
+.PHONY: settings-table slopes bench-together
 .PHONY: demo test lint types bench generate check-generated clean
 VENV := .venv
 PYTHON ?= $(VENV)/bin/python
@@ -32,6 +32,9 @@
 slopes: $(VENV)/ready
 	$(PYTHON) -m benchmarks.slopes
 
+bench-together: $(VENV)/ready
+	$(PYTHON) -m benchmarks.together
+
 $(VENV)/ready: requirements.lock pyproject.toml
 	test -x $(VENV)/bin/python || python3 -m venv $(VENV)
 	$(VENV)/bin/python -m pip install --quiet --disable-pip-version-check -r requirements.lock
--- a/benchmarks/slopes/decisions.py
+++ b/benchmarks/slopes/decisions.py
@@ -14,7 +14,7 @@
 )
 from magnoliatrail.generated.permits import PermitGrant
 from magnoliatrail.ids import AdapterVersion, EngineId, InstanceId
-from magnoliatrail.membership.ownership import preferred_owner
+from magnoliatrail.membership.preference import choose
 from magnoliatrail.routing.rendezvous import ranked
 from magnoliatrail.wire import decode, encode
 
@@ -33,8 +33,8 @@
 
 def owner_microseconds(instances: int) -> float:
     """Return the time to find the instance that should own an engine."""
-    names = [InstanceId(f"instance-{number:03d}") for number in range(instances)]
-    return processor_microseconds(lambda: preferred_owner(EngineId("engine"), names))
+    names = tuple(InstanceId(f"instance-{number:03d}") for number in range(instances))
+    return processor_microseconds(lambda: choose(EngineId("engine"), names))
 
 
 def held_microseconds(engines: int) -> float:
--- a/benchmarks/slopes/state.py
+++ b/benchmarks/slopes/state.py
@@ -3,8 +3,14 @@
 from benchmarks.slopes.fit import Slope, fitted
 from benchmarks.slopes.measure import kept_bytes, peak_bytes, processor_microseconds
 
+from magnoliatrail.clock import ManualClock
 from magnoliatrail.engines.permits import PermitHolder
-from magnoliatrail.generated.membership import OwnerRow, SessionRow
+from magnoliatrail.generated.membership import (
+    MemberRecord,
+    MemberState,
+    OwnerRow,
+    SessionRow,
+)
 from magnoliatrail.generated.permits import PermitGrant
 from magnoliatrail.generated.platform import (
     Catalogue,
@@ -69,6 +75,27 @@
     return {item.id: item for item in instances}
 
 
+def fleet_of(body: bytes) -> Fleet:
+    """Return an instance's view of the fleet after a read of the list."""
+    clock = ManualClock()
+    fleet = Fleet(clock, own_record())
+    fleet.servers.take_list(decode(body, InstanceList).ok, clock.monotonic())
+    return fleet
+
+
+def own_record() -> MemberRecord:
+    """Return the record of the instance whose state is measured."""
+    return MemberRecord(
+        instance="instance-000",
+        incarnation=new_incarnation(),
+        failure_domain="domain-0",
+        region="region-1",
+        peer_url="http://10.30.0.0:8081",
+        version=1,
+        state=MemberState.LIVE,
+    )
+
+
 def owner_bodies(engines: int) -> list[bytes]:
     """Return the ownership rows of a number of engines."""
     return [
@@ -101,6 +128,7 @@
                 failure_domain=f"domain-{number % FAILURE_DOMAINS}",
                 region="region-1",
                 peer_url=f"http://10.30.{number // 250}.{number % 250}:8081",
+                version=100_000,
                 renewals=100_000,
             )
         )
@@ -174,7 +202,7 @@
     lists = {size: list_body(size) for size in SERVERS}
     owners = {size: owner_bodies(size) for size in SERVERS}
     sessions = {size: session_bodies(size) for size in INSTANCES}
-    fleets = {size: Fleet(listed=read_list(body)) for size, body in lists.items()}
+    fleets = {size: fleet_of(body) for size, body in lists.items()}
     return [
         fitted(
             "instance list message", "server", "B", SERVERS, lambda n: len(lists[n])
--- a/src/magnoliatrail/engines/adoption.py
+++ b/src/magnoliatrail/engines/adoption.py
@@ -1,7 +1,7 @@
 """Takeover of an engine after its owner's crash: which handles may be used."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 
 from expression import Result
@@ -13,7 +13,12 @@
 )
 from magnoliatrail.engines.owner import EngineOwner, Slot, SlotState
 from magnoliatrail.errors import Failure
-from magnoliatrail.generated.membership import OwnerRow, TakeoverInquiry
+from magnoliatrail.generated.membership import (
+    HandedSlot,
+    Handover,
+    OwnerRow,
+    TakeoverInquiry,
+)
 from magnoliatrail.generated.permits import HeldPermits, PermitRecall, RecallState
 from magnoliatrail.ids import EngineId, Handle, Incarnation, InstanceId
 from magnoliatrail.logs import EventLog
@@ -31,11 +36,30 @@
 class Takeover:
     """Hold what is known of an engine that was taken over."""
 
-    former: Run | None
+    previous: OwnerRow | None
     held: dict[Handle, set[InstanceId]] = field(default_factory=dict)
     silent: set[InstanceId] = field(default_factory=set)
     released: set[Handle] = field(default_factory=set)
 
+    @property
+    def former(self) -> Run | None:
+        """Return the run from which the engine was taken over."""
+        if self.previous is None:
+            return None
+        instance, incarnation = self.previous.instance, self.previous.incarnation
+        return InstanceId(instance), Incarnation(incarnation)
+
+    def loaded_by_former(self, found: ForeignHandle) -> bool:
+        """Return whether the former owner, and nobody before it, gave the order."""
+        previous = self.previous
+        return previous is not None and found.generation == previous.fencing_number
+
+    def take(self, slots: Iterable[HandedSlot]) -> None:
+        """Note the holders that another owner knows of."""
+        for slot in slots:
+            holders = {InstanceId(holder) for holder in slot.holders}
+            self.held.setdefault(Handle(slot.handle), set()).update(holders)
+
 
 class Adoption:
     """Find the handles of earlier owners and adopt them once that is safe."""
@@ -62,10 +86,8 @@
         Whoever does not answer, and every run that is not surely gone, may hold
         a permit on any handle.
         """
-        former = None
-        if previous:
-            former = InstanceId(previous.instance), Incarnation(previous.incarnation)
-        takeover = Takeover(former)
+        takeover = Takeover(previous)
+        former = takeover.former
         takeover.silent.update(former_id(run) for run in self.ended.doubtful())
         if former and not self.ended.surely_gone(former):
             takeover.silent.add(former_id(former))
@@ -110,7 +132,7 @@
             takeover.former
         )
         for found in list(owner.foreign.values()):
-            from_former = found.generation == owner.fencing_number - 1
+            from_former = takeover.loaded_by_former(found)
             released = found.handle in takeover.released
             if fenced or released or (former_gone and from_former):
                 await self.adopt(owner, found)
@@ -126,6 +148,23 @@
         await owner.client.unload(nothing, owner.fencing_number)
         return False
 
+    def take_late(self, owner: EngineOwner, handover: Handover) -> None:
+        """Take what the former owner says after its engine was taken over.
+
+        Only the owner just before can tell that nobody else gives orders for the
+        handles that it counts as its own.
+        """
+        takeover = self.takeovers.get(owner.engine)
+        if takeover is None or takeover.previous is None:
+            return
+        if handover.fencing_number != takeover.previous.fencing_number:
+            return
+        takeover.take(handover.slots)
+        for slot in handover.slots:
+            takeover.released.add(Handle(slot.handle))
+        for found in owner.foreign.values():
+            found.holders |= takeover.held.get(found.handle, set())
+
     async def adopt(self, owner: EngineOwner, found: ForeignHandle) -> None:
         """Take a handle into the owner's slots, or unload a duplicate."""
         async with owner.ordering:
--- a/src/magnoliatrail/engines/claims.py
+++ b/src/magnoliatrail/engines/claims.py
@@ -7,7 +7,12 @@
 
 from expression import Error, Ok, Result
 
-from magnoliatrail.engines.handover import await_loads, close_owner, take_slots
+from magnoliatrail.engines.handover import (
+    await_loads,
+    close_owner,
+    take_slots,
+    takeover_of,
+)
 from magnoliatrail.engines.owned import OwnedEngines
 from magnoliatrail.engines.owner import EngineOwner
 from magnoliatrail.errors import ErrorKind, Failure
@@ -18,7 +23,7 @@
     OwnerRow,
 )
 from magnoliatrail.generated.platform import ListedInstance
-from magnoliatrail.ids import EngineId, Handle, InstanceId
+from magnoliatrail.ids import EngineId, InstanceId
 from magnoliatrail.logs import EventLog
 from magnoliatrail.membership.ownership import OwnershipTable
 from magnoliatrail.membership.preference import Preference
@@ -154,7 +159,8 @@
 
     async def hand_over(self, owner: EngineOwner, preferred: InstanceId) -> None:
         """Pass an engine on, and go on owning it if that fails."""
-        handover = await close_owner(owner, self.instance, preferred)
+        await self.owned.adoption.refresh(owner)
+        handover = await self.close(owner, preferred)
         match await self.send_handover(preferred, handover):
             case Result(tag="ok", ok=answer):
                 self.fleet.take_owner(answer.owner, preferred)
@@ -181,7 +187,7 @@
     async def lose(self, owner: EngineOwner, row: OwnerRow) -> None:
         """Stop owning an engine that another claimed, and pass on what it lacks."""
         next_owner = InstanceId(row.instance)
-        handover = await close_owner(owner, self.instance, next_owner)
+        handover = await self.close(owner, next_owner)
         self.owned.drop(owner, "claimed_by_another")
         if next_owner in self.fleet.members.reachable():
             await self.send_handover(next_owner, handover)
@@ -209,8 +215,9 @@
         """Take an engine from its owner until now."""
         engine = EngineId(handover.engine)
         owner = self.owned.owners.get(engine)
-        if owner:
-            return self.take_late(owner, handover)
+        if owner and owner.fencing_number > handover.fencing_number:
+            self.owned.adoption.take_late(owner, handover)
+            return Ok(HandoverAnswer(owner=self.fleet.owners[engine]))
         listed = self.fleet.listed.get(engine)
         if listed is None or self.fleet.members.own.state is not MemberState.LIVE:
             message = f"{self.instance} cannot take {engine}"
@@ -218,33 +225,30 @@
         expected = handover.fencing_number
         match await self.ownership.claim(engine, expected=expected):
             case Result(tag="ok", ok=row):
-                owner = self.owned.new_owner(listed, row)
-                take_slots(owner, handover)
-                self.owned.put(owner, row)
-                self.wake()
-                taken = owner
-                self.tasks.once(lambda: await_loads(taken, handover))
+                await self.take_handover(listed, row, handover)
                 return Ok(HandoverAnswer(owner=row))
             case Result(error=failure):
                 return Error(failure)
 
-    def take_late(
-        self, owner: EngineOwner, handover: Handover
-    ) -> Result[HandoverAnswer, Failure]:
-        """Take what an earlier owner says of an engine that was claimed before.
-
-        Only the owner just before can tell that nobody else gives orders for its
-        handles.
-        """
-        known = self.fleet.owners[owner.engine]
-        if handover.fencing_number == owner.fencing_number - 1:
-            takeover = self.owned.adoption.takeovers.get(owner.engine)
-            if takeover:
-                for slot in handover.slots:
-                    handle = Handle(slot.handle)
-                    takeover.released.add(handle)
-                    holders = {InstanceId(holder) for holder in slot.holders}
-                    takeover.held.setdefault(handle, set()).update(holders)
-                    if handle in owner.foreign:
-                        owner.foreign[handle].holders |= holders
-        return Ok(HandoverAnswer(owner=known))
+    async def take_handover(
+        self, listed: ListedInstance, row: OwnerRow, handover: Handover
+    ) -> None:
+        """Own an engine with what its owner until now passes on."""
+        stale = self.owned.owners.get(EngineId(row.engine))
+        late = await self.close(stale, self.instance) if stale else None
+        if stale:
+            self.owned.drop(stale, "claimed_by_another")
+        owner = self.owned.new_owner(listed, row)
+        take_slots(owner, handover)
+        adoption = self.owned.adoption
+        adoption.takeovers[owner.engine] = takeover_of(handover)
+        if late:
+            adoption.take_late(owner, late)
+        self.owned.put(owner, row)
+        self.wake()
+        self.tasks.once(lambda: await_loads(owner, handover))
+
+    async def close(self, owner: EngineOwner, next_owner: InstanceId) -> Handover:
+        """Stop an owner's orders, and return what it passes on."""
+        takeover = self.owned.adoption.takeovers.get(owner.engine)
+        return await close_owner(owner, takeover, self.instance, next_owner)
--- a/src/magnoliatrail/engines/handover.py
+++ b/src/magnoliatrail/engines/handover.py
@@ -3,6 +3,8 @@
 import asyncio
 from datetime import timedelta
 
+from magnoliatrail.engines.adoption import Takeover
+from magnoliatrail.engines.foreign import ForeignHandle
 from magnoliatrail.engines.owner import EngineOwner, Slot, SlotState
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.generated.membership import HandedSlot, Handover
@@ -17,7 +19,10 @@
 
 
 async def close_owner(
-    owner: EngineOwner, instance: InstanceId, next_owner: str
+    owner: EngineOwner,
+    takeover: Takeover | None,
+    instance: InstanceId,
+    next_owner: str,
 ) -> Handover:
     """Stop an owner's orders and grants, and return what it passes on.
 
@@ -33,6 +38,9 @@
         instance=instance,
         fencing_number=owner.fencing_number,
         slots=[handed_slot(slot) for slot in slots],
+        foreign=[handed_foreign(found) for found in owner.foreign.values()],
+        silent=sorted(takeover.silent) if takeover else [],
+        previous=takeover.previous if takeover else None,
     )
 
 
@@ -47,6 +55,25 @@
     )
 
 
+def handed_foreign(found: ForeignHandle) -> HandedSlot:
+    """Describe a handle that was not adopted to the next owner."""
+    return HandedSlot(
+        handle=found.handle,
+        adapter=found.model.adapter,
+        version=found.model.version,
+        loaded=True,
+        holders=sorted(found.holders),
+    )
+
+
+def takeover_of(handover: Handover) -> Takeover:
+    """Return what an earlier owner knew of handles that it did not adopt."""
+    takeover = Takeover(handover.previous)
+    takeover.silent.update(InstanceId(holder) for holder in handover.silent)
+    takeover.take(handover.foreign)
+    return takeover
+
+
 def take_slots(owner: EngineOwner, handover: Handover) -> None:
     """Take the slots that an earlier owner passes on."""
     for handed in handover.slots:
--- a/src/magnoliatrail/membership/neighbours.py
+++ b/src/magnoliatrail/membership/neighbours.py
@@ -6,8 +6,7 @@
 from magnoliatrail.ids import InstanceId
 from magnoliatrail.routing.rendezvous import weight
 
-LINKS_IN_DOMAIN = 2
-LINKS = 4
+LINKS = 3
 RING = "ring"
 
 
@@ -29,7 +28,7 @@
     in_region = [r for r in known if r.region == own.region]
     fleet = successors(own, known)
     chosen = dict.fromkeys(fleet[:1])
-    chosen.update(dict.fromkeys(successors(own, in_domain)[:LINKS_IN_DOMAIN]))
+    chosen.update(dict.fromkeys(successors(own, in_domain)[:1]))
     chosen.update(dict.fromkeys(successors(own, in_region)[:1]))
     for name in fleet:
         if len(chosen) >= LINKS:
--- a/src/magnoliatrail/membership/servers.py
+++ b/src/magnoliatrail/membership/servers.py
@@ -26,6 +26,8 @@
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.listed: dict[str, ListedInstance] = {}
+        self.listed_leaving: frozenset[str] = frozenset()
+        self.last_list: InstanceList | None = None
         self.list_read_at: timedelta | None = None
         self.news_of_list_at: timedelta | None = None
         self.heard: dict[str, timedelta] = {}
@@ -34,19 +36,24 @@
 
     def take_list(self, instances: InstanceList, asked_at: timedelta) -> bool:
         """Take a newer list, and return whether a server began to leave."""
-        self.listed = {item.id: item for item in instances.instances}
-        self.instances_seen.update(
-            item.id for item in instances.instances if item.kind is ListedKind.INSTANCE
-        )
-        self.confirm_list(asked_at)
+        if instances is not self.last_list:
+            self.last_list = instances
+            self.take_entries(instances)
+        self.list_read_at = asked_at
         for server, heard_at in list(self.heard.items()):
             if asked_at - heard_at > LIST_LAG and self.listed_live(server):
                 del self.heard[server]
         return self.renew_leaving()
 
-    def confirm_list(self, asked_at: timedelta) -> None:
-        """Note that the list was unchanged at a time."""
-        self.list_read_at = asked_at
+    def take_entries(self, instances: InstanceList) -> None:
+        """Take the entries of a list that has changed."""
+        self.listed = {item.id: item for item in instances.instances}
+        self.listed_leaving = frozenset(
+            item.id for item in instances.instances if item.state is ListedState.LEAVING
+        )
+        self.instances_seen.update(
+            item.id for item in instances.instances if item.kind is ListedKind.INSTANCE
+        )
 
     def listed_live(self, server: str) -> bool:
         """Return whether the list shows a server as live."""
@@ -78,9 +85,8 @@
         servers = {
             name: at for name, at in self.heard.items() if now - at < FORGET_AFTER
         }
-        for name, item in self.listed.items():
-            if item.state is ListedState.LEAVING:
-                servers[name] = self.list_read_at or timedelta()
+        for name in self.listed_leaving:
+            servers[name] = self.list_read_at or timedelta()
         return servers
 
     def describe_leaving(self) -> list[LeavingServer]:
--- a/src/magnoliatrail/peers/server.py
+++ b/src/magnoliatrail/peers/server.py
@@ -10,7 +10,7 @@
 
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.generated.membership import PeerRefusal
-from magnoliatrail.wire import JSON_TYPE, decode, encode
+from magnoliatrail.wire import decode, encode
 
 M = TypeVar("M")
 
@@ -32,6 +32,14 @@
         self.route = route
         self.token = token
 
+    def set_default_headers(self) -> None:
+        """Leave out what peers do not read; the message says its own length."""
+        for name in ("Server", "Date", "Content-Type"):
+            self.clear_header(name)
+
+    def compute_etag(self) -> None:
+        """Give no entity tag, because no answer repeats."""
+
     async def post(self) -> None:
         """Answer one message."""
         if not self.authorized():
@@ -39,7 +47,6 @@
             return
         match await self.answer():
             case Result(tag="ok", ok=answer):
-                self.set_header("Content-Type", JSON_TYPE)
                 self.write(encode(answer))
             case Result(error=failure):
                 self.refuse(failure)
@@ -62,7 +69,6 @@
         """Answer with a refusal."""
         self.set_status(failure.rule.status)
         refusal = PeerRefusal(kind=failure.kind.value, message=failure.message)
-        self.set_header("Content-Type", JSON_TYPE)
         self.write(encode(refusal))
 
 
--- a/src/magnoliatrail/platform/instance_list.py
+++ b/src/magnoliatrail/platform/instance_list.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from expression import Error, Result
+from expression import Error, Ok, Result
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
 from magnoliatrail.errors import ErrorKind, Failure
@@ -10,6 +10,7 @@
 from magnoliatrail.wire import CallFailed, CallLimits, call, decode
 
 HTTP_OK = 200
+HTTP_NOT_MODIFIED = 304
 
 
 class InstanceListService(Protocol):
@@ -26,15 +27,26 @@
         self.client = client
         self.url = url
         self.limits = limits
+        self.etag = ""
+        self.last = InstanceList(instances=[])
 
     async def read(self) -> Result[InstanceList, Failure]:
-        """Read the whole list."""
-        request = HTTPRequest(f"{self.url}/instances")
+        """Read the whole list, or learn that it is still the one read last."""
+        headers = {"If-None-Match": self.etag} if self.etag else {}
+        request = HTTPRequest(f"{self.url}/instances", headers=headers)
         try:
             response = await call(self.client, request, self.limits)
         except CallFailed as error:
             return Error(Failure(ErrorKind.STORE_UNAVAILABLE, str(error)))
+        if response.code == HTTP_NOT_MODIFIED:
+            return Ok(self.last)
         if response.code != HTTP_OK:
             message = f"the instance list answered {response.code}"
             return Error(Failure(ErrorKind.STORE_UNAVAILABLE, message))
-        return decode(response.body, InstanceList)
+        match decode(response.body, InstanceList):
+            case Result(tag="ok", ok=instances):
+                self.last = instances
+                self.etag = response.headers.get("Etag", "")
+                return Ok(instances)
+            case Result(error=failure):
+                return Error(failure)
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -6,7 +6,7 @@
 import subprocess
 import sys
 import threading
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -50,6 +50,8 @@
     """Hold the stand-ins and the daemons before them."""
 
     world: World
+    module: str = "magnoliatrail"
+    environment: Callable[[str], dict[str, str]] = lambda name: {}
     processes: dict[str, Process] = field(default_factory=dict)
     ended: list[Process] = field(default_factory=list)
 
@@ -63,12 +65,12 @@
 
     def start_blocking(self, name: str, flags: tuple[str, ...]) -> Process:
         """Start a daemon and read its log up to the line `started`."""
-        command = [sys.executable, "-m", "magnoliatrail", "serve", *self.flags(name)]
+        command = [sys.executable, "-m", self.module, "serve", *self.flags(name)]
         popen = subprocess.Popen(
             [*command, *flags],
             stderr=subprocess.PIPE,
             text=True,
-            env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            env={**os.environ, "PYTHONUNBUFFERED": "1", **self.environment(name)},
         )
         assert popen.stderr is not None
         lines = []
@@ -138,13 +140,14 @@
         request = HTTPRequest(url, method="POST", body=encode(fields))
         return await call(self.client, request, LIMITS)
 
-    def kill(self, name: str) -> None:
-        """Kill a daemon as a crash would; the platform's list then drops it."""
+    def kill(self, name: str, *, listed: bool = False) -> None:
+        """Kill a daemon as a crash would; the platform's list may drop it."""
         process = self.processes.pop(name)
         process.popen.kill()
         process.popen.wait()
         self.ended.append(process)
-        self.world.instances.remove(name)
+        if not listed:
+            self.world.instances.remove(name)
 
     async def close(self) -> None:
         """End every process that was started here."""
