--- a/tests/unit/together_harness.py
+++ b/tests/unit/together_harness.py
@@ -205,6 +205,15 @@
                 await node.coordination.owned.refresh()
         await self.turn()
 
+    async def drive(self, work):
+        """Do some work, and move the clock whenever it waits for that."""
+        task = asyncio.ensure_future(work)
+        while not task.done():
+            await self.turn()
+            if not task.done():
+                self.clock.advance(timedelta(milliseconds=50))
+        return task.result()
+
     async def turn(self):
         """Let tasks that were started go on."""
         for _ in range(20):
