--- /dev/null
+++ b/benchmarks/residency_digest.py
@@ -0,0 +1,266 @@
+"""Weigh marked cuckoo filters against versioned deltas for the residency digest.
+
+Every instance of a failure domain learns which adapters are loaded on the engines of
+each other instance. Each instance is the only writer of its own part.
+"""
+
+import random
+import statistics
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+from benchmarks.marked_cuckoo_filter import MarkedCuckooFilter, buckets_for
+
+ROUNDS = 30
+SEED = 7
+RESULTS = Path(__file__).resolve().parent / "residency_digest.json"
+SLOTS_PER_ENGINE = 8
+PROBES = 2_000
+
+
+class Group(msgspec.Struct, frozen=True, kw_only=True):
+    """Say how large one group of instances is, and how fast residency changes."""
+
+    name: str
+    instances: int
+    engines: int
+    adapters: int
+    loads_per_second: float
+
+    @property
+    def residents(self) -> int:
+        """Return the adapters that are loaded in the group."""
+        return self.engines * SLOTS_PER_ENGINE
+
+
+# A wake or an idling is one load with its eviction; 29% of all adapters in an hour.
+GROUPS = [
+    Group(
+        name="Nassar today, all loads",
+        instances=7,
+        engines=9,
+        adapters=3_000,
+        loads_per_second=3.0,
+    ),
+    Group(
+        name="ANJS today, all loads",
+        instances=7,
+        engines=13,
+        adapters=3_000,
+        loads_per_second=5.0,
+    ),
+    Group(
+        name="target domain",
+        instances=17,
+        engines=282,
+        adapters=130_000,
+        loads_per_second=130_000 * 0.29 / 3_600 / 22,
+    ),
+    Group(
+        name="target domain, tenfold change",
+        instances=17,
+        engines=282,
+        adapters=130_000,
+        loads_per_second=10 * 130_000 * 0.29 / 3_600 / 22,
+    ),
+]
+
+
+class ResidencyDelta(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Say what changed at one instance since the version that a peer knows."""
+
+    version: int
+    since: int
+    loaded: list[str] = []
+    evicted: list[str] = []
+
+
+class Cost(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold what one way costs an instance in one round, sent and received."""
+
+    way: str
+    bytes_sent: float
+    microseconds: float
+    wrong_answers: float
+    start_bytes: float
+
+
+class Result(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold both ways for one group."""
+
+    group: Group
+    residents: int
+    changes_per_round: float
+    costs: list[Cost]
+
+
+class Residency:
+    """Hold what is loaded at each instance of a group, and change it."""
+
+    def __init__(self, group: Group) -> None:
+        self.group = group
+        self.random = random.Random(SEED)
+        self.sets: list[set[str]] = [set() for _ in range(group.instances)]
+        names = self.random.sample(range(group.adapters), group.residents)
+        for position, number in enumerate(names):
+            self.sets[position % group.instances].add(name_of(number))
+
+    def change(self) -> list[ResidencyDelta]:
+        """Load and evict for one round, and return each instance's changes."""
+        before = [set(part) for part in self.sets]
+        for _ in range(self.loads_this_round()):
+            part = self.random.choice(self.sets)
+            part.discard(self.random.choice(sorted(part)))
+            part.add(name_of(self.random.randrange(self.group.adapters)))
+        return [
+            ResidencyDelta(
+                version=1_000_001,
+                since=1_000_000,
+                loaded=sorted(now - then),
+                evicted=sorted(then - now),
+            )
+            for then, now in zip(before, self.sets, strict=True)
+        ]
+
+    def loads_this_round(self) -> int:
+        """Return the loads of one second, rounded at random."""
+        whole, part = divmod(self.group.loads_per_second, 1)
+        return int(whole) + (self.random.random() < part)
+
+
+def name_of(number: int) -> str:
+    """Return the name of an adapter version."""
+    return f"adapter-{number:06d}@1"
+
+
+def delta_cost(group: Group) -> Cost:
+    """Measure versioned deltas: each instance sends its own to each peer."""
+    residency = Residency(group)
+    known = [[set(part) for part in residency.sets] for _ in range(group.instances)]
+    peers = group.instances - 1
+    sizes = []
+    spent = 0.0
+    for _ in range(ROUNDS):
+        deltas = residency.change()
+        started = time.process_time()
+        for writer, delta in enumerate(deltas):
+            for reader in range(group.instances):
+                if reader == writer:
+                    continue
+                body = msgspec.json.encode(delta)
+                sizes.append(len(body))
+                taken = msgspec.json.decode(body, type=ResidencyDelta)
+                known[reader][writer].difference_update(taken.evicted)
+                known[reader][writer].update(taken.loaded)
+        spent += time.process_time() - started
+    # What an instance knows of itself needs no message.
+    reader_view = [residency.sets[0], *known[0][1:]]
+    snapshot = ResidencyDelta(version=1, since=0, loaded=sorted(residency.sets[0]))
+    return Cost(
+        way="versioned deltas",
+        bytes_sent=statistics.fmean(sizes) * peers,
+        microseconds=spent / ROUNDS / group.instances * 1e6,
+        wrong_answers=wrong_share(
+            residency, lambda element: holders(element, reader_view)
+        ),
+        start_bytes=len(msgspec.json.encode(snapshot)) * peers,
+    )
+
+
+def filter_cost(group: Group) -> Cost:
+    """Measure filters that are aggregated along a tree and distributed back."""
+    residency = Residency(group)
+    buckets = buckets_for(sum(len(part) for part in residency.sets))
+    filters = [MarkedCuckooFilter(buckets, group.instances) for _ in residency.sets]
+    for owner, part in enumerate(residency.sets):
+        for element in part:
+            filters[owner].add(element, 1 << owner)
+    sent = 0
+    spent = 0.0
+    union = filters[0]
+    for _ in range(ROUNDS):
+        deltas = residency.change()
+        started = time.process_time()
+        for owner, delta in enumerate(deltas):
+            for element in delta.evicted:
+                filters[owner].remove(element, 1 << owner)
+            for element in delta.loaded:
+                filters[owner].add(element, 1 << owner)
+        union, round_bytes = aggregated(filters, buckets)
+        sent += round_bytes
+        spent += time.process_time() - started
+    return Cost(
+        way="marked cuckoo filters",
+        bytes_sent=sent / ROUNDS / group.instances,
+        microseconds=spent / ROUNDS / group.instances * 1e6,
+        wrong_answers=wrong_share(residency, union.marks),
+        start_bytes=sent / ROUNDS / group.instances,
+    )
+
+
+def aggregated(
+    filters: list[MarkedCuckooFilter], buckets: int
+) -> tuple[MarkedCuckooFilter, int]:
+    """Return the union of all filters, and the bytes that making it known takes."""
+    bodies = [item.encode() for item in filters]
+    union = MarkedCuckooFilter.decode(bodies[0], buckets, len(filters))
+    sent = 0
+    for body in bodies[1:]:
+        sent += len(body)
+        if not union.aggregate(MarkedCuckooFilter.decode(body, buckets, len(filters))):
+            raise RuntimeError("the filter is full")
+    back = union.encode()
+    for _ in filters[1:]:
+        sent += len(back)
+        MarkedCuckooFilter.decode(back, buckets, len(filters))
+    return union, sent
+
+
+def holders(element: str, sets: list[set[str]]) -> int:
+    """Return a bit for each set that holds an element."""
+    return sum(1 << owner for owner, part in enumerate(sets) if element in part)
+
+
+def wrong_share(residency: Residency, marks_of: Callable[[str], int]) -> float:
+    """Return the share of lookups with a wrong answer."""
+    chosen = random.Random(SEED)
+    adapters = residency.group.adapters
+    names = [name_of(chosen.randrange(adapters)) for _ in range(PROBES)]
+    wrong = sum(marks_of(name) != holders(name, residency.sets) for name in names)
+    return wrong / PROBES
+
+
+def measure(group: Group) -> Result:
+    """Measure both ways for one group."""
+    residency = Residency(group)
+    return Result(
+        group=group,
+        residents=sum(len(part) for part in residency.sets),
+        changes_per_round=group.loads_per_second * 2,
+        costs=[delta_cost(group), filter_cost(group)],
+    )
+
+
+def main() -> int:
+    """Measure every group, print a table and write it as JSON."""
+    results = [measure(group) for group in GROUPS]
+    RESULTS.write_bytes(
+        msgspec.json.format(msgspec.json.encode(results), indent=1) + b"\n"
+    )
+    print("| group | residents | way | B/round | us/round | wrong | B at start |")
+    print("| --- | --- | --- | --- | --- | --- | --- |")
+    for result in results:
+        for cost in result.costs:
+            print(
+                f"| {result.group.name} | {result.residents} | {cost.way} "
+                f"| {cost.bytes_sent:,.0f} | {cost.microseconds:,.0f} "
+                f"| {cost.wrong_answers:.4g} | {cost.start_bytes:,.0f} |"
+            )
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
