--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: settings-table slopes
+.PHONY: tables slopes
 .PHONY: demo test lint types bench generate check-generated clean
 VENV := .venv
 PYTHON ?= $(VENV)/bin/python
@@ -25,9 +25,11 @@
 check-generated: $(VENV)/ready
 	$(PYTHON) scripts/generate.py --check
 	$(PYTHON) scripts/settings_table.py --check
+	$(PYTHON) scripts/error_table.py --check
 
-settings-table: $(VENV)/ready
+tables: $(VENV)/ready
 	$(PYTHON) scripts/settings_table.py
+	$(PYTHON) scripts/error_table.py
 
 slopes: $(VENV)/ready
 	$(PYTHON) -m benchmarks.slopes
--- /dev/null
+++ b/scripts/error_table.py
@@ -0,0 +1,47 @@
+"""Write the callers' table of error kinds from the program's."""
+
+import argparse
+import re
+import sys
+from pathlib import Path
+
+from magnoliatrail.errors import ANSWERS, ErrorKind
+
+PAGE = Path(__file__).resolve().parent.parent / "docs" / "callers.md"
+TABLE = re.compile(r"^\| kind \|.*?(?=^$)", re.DOTALL | re.MULTILINE)
+HEAD = """| kind | status | outcome | retry after | what to do |
+| --- | --- | --- | --- | --- |
+"""
+
+
+def row(kind: ErrorKind) -> str:
+    """Return the table row of one error kind."""
+    rule = ANSWERS[kind]
+    after = f"{rule.retry_after.total_seconds():g} s" if rule.retry_after else "no"
+    cells = [f"`{kind.value}`", str(rule.status), f"`{rule.outcome.value}`", after]
+    return "| " + " | ".join([*cells, rule.remedy]) + " |\n"
+
+
+def page(text: str) -> str:
+    """Return the page with the table as it should be."""
+    table = HEAD + "".join(row(kind) for kind in ErrorKind)
+    return TABLE.sub(lambda match: table, text, count=1)
+
+
+def main() -> int:
+    """Write the table, or with `--check` compare it with the committed one."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--check", action="store_true")
+    arguments = parser.parse_args()
+    text = PAGE.read_text()
+    if not arguments.check:
+        PAGE.write_text(page(text))
+        return 0
+    if text == page(text):
+        return 0
+    print("docs/callers.md does not match errors.py: run make tables", file=sys.stderr)
+    return 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/scripts/settings_table.py
+++ b/scripts/settings_table.py
@@ -14,7 +14,7 @@
 PAGE = Path(__file__).resolve().parent.parent / "docs" / "operations" / "settings.md"
 HEADER = """# Settings and defaults
 
-Written by `scripts/settings_table.py` from `schema/`; run `make settings-table` after a
+Written by `scripts/settings_table.py` from `schema/`; run `make tables` after a
 change of the schema.
 
 ## Settings of one instance
@@ -77,9 +77,7 @@
         return 0
     if PAGE.exists() and PAGE.read_text() == page():
         return 0
-    print(
-        f"{PAGE.name} does not match schema/: run make settings-table", file=sys.stderr
-    )
+    print(f"{PAGE.name} does not match schema/: run make tables", file=sys.stderr)
     return 1
 
 
--- a/tests/docs/test_tables.py
+++ b/tests/docs/test_tables.py
@@ -76,7 +76,7 @@
         expected = [str(rule.status), f"`{rule.outcome.value}`", retry_text(kind)]
         line = " | ".join([f"`{kind.value}`", *expected, rule.remedy])
         assert listed.get(kind.value) == expected, (
-            f"docs/callers.md needs this row: | {line} |"
+            f"run make tables: docs/callers.md needs the row | {line} |"
         )
 
 
