--- a/benchmarks/slopes/__main__.py
+++ b/benchmarks/slopes/__main__.py
@@ -7,10 +7,11 @@
 from pathlib import Path
 
 import msgspec
+from benchmarks.slopes.calls import call_slopes
 from benchmarks.slopes.decisions import configuration_slopes, decision_slopes
 from benchmarks.slopes.entry import entry_slopes
 from benchmarks.slopes.fit import Slope
-from benchmarks.slopes.messages import codec_slopes, exchange_slopes, ledger_slopes
+from benchmarks.slopes.messages import codec_slopes, ledger_slopes
 from benchmarks.slopes.state import adapter_slopes, fleet_slopes, permit_slopes
 
 RESULTS = Path(__file__).resolve().parent.parent / "slopes.json"
@@ -21,7 +22,7 @@
     decision_slopes,
     configuration_slopes,
     codec_slopes,
-    exchange_slopes,
+    call_slopes,
     ledger_slopes,
     entry_slopes,
 ]
--- /dev/null
+++ b/benchmarks/slopes/calls.py
@@ -0,0 +1,215 @@
+"""Processor time of each end, and bytes on the wire, of calls over HTTP."""
+
+import asyncio
+import threading
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from benchmarks.slopes.fit import Slope, fitted
+from benchmarks.slopes.messages import heartbeat, permit_grant, permit_request
+from benchmarks.slopes.wire_bytes import CountingProxy
+from expression import Ok, Result
+from tornado.web import Application, RequestHandler
+
+from magnoliatrail.engines.client import EngineClient
+from magnoliatrail.errors import Failure
+from magnoliatrail.generated.engine import LoadedHandle, LoadReport
+from magnoliatrail.generated.membership import Heartbeat, HeartbeatAnswer
+from magnoliatrail.generated.permits import PermitGrant, PermitRequest
+from magnoliatrail.listeners import Listener, listen
+from magnoliatrail.peers.client import PeerClient
+from magnoliatrail.peers.server import PeerRoute, peer_application
+from magnoliatrail.wire import CallLimits, encode, new_http_client
+
+HOST = "127.0.0.1"
+TOKEN = "token-for-slopes-only"
+LIMITS = CallLimits(timedelta(seconds=5), timedelta(seconds=30))
+CALLS = (50, 200, 800)
+ADAPTER_SLOTS = 8
+
+Ask = Callable[[str], Awaitable[None]]
+
+
+@dataclass(frozen=True, slots=True)
+class CallCosts:
+    """Hold what some calls cost: both ends in microseconds, and the wire in bytes."""
+
+    asking: float
+    answering: float
+    wire: float
+
+
+class ServingThread:
+    """Serve an application in a thread with an event loop of its own."""
+
+    def __init__(self, application: Application) -> None:
+        self.application = application
+        self.listener: Listener | None = None
+        self.loop = asyncio.new_event_loop()
+        self.ready = threading.Event()
+        self.thread = threading.Thread(target=self.run, daemon=True)
+
+    def run(self) -> None:
+        """Serve until stopped."""
+        asyncio.set_event_loop(self.loop)
+        self.loop.run_until_complete(self.open())
+        self.loop.run_forever()
+
+    async def open(self) -> None:
+        """Open the listener."""
+        self.listener = listen(self.application, host=HOST)
+        self.ready.set()
+
+    def start(self) -> Listener:
+        """Start to serve."""
+        self.thread.start()
+        self.ready.wait()
+        assert self.listener is not None
+        return self.listener
+
+    def stop(self) -> None:
+        """Stop to serve."""
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join()
+
+
+def heartbeat_answer(message: Heartbeat) -> HeartbeatAnswer:
+    """Return the answer to a heartbeat."""
+    return HeartbeatAnswer(
+        instance="instance-002",
+        incarnation=message.incarnation,
+        configuration_revision=message.configuration_revision,
+    )
+
+
+def peer_routes() -> Application:
+    """Return a peer that answers at once."""
+
+    async def answer_heartbeat(message: Heartbeat) -> Result[HeartbeatAnswer, Failure]:
+        return Ok(heartbeat_answer(message))
+
+    async def answer_permit(message: PermitRequest) -> Result[PermitGrant, Failure]:
+        return Ok(permit_grant())
+
+    routes = [
+        PeerRoute("/peer/heartbeat", Heartbeat, answer_heartbeat),
+        PeerRoute("/peer/permits", PermitRequest, answer_permit),
+    ]
+    return peer_application(routes, TOKEN)
+
+
+def load_report() -> LoadReport:
+    """Return an engine's load report."""
+    return LoadReport(
+        boot_id="0123456789abcdef",
+        batch_slots=8,
+        adapter_slots=ADAPTER_SLOTS,
+        running=6,
+        waiting=2,
+        loaded=[
+            LoadedHandle(
+                lora_name=f"adapter-{number:06d}@1~17",
+                lora_path=f"adapter-{number:06d}@1",
+                running=1,
+            )
+            for number in range(ADAPTER_SLOTS)
+        ],
+        fencing_number=17,
+        age_seconds=0.1,
+    )
+
+
+class ReportHandler(RequestHandler):
+    """Answer with a load report."""
+
+    def get(self) -> None:
+        """Answer at once."""
+        self.finish(encode(load_report()))
+
+
+async def costs(
+    application: Callable[[], Application], new_ask: Callable[[], Ask], calls: int
+) -> CallCosts:
+    """Return what some calls cost."""
+    serving = ServingThread(application())
+    listener = serving.start()
+    proxy = await CountingProxy.before(listener.port)
+    ask = new_ask()
+    await ask(listener.url)
+    process, thread = time.process_time(), time.thread_time()
+    for _ in range(calls):
+        await ask(listener.url)
+    asking = time.thread_time() - thread
+    answering = time.process_time() - process - asking
+    for _ in range(calls):
+        await ask(proxy.url)
+    await proxy.close()
+    serving.stop()
+    return CallCosts(asking * 1e6, answering * 1e6, float(proxy.bytes_passed))
+
+
+def ask_heartbeat() -> Ask:
+    """Return a function that sends a heartbeat to a peer."""
+    peers = PeerClient(TOKEN)
+
+    async def ask(url: str) -> None:
+        path = f"{url}/peer/heartbeat"
+        result = await peers.ask(path, heartbeat(), HeartbeatAnswer, LIMITS)
+        assert result.is_ok(), result
+
+    return ask
+
+
+def ask_permit() -> Ask:
+    """Return a function that asks a peer for a permit."""
+    peers = PeerClient(TOKEN)
+
+    async def ask(url: str) -> None:
+        path = f"{url}/peer/permits"
+        result = await peers.ask(path, permit_request(), PermitGrant, LIMITS)
+        assert result.is_ok(), result
+
+    return ask
+
+
+def ask_report() -> Ask:
+    """Return a function that reads an engine's load report."""
+    client = new_http_client()
+
+    async def ask(url: str) -> None:
+        result = await EngineClient(client, url, LIMITS).report()
+        assert result.is_ok(), result
+
+    return ask
+
+
+def report_application() -> Application:
+    """Return an engine that only reports its load."""
+    return Application([("/load", ReportHandler)], log_function=lambda handler: None)
+
+
+def call_slopes() -> list[Slope]:
+    """Measure whole calls."""
+    kinds = [
+        ("heartbeat", peer_routes, ask_heartbeat),
+        ("permit", peer_routes, ask_permit),
+        ("load report", report_application, ask_report),
+    ]
+    slopes = []
+    for name, application, new_ask in kinds:
+        measured = {
+            calls: asyncio.run(costs(application, new_ask, calls)) for calls in CALLS
+        }
+        for part, unit in (("asking", "us"), ("answering", "us"), ("wire", "B")):
+            slopes.append(
+                fitted(
+                    f"{name} calls, {part}",
+                    "call",
+                    unit,
+                    CALLS,
+                    lambda n, part=part, measured=measured: getattr(measured[n], part),
+                )
+            )
+    return slopes
