Refuse an oversized body in the shape of every error

Cause: tornado itself refuses a body over its limit, with a bare 400 and no body, before a handler runs. A delegate before the application now counts the bytes.

--- a/src/magnoliatrail/daemon.py
+++ b/src/magnoliatrail/daemon.py
@@ -14,6 +14,7 @@
 from magnoliatrail.engines.owner import EngineOwner
 from magnoliatrail.engines.permits import PermitHolder
 from magnoliatrail.entry.application import caller_application
+from magnoliatrail.entry.body_limit import BodyLimit
 from magnoliatrail.entry.dispatch import Dispatcher
 from magnoliatrail.entry.engine_call import EngineCaller
 from magnoliatrail.entry.lifecycle import Lifecycle
@@ -220,7 +221,7 @@
         )
         self.session = SessionLease(self.table, self.session_row(self.peer_listener))
         self.caller_listener = listen(
-            caller_application(self.entry),
+            BodyLimit(caller_application(self.entry), settings.max_body_bytes),
             host=settings.host,
             port=settings.port,
             max_body_bytes=settings.max_body_bytes,
--- /dev/null
+++ b/src/magnoliatrail/entry/body_limit.py
@@ -0,0 +1,114 @@
+"""Refusal of request bodies that are too large, in the shape of every error."""
+
+from collections.abc import Awaitable
+from typing import cast
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+
+from magnoliatrail.errors import ErrorKind, Failure, answer_of
+from magnoliatrail.ids import new_request_id
+from magnoliatrail.logs import EventLog
+from magnoliatrail.wire import JSON_TYPE, encode
+
+log = EventLog("entry")
+
+# The rest of a refused body is read and dropped for a while, so that the caller can
+# read the answer before its connection is closed.
+DRAIN_SECONDS = 5.0
+DRAIN_BYTES = 1 << 40
+
+
+class BodyLimit(HTTPServerConnectionDelegate):
+    """Pass requests on to an application, unless their body is too large."""
+
+    def __init__(
+        self, application: HTTPServerConnectionDelegate, max_body_bytes: int
+    ) -> None:
+        self.application = application
+        self.max_body_bytes = max_body_bytes
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTPConnection
+    ) -> HTTPMessageDelegate:
+        """Watch one request."""
+        inner = self.application.start_request(server_conn, request_conn)
+        connection = cast(HTTP1Connection, request_conn)
+        return LimitedRequest(inner, connection, self.max_body_bytes)
+
+
+class LimitedRequest(HTTPMessageDelegate):
+    """Count the bytes of one request's body."""
+
+    def __init__(
+        self,
+        inner: HTTPMessageDelegate,
+        connection: HTTP1Connection,
+        max_body_bytes: int,
+    ) -> None:
+        self.inner = inner
+        self.connection = connection
+        self.max_body_bytes = max_body_bytes
+        self.received_bytes = 0
+        self.refused = False
+        # Tornado itself would answer a body over its limit without an error body.
+        connection.set_max_body_size(DRAIN_BYTES)
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> Awaitable[None] | None:
+        """Refuse a body that says that it is too large."""
+        length = headers.get("Content-Length", "0")
+        if length.isdecimal() and int(length) > self.max_body_bytes:
+            self.refuse()
+            return None
+        return self.inner.headers_received(start_line, headers)
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Refuse a body that grows too large."""
+        if self.refused:
+            return None
+        self.received_bytes += len(chunk)
+        if self.received_bytes > self.max_body_bytes:
+            self.inner.on_connection_close()
+            self.refuse()
+            return None
+        return self.inner.data_received(chunk)
+
+    def finish(self) -> None:
+        """End the request, unless it was refused."""
+        if not self.refused:
+            self.inner.finish()
+
+    def on_connection_close(self) -> None:
+        """Pass the end of the connection on, unless the request was refused."""
+        if not self.refused:
+            self.inner.on_connection_close()
+
+    def refuse(self) -> None:
+        """Answer with the error, and close the connection after it."""
+        self.refused = True
+        request_id = new_request_id()
+        message = f"the body is over {self.max_body_bytes} bytes"
+        failure = Failure(ErrorKind.BODY_TOO_LARGE, message)
+        log.info("refused", request=request_id, kind=failure.kind, reason=message)
+        body = encode(answer_of(failure, request_id))
+        headers = HTTPHeaders(
+            {
+                "Content-Type": JSON_TYPE,
+                "Content-Length": str(len(body)),
+                "Connection": "close",
+                "X-Request-Id": request_id,
+            }
+        )
+        self.connection.set_body_timeout(DRAIN_SECONDS)
+        status = ResponseStartLine("HTTP/1.1", failure.rule.status, "Body Too Large")
+        self.connection.write_headers(status, headers, body)
+        self.connection.finish()
--- a/src/magnoliatrail/listeners.py
+++ b/src/magnoliatrail/listeners.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPServerConnectionDelegate
 from tornado.netutil import bind_sockets
 from tornado.web import Application
 
@@ -27,7 +28,7 @@
 
 
 def listen(
-    application: Application,
+    application: Application | HTTPServerConnectionDelegate,
     *,
     host: str,
     port: int = 0,
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -6,7 +6,7 @@
 import subprocess
 import sys
 import threading
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -142,13 +142,13 @@
 
 @asynccontextmanager
 async def running_fleet(
-    names: list[str], size: WorldSize | None = None
+    names: list[str], size: WorldSize | None = None, *, flags: Sequence[str] = ()
 ) -> AsyncIterator[Fleet]:
     """Run daemons before stand-ins, and end them all."""
     fleet = Fleet(start_world(SystemClock(), size or WorldSize()))
     try:
         for name in names:
-            await fleet.start(name)
+            await fleet.start(name, *flags)
         await fleet.until_settled()
         yield fleet
     finally:
