--- a/Makefile
+++ b/Makefile
@@ -30,9 +30,11 @@
 tables: $(VENV)/ready
 	$(PYTHON) scripts/settings_table.py
 	$(PYTHON) scripts/error_table.py
+	$(PYTHON) -m benchmarks.capacity
 
 slopes: $(VENV)/ready
 	$(PYTHON) -m benchmarks.slopes
+	$(PYTHON) -m benchmarks.capacity
 
 $(VENV)/ready: requirements.lock pyproject.toml
 	test -x $(VENV)/bin/python || python3 -m venv $(VENV)
--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,440 @@
+"""Work the capacity page's tables out from the committed runs."""
+
+import argparse
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+from benchmarks.slopes.__main__ import RESULTS, SlopeRun, table
+
+PAGE = Path(__file__).resolve().parent.parent / "docs" / "CAPACITY.md"
+BEGIN = "<!-- begin: {} -->\n"
+END = "<!-- end: {} -->\n"
+CORE = 1e6
+
+NODES = 370
+ENGINES = 6_200
+REQUESTS_PER_SECOND = 12_000
+TOKENS_PER_SECOND = 3_500_000
+ADAPTERS = 130_000
+TURNOVER_AN_HOUR = 0.29
+EDITS_A_DAY = 8_500
+REPLACED_A_DAY = 78 + 550
+FAILURE_DOMAINS = 22
+DAY_SECONDS = 86_400
+ADAPTER_SLOTS = 8
+ZIPF_EXPONENT = 1.0
+EXCEPTIONS = 500
+CONTROL_CORE_SHARE = 0.042
+CONTROL_MEMORY_BYTES = 64e6
+CONTROL_BYTES_PER_SECOND = 2_000
+TABLE_READS = 2_000
+
+HEARTBEAT_LINKS = 4
+HEARTBEAT_SECONDS = 1.0
+REPORT_SECONDS = 0.5
+LIST_SECONDS = 1.0
+SCAN_SECONDS = 1.0
+RENEWAL_SECONDS = 3.0
+POLL_SECONDS = 2.0
+CATALOGUE_SECONDS = 30.0
+
+
+@dataclass(frozen=True)
+class Figure:
+    """Hold one computed figure of one role."""
+
+    role: str
+    what: str
+    how: str
+    value: float
+    unit: str
+
+
+class Slopes:
+    """Look measured slopes up by name."""
+
+    def __init__(self, run: SlopeRun) -> None:
+        self.by_name = {slope.name: slope for slope in run.slopes}
+
+    def each(self, name: str) -> float:
+        """Return the cost of one more."""
+        return self.by_name[name].slope
+
+    def at(self, name: str, size: float) -> float:
+        """Return the cost at a size, by the fitted line."""
+        slope = self.by_name[name]
+        return slope.intercept + slope.slope * size
+
+
+@dataclass(frozen=True)
+class PermitLoad:
+    """Hold the permits of one node in steady state."""
+
+    held: float
+    asked_per_second: float
+
+
+def permit_load(requests_per_second: float, lifetime_seconds: float) -> PermitLoad:
+    """Return what a skewed popularity makes of permits that live for a while."""
+    weights = [rank**-ZIPF_EXPONENT for rank in range(1, ADAPTERS + 1)]
+    scale = requests_per_second / sum(weights)
+    rates = [weight * scale for weight in weights]
+    held = sum(r * lifetime_seconds / (1 + r * lifetime_seconds) for r in rates)
+    asked = sum(r / (1 + r * lifetime_seconds) for r in rates)
+    return PermitLoad(held, asked)
+
+
+def entry_figures(slopes: Slopes) -> list[Figure]:
+    """Return the figures of the entry."""
+    requests = REQUESTS_PER_SECOND / NODES
+    chunks = TOKENS_PER_SECOND / NODES
+    whole = slopes.each("whole answers at the entry")
+    lookup = slopes.at("looking one setting up", EXCEPTIONS)
+    streamed = slopes.each("streamed chunks at the entry")
+    return [
+        Figure("entry", "requests", "12,000 / 370", requests, "/s"),
+        Figure("entry", "chunks", "3.5 M / 370", chunks, "/s"),
+        Figure(
+            "entry",
+            "processor time, requests",
+            f"{whole:,.0f} us each",
+            requests * whole / CORE,
+            "cores",
+        ),
+        Figure(
+            "entry",
+            "processor time, chunks",
+            f"{streamed:,.0f} us each, whole daemon",
+            chunks * streamed / CORE,
+            "cores",
+        ),
+        Figure(
+            "entry",
+            "one lookup of a setting",
+            f"{EXCEPTIONS} exceptions",
+            lookup,
+            "us",
+        ),
+    ]
+
+
+def holder_figures(slopes: Slopes) -> list[Figure]:
+    """Return the figures of the holder of permits."""
+    requests = REQUESTS_PER_SECOND / NODES
+    wakes = ADAPTERS * TURNOVER_AN_HOUR / 3_600
+    lifetime = ENGINES * ADAPTER_SLOTS / wakes
+    load = permit_load(requests, lifetime)
+    asking = slopes.each("permit calls, asking")
+    answering = slopes.each("permit calls, answering")
+    wire = slopes.each("permit calls, wire")
+    memory = slopes.each("permits in memory")
+    return [
+        Figure(
+            "holder", "adapters that wake, fleet", "29% of 130,000 / h", wakes, "/s"
+        ),
+        Figure(
+            "holder",
+            "life of a permit",
+            f"6,200 x {ADAPTER_SLOTS} slots / wakes",
+            lifetime,
+            "s",
+        ),
+        Figure(
+            "holder",
+            "permits held",
+            f"Zipf {ZIPF_EXPONENT}, balancer at random",
+            load.held,
+            "",
+        ),
+        Figure(
+            "holder",
+            "memory of permits",
+            f"{memory:,.0f} B each",
+            load.held * memory / 1e6,
+            "MB",
+        ),
+        Figure(
+            "holder",
+            "permits asked for",
+            "as above",
+            load.asked_per_second,
+            "/s",
+        ),
+        Figure(
+            "holder",
+            "processor time, both ends",
+            f"{asking:,.0f} + {answering:,.0f} us each",
+            load.asked_per_second * (asking + answering) / CORE * 100,
+            "% of a core",
+        ),
+        Figure(
+            "holder",
+            "bytes, both directions",
+            f"{wire:,.0f} B each",
+            load.asked_per_second * wire,
+            "B/s",
+        ),
+    ]
+
+
+def owner_figures(slopes: Slopes) -> list[Figure]:
+    """Return the figures of the owner of engines."""
+    engines = ENGINES / NODES
+    reports = engines / REPORT_SECONDS
+    asking = slopes.each("load report calls, asking")
+    wire = slopes.each("load report calls, wire")
+    return [
+        Figure("owner", "engines owned", "6,200 / 370", engines, ""),
+        Figure(
+            "owner",
+            "load reports read",
+            f"one per engine every {REPORT_SECONDS} s",
+            reports,
+            "/s",
+        ),
+        Figure(
+            "owner",
+            "processor time of reports",
+            f"{asking:,.0f} us each",
+            reports * asking / CORE * 100,
+            "% of a core",
+        ),
+        Figure(
+            "owner",
+            "bytes of reports",
+            f"{wire:,.0f} B each",
+            reports * wire,
+            "B/s",
+        ),
+    ]
+
+
+def peer_figures(slopes: Slopes) -> list[Figure]:
+    """Return the figures of talk between instances."""
+    asked = HEARTBEAT_LINKS / HEARTBEAT_SECONDS
+    asking = slopes.each("heartbeat calls, asking")
+    answering = slopes.each("heartbeat calls, answering")
+    wire = slopes.each("heartbeat calls, wire")
+    return [
+        Figure("peer", "heartbeats sent, and as many answered", "4 links", asked, "/s"),
+        Figure(
+            "peer",
+            "processor time of heartbeats",
+            f"{asking:,.0f} + {answering:,.0f} us each",
+            asked * (asking + answering) / CORE * 100,
+            "% of a core",
+        ),
+        Figure("peer", "bytes sent", f"{wire:,.0f} B a call", asked * wire, "B/s"),
+    ]
+
+
+def configuration_figures(slopes: Slopes) -> list[Figure]:
+    """Return the figures of the configuration."""
+    size = slopes.at("configuration document", EXCEPTIONS)
+    reading = slopes.at("reading the configuration", EXCEPTIONS)
+    edits = EDITS_A_DAY / DAY_SECONDS
+    return [
+        Figure(
+            "configuration", "document", f"{EXCEPTIONS} exceptions", size / 1e3, "KB"
+        ),
+        Figure("configuration", "edits, fleet", "8,500 a day", edits, "/s"),
+        Figure(
+            "configuration",
+            "bytes of the poll",
+            f"the document every {POLL_SECONDS} s",
+            size / POLL_SECONDS,
+            "B/s",
+        ),
+        Figure(
+            "configuration",
+            "processor time of the poll",
+            f"{reading:,.0f} us to decode",
+            reading / POLL_SECONDS / CORE * 100,
+            "% of a core",
+        ),
+    ]
+
+
+def membership_figures(slopes: Slopes) -> list[Figure]:
+    """Return the figures of membership."""
+    list_bytes = slopes.at("instance list message", ENGINES + NODES)
+    list_time = slopes.at("reading the instance list", ENGINES + NODES)
+    owners = slopes.at("ownership in memory", ENGINES)
+    sessions = slopes.at("sessions in memory", NODES)
+    listed = slopes.at("instance list in memory", ENGINES + NODES)
+    return [
+        Figure(
+            "membership",
+            "memory of list, owners and sessions",
+            "6,570 + 6,200 + 370 records",
+            (owners + sessions + listed) / 1e6,
+            "MB",
+        ),
+        Figure(
+            "membership",
+            "bytes of the instance list",
+            f"whole list every {LIST_SECONDS} s",
+            list_bytes / LIST_SECONDS,
+            "B/s",
+        ),
+        Figure(
+            "membership",
+            "processor time of the instance list",
+            f"{list_time / 1e3:,.1f} ms to decode",
+            list_time / LIST_SECONDS / CORE * 100,
+            "% of a core",
+        ),
+        Figure(
+            "membership",
+            "engines to claim when a domain is lost",
+            "6,200 / 22 owned by its instances",
+            ENGINES / FAILURE_DOMAINS,
+            "",
+        ),
+    ]
+
+
+def catalogue_figures(slopes: Slopes) -> list[Figure]:
+    """Return the figures of the catalogue of adapters."""
+    kept = slopes.at("catalogue in memory", ADAPTERS)
+    peak = slopes.at("catalogue in memory while it is read", ADAPTERS)
+    size = slopes.at("catalogue message", ADAPTERS)
+    reading = slopes.at("reading the catalogue", ADAPTERS)
+    return [
+        Figure("catalogue", "memory", "130,000 adapters", kept / 1e6, "MB"),
+        Figure(
+            "catalogue",
+            "memory while it is read again",
+            "old one kept beside",
+            (kept + peak) / 1e6,
+            "MB",
+        ),
+        Figure(
+            "catalogue",
+            "bytes",
+            f"{size / 1e6:,.2f} MB every {CATALOGUE_SECONDS:.0f} s",
+            size / CATALOGUE_SECONDS,
+            "B/s",
+        ),
+        Figure(
+            "catalogue",
+            "processor time",
+            f"{reading / 1e3:,.0f} ms to decode, at a stretch",
+            reading / CATALOGUE_SECONDS / CORE * 100,
+            "% of a core",
+        ),
+    ]
+
+
+def table_figures(slopes: Slopes) -> list[Figure]:
+    """Return what all instances ask of the platform's table service."""
+    claims = REPLACED_A_DAY / DAY_SECONDS * ENGINES / NODES
+    row = slopes.at("ledger row", 0)
+    return [
+        Figure(
+            "table",
+            "renewals of sessions",
+            "370 / 3 s",
+            NODES / RENEWAL_SECONDS,
+            "writes/s",
+        ),
+        Figure(
+            "table",
+            "claims of engines",
+            "628 replaced a day x 16.8",
+            claims,
+            "writes/s",
+        ),
+        Figure(
+            "table", "edits", "3 rows each", 3 * EDITS_A_DAY / DAY_SECONDS, "writes/s"
+        ),
+        Figure(
+            "table",
+            "one operation that may not be repeated",
+            "claim and answer",
+            2,
+            "writes",
+        ),
+        Figure("table", "row of such an operation", "without its answer", row, "B"),
+        Figure(
+            "table",
+            "polls of the configuration",
+            f"370 / {POLL_SECONDS} s",
+            NODES / POLL_SECONDS,
+            "reads/s",
+        ),
+        Figure(
+            "table",
+            "scans of sessions and owners",
+            f"2 x 370 / {SCAN_SECONDS} s",
+            2 * NODES / SCAN_SECONDS,
+            "scans/s",
+        ),
+    ]
+
+
+PARTS: list[Callable[[Slopes], list[Figure]]] = [
+    entry_figures,
+    holder_figures,
+    owner_figures,
+    peer_figures,
+    configuration_figures,
+    membership_figures,
+    catalogue_figures,
+    table_figures,
+]
+
+
+def figure_table(figures: list[Figure]) -> str:
+    """Return figures as a table."""
+    rows = [
+        f"| {item.role} | {item.what} | {item.how} | {item.value:,.3g} {item.unit} |"
+        for item in figures
+    ]
+    head = "| role | what | from | computed |\n| --- | --- | --- | --- |"
+    return "\n".join([head, *rows])
+
+
+def replaced(text: str, name: str, content: str) -> str:
+    """Return a page with the content between two markers replaced."""
+    begin, end = BEGIN.format(name), END.format(name)
+    before, _, rest = text.partition(begin)
+    _, found, after = rest.partition(end)
+    if not found:
+        raise ValueError(f"{PAGE.name} has no markers for {name}")
+    return f"{before}{begin}\n{content}\n\n{end}{after}"
+
+
+def page(text: str) -> str:
+    """Return the page as the committed runs make it."""
+    run = msgspec.json.decode(RESULTS.read_bytes(), type=SlopeRun)
+    slopes = Slopes(run)
+    figures = [figure for part in PARTS for figure in part(slopes)]
+    heading = (
+        f"Run of {run.time}, Python {run.python}, load average {run.load_average} "
+        "on a shared machine of 10 cores."
+    )
+    text = replaced(text, "slopes", f"{heading}\n\n{table(run.slopes)}")
+    return replaced(text, "figures", figure_table(figures))
+
+
+def main() -> int:
+    """Write the tables, or with `--check` compare them with the committed ones."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--check", action="store_true")
+    arguments = parser.parse_args()
+    text = PAGE.read_text()
+    if not arguments.check:
+        PAGE.write_text(page(text))
+        return 0
+    if text == page(text):
+        return 0
+    print("docs/CAPACITY.md does not match its runs: run make tables", file=sys.stderr)
+    return 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/docs/test_tables.py
+++ b/tests/docs/test_tables.py
@@ -6,8 +6,10 @@
 import sys
 from collections.abc import Iterator
 
-from magnoliatrail.errors import ANSWERS, ErrorKind
-from tests.docs.pages import ROOT, SOURCE, first_code_cells, table_rows
+import pytest
+
+from magnoliatrail.errors import ErrorKind
+from tests.docs.pages import ROOT, SOURCE, first_code_cells
 
 METRIC_METHODS = {"count", "timing", "gauge"}
 LOG_METHODS = {"debug", "info", "warning", "error"}
@@ -68,19 +70,6 @@
     assert not gone, f"take {gone} off docs/operations/metrics.md"
 
 
-def test_the_callers_error_table_is_the_programs():
-    text = (ROOT / "docs/callers.md").read_text()
-    rows = [row for row in table_rows(text) if row[0].strip("`") in kinds()]
-    listed = {row[0].strip("`"): row[1:4] for row in rows}
-    for kind in ErrorKind:
-        rule = ANSWERS[kind]
-        expected = [str(rule.status), f"`{rule.outcome.value}`", retry_text(kind)]
-        line = " | ".join([f"`{kind.value}`", *expected, rule.remedy])
-        assert listed.get(kind.value) == expected, (
-            f"run make tables: docs/callers.md needs the row | {line} |"
-        )
-
-
 def test_the_callers_error_table_lists_nothing_else():
     text = (ROOT / "docs/callers.md").read_text()
     _, _, errors = text.partition("## Errors")
@@ -93,14 +82,16 @@
     return {kind.value for kind in ErrorKind}
 
 
-def retry_text(kind: ErrorKind) -> str:
-    """Return how the callers' page writes when to ask again."""
-    after = ANSWERS[kind].retry_after
-    return f"{after.total_seconds():g} s" if after else "no"
-
-
-def test_the_settings_table_matches_the_schema():
-    command = [sys.executable, "scripts/settings_table.py", "--check"]
+@pytest.mark.parametrize(
+    "generator",
+    [
+        ["scripts/settings_table.py"],
+        ["scripts/error_table.py"],
+        ["-m", "benchmarks.capacity"],
+    ],
+)
+def test_a_generated_table_matches_its_source(generator):
+    command = [sys.executable, *generator, "--check"]
     result = subprocess.run(
         command, check=False, cwd=ROOT, capture_output=True, text=True
     )
