--- /dev/null
+++ b/benchmarks/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""The capacity page's arithmetic: `make tables`."""
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity/figures.py
@@ -1,45 +1,46 @@
-"""Work the capacity page's tables out from the committed runs."""
+"""What each role costs at the target's size, from the measured slopes."""
 
-import argparse
-import sys
 from collections.abc import Callable
 from dataclasses import dataclass
-from pathlib import Path
+from enum import Enum
+
+from benchmarks.capacity.target import (
+    ADAPTER_SLOTS,
+    ADAPTERS,
+    CATALOGUE_SECONDS,
+    DAY_SECONDS,
+    EDITS_A_DAY,
+    ENGINES,
+    EXCEPTIONS,
+    FAILURE_DOMAINS,
+    HEARTBEAT_LINKS,
+    HEARTBEAT_SECONDS,
+    LIST_SECONDS,
+    NODES,
+    POLL_SECONDS,
+    RENEWAL_SECONDS,
+    REPLACED_A_DAY,
+    REPORT_SECONDS,
+    REQUESTS_PER_SECOND,
+    SCAN_SECONDS,
+    TOKENS_PER_SECOND,
+    TURNOVER_AN_HOUR,
+    ZIPF_EXPONENT,
+)
+from benchmarks.slopes.__main__ import SlopeRun
 
-import msgspec
-from benchmarks.slopes.__main__ import RESULTS, SlopeRun, table
-
-PAGE = Path(__file__).resolve().parent.parent / "docs" / "CAPACITY.md"
-BEGIN = "<!-- begin: {} -->\n"
-END = "<!-- end: {} -->\n"
 CORE = 1e6
 
-NODES = 370
-ENGINES = 6_200
-REQUESTS_PER_SECOND = 12_000
-TOKENS_PER_SECOND = 3_500_000
-ADAPTERS = 130_000
-TURNOVER_AN_HOUR = 0.29
-EDITS_A_DAY = 8_500
-REPLACED_A_DAY = 78 + 550
-FAILURE_DOMAINS = 22
-DAY_SECONDS = 86_400
-ADAPTER_SLOTS = 8
-ZIPF_EXPONENT = 1.0
-EXCEPTIONS = 500
-CONTROL_CORE_SHARE = 0.042
-CONTROL_MEMORY_BYTES = 64e6
-CONTROL_BYTES_PER_SECOND = 2_000
-TABLE_READS = 2_000
-
-HEARTBEAT_LINKS = 4
-HEARTBEAT_SECONDS = 1.0
-REPORT_SECONDS = 0.5
-LIST_SECONDS = 1.0
-SCAN_SECONDS = 1.0
-RENEWAL_SECONDS = 3.0
-POLL_SECONDS = 2.0
-CATALOGUE_SECONDS = 30.0
+
+class Budget(Enum):
+    """What a node may spend on control, and its unit."""
+
+    CORE = "% of a core"
+    MEMORY = "MB"
+    BYTES = "B/s"
+
+
+LIMITS = {Budget.CORE: 4.2, Budget.MEMORY: 64.0, Budget.BYTES: 2_000.0}
 
 
 @dataclass(frozen=True)
@@ -51,6 +52,7 @@
     how: str
     value: float
     unit: str
+    budget: Budget | None = None
 
 
 class Slopes:
@@ -155,6 +157,7 @@
             f"{memory:,.0f} B each",
             load.held * memory / 1e6,
             "MB",
+            Budget.MEMORY,
         ),
         Figure(
             "holder",
@@ -169,6 +172,7 @@
             f"{asking:,.0f} + {answering:,.0f} us each",
             load.asked_per_second * (asking + answering) / CORE * 100,
             "% of a core",
+            Budget.CORE,
         ),
         Figure(
             "holder",
@@ -176,6 +180,7 @@
             f"{wire:,.0f} B each",
             load.asked_per_second * wire,
             "B/s",
+            Budget.BYTES,
         ),
     ]
 
@@ -201,6 +206,7 @@
             f"{asking:,.0f} us each",
             reports * asking / CORE * 100,
             "% of a core",
+            Budget.CORE,
         ),
         Figure(
             "owner",
@@ -208,6 +214,7 @@
             f"{wire:,.0f} B each",
             reports * wire,
             "B/s",
+            Budget.BYTES,
         ),
     ]
 
@@ -226,8 +233,16 @@
             f"{asking:,.0f} + {answering:,.0f} us each",
             asked * (asking + answering) / CORE * 100,
             "% of a core",
+            Budget.CORE,
+        ),
+        Figure(
+            "peer",
+            "bytes sent",
+            f"{wire:,.0f} B a call",
+            asked * wire,
+            "B/s",
+            Budget.BYTES,
         ),
-        Figure("peer", "bytes sent", f"{wire:,.0f} B a call", asked * wire, "B/s"),
     ]
 
 
@@ -247,6 +262,7 @@
             f"the document every {POLL_SECONDS} s",
             size / POLL_SECONDS,
             "B/s",
+            Budget.BYTES,
         ),
         Figure(
             "configuration",
@@ -254,6 +270,7 @@
             f"{reading:,.0f} us to decode",
             reading / POLL_SECONDS / CORE * 100,
             "% of a core",
+            Budget.CORE,
         ),
     ]
 
@@ -265,6 +282,10 @@
     owners = slopes.at("ownership in memory", ENGINES)
     sessions = slopes.at("sessions in memory", NODES)
     listed = slopes.at("instance list in memory", ENGINES + NODES)
+    scan_bytes = slopes.at("ownership rows", ENGINES) + slopes.at("session rows", NODES)
+    scan_time = slopes.at("reading ownership", ENGINES) + slopes.at(
+        "reading sessions", NODES
+    )
     return [
         Figure(
             "membership",
@@ -272,6 +293,7 @@
             "6,570 + 6,200 + 370 records",
             (owners + sessions + listed) / 1e6,
             "MB",
+            Budget.MEMORY,
         ),
         Figure(
             "membership",
@@ -279,6 +301,7 @@
             f"whole list every {LIST_SECONDS} s",
             list_bytes / LIST_SECONDS,
             "B/s",
+            Budget.BYTES,
         ),
         Figure(
             "membership",
@@ -286,6 +309,23 @@
             f"{list_time / 1e3:,.1f} ms to decode",
             list_time / LIST_SECONDS / CORE * 100,
             "% of a core",
+            Budget.CORE,
+        ),
+        Figure(
+            "membership",
+            "bytes of scans of sessions and owners",
+            f"all rows every {SCAN_SECONDS} s",
+            scan_bytes / SCAN_SECONDS,
+            "B/s",
+            Budget.BYTES,
+        ),
+        Figure(
+            "membership",
+            "processor time of scans",
+            f"{scan_time / 1e3:,.1f} ms to decode",
+            scan_time / SCAN_SECONDS / CORE * 100,
+            "% of a core",
+            Budget.CORE,
         ),
         Figure(
             "membership",
@@ -311,20 +351,23 @@
             "old one kept beside",
             (kept + peak) / 1e6,
             "MB",
+            Budget.MEMORY,
         ),
         Figure(
             "catalogue",
-            "bytes",
+            "bytes of the catalogue",
             f"{size / 1e6:,.2f} MB every {CATALOGUE_SECONDS:.0f} s",
             size / CATALOGUE_SECONDS,
             "B/s",
+            Budget.BYTES,
         ),
         Figure(
             "catalogue",
-            "processor time",
+            "processor time of the catalogue",
             f"{reading / 1e3:,.0f} ms to decode, at a stretch",
             reading / CATALOGUE_SECONDS / CORE * 100,
             "% of a core",
+            Budget.CORE,
         ),
     ]
 
@@ -386,55 +429,3 @@
     catalogue_figures,
     table_figures,
 ]
-
-
-def figure_table(figures: list[Figure]) -> str:
-    """Return figures as a table."""
-    rows = [
-        f"| {item.role} | {item.what} | {item.how} | {item.value:,.3g} {item.unit} |"
-        for item in figures
-    ]
-    head = "| role | what | from | computed |\n| --- | --- | --- | --- |"
-    return "\n".join([head, *rows])
-
-
-def replaced(text: str, name: str, content: str) -> str:
-    """Return a page with the content between two markers replaced."""
-    begin, end = BEGIN.format(name), END.format(name)
-    before, _, rest = text.partition(begin)
-    _, found, after = rest.partition(end)
-    if not found:
-        raise ValueError(f"{PAGE.name} has no markers for {name}")
-    return f"{before}{begin}\n{content}\n\n{end}{after}"
-
-
-def page(text: str) -> str:
-    """Return the page as the committed runs make it."""
-    run = msgspec.json.decode(RESULTS.read_bytes(), type=SlopeRun)
-    slopes = Slopes(run)
-    figures = [figure for part in PARTS for figure in part(slopes)]
-    heading = (
-        f"Run of {run.time}, Python {run.python}, load average {run.load_average} "
-        "on a shared machine of 10 cores."
-    )
-    text = replaced(text, "slopes", f"{heading}\n\n{table(run.slopes)}")
-    return replaced(text, "figures", figure_table(figures))
-
-
-def main() -> int:
-    """Write the tables, or with `--check` compare them with the committed ones."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--check", action="store_true")
-    arguments = parser.parse_args()
-    text = PAGE.read_text()
-    if not arguments.check:
-        PAGE.write_text(page(text))
-        return 0
-    if text == page(text):
-        return 0
-    print("docs/CAPACITY.md does not match its runs: run make tables", file=sys.stderr)
-    return 1
-
-
-if __name__ == "__main__":
-    sys.exit(main())
