--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
-.PHONY: tables slopes
-.PHONY: demo test lint types bench generate check-generated clean
+.PHONY: demo test lint types bench generate check-generated clean tables slopes \
+	bench-configuration
 VENV := .venv
 PYTHON ?= $(VENV)/bin/python
 export PYTHONPATH := src
@@ -42,5 +42,8 @@
 	$(VENV)/bin/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
 	touch $@
 
+bench-configuration: $(VENV)/ready
+	$(PYTHON) -m benchmarks.configuration_spread
+
 clean:
 	rm -rf $(VENV) .pytest_cache .mypy_cache .ruff_cache .hypothesis
