Resume broken and silent streams, and cancel what nobody waits for

Cause: a stream that broke ended as an error, a connection that went silent held its caller until the deadline, a caller that left kept the engine busy, and an answer for /v1/chat/completions never passed the check.

--- a/src/magnoliatrail/entry/completions.py
+++ b/src/magnoliatrail/entry/completions.py
@@ -1,22 +1,46 @@
 """The OpenAI-style paths for completions and models."""
 
+import asyncio
+from collections.abc import Awaitable
+from contextlib import suppress
+from datetime import timedelta
+
 import msgspec
 from expression import Error, Ok, Result
+from tornado.http1connection import HTTP1Connection
+from tornado.iostream import StreamClosedError
 
+from magnoliatrail.entry.answer_check import StreamProgress
+from magnoliatrail.entry.answer_sink import CallerGone
 from magnoliatrail.entry.handlers import CallerHandler
+from magnoliatrail.entry.parts import EntryParts
 from magnoliatrail.errors import Failure, answer_of
 from magnoliatrail.generated.answers import (
+    ChatBody,
     CompletionBody,
     ModelEntry,
     ModelList,
+    PromptBody,
 )
+from magnoliatrail.logs import EventLog
 from magnoliatrail.requests import CompletionCall
 from magnoliatrail.wire import JSON_TYPE, decode, encode
 
+log = EventLog("entry")
+
+CHAT_PATH = "/v1/chat/completions"
+
 
 class CompletionHandler(CallerHandler):
     """Serve `POST /v1/completions` and `POST /v1/chat/completions`."""
 
+    def initialize(self, parts: EntryParts) -> None:
+        """Start with nothing passed on."""
+        super().initialize(parts)
+        self.progress = StreamProgress()
+        self.answering: asyncio.Task[Result[None, Failure]] | None = None
+        self.stall_limit = timedelta(seconds=parts.settings.idle_timeout_seconds)
+
     async def post(self) -> None:
         """Answer a completion, streamed or whole."""
         refusal = self.parts.lifecycle.refusal()
@@ -30,6 +54,18 @@
             case Result(error=failure):
                 self.refuse(failure)
 
+    @property
+    def connection(self) -> HTTP1Connection:
+        """Return the caller's connection."""
+        connection = self.request.connection
+        assert isinstance(connection, HTTP1Connection)
+        return connection
+
+    def on_connection_close(self) -> None:
+        """Stop the work for a caller that is gone."""
+        if self.answering:
+            self.answering.cancel()
+
     def read_call(self) -> Result[CompletionCall, Failure]:
         """Read the request, or say what is wrong with it."""
         match self.read_context():
@@ -42,6 +78,10 @@
                 pass
             case Result(error=failure):
                 return Error(failure)
+        input_type = ChatBody if self.request.path == CHAT_PATH else PromptBody
+        match decode(self.request.body, input_type):
+            case Result(tag="error", error=failure):
+                return Error(failure)
         fields = msgspec.json.decode(self.request.body, type=dict[str, msgspec.Raw])
         match self.parts.catalogue.find(body.model):
             case Result(tag="ok", ok=model):
@@ -52,7 +92,16 @@
 
     async def answer(self, call: CompletionCall) -> None:
         """Dispatch a request and answer with what came of it."""
-        match await self.parts.dispatcher.dispatch(call, self):
+        # A task of its own, so that a caller that goes cancels just this.
+        self.answering = asyncio.create_task(self.parts.dispatcher.dispatch(call, self))
+        try:
+            result = await self.answering
+        except (CallerGone, asyncio.CancelledError):
+            self.parts.metrics.count("callers_gone")
+            log.info("caller_gone", request=self.request_id)
+            self.close_connection()
+            return
+        match result:
             case Result(tag="ok"):
                 self.parts.metrics.count("answers")
                 await self.finish()
@@ -61,14 +110,32 @@
             case Result(error=failure):
                 self.refuse(failure)
 
-    async def write_events(self, data: bytes) -> None:
-        """Pass checked events of a stream on."""
+    def write_events(self, data: bytes) -> Awaitable[None] | None:
+        """Pass checked events on; what is returned ends once they have left."""
         if not self._headers_written:
-            self.set_header("Content-Type", "text/event-stream")
-            self.set_header("Cache-Control", "no-cache")
-            self.set_header("X-Request-Id", self.request_id)
+            return self.start_events(data)
+        # The handler's own buffer and transforms would double the cost of an event.
+        written = self.connection.write(data)
+        if self.connection.stream.writing() or written.done():
+            return self.until_written(written)
+        return None
+
+    async def start_events(self, data: bytes) -> None:
+        """Send the head of a stream and its first events."""
+        self.connection.stream.set_nodelay(True)
+        self.set_header("Content-Type", "text/event-stream")
+        self.set_header("Cache-Control", "no-cache")
+        self.set_header("X-Request-Id", self.request_id)
         self.write(data)
-        await self.flush()
+        await self.until_written(self.flush())
+
+    async def until_written(self, written: Awaitable[None]) -> None:
+        """Wait until events have left, for as long as the caller takes any."""
+        try:
+            async with asyncio.timeout(self.stall_limit.total_seconds()):
+                await written
+        except (TimeoutError, StreamClosedError) as error:
+            raise CallerGone("the caller takes no more events") from error
 
     async def write_whole(self, body: bytes) -> None:
         """Pass a checked whole answer on."""
@@ -78,11 +145,24 @@
 
     async def end_broken(self, failure: Failure) -> None:
         """End a stream so that nobody can take it for whole."""
+        log.warning(
+            "stream_ended_broken",
+            request=self.request_id,
+            kind=failure.kind,
+            position=self.progress.next_position,
+            reason=failure.message,
+        )
+        self.parts.metrics.count("streams_broken")
         answer = encode(answer_of(failure, self.request_id))
         self.write(b"event: error\ndata: %s\n\n" % answer)
-        await self.flush()
-        # Without the last chunk no client can take the answer for whole.
-        self.detach().close()
+        with suppress(CallerGone):
+            await self.until_written(self.flush())
+        self.close_connection()
+
+    def close_connection(self) -> None:
+        """Close the connection, so that no client can take the answer for whole."""
+        if not self._finished:
+            self.detach().close()
 
 
 class ModelsHandler(CallerHandler):
--- a/src/magnoliatrail/entry/dispatch.py
+++ b/src/magnoliatrail/entry/dispatch.py
@@ -5,7 +5,8 @@
 from expression import Error, Ok, Result
 
 from magnoliatrail.clock import Clock
-from magnoliatrail.entry.engine_call import AnswerSink, EngineCaller
+from magnoliatrail.entry.answer_sink import AnswerSink
+from magnoliatrail.entry.engine_call import EngineCaller
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.metrics import Metrics
 from magnoliatrail.requests import CompletionCall
@@ -40,7 +41,7 @@
                 case Result(tag="ok"):
                     return Ok(None)
                 case Result(error=failure):
-                    if not failure.not_run:
+                    if not failure.may_run_again:
                         break
             self.metrics.count("retries")
             await self.clock.sleep(RETRY_DELAY)
--- a/src/magnoliatrail/entry/engine_call.py
+++ b/src/magnoliatrail/entry/engine_call.py
@@ -1,34 +1,42 @@
-"""The call to an engine under a permit, and checks of its answer."""
+"""The call to an engine under a permit, whole or streamed."""
 
+import asyncio
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
-from typing import Protocol
 
-import msgspec
 from expression import Error, Ok, Result
-from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
+from tornado.httpclient import AsyncHTTPClient
 
 from magnoliatrail.clock import Clock
-from magnoliatrail.engines.client import HTTP_OK, refusal_of
+from magnoliatrail.engines.client import refusal_of
 from magnoliatrail.engines.permits import Permit, PermitHolder
-from magnoliatrail.entry.answer_check import AnswerCheck, check_names
+from magnoliatrail.entry.answer_check import AnswerCheck, StreamProgress
+from magnoliatrail.entry.answer_sink import AnswerSink
+from magnoliatrail.entry.engine_cancel import EngineCanceller
+from magnoliatrail.entry.engine_run import EngineRun, run_id
+from magnoliatrail.entry.engine_stream import (
+    EngineRequest,
+    EngineStream,
+    StreamLimits,
+    open_stream,
+)
+from magnoliatrail.entry.stream_relay import Broken, pass_events_on
+from magnoliatrail.entry.whole_answer import read_whole, with_caller_names
 from magnoliatrail.errors import ErrorKind, Failure
-from magnoliatrail.generated.engine import Completion
-from magnoliatrail.generated.permits import RequestClass
 from magnoliatrail.generated.settings import Settings
+from magnoliatrail.logs import EventLog
 from magnoliatrail.requests import CompletionCall
-from magnoliatrail.wire import JSON_TYPE, CallFailed, CallLimits, call, decode, encode
+from magnoliatrail.settings import control_limits
+from magnoliatrail.wire import CallFailed
 
-PRIORITIES = {RequestClass.INTERACTIVE: 0, RequestClass.BATCH: 1}
+log = EventLog("entry")
 
+HTTP_OK = 200
+HTTP_SERVER_ERROR = 500
+MAX_INTERRUPTIONS = 3
+MAX_FRUITLESS_RESUMES = 2
 
-class AnswerSink(Protocol):
-    """Take an answer for a caller."""
-
-    async def write_events(self, data: bytes) -> None:
-        """Pass checked events of a stream on."""
-
-    async def write_whole(self, body: bytes) -> None:
-        """Pass a checked whole answer on."""
+PassOn = Callable[[EngineStream], Awaitable[Broken | None]]
 
 
 class EngineCaller:
@@ -44,118 +52,167 @@
     ) -> None:
         self.settings = settings
         self.clock = clock
-        self.client = client
         self.permits = permits
+        self.limits = StreamLimits(
+            connect=timedelta(seconds=settings.connect_timeout_seconds),
+            idle=timedelta(seconds=settings.idle_timeout_seconds),
+        )
+        self.canceller = EngineCanceller(
+            clock=clock, client=client, limits=control_limits(settings)
+        )
 
     async def run(
         self, request: CompletionCall, permit: Permit, sink: AnswerSink
     ) -> Result[None, Failure]:
-        """Run a request under a permit."""
+        """Run a request under a permit, or go on with an answer begun elsewhere."""
+        context = request.context
+        run = EngineRun(request, permit, run_id(context.request_id, sink.progress.runs))
+        sink.progress.runs += 1
         permit.in_flight += 1
         try:
-            if request.stream:
-                return await self.run_stream(request, permit, sink)
-            return await self.run_whole(request, permit, sink)
+            async with asyncio.timeout(context.time_left(self.clock).total_seconds()):
+                return await self.run_in_time(run, sink)
+        except TimeoutError:
+            message = "the deadline passed while the engine generated"
+            return Error(Failure(ErrorKind.DEADLINE_EXCEEDED, message))
         finally:
-            permit.in_flight -= 1
-
-    def engine_request(self, request: CompletionCall, permit: Permit) -> HTTPRequest:
-        """Return the request that the engine gets."""
-        priority = PRIORITIES[request.context.request_class]
-        fields = {
-            **request.fields,
-            "model": msgspec.Raw(encode(permit.handle)),
-            "priority": msgspec.Raw(encode(priority)),
-        }
-        headers = {
-            "Content-Type": JSON_TYPE,
-            "X-Request-Id": request.context.request_id,
-        }
-        url = permit.grant.engine_url + request.path
-        return HTTPRequest(url, method="POST", headers=headers, body=encode(fields))
-
-    def limits(self, request: CompletionCall) -> CallLimits:
-        """Return the limits of a request's call to an engine."""
-        connect = timedelta(seconds=self.settings.connect_timeout_seconds)
-        return CallLimits(connect, request.context.time_left(self.clock))
+            if run.may_be_running:
+                self.canceller.abandon(permit, run.request_id, context)
+            else:
+                permit.in_flight -= 1
 
-    async def run_whole(
-        self, request: CompletionCall, permit: Permit, sink: AnswerSink
+    async def run_in_time(
+        self, run: EngineRun, sink: AnswerSink
     ) -> Result[None, Failure]:
-        """Run a request and pass its whole answer on."""
-        engine_request = self.engine_request(request, permit)
-        try:
-            response = await call(self.client, engine_request, self.limits(request))
-        except CallFailed as error:
-            return Error(broken(error))
-        if response.code != HTTP_OK:
-            return Error(self.refused(permit, response))
-        match decode(response.body, Completion):
-            case Result(tag="ok", ok=message):
-                wrong = check_names(message, request.context.request_id, permit.handle)
-            case Result(error=failure):
-                wrong = Failure(ErrorKind.ANSWER_INVALID, failure.message)
-        if wrong:
-            return Error(wrong)
-        engine_name = b'"model":"%s"' % permit.handle.encode()
-        caller_name = b'"model":"%s"' % str(request.model).encode()
-        await sink.write_whole(response.body.replace(engine_name, caller_name, 1))
-        return Ok(None)
+        """Run a request and say whether it may run again if it broke."""
+        if run.request.stream:
+            result = await self.run_stream(run, sink)
+        else:
+            result = await self.run_whole(run, sink)
+        match result:
+            case Result(tag="error", error=failure):
+                return Error(limited(failure, sink.progress))
+            case _:
+                return result
 
     async def run_stream(
-        self, request: CompletionCall, permit: Permit, sink: AnswerSink
+        self, run: EngineRun, sink: AnswerSink
     ) -> Result[None, Failure]:
         """Run a request and pass its events on as they come."""
-        check = AnswerCheck(request.context.request_id, permit.handle, request.model)
-        refusal = bytearray()
-        failures: list[Failure] = []
-        statuses: list[int] = []
-
-        def on_header(line: str) -> None:
-            if line.startswith("HTTP/"):
-                statuses.append(int(line.split(" ")[1]))
-
-        async def on_data(data: bytes) -> None:
-            if statuses[-1] != HTTP_OK:
-                refusal.extend(data)
-                return
-            match check.take(data):
-                case Result(tag="ok", ok=events):
-                    await sink.write_events(events)
-                case Result(error=failure):
-                    failures.append(failure)
+        check = AnswerCheck(
+            run.request_id,
+            run.permit.handle,
+            run.request.model,
+            caller_request_id=run.request.context.request_id,
+            progress=sink.progress,
+        )
 
-        engine_request = self.engine_request(request, permit)
-        engine_request.header_callback = on_header
-        engine_request.streaming_callback = on_data
+        async def pass_on(stream: EngineStream) -> Broken | None:
+            return await pass_events_on(stream, check, sink)
+
+        return await self.run_until_whole(run, pass_on, lambda: check.next_position)
+
+    async def run_whole(
+        self, run: EngineRun, sink: AnswerSink
+    ) -> Result[None, Failure]:
+        """Run a request and pass its whole answer on."""
+
+        async def pass_on(stream: EngineStream) -> Broken | None:
+            body = await read_whole(stream, run.request_id, run.permit.handle)
+            if isinstance(body, Broken):
+                return body
+            request = run.request
+            renamed = with_caller_names(body, request.context.request_id, request.model)
+            await sink.write_whole(renamed)
+            return None
+
+        return await self.run_until_whole(run, pass_on, lambda: 0)
+
+    async def run_until_whole(
+        self, run: EngineRun, pass_on: PassOn, position: Callable[[], int]
+    ) -> Result[None, Failure]:
+        """Start a run, and resume its answer over new connections until whole."""
+        fruitless = 0
+        reason = ""
+        request = run.first_request()
+        while fruitless <= MAX_FRUITLESS_RESUMES:
+            before = position()
+            match await self.open(run, request):
+                case Result(tag="ok", ok=stream) if stream is not None:
+                    broken = await relay(stream, pass_on)
+                case Result(tag="ok"):
+                    broken = Broken("the connection broke before the answer")
+                case Result(error=failure):
+                    return Error(failure)
+            if broken is None:
+                run.may_be_running = False
+                return Ok(None)
+            if broken.final:
+                return Error(broken.final)
+            # A probe that the engine answers shows that it is at work.
+            fruitful = position() > before or broken.silent
+            fruitless = 0 if fruitful else fruitless + 1
+            reason = broken.reason
+            request = run.resume_request(position())
+            log.warning(
+                "answer_broken",
+                **run.log_fields(),
+                position=position(),
+                reason=reason,
+            )
+        return Error(interrupted(reason))
+
+    async def open(
+        self, run: EngineRun, request: EngineRequest
+    ) -> Result[EngineStream | None, Failure]:
+        """Open a stream; the result is None where a probe may still find it."""
+        starting = not run.may_be_running
+        run.may_be_running = True
         try:
-            response = await call(self.client, engine_request, self.limits(request))
+            stream = await open_stream(request, self.limits)
         except CallFailed as error:
-            return Error(broken(error))
-        if response.code != HTTP_OK:
-            return Error(self.refused(permit, response, bytes(refusal)))
-        if failures:
-            return Error(failures[0])
-        if not check.finished:
-            message = f"the stream ended at position {check.next_position}"
-            return Error(Failure(ErrorKind.ANSWER_INVALID, message))
-        return Ok(None)
+            if starting and not error.sent:
+                run.may_be_running = False
+                return Error(Failure(ErrorKind.BACKEND_UNREACHABLE, str(error)))
+            return Ok(None) if error.sent else Error(interrupted(str(error)))
+        if stream.status == HTTP_OK:
+            return Ok(stream)
+        stream.close()
+        run.may_be_running = stream.status >= HTTP_SERVER_ERROR
+        return Error(self.refused(run, stream, starting=starting))
 
     def refused(
-        self, permit: Permit, response: HTTPResponse, body: bytes | None = None
+        self, run: EngineRun, stream: EngineStream, *, starting: bool
     ) -> Failure:
         """Return the failure for an engine's refusal, and drop a dead permit."""
-        failure = refusal_of(
-            body if body is not None else response.body,
-            response.code,
-            ErrorKind.BACKEND_FAILED,
-        )
+        failure = refusal_of(stream.refusal, stream.status, ErrorKind.BACKEND_FAILED)
         if failure.kind is ErrorKind.ADAPTER_NOT_LOADED:
-            self.permits.drop(permit)
+            self.permits.drop(run.permit)
+        if not starting or stream.status >= HTTP_SERVER_ERROR:
+            return interrupted(failure.message)
+        if failure.kind is ErrorKind.BACKEND_FAILED and stream.status in {400, 422}:
+            return Failure(ErrorKind.MALFORMED_REQUEST, failure.message)
         return failure
 
 
-def broken(error: CallFailed) -> Failure:
-    """Return the failure for a call to an engine that got no answer."""
-    kind = ErrorKind.BACKEND_FAILED if error.sent else ErrorKind.BACKEND_UNREACHABLE
-    return Failure(kind, str(error))
+async def relay(stream: EngineStream, pass_on: PassOn) -> Broken | None:
+    """Pass on what a connection brings, and close it whatever happens."""
+    try:
+        return await pass_on(stream)
+    finally:
+        stream.close()
+
+
+def interrupted(message: str) -> Failure:
+    """Return the failure for an answer that another engine may finish."""
+    return Failure(ErrorKind.ANSWER_INTERRUPTED, message)
+
+
+def limited(failure: Failure, progress: StreamProgress) -> Failure:
+    """Return a failure that allows another run only a few times."""
+    if failure.kind is not ErrorKind.ANSWER_INTERRUPTED:
+        return failure
+    progress.interruptions += 1
+    if progress.interruptions < MAX_INTERRUPTIONS:
+        return failure
+    return Failure(ErrorKind.ANSWER_INVALID, failure.message)
--- /dev/null
+++ b/src/magnoliatrail/entry/engine_cancel.py
@@ -0,0 +1,61 @@
+"""Cancelling at an engine what nobody waits for, and freeing its place."""
+
+import asyncio
+from datetime import timedelta
+
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+
+from magnoliatrail.clock import Clock
+from magnoliatrail.engines.permits import Permit
+from magnoliatrail.ids import RequestId
+from magnoliatrail.logs import EventLog
+from magnoliatrail.requests import RequestContext
+from magnoliatrail.wire import CallFailed, CallLimits, call
+
+log = EventLog("entry")
+
+RETRY_DELAY = timedelta(seconds=1)
+
+
+class EngineCanceller:
+    """Cancel abandoned requests in the background."""
+
+    def __init__(
+        self, *, clock: Clock, client: AsyncHTTPClient, limits: CallLimits
+    ) -> None:
+        self.clock = clock
+        self.client = client
+        self.limits = limits
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def abandon(
+        self, permit: Permit, request_id: RequestId, context: RequestContext
+    ) -> None:
+        """Cancel a request, and free its place once the engine has stopped."""
+        task = asyncio.create_task(self.cancel(permit, request_id, context))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def cancel(
+        self, permit: Permit, request_id: RequestId, context: RequestContext
+    ) -> None:
+        """Ask the engine to stop until it says so or cannot run it any more."""
+        try:
+            while not await self.stopped(permit, request_id):
+                # A place that was freed too early would let its adapter be evicted.
+                if not context.time_left(self.clock):
+                    break
+                await self.clock.sleep(RETRY_DELAY)
+        finally:
+            permit.in_flight -= 1
+        log.info("request_cancelled", request=request_id, engine=permit.engine)
+
+    async def stopped(self, permit: Permit, request_id: RequestId) -> bool:
+        """Ask the engine once, and return whether it cannot be running this."""
+        url = f"{permit.grant.engine_url}/v1/requests/{request_id}"
+        request = HTTPRequest(url, method="DELETE")
+        try:
+            response = await call(self.client, request, self.limits)
+        except CallFailed as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        return response.code < 500  # noqa: PLR2004
--- /dev/null
+++ b/src/magnoliatrail/entry/engine_run.py
@@ -0,0 +1,55 @@
+"""One run of a request on one engine: names, addresses and its log."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from magnoliatrail.engines.permits import Permit
+from magnoliatrail.entry.engine_stream import EngineRequest
+from magnoliatrail.generated.permits import RequestClass
+from magnoliatrail.ids import RequestId
+from magnoliatrail.requests import CompletionCall
+from magnoliatrail.wire import JSON_TYPE, encode
+
+PRIORITIES = {RequestClass.INTERACTIVE: 0, RequestClass.BATCH: 1}
+EVENT_STREAM = "text/event-stream"
+
+
+@dataclass
+class EngineRun:
+    """Hold one run, and whether the engine may be busy with it."""
+
+    request: CompletionCall
+    permit: Permit
+    request_id: RequestId
+    may_be_running: bool = False
+
+    def first_request(self) -> EngineRequest:
+        """Return the request that starts the run."""
+        priority = PRIORITIES[self.request.context.request_class]
+        fields = {
+            **self.request.fields,
+            "model": msgspec.Raw(encode(self.permit.handle)),
+            "priority": msgspec.Raw(encode(priority)),
+        }
+        headers = {"Content-Type": JSON_TYPE, "X-Request-Id": self.request_id}
+        url = self.permit.grant.engine_url + self.request.path
+        return EngineRequest("POST", url, headers, encode(fields))
+
+    def resume_request(self, position: int) -> EngineRequest:
+        """Return the request that asks for the answer from a position on."""
+        accept = EVENT_STREAM if self.request.stream else JSON_TYPE
+        headers = {"Accept": accept}
+        if position:
+            headers["Last-Event-ID"] = str(position - 1)
+        url = f"{self.permit.grant.engine_url}/v1/requests/{self.request_id}"
+        return EngineRequest("GET", url, headers)
+
+    def log_fields(self) -> dict[str, object]:
+        """Return what each log line about the run says."""
+        return {"request": self.request_id, "engine": self.permit.engine}
+
+
+def run_id(request_id: RequestId, run: int) -> RequestId:
+    """Name one run of a request, so that a late cancel stops no later run."""
+    return RequestId(f"{request_id}.{run}") if run else request_id
--- a/src/magnoliatrail/errors.py
+++ b/src/magnoliatrail/errors.py
@@ -40,6 +40,7 @@
     BACKEND_UNREACHABLE = "backend_unreachable"
     BACKEND_FAILED = "backend_failed"
     ANSWER_INVALID = "answer_invalid"
+    ANSWER_INTERRUPTED = "answer_interrupted"
     SHUTTING_DOWN = "shutting_down"
     SWITCHED_OFF = "switched_off"
     INTERNAL = "internal"
@@ -118,6 +119,9 @@
     ErrorKind.ANSWER_INVALID: AnswerRule(
         502, UNKNOWN, "ask again if the operation is idempotent", SOON
     ),
+    ErrorKind.ANSWER_INTERRUPTED: AnswerRule(
+        502, UNKNOWN, "ask again if the operation is idempotent", SOON
+    ),
     ErrorKind.SHUTTING_DOWN: AnswerRule(503, NOT_RUN, "ask another instance", SOON),
     ErrorKind.SWITCHED_OFF: AnswerRule(503, NOT_RUN, "ask the operators"),
     ErrorKind.INTERNAL: AnswerRule(500, UNKNOWN, "report the request id"),
@@ -142,6 +146,11 @@
         """Return whether the request certainly did not run."""
         return self.rule.outcome is Outcome.NOT_RUN
 
+    @property
+    def may_run_again(self) -> bool:
+        """Return whether the same completion may be dispatched once more."""
+        return self.not_run or self.kind is ErrorKind.ANSWER_INTERRUPTED
+
 
 def retry_after_of(failure: Failure) -> timedelta | None:
     """Return when to ask again, the failure's own time before the table's."""
--- a/src/magnoliatrail/standins/engine.py
+++ b/src/magnoliatrail/standins/engine.py
@@ -13,8 +13,6 @@
     CacheEvent,
     CacheEventKind,
     CacheEvents,
-    Completion,
-    CompletionChoice,
     CompletionOrder,
     EngineRefusal,
     LoadedHandle,
@@ -51,7 +49,9 @@
 
     request_id: str
     handle: str
+    length: int = 0
     texts: list[str] = field(default_factory=list)
+    chat: bool = False
     finished: bool = False
     cancelled: bool = False
     changed: asyncio.Event = field(default_factory=asyncio.Event)
@@ -82,6 +82,8 @@
         self.violations: list[str] = []
         self.loads = 0
         self.evictions = 0
+        self.runs = 0
+        self.cancels = 0
         self.tasks: set[asyncio.Task[None]] = set()
         self.restart()
 
@@ -137,12 +139,17 @@
         if adapter.running:
             self.violations.append(f"{handle} evicted with {adapter.running} running")
 
-    def start(self, request_id: str, order: CompletionOrder) -> GeneratedAnswer:
+    def start(
+        self, request_id: str, order: CompletionOrder, *, chat: bool = False
+    ) -> GeneratedAnswer:
         """Start to generate, or refuse as not run."""
         adapter = self.loaded.get(order.model)
         if adapter is None:
             raise Refused(404, "adapter_not_loaded", f"{order.model} is not loaded")
-        answer = GeneratedAnswer(request_id, order.model)
+        self.runs += 1
+        answer = GeneratedAnswer(
+            request_id, order.model, length=order.max_tokens, chat=chat
+        )
         self.answers[request_id] = answer
         adapter.running += 1
         task = asyncio.create_task(self.generate(answer, order, adapter))
@@ -169,7 +176,7 @@
         self, answer: GeneratedAnswer, order: CompletionOrder, source: str
     ) -> None:
         """Append the tokens of an answer, one a step."""
-        digest = hashlib.sha256(order.prompt.encode()).hexdigest()[:8]
+        digest = hashlib.sha256(prompt_of(order).encode()).hexdigest()[:8]
         self.record_cache_event(digest)
         for position in range(order.max_tokens):
             if answer.cancelled:
@@ -201,6 +208,7 @@
         """Stop generating for a request."""
         answer = self.answers.get(request_id)
         if answer and not answer.finished:
+            self.cancels += 1
             answer.cancelled = True
             answer.notify()
 
@@ -259,9 +267,8 @@
     return LoadReport(**fields)
 
 
-def completion_of(answer: GeneratedAnswer, text: str, *, last: bool) -> Completion:
-    """Return the message that carries a text of an answer."""
-    choice = CompletionChoice(
-        index=0, text=text, finish_reason="length" if last else None
-    )
-    return Completion(id=answer.request_id, model=answer.handle, choices=[choice])
+def prompt_of(order: CompletionOrder) -> str:
+    """Return the text that an answer depends on."""
+    if order.messages:
+        return order.messages[-1].content
+    return order.prompt
--- /dev/null
+++ b/src/magnoliatrail/standins/engine_answers.py
@@ -0,0 +1,47 @@
+"""The messages in which the engine stand-in gives its answers."""
+
+import msgspec
+
+from magnoliatrail.generated.engine import (
+    ChatAnswer,
+    ChatChoice,
+    ChatDelta,
+    ChatEvent,
+    ChatEventChoice,
+    ChatMessage,
+    Completion,
+    CompletionChoice,
+)
+from magnoliatrail.standins.engine import GeneratedAnswer
+
+
+def event_of(answer: GeneratedAnswer, position: int) -> bytes:
+    """Return one event of a streamed answer."""
+    text = answer.texts[position]
+    reason = "length" if position + 1 == answer.length else None
+    message: ChatEvent | Completion
+    if answer.chat:
+        delta = ChatDelta(content=text)
+        choice = ChatEventChoice(index=0, delta=delta, finish_reason=reason)
+        message = ChatEvent(id=answer.request_id, model=answer.handle, choices=[choice])
+    else:
+        message = completion_of(answer, text, reason)
+    return b"id: %d\ndata: %s\n\n" % (position, msgspec.json.encode(message))
+
+
+def whole_of(answer: GeneratedAnswer) -> ChatAnswer | Completion:
+    """Return a whole answer."""
+    text = "".join(answer.texts)
+    if not answer.chat:
+        return completion_of(answer, text, "length")
+    message = ChatMessage(role="assistant", content=text)
+    choice = ChatChoice(index=0, message=message, finish_reason="length")
+    return ChatAnswer(id=answer.request_id, model=answer.handle, choices=[choice])
+
+
+def completion_of(
+    answer: GeneratedAnswer, text: str, finish_reason: str | None
+) -> Completion:
+    """Return the message that carries a text of an answer."""
+    choice = CompletionChoice(index=0, text=text, finish_reason=finish_reason)
+    return Completion(id=answer.request_id, model=answer.handle, choices=[choice])
--- /dev/null
+++ b/src/magnoliatrail/standins/engine_handler.py
@@ -0,0 +1,29 @@
+"""What all handlers of the engine stand-in share."""
+
+import msgspec
+
+from magnoliatrail.standins.engine import FakeEngine, Refused
+from magnoliatrail.standins.faults import FaultyHandler
+
+
+class EngineHandler(FaultyHandler):
+    """Serve a fake engine, and turn its refusals into answers."""
+
+    def initialize(self, engine: FakeEngine) -> None:
+        """Take the engine to serve."""
+        self.engine = engine
+        self.faults = engine.faults
+
+    def refuse(self, refused: Refused) -> None:
+        """Answer with a refusal."""
+        self.set_status(refused.status)
+        self.write_json(refused.refusal)
+
+    def write_json(self, message: object) -> None:
+        """Answer with a message."""
+        self.set_header("Content-Type", "application/json")
+        self.write(msgspec.json.encode(message))
+
+    def fencing_number(self) -> int:
+        """Return the fencing number of an order."""
+        return int(self.request.headers.get("X-Fencing-Number", "0"))
--- a/src/magnoliatrail/standins/engine_http.py
+++ b/src/magnoliatrail/standins/engine_http.py
@@ -3,37 +3,11 @@
 import msgspec
 from tornado.web import Application
 
-from magnoliatrail.generated.engine import AdapterOrder, CompletionOrder
-from magnoliatrail.standins.engine import (
-    FakeEngine,
-    GeneratedAnswer,
-    Refused,
-    completion_of,
-)
-from magnoliatrail.standins.faults import FaultHandler, FaultyHandler
-
-
-class EngineHandler(FaultyHandler):
-    """Serve a fake engine, and turn its refusals into answers."""
-
-    def initialize(self, engine: FakeEngine) -> None:
-        """Take the engine to serve."""
-        self.engine = engine
-        self.faults = engine.faults
-
-    def refuse(self, refused: Refused) -> None:
-        """Answer with a refusal."""
-        self.set_status(refused.status)
-        self.write_json(refused.refusal)
-
-    def write_json(self, message: object) -> None:
-        """Answer with a message."""
-        self.set_header("Content-Type", "application/json")
-        self.write(msgspec.json.encode(message))
-
-    def fencing_number(self) -> int:
-        """Return the fencing number of an order."""
-        return int(self.request.headers.get("X-Fencing-Number", "0"))
+from magnoliatrail.generated.engine import AdapterOrder
+from magnoliatrail.standins.engine import FakeEngine, Refused
+from magnoliatrail.standins.engine_handler import EngineHandler
+from magnoliatrail.standins.engine_streams import CompletionsHandler, RequestHandler
+from magnoliatrail.standins.faults import FaultHandler
 
 
 class LoadHandler(EngineHandler):
@@ -62,89 +36,6 @@
             self.refuse(refused)
 
 
-class StreamHandler(EngineHandler):
-    """Write generated answers, streamed or whole."""
-
-    async def write_answer(
-        self, answer: GeneratedAnswer, position: int, *, stream: bool
-    ) -> None:
-        """Write an answer from a position on."""
-        if stream:
-            await self.write_stream(answer, position)
-            return
-        while not (answer.finished or answer.cancelled):
-            await answer.changed.wait()
-        text = "".join(answer.texts)
-        self.write_json(completion_of(answer, text, last=True))
-
-    async def write_stream(self, answer: GeneratedAnswer, position: int) -> None:
-        """Write an answer as server-sent events whose ids are positions."""
-        self.set_header("Content-Type", "text/event-stream")
-        while True:
-            changed = answer.changed
-            while position < len(answer.texts):
-                self.write(self.event(answer, position))
-                position += 1
-                await self.flush()
-                if self.breaks_stream(position):
-                    self.drop_connection()
-                    return
-            if answer.finished or answer.cancelled:
-                break
-            await changed.wait()
-        if answer.finished:
-            self.write(b"data: [DONE]\n\n")
-        else:
-            self.drop_connection()
-
-    def event(self, answer: GeneratedAnswer, position: int) -> bytes:
-        """Return one event of a stream."""
-        message = completion_of(answer, answer.texts[position], last=False)
-        return b"id: %d\ndata: %s\n\n" % (position, msgspec.json.encode(message))
-
-    def breaks_stream(self, position: int) -> bool:
-        """Return whether the connection is to break at a position."""
-        if not self.faults.break_streams or position < 2:  # noqa: PLR2004
-            return False
-        self.faults.break_streams -= 1
-        return True
-
-
-class CompletionsHandler(StreamHandler):
-    """Serve `POST /v1/completions`."""
-
-    async def post(self) -> None:
-        """Generate an answer."""
-        order = msgspec.json.decode(self.request.body, type=CompletionOrder)
-        request_id = self.request.headers["X-Request-Id"]
-        try:
-            answer = self.engine.start(request_id, order)
-        except Refused as refused:
-            self.refuse(refused)
-            return
-        if self.faults.wrong_adapter:
-            self.faults.wrong_adapter -= 1
-            answer.handle = "another@1~0"
-        await self.write_answer(answer, 0, stream=order.stream)
-
-
-class RequestHandler(StreamHandler):
-    """Serve `GET` (resume) and `DELETE` (cancel) of `/v1/requests/<id>`."""
-
-    async def get(self, request_id: str) -> None:
-        """Resume a stream after the event that `Last-Event-ID` names."""
-        answer = self.engine.answers.get(request_id)
-        if answer is None or answer.cancelled:
-            self.refuse(Refused(404, "unknown_request", request_id))
-            return
-        last = int(self.request.headers.get("Last-Event-ID", "-1"))
-        await self.write_answer(answer, last + 1, stream=True)
-
-    def delete(self, request_id: str) -> None:
-        """Cancel a request."""
-        self.engine.cancel(request_id)
-
-
 class ReportHandler(EngineHandler):
     """Serve `GET /load`."""
 
@@ -191,7 +82,7 @@
         [
             ("/v1/load_lora_adapter", LoadHandler, serve),
             ("/v1/unload_lora_adapter", UnloadHandler, serve),
-            ("/v1/completions", CompletionsHandler, serve),
+            ("/v1/(?:chat/)?completions", CompletionsHandler, serve),
             (r"/v1/requests/([^/]+)", RequestHandler, serve),
             ("/load", ReportHandler, serve),
             ("/cache_events", CacheEventsHandler, serve),
--- /dev/null
+++ b/src/magnoliatrail/standins/engine_streams.py
@@ -0,0 +1,128 @@
+"""The paths of the engine stand-in that give answers, with their faults."""
+
+import asyncio
+
+import msgspec
+
+from magnoliatrail.generated.engine import CompletionOrder
+from magnoliatrail.standins.engine import GeneratedAnswer, Refused
+from magnoliatrail.standins.engine_answers import event_of, whole_of
+from magnoliatrail.standins.engine_handler import EngineHandler
+
+FAULT_POSITION = 2
+CHAT_PATH = "/v1/chat/completions"
+
+
+class StreamHandler(EngineHandler):
+    """Write generated answers, streamed or whole."""
+
+    async def write_answer(
+        self, answer: GeneratedAnswer, position: int, *, stream: bool
+    ) -> None:
+        """Write an answer from a position on."""
+        if stream:
+            await self.write_stream(answer, position)
+        else:
+            await self.write_whole(answer)
+
+    async def write_whole(self, answer: GeneratedAnswer) -> None:
+        """Write an answer once it is finished."""
+        while not (answer.finished or answer.cancelled):
+            await answer.changed.wait()
+        if answer.cancelled:
+            self.drop_connection()
+            return
+        body = msgspec.json.encode(whole_of(answer))
+        self.set_header("Content-Type", "application/json")
+        if self.uses_up("cut_answers"):
+            # Without a length, only the body itself can show that it was cut.
+            self.write(body[: len(body) // 2])
+            await self.flush()
+            self.drop_connection()
+            return
+        self.write(body)
+
+    async def write_stream(self, answer: GeneratedAnswer, position: int) -> None:
+        """Write an answer as server-sent events whose ids are positions."""
+        self.set_header("Content-Type", "text/event-stream")
+        await self.flush()
+        while True:
+            changed = answer.changed
+            while position < len(answer.texts):
+                self.write(self.faulty_event(answer, position))
+                position += 1
+                await self.flush()
+                if position >= FAULT_POSITION and await self.fails():
+                    return
+            if answer.finished or answer.cancelled:
+                break
+            await changed.wait()
+        if answer.finished:
+            self.write(b"data: [DONE]\n\n")
+        else:
+            self.drop_connection()
+
+    def faulty_event(self, answer: GeneratedAnswer, position: int) -> bytes:
+        """Return one event, or what a fault makes of it."""
+        event = event_of(answer, position)
+        if position < FAULT_POSITION:
+            return event
+        if self.uses_up("duplicate_events"):
+            return event + event_of(answer, 0) + event
+        if self.uses_up("reorder_events"):
+            return event_of(answer, position - 1) + event_of(answer, position).replace(
+                b"id: %d" % position, b"id: %d" % (position + 1), 1
+            )
+        if self.uses_up("cross_events"):
+            return event.replace(answer.request_id.encode(), b"req-of-another", 1)
+        return event
+
+    async def fails(self) -> bool:
+        """Break the connection, or fall silent on it for good, if a fault says so."""
+        if self.uses_up("break_streams"):
+            self.drop_connection()
+            return True
+        if self.uses_up("silence_streams"):
+            await asyncio.Event().wait()
+        return False
+
+
+class CompletionsHandler(StreamHandler):
+    """Serve `POST /v1/completions` and `POST /v1/chat/completions`."""
+
+    async def post(self) -> None:
+        """Generate an answer."""
+        if self.uses_up("drop_answers"):
+            await asyncio.Event().wait()
+        order = msgspec.json.decode(self.request.body, type=CompletionOrder)
+        request_id = self.request.headers["X-Request-Id"]
+        chat = self.request.path == CHAT_PATH
+        try:
+            answer = self.engine.start(request_id, order, chat=chat)
+        except Refused as refused:
+            self.refuse(refused)
+            return
+        if self.uses_up("wrong_adapter"):
+            answer.handle = "another@1~0"
+        await self.write_answer(answer, 0, stream=order.stream)
+
+
+class RequestHandler(StreamHandler):
+    """Serve `GET` (resume) and `DELETE` (cancel) of `/v1/requests/<id>`."""
+
+    async def get(self, request_id: str) -> None:
+        """Resume an answer after the event that `Last-Event-ID` names."""
+        answer = self.engine.answers.get(request_id)
+        if answer is None or answer.cancelled:
+            self.refuse(Refused(404, "unknown_request", request_id))
+            return
+        last = int(self.request.headers.get("Last-Event-ID", "-1"))
+        stream = self.request.headers.get("Accept") != "application/json"
+        if not stream:
+            self.set_header("Content-Type", "application/json")
+            await self.flush()
+        await self.write_answer(answer, last + 1, stream=stream)
+
+    def delete(self, request_id: str) -> None:
+        """Cancel a request."""
+        self.engine.cancel(request_id)
--- a/src/magnoliatrail/standins/faults.py
+++ b/src/magnoliatrail/standins/faults.py
@@ -17,6 +17,12 @@
     lose_answers: int = 0
     fail_loads: int = 0
     break_streams: int = 0
+    silence_streams: int = 0
+    duplicate_events: int = 0
+    reorder_events: int = 0
+    cross_events: int = 0
+    cut_answers: int = 0
+    drop_answers: int = 0
     wrong_adapter: int = 0
 
 
@@ -66,6 +72,14 @@
         self.faults.lose_answers -= 1
         return True
 
+    def uses_up(self, fault: str) -> bool:
+        """Return whether a counted fault is due, and count it down."""
+        left: int = getattr(self.faults, fault)
+        if not left:
+            return False
+        setattr(self.faults, fault, left - 1)
+        return True
+
     def drop_connection(self) -> None:
         """Close the connection without an answer."""
         self.detach().close()
