--- /dev/null
+++ b/tests/unit/entry_rig.py
@@ -0,0 +1,168 @@
+"""One entry before engine stand-ins, in this process and over loopback."""
+
+import asyncio
+from contextlib import asynccontextmanager
+from datetime import timedelta
+
+from expression import Ok
+from tornado.httpclient import HTTPRequest
+
+from magnoliatrail.clock import SystemClock
+from magnoliatrail.config.store import ConfigurationInForce
+from magnoliatrail.engines.permits import PermitHolder
+from magnoliatrail.entry.application import caller_application
+from magnoliatrail.entry.dispatch import Dispatcher
+from magnoliatrail.entry.engine_call import EngineCaller
+from magnoliatrail.entry.lifecycle import Lifecycle
+from magnoliatrail.entry.parts import EntryParts
+from magnoliatrail.generated.permits import PermitGrant
+from magnoliatrail.generated.settings import Settings
+from magnoliatrail.ids import AdapterVersion
+from magnoliatrail.listeners import listen
+from magnoliatrail.membership.fleet import Fleet
+from magnoliatrail.metrics import RecordedMetrics
+from magnoliatrail.placement.catalogue import AdapterCatalogue
+from magnoliatrail.standins.engine import EngineLimits, FakeEngine
+from magnoliatrail.standins.engine_http import engine_application
+from magnoliatrail.wire import CallLimits, call, encode, new_http_client
+
+MODEL = AdapterVersion("adapter", "1")
+HANDLE = "adapter@1~1"
+LIMITS = CallLimits(timedelta(seconds=5), timedelta(seconds=60))
+GENEROUS_SECONDS = 30.0
+TOKENS = 8
+
+
+async def fetch_nothing(source):
+    """Fetch an adapter at once."""
+
+
+class Rig:
+    """Hold an entry whose permits go round the engines in order."""
+
+    def __init__(self, *, engines=2, token_seconds=0.002, **settings):
+        self.settings = Settings(
+            **{
+                "instance_id": "one",
+                "failure_domain": "domain-0",
+                "peer_token": "token-for-tests-only",
+                "table_url": "http://127.0.0.1:1",
+                "objects_url": "http://127.0.0.1:1",
+                "weights_url": "http://127.0.0.1:1",
+                "instance_list_url": "http://127.0.0.1:1",
+                "idle_timeout_seconds": 0.3,
+                **settings,
+            }
+        )
+        clock = SystemClock()
+        limits = EngineLimits(token_time=timedelta(seconds=token_seconds))
+        self.engines = [
+            FakeEngine(clock, limits, fetch_nothing) for _ in range(engines)
+        ]
+        self.listeners = [
+            listen(engine_application(engine), host="127.0.0.1")
+            for engine in self.engines
+        ]
+        holder = PermitHolder()
+        self.permits = [
+            holder.put(grant_for(number, listener.url))
+            for number, listener in enumerate(self.listeners)
+        ]
+        self.obtained = 0
+        self.client = new_http_client()
+        caller = EngineCaller(
+            settings=self.settings, clock=clock, client=self.client, permits=holder
+        )
+        metrics = RecordedMetrics()
+        configuration = ConfigurationInForce()
+        catalogue = AdapterCatalogue()
+        catalogue.base_models = {MODEL: "base"}
+        parts = EntryParts(
+            settings=self.settings,
+            clock=clock,
+            metrics=metrics,
+            client=self.client,
+            fleet=Fleet(),
+            configuration=configuration,
+            catalogue=catalogue,
+            dispatcher=Dispatcher(
+                clock=clock, metrics=metrics, search=self, caller=caller
+            ),
+            ledger=None,
+            lifecycle=Lifecycle(configuration),
+        )
+        self.entry = listen(caller_application(parts), host="127.0.0.1")
+
+    async def obtain(self, request):
+        """Return the next engine's permit."""
+        self.obtained += 1
+        return Ok(self.permits[(self.obtained - 1) % len(self.permits)])
+
+    async def complete(self, *, stream=True, chat=False, headers=None, **fields):
+        """Ask for a completion."""
+        body = {"model": str(MODEL), "stream": stream, "max_tokens": TOKENS}
+        body |= {"messages": [{"role": "user", "content": "p"}]} if chat else {}
+        body |= {} if chat else {"prompt": "p"}
+        path = "/v1/chat/completions" if chat else "/v1/completions"
+        request = HTTPRequest(
+            self.entry.url + path,
+            method="POST",
+            headers=headers,
+            body=encode({**body, **fields}),
+        )
+        return await call(self.client, request, LIMITS)
+
+    async def open_stream(self, tokens):
+        """Ask for a long stream over a plain connection, and read nothing."""
+        body = {
+            "model": str(MODEL),
+            "stream": True,
+            "max_tokens": tokens,
+            "prompt": "p",
+        }
+        content = encode(body)
+        head = "POST /v1/completions HTTP/1.1\r\nHost: entry\r\n"
+        length = f"Content-Length: {len(content)}\r\n\r\n"
+        # A small buffer makes a caller that reads nothing felt early.
+        reader, writer = await asyncio.open_connection(
+            self.entry.host, self.entry.port, limit=1024
+        )
+        writer.write((head + length).encode() + content)
+        return reader, writer
+
+    async def until(self, condition):
+        """Wait until a condition holds."""
+        async with asyncio.timeout(GENEROUS_SECONDS):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    @property
+    def idle(self):
+        """Return whether no permit has a request in flight."""
+        return not any(permit.in_flight for permit in self.permits)
+
+
+def grant_for(number, url):
+    """Return a grant for an engine."""
+    return PermitGrant(
+        engine=f"engine-{number}",
+        engine_url=url,
+        handle=HANDLE,
+        adapter=MODEL.adapter,
+        version=MODEL.version,
+        fencing_number=1,
+        places=8,
+    )
+
+
+@asynccontextmanager
+async def running_rig(**options):
+    """Run an entry before engines that have the adapter loaded."""
+    rig = Rig(**options)
+    try:
+        for engine in rig.engines:
+            await engine.load(HANDLE, str(MODEL), 1)
+        yield rig
+    finally:
+        for listener in [rig.entry, *rig.listeners]:
+            await listener.close()
