--- a/src/magnoliatrail/entry/answer_check.py
+++ b/src/magnoliatrail/entry/answer_check.py
@@ -15,6 +15,12 @@
 CHOICES = b'"choices":'
 FINISH_REASON = b'"finish_reason":"'
 EVENT = re.compile(rb"\Aid: (\d+)\ndata: (.*)\Z", re.DOTALL)
+# The layout that engines usually write. A quote within a JSON string is
+# escaped, so no generated text can look like a name.
+USUAL_EVENT = re.compile(
+    rb'id: (\d+)\ndata: \{"id":"([^"\\]+)",(?:"object":"[a-z._]+",)?'
+    rb'(?:"created":\d+,)?"model":"([^"\\]+)",("choices":\[[^\n]*\})\n\n'
+)
 MAX_EVENT_BYTES = 1024 * 1024
 
 
@@ -56,7 +62,8 @@
         self.caller_name = b'"model":"%s"' % str(model).encode()
         self.engine_id = b'"id":"%s"' % request_id.encode()
         self.caller_id = b'"id":"%s"' % self.caller_request_id.encode()
-        self.template = event_template(request_id, handle)
+        self.expected_id = request_id.encode()
+        self.expected_handle = handle.encode()
         self.partial = b""
         self.next_position = 0
         self.finished = False
@@ -99,10 +106,14 @@
     def take_expected(self, data: bytes) -> int:
         """Check leading events in the usual layout, and return their length."""
         progress = self.progress
+        expected = self.expected_id, self.expected_handle
         checked = 0
-        for matched in self.template.finditer(data):
-            position, choices = matched.groups()
-            if matched.start() != checked or int(position) != self.next_position:
+        for matched in USUAL_EVENT.finditer(data):
+            position, request_id, handle, choices = matched.groups()
+            in_order = matched.start() == checked and int(position) == (
+                self.next_position
+            )
+            if not in_order or (request_id, handle) != expected:
                 break
             progress.digest.update(choices)
             if FINISH_REASON in choices:
@@ -181,16 +192,6 @@
         return invalid("another run of the request gave another text")
 
 
-def event_template(request_id: RequestId, handle: Handle) -> re.Pattern[bytes]:
-    """Return the pattern of an event in the layout that engines usually write."""
-    # A quote within a JSON string is escaped, so no text can look like a name.
-    return re.compile(
-        rb'id: (\d+)\ndata: \{"id":"%s",(?:"object":"[a-z._]+",)?'
-        rb'(?:"created":\d+,)?"model":"%s",("choices":\[[^\n]*\})\n\n'
-        % (re.escape(request_id.encode()), re.escape(handle.encode()))
-    )
-
-
 def with_names(data: bytes, names: dict[str, str]) -> bytes:
     """Return a JSON object with some of its fields replaced."""
     fields = msgspec.json.decode(data, type=dict[str, msgspec.Raw])
--- a/src/magnoliatrail/entry/completions.py
+++ b/src/magnoliatrail/entry/completions.py
@@ -116,7 +116,7 @@
             return self.start_events(data)
         # The handler's own buffer and transforms would double the cost of an event.
         written = self.connection.write(data)
-        if self.connection.stream.writing() or written.done():
+        if self.connection.stream.closed() or self.connection.stream.writing():
             return self.until_written(written)
         return None
 
--- a/src/magnoliatrail/entry/engine_stream.py
+++ b/src/magnoliatrail/entry/engine_stream.py
@@ -1,15 +1,14 @@
 """One connection to an engine, and the answer that arrives on it."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from datetime import timedelta
+from socket import socket
+from typing import Any
 from urllib.parse import urlsplit
 
-from tornado.http1connection import (
-    HTTP1Connection,
-    HTTP1ConnectionParameters,
-    is_transfer_encoding_chunked,
-)
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import (
     HTTPHeaders,
     HTTPInputError,
@@ -17,17 +16,20 @@
     RequestStartLine,
     ResponseStartLine,
 )
+from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpclient import TCPClient
 
 from magnoliatrail.engines.client import HTTP_OK
-from magnoliatrail.entry.chunked import ChunkedBody
+from magnoliatrail.entry.engine_body import EngineBody
 from magnoliatrail.wire import CallFailed
 
 READ_BYTES = 16 * 1024
 MAX_REFUSAL_BYTES = 1024 * 1024
 TCP = TCPClient()
 
+TakeContent = Callable[[bytes], Awaitable[None] | None]
+
 
 @dataclass(frozen=True, slots=True)
 class StreamLimits:
@@ -79,87 +81,121 @@
 
 
 class EngineStream:
-    """Read an answer as it comes, with a limit on silence."""
+    """Hand on an answer as it comes, with a limit on silence."""
 
     def __init__(self, head: AnswerHead, source: IOStream, idle: timedelta) -> None:
         self.status = head.status
         self.refusal = bytes(head.refusal)
         self.source = source
+        self.body = EngineBody(head.headers)
+        self.socket: socket | None = None
         self.idle_seconds = idle.total_seconds()
-        self.chunked = is_transfer_encoding_chunked(head.headers)
-        self.body = ChunkedBody()
-        self.left = length_of(head.headers)
-        self.loop = asyncio.get_running_loop()
+        self.io_loop = IOLoop.current()
+        self.stopped = False
         self.waiting_since: float | None = None
-        self.silent = False
-        self.timer = self.loop.call_later(self.idle_seconds, self.check_idle)
+        self.pause: asyncio.Future[Awaitable[None] | None]
+        self.take: TakeContent
+        self.timer = self.io_loop.call_later(self.idle_seconds, self.check_idle)
 
     def check_idle(self) -> None:
-        """Close the connection if it has been silent for too long."""
+        """Give up the connection if it has been silent for too long."""
         # One timer for each stream, as one for each read costs more than the read.
-        now = self.loop.time()
+        now = self.io_loop.time()
         since = now if self.waiting_since is None else self.waiting_since
         left = since + self.idle_seconds - now
-        if left <= 0:
-            self.silent = True
-            self.source.close()
+        if left > 0:
+            self.timer = self.io_loop.call_later(left, self.check_idle)
             return
-        self.timer = self.loop.call_later(left, self.check_idle)
+        if not self.pause.done():
+            error = SilentConnection("the connection is silent", sent=True)
+            self.pause.set_exception(error)
 
-    async def read(self) -> bytes:
-        """Return the next bytes of the body, none at its end.
+    async def pump(self, take: TakeContent) -> None:
+        """Hand the body to a function read by read, until its end or `stop`.
 
+        Nothing is read while what the function returned has not ended.
         Raises CallFailed if the connection breaks or is silent, and
         HTTPInputError if the body is malformed.
         """
-        body = self.body
-        while not body.finished and self.left != 0:
-            self.waiting_since = self.loop.time()
+        self.take = take
+        while not self.ended:
+            self.pause = asyncio.get_running_loop().create_future()
+            self.waiting_since = self.io_loop.time()
+            if self.socket:
+                self.io_loop.add_handler(self.socket, self.on_readable, IOLoop.READ)
+            else:
+                read = asyncio.ensure_future(self.read_buffered())
+                self.io_loop.add_future(read, self.on_buffered)
             try:
-                data = await self.source.read_bytes(READ_BYTES, partial=True)
-            except StreamClosedError as error:
-                return self.closed(error)
-            self.waiting_since = None
-            if not self.chunked:
-                return self.counted(data)
-            content = body.take(data)
-            if content:
-                return content
-        return b""
-
-    def counted(self, data: bytes) -> bytes:
-        """Count bytes of a body whose length was given, and return them."""
-        if self.left is None:
-            return data
-        data = data[: self.left]
-        self.left -= len(data)
-        return data
-
-    def closed(self, error: StreamClosedError) -> bytes:
-        """Return the end of a body that a close ends, else raise CallFailed."""
-        if self.silent:
-            raise SilentConnection("the connection is silent", sent=True) from error
-        if self.chunked or self.left is not None:
-            raise CallFailed(str(error), sent=True) from error
-        return b""
+                written = await self.pause
+            finally:
+                self.waiting_since = None
+                if self.socket:
+                    self.io_loop.remove_handler(self.socket)
+            if written is not None:
+                await written
+
+    @property
+    def ended(self) -> bool:
+        """Return whether nothing more is to be read."""
+        return self.stopped or self.body.finished
+
+    def stop(self) -> None:
+        """Read nothing more."""
+        self.stopped = True
+
+    def read_buffered(self) -> Awaitable[bytes]:
+        """Read through the library, which may hold a first part of the body."""
+        return self.source.read_bytes(READ_BYTES, partial=True)
+
+    def on_buffered(self, read: "asyncio.Future[bytes]") -> None:
+        """Take a read, and the socket once the library holds no more bytes."""
+        if self.pause.done():
+            return
+        try:
+            data = read.result()
+        except StreamClosedError:
+            self.feed(b"")
+            return
+        if len(data) < READ_BYTES and not self.source.closed():
+            # Reading through IOStream costs a second system call, a future and
+            # a task switch for each event.
+            self.socket = self.source.socket.dup()
+            self.source.close()
+        self.feed(data)
+        if not self.pause.done():
+            self.pause.set_result(None)
+
+    def on_readable(self, socket: Any, events: int) -> None:
+        """Read once and hand the content on."""
+        try:
+            data = socket.recv(READ_BYTES)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            data = b""
+        self.feed(data)
+
+    def feed(self, data: bytes) -> None:
+        """Hand on the content of one read, and pause if it does not leave at once."""
+        if self.pause.done():
+            return
+        self.waiting_since = self.io_loop.time()
+        try:
+            content = self.body.take(data)
+            written = self.take(content) if content else None
+        except Exception as error:
+            self.pause.set_exception(error)
+            return
+        if written is not None or self.ended:
+            self.pause.set_result(written)
 
     def close(self) -> None:
         """Close the connection."""
-        self.timer.cancel()
+        self.io_loop.remove_timeout(self.timer)
         self.source.close()
-
-
-def length_of(headers: HTTPHeaders) -> int | None:
-    """Return the length of a body that is not chunked, None if it is not given.
-
-    Raises HTTPInputError if it is no length.
-    """
-    text = headers.get("Content-Length")
-    if text is None or is_transfer_encoding_chunked(headers):
-        return None
-    if not text.isascii() or not text.isdigit():
-        raise HTTPInputError("the length of the body is no number")
-    return int(text)
+        if self.socket:
+            self.socket.close()
 
 
 async def open_stream(request: EngineRequest, limits: StreamLimits) -> EngineStream:
--- a/src/magnoliatrail/entry/stream_relay.py
+++ b/src/magnoliatrail/entry/stream_relay.py
@@ -1,12 +1,17 @@
 """Passing the events of one connection on to a caller."""
 
+from collections.abc import Awaitable
 from dataclasses import dataclass
 
 from tornado.httputil import HTTPInputError
 
 from magnoliatrail.entry.answer_check import AnswerCheck
 from magnoliatrail.entry.answer_sink import AnswerSink
-from magnoliatrail.entry.engine_stream import EngineStream, SilentConnection
+from magnoliatrail.entry.engine_stream import (
+    EngineStream,
+    SilentConnection,
+    TakeContent,
+)
 from magnoliatrail.errors import Failure
 from magnoliatrail.wire import CallFailed
 
@@ -25,22 +30,30 @@
 ) -> Broken | None:
     """Pass checked events on until the answer is whole or the connection fails."""
     check.reconnect()
+
+    def take(data: bytes) -> Awaitable[None] | None:
+        events = check.take(data)
+        if check.finished or check.failure:
+            stream.stop()
+        return sink.write_events(events) if events else None
+
+    broken = await pump(stream, take)
+    if check.finished:
+        return None
+    if check.failure:
+        return Broken(check.failure.message, final=final_failure(check))
+    return broken or Broken(f"the stream ended at position {check.next_position}")
+
+
+async def pump(stream: EngineStream, take: TakeContent) -> Broken | None:
+    """Hand a body on, and return how its connection broke, if it did."""
     try:
-        while data := await stream.read():
-            events = check.take(data)
-            if events:
-                written = sink.write_events(events)
-                if written is not None:
-                    await written
-            if check.finished:
-                return None
-            if check.failure:
-                return Broken(check.failure.message, final=final_failure(check))
+        await stream.pump(take)
     except SilentConnection as error:
         return Broken(str(error), silent=True)
     except (CallFailed, HTTPInputError) as error:
         return Broken(str(error))
-    return Broken(f"the stream ended at position {check.next_position}")
+    return None
 
 
 def final_failure(check: AnswerCheck) -> Failure | None:
--- a/src/magnoliatrail/entry/whole_answer.py
+++ b/src/magnoliatrail/entry/whole_answer.py
@@ -1,14 +1,13 @@
 """Reading and checking an answer that is not streamed."""
 
 import msgspec
-from tornado.httputil import HTTPInputError
 
 from magnoliatrail.entry.answer_check import check_names, with_names
-from magnoliatrail.entry.engine_stream import EngineStream, SilentConnection
-from magnoliatrail.entry.stream_relay import Broken
+from magnoliatrail.entry.engine_stream import EngineStream
+from magnoliatrail.entry.stream_relay import Broken, pump
 from magnoliatrail.generated.engine import AnswerNames
 from magnoliatrail.ids import AdapterVersion, Handle, RequestId
-from magnoliatrail.wire import MAX_RESPONSE_BYTES, CallFailed
+from magnoliatrail.wire import MAX_RESPONSE_BYTES
 
 
 async def read_whole(
@@ -16,16 +15,16 @@
 ) -> bytes | Broken:
     """Read a whole answer, or say why it is not the one asked for."""
     body = bytearray()
-    try:
-        while data := await stream.read():
-            body += data
-            if len(body) > MAX_RESPONSE_BYTES:
-                return Broken(f"the answer has more than {MAX_RESPONSE_BYTES} bytes")
-    except SilentConnection as error:
-        return Broken(str(error), silent=True)
-    except (CallFailed, HTTPInputError) as error:
-        return Broken(str(error))
-    return check_whole(bytes(body), request_id, handle)
+
+    def take(data: bytes) -> None:
+        body.extend(data)
+        if len(body) > MAX_RESPONSE_BYTES:
+            stream.stop()
+
+    broken = await pump(stream, take)
+    if len(body) > MAX_RESPONSE_BYTES:
+        return Broken(f"the answer has more than {MAX_RESPONSE_BYTES} bytes")
+    return broken or check_whole(bytes(body), request_id, handle)
 
 
 def check_whole(body: bytes, request_id: RequestId, handle: Handle) -> bytes | Broken:
--- a/tests/unit/test_stream_relay.py
+++ b/tests/unit/test_stream_relay.py
@@ -1,24 +1,18 @@
 import asyncio
+import select
+from datetime import timedelta
+from socket import socketpair
+
+from tornado.iostream import IOStream
 
 from magnoliatrail.entry.answer_check import AnswerCheck
+from magnoliatrail.entry.engine_stream import AnswerHead, EngineStream
 from magnoliatrail.entry.stream_relay import pass_events_on
 from magnoliatrail.ids import AdapterVersion, Handle, RequestId
 
 from .test_answer_check import DONE, LAST, event
 
 
-class CountedReads:
-    """Give one event for each read."""
-
-    def __init__(self, events):
-        self.events = events
-        self.reads = 0
-
-    async def read(self):
-        self.reads += 1
-        return self.events[self.reads - 1]
-
-
 class SlowSink:
     """Take events only when told to."""
 
@@ -33,16 +27,30 @@
 
 def test_nothing_is_read_from_the_engine_while_the_caller_takes_nothing(run):
     async def scenario():
-        stream = CountedReads([event(0), event(1), event(2, reason=LAST) + DONE])
+        near, far = socketpair()
+        far.setblocking(False)
+        stream = EngineStream(AnswerHead(None), IOStream(near), timedelta(hours=1))
         sink = SlowSink()
         check = AnswerCheck(RequestId("r"), Handle("a@1~3"), AdapterVersion("a", "1"))
         relay = asyncio.create_task(pass_events_on(stream, check, sink))
-        for _ in range(20):
+        position = 0
+        # The far end can write only what the buffers between the two ends hold.
+        while writable(far):
+            far.send(event(position))
+            position += 1
             await asyncio.sleep(0)
-        assert stream.reads == 1
+        assert len(sink.taken) == 1
         sink.may_go_on.set()
+        far.setblocking(True)
+        await asyncio.to_thread(far.sendall, event(position, reason=LAST) + DONE)
         assert await relay is None
-        assert stream.reads == 3
-        assert len(sink.taken) == 3
+        assert check.next_position == position + 1
+        stream.close()
+        far.close()
 
     run(scenario())
+
+
+def writable(sock):
+    """Return whether a socket takes more bytes at once."""
+    return bool(select.select([], [sock], [], 0)[1])
