--- a/src/magnoliatrail/entry/chunked.py
+++ b/src/magnoliatrail/entry/chunked.py
@@ -1,10 +1,12 @@
 """Decoding of a chunked HTTP body, many chunks to a read."""
 
-from tornado.http1connection import parse_hex_int
+import re
+
 from tornado.httputil import HTTPInputError
 
 LINE_END = b"\r\n"
-MAX_SIZE_LINE_BYTES = 64
+SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,8})\r\n")
+SIZE_LINE_START = re.compile(rb"(?:[0-9A-Fa-f]{1,8}\r?)?")
 MAX_CHUNK_BYTES = 1024 * 1024
 
 
@@ -25,36 +27,27 @@
         content = []
         at = 0
         while not self.finished:
-            size_end = data.find(LINE_END, at, at + MAX_SIZE_LINE_BYTES)
-            if size_end < 0:
+            matched = SIZE_LINE.match(data, at)
+            if matched is None:
                 check_size_line(data, at)
                 break
-            start = size_end + len(LINE_END)
-            end = start + chunk_size(data[at:size_end])
-            next_chunk = end + len(LINE_END)
-            if len(data) < next_chunk:
+            size = int(matched[1], 16)
+            if size > MAX_CHUNK_BYTES:
+                raise HTTPInputError(f"a chunk has more than {MAX_CHUNK_BYTES} bytes")
+            start = matched.end()
+            end = start + size
+            if len(data) < end + 2:
                 break
-            if data[end:next_chunk] != LINE_END:
+            if data[end : end + 2] != LINE_END:
                 raise HTTPInputError("a chunk does not end where its size says")
             content.append(data[start:end])
-            self.finished = end == start
-            at = next_chunk
+            self.finished = not size
+            at = end + 2
         self.partial = data[at:]
         return content[0] if len(content) == 1 else b"".join(content)
 
 
 def check_size_line(data: bytes, at: int) -> None:
-    """Check that the line with a chunk's size can still come to its end."""
-    if len(data) - at >= MAX_SIZE_LINE_BYTES:
-        raise HTTPInputError("the size of a chunk is too long")
-
-
-def chunk_size(line: bytes) -> int:
-    """Return the size of a chunk."""
-    try:
-        size = parse_hex_int(line.decode("latin1"))
-    except ValueError as error:
-        raise HTTPInputError("the size of a chunk is no number") from error
-    if size > MAX_CHUNK_BYTES:
-        raise HTTPInputError(f"a chunk has more than {MAX_CHUNK_BYTES} bytes")
-    return size
+    """Check that what stands before a chunk can still become its size."""
+    if not SIZE_LINE_START.fullmatch(data, at):
+        raise HTTPInputError("the size of a chunk is no number")
--- a/src/magnoliatrail/entry/completions.py
+++ b/src/magnoliatrail/entry/completions.py
@@ -12,6 +12,7 @@
 
 from magnoliatrail.entry.answer_check import StreamProgress
 from magnoliatrail.entry.answer_sink import CallerGone
+from magnoliatrail.entry.chunk_writer import ChunkWriter
 from magnoliatrail.entry.handlers import CallerHandler
 from magnoliatrail.entry.parts import EntryParts
 from magnoliatrail.errors import Failure, answer_of
@@ -38,6 +39,7 @@
         """Start with nothing passed on."""
         super().initialize(parts)
         self.progress = StreamProgress()
+        self.writer: ChunkWriter | None = None
         self.answering: asyncio.Task[Result[None, Failure]] | None = None
         self.stall_limit = timedelta(seconds=parts.settings.idle_timeout_seconds)
 
@@ -114,11 +116,14 @@
         """Pass checked events on; what is returned ends once they have left."""
         if not self._headers_written:
             return self.start_events(data)
-        # The handler's own buffer and transforms would double the cost of an event.
-        written = self.connection.write(data)
-        if self.connection.stream.closed() or self.connection.stream.writing():
-            return self.until_written(written)
-        return None
+        if self.writer is None:
+            self.write(data)
+            return self.until_written(self.flush())
+        try:
+            written = self.writer.write(data)
+        except OSError as error:
+            raise CallerGone("the caller's connection is closed") from error
+        return None if written is None else self.until_written(written)
 
     async def start_events(self, data: bytes) -> None:
         """Send the head of a stream and its first events."""
@@ -128,6 +133,8 @@
         self.set_header("X-Request-Id", self.request_id)
         self.write(data)
         await self.until_written(self.flush())
+        if self.request.version == "HTTP/1.1":
+            self.writer = ChunkWriter(self.connection.stream)
 
     async def until_written(self, written: Awaitable[None]) -> None:
         """Wait until events have left, for as long as the caller takes any."""
