Route plain services to the less busy of two, with retries and whole headers

Cause: the path was rebuilt from tornado's decoded argument, so that an encoded CR LF or slash reached the replica's request line; a caller could name a non-idempotent operation in another way (dot segments, encoded letters, path parameters) and escape the ledger; only Content-Type was passed either way; PATCH, HEAD and OPTIONS were refused; a replica was drawn at random and nothing was asked again. Repeated or unprintable X-Caller and Idempotency-Key headers were joined or taken as they came.

Now the raw path is checked and passed on, headers and bodies go whole but for the hop's own, an answer without length or chunks is not taken for whole, and idempotent calls are asked again within a budget, the deadline and jittered waits. A call that stays silent past the idle limit is asked again over a new connection if idempotent; otherwise the caller is told to come back while the one attempt goes on.

--- a/src/magnoliatrail/daemon.py
+++ b/src/magnoliatrail/daemon.py
@@ -18,6 +18,7 @@
 from magnoliatrail.entry.engine_call import EngineCaller
 from magnoliatrail.entry.lifecycle import Lifecycle
 from magnoliatrail.entry.parts import EntryParts
+from magnoliatrail.entry.service_call import ServiceCaller
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.generated.membership import (
     Heartbeat,
@@ -114,6 +115,8 @@
             catalogue=self.catalogue,
             dispatcher=self.new_dispatcher(),
             ledger=self.operations.ledger,
+            settler=self.operations.settler,
+            services=self.new_service_caller(),
             lifecycle=self.lifecycle,
         )
         self.caller_listener: Listener | None = None
@@ -141,6 +144,18 @@
             clock=self.clock, metrics=self.metrics, search=search, caller=caller
         )
 
+    def new_service_caller(self) -> ServiceCaller:
+        """Return the part that calls plain services."""
+        return ServiceCaller(
+            settings=self.settings,
+            clock=self.clock,
+            client=self.client,
+            fleet=self.fleet,
+            metrics=self.metrics,
+            retry_share=lambda: self.configuration.configuration.defaults.retry_share,
+            generator=self.operations.generator,
+        )
+
     async def start(self) -> None:
         """Open the listeners, join the fleet and start the tasks."""
         settings = self.settings
--- a/src/magnoliatrail/entry/application.py
+++ b/src/magnoliatrail/entry/application.py
@@ -37,7 +37,7 @@
         [
             ("/v1/(?:chat/)?completions", CompletionHandler, use),
             ("/v1/models", ModelsHandler, use),
-            (r"/services/([A-Za-z0-9._-]+)/(.*)", ServiceHandler, use),
+            (r"/services/[A-Za-z0-9._-]+/.*", ServiceHandler, use),
             ("/healthz", HealthHandler, use),
             ("/readyz", ReadyHandler, use),
         ],
--- a/src/magnoliatrail/entry/context.py
+++ b/src/magnoliatrail/entry/context.py
@@ -1,5 +1,6 @@
 """What the headers of a caller's request say."""
 
+import re
 from datetime import timedelta
 
 from expression import Error, Ok, Result
@@ -17,12 +18,25 @@
 DEADLINE_HEADER = "X-Deadline-Seconds"
 KEY_HEADER = "Idempotency-Key"
 ANONYMOUS = CallerId("anonymous")
+MAX_CALLER_CHARACTERS = 128
+MAX_KEY_CHARACTERS = 255
+PRINTABLE = re.compile(r"[\x21-\x7e](?:[\x20-\x7e]*[\x21-\x7e])?")
 
 
 def read_context(
     headers: HTTPHeaders, request_id: RequestId, settings: Settings, clock: Clock
 ) -> Result[RequestContext, Failure]:
     """Read the context of a request from its headers."""
+    match single_text(headers, CALLER_HEADER, MAX_CALLER_CHARACTERS):
+        case Result(tag="ok", ok=caller):
+            pass
+        case Result(error=failure):
+            return Error(failure)
+    match single_text(headers, KEY_HEADER, MAX_KEY_CHARACTERS):
+        case Result(tag="ok", ok=key):
+            pass
+        case Result(error=failure):
+            return Error(failure)
     text = headers.get(DEADLINE_HEADER, str(settings.default_deadline_seconds))
     try:
         seconds = float(text)
@@ -38,15 +52,28 @@
     return Ok(
         RequestContext(
             request_id=request_id,
-            caller=CallerId(headers.get(CALLER_HEADER, ANONYMOUS)),
+            caller=CallerId(caller or ANONYMOUS),
             request_class=RequestClass(class_name),
             started=now,
             deadline=now + timedelta(seconds=seconds),
-            idempotency_key=headers.get(KEY_HEADER, ""),
+            idempotency_key=key,
         )
     )
 
 
+def single_text(headers: HTTPHeaders, name: str, most: int) -> Result[str, Failure]:
+    """Read a header that names something, empty if it is absent."""
+    values = headers.get_list(name)
+    if not values:
+        return Ok("")
+    if len(values) > 1:
+        return Error(bad_header(name, ", ".join(values), "sent once"))
+    if len(values[0]) > most or not PRINTABLE.fullmatch(values[0]):
+        allowed = f"1 to {most} printable ASCII characters"
+        return Error(bad_header(name, values[0][:most], allowed))
+    return Ok(values[0])
+
+
 def bad_header(name: str, value: str, allowed: str) -> Failure:
     """Return the failure for a header with a bad value."""
     message = f"header {name} is {value!r}; it must be {allowed}"
--- /dev/null
+++ b/src/magnoliatrail/entry/forwarding.py
@@ -0,0 +1,42 @@
+"""Headers that are passed on between a caller and a plain service."""
+
+from tornado.httputil import HTTPHeaders
+
+# Headers that speak of one connection only, by RFC 9110 section 7.6.1.
+HOP_BY_HOP = {
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+}
+# What the HTTP client or server sets by itself for each message.
+SET_AGAIN = {"host", "content-length", "expect"}
+
+
+def named_by_connection(headers: HTTPHeaders) -> set[str]:
+    """Return the headers that the header Connection declares hop-by-hop."""
+    values = headers.get_list("Connection")
+    names = [name.strip().lower() for value in values for name in value.split(",")]
+    return {name for name in names if name}
+
+
+def end_to_end(headers: HTTPHeaders) -> list[tuple[str, str]]:
+    """Return the headers that are passed on, repeated ones each by itself."""
+    dropped = HOP_BY_HOP | SET_AGAIN | named_by_connection(headers)
+    return [
+        (name, value)
+        for name, value in headers.get_all()
+        if name.lower() not in dropped
+    ]
+
+
+def is_framed(headers: HTTPHeaders, status: int, method: str) -> bool:
+    """Return whether the end of an answer can be told from a lost connection."""
+    if method == "HEAD" or status in (204, 304):
+        return True
+    return "Content-Length" in headers or "Transfer-Encoding" in headers
--- a/src/magnoliatrail/entry/parts.py
+++ b/src/magnoliatrail/entry/parts.py
@@ -8,10 +8,12 @@
 from magnoliatrail.config.store import ConfigurationInForce
 from magnoliatrail.entry.dispatch import Dispatcher
 from magnoliatrail.entry.lifecycle import Lifecycle
+from magnoliatrail.entry.service_call import ServiceCaller
 from magnoliatrail.generated.settings import Settings
 from magnoliatrail.membership.fleet import Fleet
 from magnoliatrail.metrics import Metrics
 from magnoliatrail.operations.ledger import OperationLedger
+from magnoliatrail.operations.settling import Settler
 from magnoliatrail.placement.catalogue import AdapterCatalogue
 
 
@@ -28,4 +30,6 @@
     catalogue: AdapterCatalogue
     dispatcher: Dispatcher
     ledger: OperationLedger
+    settler: Settler
+    services: ServiceCaller
     lifecycle: Lifecycle
--- /dev/null
+++ b/src/magnoliatrail/entry/service_call.py
@@ -0,0 +1,285 @@
+"""Calls to the replicas of a plain service."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, field
+from datetime import timedelta
+from random import Random
+from urllib.parse import urlsplit
+
+from expression import Error, Ok, Result
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
+from tornado.httputil import HTTPHeaders
+from tornado.tcpclient import TCPClient
+
+from magnoliatrail.clock import Clock
+from magnoliatrail.entry.context import DEADLINE_HEADER
+from magnoliatrail.entry.forwarding import end_to_end, is_framed
+from magnoliatrail.entry.retry_budget import RetryBudget
+from magnoliatrail.errors import ErrorKind, Failure
+from magnoliatrail.generated.platform import ListedInstance, ListedKind
+from magnoliatrail.generated.settings import Settings
+from magnoliatrail.logs import EventLog
+from magnoliatrail.membership.fleet import Fleet
+from magnoliatrail.metrics import Metrics
+from magnoliatrail.operations.backoff import Backoff, waits
+from magnoliatrail.operations.rows import RecordedAnswer
+from magnoliatrail.requests import RequestContext
+from magnoliatrail.wire import CallFailed, CallLimits, call
+
+log = EventLog("services")
+
+CHOICES = 2
+HTTP_UNAVAILABLE = 503
+RETRY = Backoff(
+    first=timedelta(milliseconds=50),
+    longest=timedelta(seconds=2),
+    total=timedelta(seconds=30),
+)
+
+Answer = Result[RecordedAnswer, Failure]
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceRequest:
+    """Hold one caller's request for a plain service."""
+
+    context: RequestContext
+    service: str
+    method: str
+    path: str
+    query: str
+    headers: HTTPHeaders
+    body: bytes
+
+
+@dataclass
+class Progress:
+    """Say which replica a request was sent to last."""
+
+    replica: ListedInstance | None = None
+    tried: set[str] = field(default_factory=set)
+
+
+class ServiceCaller:
+    """Route requests to live replicas, and ask again where that is safe."""
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        clock: Clock,
+        client: AsyncHTTPClient,
+        fleet: Fleet,
+        metrics: Metrics,
+        retry_share: Callable[[], float],
+        generator: Random,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.client = client
+        self.fleet = fleet
+        self.metrics = metrics
+        self.generator = generator
+        self.budget = RetryBudget(retry_share)
+        self.in_flight: Counter[str] = Counter()
+        self.idle_limit = timedelta(seconds=settings.idle_timeout_seconds)
+        self.connect_limit = timedelta(seconds=settings.connect_timeout_seconds)
+        self.prober = TCPClient()
+
+    def refusal(self, request: ServiceRequest) -> Failure | None:
+        """Return why a request cannot be sent now, None if it can."""
+        if not self.fleet.live_services(request.service):
+            return self.no_replica(request.service)
+        if not request.context.time_left(self.clock):
+            message = "the deadline passed before the request was sent"
+            return Failure(ErrorKind.DEADLINE_UNREACHABLE, message)
+        return None
+
+    def no_replica(self, service: str) -> Failure:
+        """Return the failure for a service without a live replica."""
+        listed = any(
+            item.kind is ListedKind.SERVICE and item.name == service
+            for item in self.fleet.listed.values()
+        )
+        if listed:
+            message = f"every replica of service {service!r} is leaving"
+            return Failure(ErrorKind.NO_BACKEND_SERVER, message)
+        message = f"no service {service!r} is listed"
+        return Failure(ErrorKind.UNKNOWN_SERVICE, message)
+
+    async def ask(self, request: ServiceRequest) -> Answer:
+        """Send an idempotent request, again if need be and the budget allows."""
+        self.budget.earn()
+        progress = Progress()
+        answer = await self.ask_twice_if_silent(request, progress)
+        for wait in waits(RETRY, self.generator):
+            if not worth_asking_again(answer):
+                break
+            if not await self.may_retry(request, wait):
+                break
+            answer = await self.ask_twice_if_silent(request, progress)
+        return answer
+
+    async def ask_once(self, request: ServiceRequest, progress: Progress) -> Answer:
+        """Send a non-idempotent request, again only if it certainly did not run."""
+        self.budget.earn()
+        answer = await self.send(request, progress)
+        for wait in waits(RETRY, self.generator):
+            if answer.is_ok() or not answer.error.not_run:
+                break
+            if not await self.may_retry(request, wait):
+                break
+            answer = await self.send(request, progress)
+        return answer
+
+    async def may_retry(self, request: ServiceRequest, wait: timedelta) -> bool:
+        """Wait before a retry, unless the budget or the deadline is used up."""
+        if wait >= request.context.time_left(self.clock) or not self.budget.spend():
+            return False
+        self.metrics.count("services.retries")
+        await self.clock.sleep(wait)
+        return True
+
+    async def ask_twice_if_silent(
+        self, request: ServiceRequest, progress: Progress
+    ) -> Answer:
+        """Send a request, and again over a new connection if the first is silent.
+
+        The first call goes on, since it may only be slow: the first answer counts.
+        """
+        first = asyncio.create_task(self.send(request, progress))
+        if await self.done_within(first, self.idle_limit) or not self.budget.spend():
+            return await first
+        self.metrics.count("services.silent")
+        log.warning("silent", request=request.context.request_id, asked="again")
+        second = asyncio.create_task(self.send(request, progress))
+        return await first_answer({first, second})
+
+    async def done_within(self, task: asyncio.Task[Answer], limit: timedelta) -> bool:
+        """Wait a bounded time for a task, and return whether it is done."""
+        timer = asyncio.ensure_future(self.clock.sleep(limit))
+        await asyncio.wait({task, timer}, return_when=asyncio.FIRST_COMPLETED)
+        timer.cancel()
+        return task.done()
+
+    async def is_reachable(self, replica: ListedInstance) -> bool:
+        """Return whether a replica takes a new connection."""
+        address = urlsplit(replica.url)
+        try:
+            stream = await self.prober.connect(
+                address.hostname or "", address.port or 80, timeout=self.connect_limit
+            )
+        except (OSError, TimeoutError):
+            return False
+        stream.close()
+        return True
+
+    async def send(self, request: ServiceRequest, progress: Progress) -> Answer:
+        """Send a request to a live replica."""
+        refusal = self.refusal(request)
+        if refusal:
+            return Error(refusal)
+        replica = self.choose(request, progress.tried)
+        progress.replica = replica
+        progress.tried.add(replica.id)
+        self.in_flight[replica.id] += 1
+        try:
+            return await self.send_to(request, replica)
+        finally:
+            self.in_flight[replica.id] -= 1
+            if not self.in_flight[replica.id]:
+                del self.in_flight[replica.id]
+
+    def choose(self, request: ServiceRequest, tried: Collection[str]) -> ListedInstance:
+        """Choose the less busy of two live replicas, untried ones first."""
+        live = self.fleet.live_services(request.service)
+        untried = [replica for replica in live if replica.id not in tried]
+        pool = untried or live
+        drawn = self.generator.sample(pool, min(CHOICES, len(pool)))
+        replica = min(drawn, key=lambda item: self.in_flight[item.id])
+        log.info(
+            "routed",
+            request=request.context.request_id,
+            service=request.service,
+            replica=replica.id,
+            in_flight=self.in_flight[replica.id],
+            reason="least_of_two" if untried else "all_tried",
+        )
+        return replica
+
+    async def send_to(self, request: ServiceRequest, replica: ListedInstance) -> Answer:
+        """Send a request to one replica."""
+        time_left = request.context.time_left(self.clock)
+        limits = CallLimits(self.connect_limit, time_left)
+        message = replica_request(request, replica, time_left)
+        try:
+            response = await call(self.client, message, limits)
+        except CallFailed as error:
+            return Error(self.failed(request, error))
+        if not is_framed(response.headers, response.code, request.method):
+            reason = "the answer had neither a length nor chunks, so it may be cut off"
+            return Error(Failure(ErrorKind.ANSWER_INVALID, reason))
+        return Ok(recorded_answer(response))
+
+    def failed(self, request: ServiceRequest, error: CallFailed) -> Failure:
+        """Return the failure for a call without an answer."""
+        if not error.sent:
+            return Failure(ErrorKind.BACKEND_UNREACHABLE, str(error))
+        if not request.context.time_left(self.clock):
+            return Failure(ErrorKind.DEADLINE_EXCEEDED, str(error))
+        return Failure(ErrorKind.BACKEND_FAILED, str(error))
+
+
+def worth_asking_again(answer: Answer) -> bool:
+    """Return whether an idempotent request should be sent again."""
+    if answer.is_ok():
+        return answer.ok.status == HTTP_UNAVAILABLE
+    return answer.error.kind in {
+        ErrorKind.BACKEND_UNREACHABLE,
+        ErrorKind.BACKEND_FAILED,
+        ErrorKind.ANSWER_INVALID,
+    }
+
+
+async def first_answer(tasks: set[asyncio.Task[Answer]]) -> Answer:
+    """Return the first answer of some calls, or the last failure."""
+    pending = tasks
+    while True:
+        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        results = [task.result() for task in done]
+        answers = [result for result in results if result.is_ok()]
+        if answers or not pending:
+            for task in pending:
+                task.cancel()
+            return (answers or results)[0]
+
+
+def replica_request(
+    request: ServiceRequest, replica: ListedInstance, time_left: timedelta
+) -> HTTPRequest:
+    """Return the request that a replica gets, whole but for the hop's headers."""
+    headers = HTTPHeaders()
+    for name, value in end_to_end(request.headers):
+        headers.add(name, value)
+    headers["X-Request-Id"] = request.context.request_id
+    headers[DEADLINE_HEADER] = f"{time_left.total_seconds():.3f}"
+    query = f"?{request.query}" if request.query else ""
+    has_body = bool(request.body) or request.method in {"POST", "PUT", "PATCH"}
+    return HTTPRequest(
+        f"{replica.url}/{request.path}{query}",
+        method=request.method,
+        headers=headers,
+        body=request.body if has_body else None,
+        # A GET or DELETE with a body is the service's to judge.
+        allow_nonstandard_methods=True,
+    )
+
+
+def recorded_answer(response: HTTPResponse) -> RecordedAnswer:
+    """Return what a repeat of the call would receive again."""
+    passed = end_to_end(response.headers)
+    headers = tuple(item for item in passed if item[0].lower() != "content-type")
+    content_type = response.headers.get("Content-Type", "")
+    return RecordedAnswer(response.code, content_type, response.body, headers)
--- a/src/magnoliatrail/entry/services.py
+++ b/src/magnoliatrail/entry/services.py
@@ -1,153 +1,191 @@
 """The paths of plain services."""
 
-import random
-from datetime import timedelta
+import asyncio
 
 from expression import Error, Ok, Result
-from tornado.httpclient import HTTPRequest, HTTPResponse
+from tornado.web import stream_request_body
 
 from magnoliatrail.config.resolve import Scopes, setting_of
-from magnoliatrail.entry.context import KEY_HEADER
 from magnoliatrail.entry.handlers import CallerHandler
+from magnoliatrail.entry.paths import ServicePath, check_query, service_path
+from magnoliatrail.entry.service_call import Answer, Progress, ServiceRequest
 from magnoliatrail.errors import ErrorKind, Failure
-from magnoliatrail.generated.platform import ListedInstance
-from magnoliatrail.logs import EventLog
+from magnoliatrail.generated.configuration import Configuration, ScopeKind
 from magnoliatrail.operations.rows import Claim, Operation, RecordedAnswer
 from magnoliatrail.requests import RequestContext
-from magnoliatrail.wire import CallFailed, CallLimits, call
 
-log = EventLog("services")
-
-BODY_METHODS = {"POST", "PUT", "PATCH"}
+BODILESS_STATUSES = {204, 304}
 
 
+@stream_request_body
 class ServiceHandler(CallerHandler):
     """Serve `/services/<name>/<path>`."""
 
-    async def serve(self, name: str, path: str) -> None:
+    def prepare(self) -> None:
+        """Collect the body as it is, without parsing forms in it."""
+        self.body = bytearray()
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take a part of the body; the listener bounds its size."""
+        self.body += chunk
+
+    def compute_etag(self) -> None:
+        """Leave conditional requests to the service."""
+
+    async def serve(self, *_: str) -> None:
         """Route one call to a live replica of a plain service."""
         refusal = self.parts.lifecycle.refusal()
         if refusal:
             self.refuse(refusal)
             return
-        match self.read_context():
-            case Result(tag="ok", ok=context):
-                pass
-            case Result(error=failure):
-                self.refuse(failure)
-                return
         with self.parts.lifecycle.request():
-            match await self.run(context, name, path):
+            match await self.answer():
                 case Result(tag="ok", ok=answer):
                     self.pass_on(answer)
                 case Result(error=failure):
                     self.refuse(failure)
 
-    get = post = put = delete = serve
+    get = head = post = put = patch = delete = options = serve
+
+    async def answer(self) -> Answer:
+        """Read the request and run it."""
+        match self.read_context():
+            case Result(tag="ok", ok=context):
+                pass
+            case Result(error=failure):
+                return Error(failure)
+        match service_path(self.request.path):
+            case Result(tag="ok", ok=path):
+                pass
+            case Result(error=failure):
+                return Error(failure)
+        wrong = check_query(self.request.query)
+        if wrong:
+            return Error(wrong)
+        return await self.run(self.service_request(context, path), path)
+
+    def service_request(
+        self, context: RequestContext, path: ServicePath
+    ) -> ServiceRequest:
+        """Return the request as the service is to get it."""
+        return ServiceRequest(
+            context=context,
+            service=path.service,
+            method=self.request.method or "",
+            path=path.sent,
+            query=self.request.query,
+            headers=self.request.headers,
+            body=bytes(self.body),
+        )
 
-    async def run(
-        self, context: RequestContext, name: str, path: str
-    ) -> Result[RecordedAnswer, Failure]:
+    async def run(self, request: ServiceRequest, path: ServicePath) -> Answer:
         """Run an operation, through the ledger unless it is idempotent."""
-        operation_name = f"{name}/{path}"
-        scopes = Scopes(caller=context.caller, operation=operation_name, service=name)
+        refusal = self.parts.services.refusal(request)
+        if refusal:
+            return Error(refusal)
         configuration = self.parts.configuration.configuration
-        if setting_of(configuration, "idempotent", bool, scopes):
-            return await self.send(context, name, path)
-        if not context.idempotency_key:
-            message = f"operation {operation_name} is not idempotent"
+        if is_idempotent(configuration, request, path):
+            return await self.parts.services.ask(request)
+        if not request.context.idempotency_key:
+            message = f"operation {request.method} {path.name} is not idempotent"
             return Error(Failure(ErrorKind.KEY_REQUIRED, message))
-        operation = Operation(
-            caller=context.caller,
-            service=name,
-            operation=f"{self.request.method} {operation_name}",
-            key=context.idempotency_key,
-            body=self.request.body,
-        )
-        return await self.run_once(context, operation, name, path)
+        return await self.run_once(request, path)
 
-    async def run_once(
-        self, context: RequestContext, operation: Operation, name: str, path: str
-    ) -> Result[RecordedAnswer, Failure]:
+    async def run_once(self, request: ServiceRequest, path: ServicePath) -> Answer:
         """Run a non-idempotent operation under a claim."""
-        ledger = self.parts.ledger
-        match await ledger.claim(operation):
+        match await self.claim(request, path):
             case Result(tag="ok", ok=Claim() as claim):
                 pass
-            case Result(tag="ok", ok=recorded):
+            case Result(tag="ok", ok=RecordedAnswer() as recorded):
                 self.parts.metrics.count("operations.repeats")
-                assert isinstance(recorded, RecordedAnswer)
                 return Ok(recorded)
             case Result(error=failure):
                 return Error(failure)
-        match await self.send(context, name, path):
-            case Result(tag="ok", ok=answer):
-                await ledger.complete(claim, answer)
-                return Ok(answer)
-            case Result(error=failure):
-                if failure.not_run:
-                    await ledger.release(claim)
-                else:
-                    ledger.abandon(claim)
-                return Error(failure)
-
-    async def send(
-        self, context: RequestContext, name: str, path: str
-    ) -> Result[RecordedAnswer, Failure]:
-        """Send a call to a live replica."""
-        replicas = self.parts.fleet.live_services(name)
-        if not replicas:
-            message = f"no replica of service {name!r} is live"
-            return Error(Failure(ErrorKind.UNKNOWN_SERVICE, message))
-        replica = random.choice(replicas)
-        log.info(
-            "routed",
-            request=self.request_id,
-            service=name,
-            replica=replica.id,
-            reason="random",
-        )
-        limits = CallLimits(
-            timedelta(seconds=self.parts.settings.connect_timeout_seconds),
-            context.time_left(self.parts.clock),
+        progress = Progress()
+        # The attempt goes on when the caller is told to come back, or is gone.
+        attempt = self.parts.settler.start(self.attempt(claim, request, progress))
+        return await self.wait_for(attempt, progress)
+
+    async def claim(
+        self, request: ServiceRequest, path: ServicePath
+    ) -> Result[Claim | RecordedAnswer, Failure]:
+        """Claim the operation that a request names."""
+        context = request.context
+        target = f"{path.sent}?{request.query}" if request.query else path.sent
+        operation = Operation(
+            caller=context.caller,
+            service=path.service,
+            operation=f"{request.method} {path.service}/{target}",
+            key=context.idempotency_key,
+            body=request.body,
         )
-        request = self.replica_request(context, replica, path)
-        try:
-            response = await call(self.parts.client, request, limits)
-        except CallFailed as error:
-            kind = (
-                ErrorKind.BACKEND_FAILED
-                if error.sent
-                else ErrorKind.BACKEND_UNREACHABLE
-            )
-            return Error(Failure(kind, str(error)))
-        return Ok(recorded_answer(response))
-
-    def replica_request(
-        self, context: RequestContext, replica: ListedInstance, path: str
-    ) -> HTTPRequest:
-        """Return the request that a replica gets."""
-        method = self.request.method or ""
-        headers = {
-            "Content-Type": self.request.headers.get("Content-Type", ""),
-            "X-Request-Id": self.request_id,
-        }
-        if context.idempotency_key:
-            headers[KEY_HEADER] = context.idempotency_key
-        query = f"?{self.request.query}" if self.request.query else ""
-        body = self.request.body if method in BODY_METHODS else None
-        url = f"{replica.url}/{path}{query}"
-        return HTTPRequest(url, method=method, headers=headers, body=body)
+        allowed = context.time_left(self.parts.clock)
+        return await self.parts.ledger.claim(operation, allowed)
+
+    async def attempt(
+        self, claim: Claim, request: ServiceRequest, progress: Progress
+    ) -> Answer:
+        """Dispatch a claimed operation and settle its claim."""
+        ledger = self.parts.ledger
+        with self.parts.lifecycle.request():
+            try:
+                answer = await self.parts.services.ask_once(request, progress)
+            except BaseException:
+                ledger.abandon(claim)
+                raise
+            if answer.is_ok():
+                await ledger.complete(claim, answer.ok)
+            elif answer.error.not_run:
+                await ledger.release(claim)
+            else:
+                ledger.abandon(claim)
+            return answer
+
+    async def wait_for(
+        self, attempt: asyncio.Task[Answer], progress: Progress
+    ) -> Answer:
+        """Wait for an attempt, but not for a connection that went silent."""
+        services = self.parts.services
+        if await services.done_within(attempt, services.idle_limit):
+            return attempt.result()
+        replica = progress.replica
+        if replica and await services.is_reachable(replica):
+            await services.done_within(attempt, services.idle_limit)
+        if attempt.done():
+            return attempt.result()
+        self.parts.metrics.count("services.silent")
+        message = "the service has not answered yet; its answer is still awaited"
+        return Error(Failure(ErrorKind.OPERATION_RUNNING, message))
 
     def pass_on(self, answer: RecordedAnswer) -> None:
         """Answer with what the service answered."""
         self.set_status(answer.status)
-        self.set_header("Content-Type", answer.content_type)
+        self.clear_header("Content-Type")
+        for name in {name for name, _ in answer.headers}:
+            self.clear_header(name)
+        for name, value in answer.headers:
+            self.add_header(name, value)
+        if answer.content_type:
+            self.set_header("Content-Type", answer.content_type)
         self.set_header("X-Request-Id", self.request_id)
-        self.finish(answer.body)
-
-
-def recorded_answer(response: HTTPResponse) -> RecordedAnswer:
-    """Return what a repeat of the call would receive again."""
-    content_type = response.headers.get("Content-Type", "application/octet-stream")
-    return RecordedAnswer(response.code, content_type, response.body)
+        self.finish(None if answer.status in BODILESS_STATUSES else answer.body)
+
+
+def is_idempotent(
+    configuration: Configuration, request: ServiceRequest, path: ServicePath
+) -> bool:
+    """Return whether the configuration lets an operation be repeated.
+
+    An exception for `POST bookings/confirm` goes before one for `bookings/confirm`.
+    """
+    declared = {
+        exception.name
+        for exception in configuration.exceptions
+        if exception.scope is ScopeKind.OPERATION and exception.setting == "idempotent"
+    }
+    with_method = f"{request.method} {path.name}"
+    operation = with_method if with_method in declared else path.name
+    scopes = Scopes(
+        caller=request.context.caller, operation=operation, service=path.service
+    )
+    return setting_of(configuration, "idempotent", bool, scopes)
--- a/src/magnoliatrail/operations/settling.py
+++ b/src/magnoliatrail/operations/settling.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from datetime import timedelta
 from random import Random
-from typing import Any
+from typing import Any, TypeVar
 
 from expression import Error, Ok, Result
 
@@ -47,6 +47,8 @@
 )
 MAX_UNRECORDED_BYTES = 16 * 1024 * 1024
 
+T = TypeVar("T")
+
 # One try: Ok(True) ends the retries.
 Try = Callable[[], Awaitable[Result[bool, Failure]]]
 
@@ -68,12 +70,12 @@
         self.clock = clock
         self.generator = generator
         self.on_completed = on_completed
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.tasks: set[asyncio.Task[Any]] = set()
         self.watchers: set[asyncio.Task[None]] = set()
         self.freeing: set[str] = set()
         self.unrecorded_bytes = 0
 
-    def start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+    def start(self, work: Coroutine[Any, Any, T]) -> asyncio.Task[T]:
         """Start a task that is awaited at shutdown."""
         task = asyncio.create_task(work)
         self.tasks.add(task)
