--- a/src/magnoliatrail/standins/faults.py
+++ b/src/magnoliatrail/standins/faults.py
@@ -2,14 +2,23 @@
 
 import asyncio
 from dataclasses import dataclass, fields
+from typing import Any
+from weakref import WeakKeyDictionary
 
 import msgspec
 from tornado.web import RequestHandler
 
+# The value of `silence_open` at which each connection was first used.
+OPENED_AT: WeakKeyDictionary[Any, int] = WeakKeyDictionary()
+
 
 @dataclass
 class Faults:
-    """Say how a stand-in misbehaves; all off at first."""
+    """Say how a stand-in misbehaves; all off at first.
+
+    Raising `silence_open` makes the connections that are open now silent for good,
+    while new ones work.
+    """
 
     down: bool = False
     silent: bool = False
@@ -17,6 +26,10 @@
     lose_answers: int = 0
     lose_requests: int = 0
     late_requests: int = 0
+    silent_requests: int = 0
+    silent_answers: int = 0
+    cut_answers: int = 0
+    silence_open: int = 0
     fail_loads: int = 0
     break_streams: int = 0
     wrong_adapter: int = 0
@@ -54,20 +67,54 @@
 
     async def prepare(self) -> None:
         """Apply outage, silence and slowness before the request takes effect."""
-        if self.faults.silent:
+        self.stream = getattr(self.request.connection, "stream", None)
+        OPENED_AT.setdefault(self.stream, self.faults.silence_open)
+        if self.faults.silent or self.takes("silent_requests"):
             await asyncio.Event().wait()
         if self.faults.delay_seconds:
             await asyncio.sleep(self.faults.delay_seconds)
+        if self.is_silenced():
+            await asyncio.Event().wait()
         if self.faults.down:
             self.send_error(503)
 
-    def loses_answer(self) -> bool:
-        """Return whether this answer is to be lost after its effect."""
-        if not self.faults.lose_answers:
+    def is_silenced(self) -> bool:
+        """Return whether this connection went silent for good."""
+        opened_at = OPENED_AT.get(getattr(self, "stream", None))
+        return opened_at not in (None, self.faults.silence_open)
+
+    def finish(self, chunk: Any = None) -> asyncio.Future[None]:
+        """Send the answer, unless the connection went silent."""
+        if self.is_silenced():
+            return asyncio.get_running_loop().create_future()
+        return super().finish(chunk)
+
+    def takes(self, fault: str) -> bool:
+        """Use up one of a number of faults, and return whether there was one."""
+        left: int = getattr(self.faults, fault)
+        if not left:
             return False
-        self.faults.lose_answers -= 1
+        setattr(self.faults, fault, left - 1)
         return True
 
+    def loses_answer(self) -> bool:
+        """Return whether this answer is to be lost after its effect."""
+        return self.takes("lose_answers")
+
+    async def answer(self, body: bytes) -> None:
+        """Send an answer after its effect, unless a fault loses, cuts or holds it."""
+        if self.takes("silent_answers"):
+            await asyncio.Event().wait()
+        if self.loses_answer():
+            self.drop_connection()
+        elif self.takes("cut_answers"):
+            self.set_header("Content-Length", str(len(body)))
+            self.write(body[: len(body) // 2])
+            await self.flush()
+            self.drop_connection()
+        else:
+            self.write(body)
+
     def drop_connection(self) -> None:
         """Close the connection without an answer."""
         self.detach().close()
--- a/src/magnoliatrail/standins/objects.py
+++ b/src/magnoliatrail/standins/objects.py
@@ -57,11 +57,10 @@
         self.set_header("Content-Type", "application/octet-stream")
         self.write(body)
 
-    def put(self, name: str) -> None:
+    async def put(self, name: str) -> None:
         """Write an object."""
         self.store.objects[name] = self.request.body
-        if self.loses_answer():
-            self.drop_connection()
+        await self.answer(b"")
 
     def delete(self, name: str) -> None:
         """Delete an object."""
--- a/src/magnoliatrail/standins/service.py
+++ b/src/magnoliatrail/standins/service.py
@@ -15,6 +15,7 @@
         self.name = name
         self.faults = Faults()
         self.executions: dict[str, int] = {}
+        self.padding = ""
 
     def execute(self, method: str, path: str, key: str, body: bytes) -> bytes:
         """Execute one operation, counted by its idempotency key."""
@@ -26,6 +27,7 @@
             "path": path,
             "digest": digest,
             "execution": self.executions[counted],
+            "padding": self.padding,
         }
         return msgspec.json.encode(answer)
 
@@ -38,18 +40,15 @@
         self.service = service
         self.faults = service.faults
 
-    def execute(self, path: str) -> None:
+    async def execute(self, path: str) -> None:
         """Execute the operation and answer, or lose the answer."""
         key = self.request.headers.get("Idempotency-Key", "")
         method = self.request.method or ""
         answer = self.service.execute(method, path, key, self.request.body)
-        if self.loses_answer():
-            self.drop_connection()
-            return
         self.set_header("Content-Type", "application/json")
-        self.write(answer)
+        await self.answer(answer)
 
-    get = post = put = delete = execute
+    get = head = post = put = patch = delete = options = execute
 
 
 class ExecutionsHandler(FaultyHandler):
--- a/src/magnoliatrail/standins/table.py
+++ b/src/magnoliatrail/standins/table.py
@@ -136,18 +136,14 @@
 class TransactionHandler(TableHandler):
     """Serve `POST /transactions`."""
 
-    def post(self) -> None:
+    async def post(self) -> None:
         """Commit a transaction."""
         transaction = msgspec.json.decode(self.request.body, type=Transaction)
-        if self.faults.lose_requests:
-            self.faults.lose_requests -= 1
+        if self.takes("lose_requests"):
             self.drop_connection()
             return
         answer = self.table.commit(transaction)
-        if self.loses_answer():
-            self.drop_connection()
-            return
-        self.write(msgspec.json.encode(answer))
+        await self.answer(msgspec.json.encode(answer))
 
 
 def table_application(table: FakeTable) -> Application:
