Run each failure at each moment, alone and two together

The matrix runs two instances in one process before stand-ins; a fault is set before the request, at the first or second transaction on the claim, or once the service has executed. Executions are attributed by request id, so a not_run is false if the service executed the very request it refused.

First run: a request to unreachable replicas was told operation_running, since its retries outlasted the idle limit, and an answer waited for its record past that limit. Retries are now at most 3 and an answer that has come is passed on.

--- a/src/magnoliatrail/entry/service_call.py
+++ b/src/magnoliatrail/entry/service_call.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from datetime import timedelta
+from itertools import islice
 from random import Random
 from urllib.parse import urlsplit
 
@@ -31,6 +32,7 @@
 log = EventLog("services")
 
 CHOICES = 2
+MOST_RETRIES = 3
 HTTP_UNAVAILABLE = 503
 RETRY = Backoff(
     first=timedelta(milliseconds=50),
@@ -56,9 +58,10 @@
 
 @dataclass
 class Progress:
-    """Say which replica a request was sent to last."""
+    """Say which replica a request was sent to last, and what it answered."""
 
     replica: ListedInstance | None = None
+    answer: RecordedAnswer | None = None
     tried: set[str] = field(default_factory=set)
 
 
@@ -114,7 +117,7 @@
         self.budget.earn()
         progress = Progress()
         answer = await self.ask_twice_if_silent(request, progress)
-        for wait in waits(RETRY, self.generator):
+        for wait in islice(waits(RETRY, self.generator), MOST_RETRIES):
             if not worth_asking_again(answer):
                 break
             if not await self.may_retry(request, wait):
@@ -126,7 +129,7 @@
         """Send a non-idempotent request, again only if it certainly did not run."""
         self.budget.earn()
         answer = await self.send(request, progress)
-        for wait in waits(RETRY, self.generator):
+        for wait in islice(waits(RETRY, self.generator), MOST_RETRIES):
             if answer.is_ok() or not answer.error.not_run:
                 break
             if not await self.may_retry(request, wait):
--- a/src/magnoliatrail/entry/services.py
+++ b/src/magnoliatrail/entry/services.py
@@ -134,6 +134,7 @@
                 ledger.abandon(claim)
                 raise
             if answer.is_ok():
+                progress.answer = answer.ok
                 await ledger.complete(claim, answer.ok)
             elif answer.error.not_run:
                 await ledger.release(claim)
@@ -153,6 +154,8 @@
             await services.done_within(attempt, services.idle_limit)
         if attempt.done():
             return attempt.result()
+        if progress.answer:
+            return Ok(progress.answer)
         self.parts.metrics.count("services.silent")
         message = "the service has not answered yet; its answer is still awaited"
         return Error(Failure(ErrorKind.OPERATION_RUNNING, message))
--- a/src/magnoliatrail/standins/service.py
+++ b/src/magnoliatrail/standins/service.py
@@ -15,6 +15,7 @@
         self.name = name
         self.faults = Faults()
         self.executions: dict[str, int] = {}
+        self.requests: set[str] = set()
         self.padding = ""
 
     def execute(self, method: str, path: str, key: str, body: bytes) -> bytes:
@@ -44,6 +45,7 @@
         """Execute the operation and answer, or lose the answer."""
         key = self.request.headers.get("Idempotency-Key", "")
         method = self.request.method or ""
+        self.service.requests.add(self.request.headers.get("X-Request-Id", ""))
         answer = self.service.execute(method, path, key, self.request.body)
         self.set_header("Content-Type", "application/json")
         await self.answer(answer)
--- /dev/null
+++ b/tests/outcomes/bench.py
@@ -0,0 +1,252 @@
+"""Two instances in this process before stand-ins, and the check of outcomes."""
+
+import asyncio
+import hashlib
+import socket
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import msgspec
+from expression import Ok
+from tornado.httpclient import HTTPRequest
+
+from magnoliatrail.clock import SystemClock
+from magnoliatrail.config.store import ConfigurationStore
+from magnoliatrail.daemon import Daemon
+from magnoliatrail.generated.answers import ErrorAnswer, Outcome
+from magnoliatrail.generated.configuration import Defaults
+from magnoliatrail.generated.settings import Settings
+from magnoliatrail.ids import Revision
+from magnoliatrail.operations.rows import CLAIMS
+from magnoliatrail.standins.world import HOST, World, WorldSize, start_world
+from magnoliatrail.wire import CallFailed, CallLimits, call, new_http_client
+
+TOKEN = "token-for-tests-only"
+LIMITS = CallLimits(timedelta(seconds=5), timedelta(seconds=30))
+BODY = b'{"model": "Amira", "day": "2026-05-01"}'
+DIGEST = hashlib.sha256(BODY).hexdigest()[:16]
+DEADLINE_SECONDS = 2.0
+GENEROUS_SECONDS = 60.0
+SIZE = WorldSize(engines=0, services=2, adapters=1)
+
+
+@dataclass
+class Tally:
+    """Count what came of all cases."""
+
+    cases: int = 0
+    executions: int = 0
+    repeats: int = 0
+    false_not_run: int = 0
+    truncated: int = 0
+    wrong: list[str] = field(default_factory=list)
+
+    def __str__(self) -> str:
+        return (
+            f"cases={self.cases} executions={self.executions} "
+            f"repeats={self.repeats} false_not_run={self.false_not_run} "
+            f"truncated_as_whole={self.truncated}"
+        )
+
+
+@dataclass(frozen=True)
+class Got:
+    """Hold what a caller got: an answer, a refusal or nothing."""
+
+    status: int
+    body: bytes
+    refusal: ErrorAnswer | None
+
+    @property
+    def not_run(self) -> bool:
+        return (
+            self.refusal is not None and self.refusal.error.outcome is Outcome.NOT_RUN
+        )
+
+    @property
+    def kind(self) -> str:
+        return self.refusal.error.kind if self.refusal else str(self.status)
+
+    @property
+    def whole(self) -> bool:
+        try:
+            answer = msgspec.json.decode(self.body)
+        except msgspec.DecodeError:
+            return False
+        return answer.get("digest") == DIGEST and "padding" in answer
+
+
+NOTHING = Got(0, b"", None)
+
+
+@dataclass
+class Bench:
+    """Hold the stand-ins, the instances and what the service executed."""
+
+    world: World
+    urls: list[str] = field(default_factory=list)
+    daemons: list[Daemon] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.client = new_http_client()
+        self.reserved: list[socket.socket] = []
+
+    async def ask(self, instance: int, key: str, **options: object) -> Got:
+        """Ask an instance to confirm a booking under a key."""
+        deadline = str(options.get("deadline", DEADLINE_SECONDS))
+        headers = {"X-Caller": "agency", "X-Deadline-Seconds": deadline}
+        if key:
+            headers["Idempotency-Key"] = key
+        path = options.get("path", "/services/bookings/confirm")
+        request = HTTPRequest(
+            f"{self.urls[instance % len(self.urls)]}{path}",
+            method="POST",
+            headers=headers,
+            body=BODY,
+        )
+        try:
+            response = await call(self.client, request, LIMITS)
+        except CallFailed:
+            return NOTHING
+        refusal = None
+        if "X-Request-Id" in response.headers and b'"error"' in response.body:
+            refusal = msgspec.json.decode(response.body, type=ErrorAnswer)
+        return Got(response.code, response.body, refusal)
+
+    def executions(self, key: str) -> int:
+        """Return how often the service executed an operation."""
+        return sum(item.executions.get(key, 0) for item in self.world.services)
+
+    def clear_faults(self) -> None:
+        """End every fault."""
+        stand_ins = [self.world.table, self.world.objects, *self.world.services]
+        for stand_in in stand_ins:
+            faults = stand_in.faults
+            for name, value in vars(type(faults)()).items():
+                if name != "silence_open":
+                    setattr(faults, name, value)
+
+    def reserve(self, port: int) -> None:
+        """Keep a port that was closed from being taken by another case."""
+        reserved = socket.socket()
+        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        reserved.bind((HOST, port))
+        self.reserved.append(reserved)
+
+    def on_claim_write(self, number: int, act: Callable[[], None]) -> None:
+        """Act just before the nth transaction on a claim commits."""
+        commit, seen = self.world.table.commit, []
+
+        def watched(transaction):
+            if any(write.key.startswith(CLAIMS) for write in transaction.writes):
+                seen.append(transaction)
+                if len(seen) == number:
+                    act()
+            return commit(transaction)
+
+        self.world.table.commit = watched
+
+    def on_execution(self, act: Callable[[], None]) -> None:
+        """Act just after the service executed an operation."""
+        for service in self.world.services:
+            execute = service.execute
+
+            def watched(*call, execute=execute):
+                answer = execute(*call)
+                act()
+                return answer
+
+            service.execute = watched
+
+
+def settings_for(world: World, name: str, **changes: object) -> Settings:
+    """Return settings with short limits."""
+    fields = {
+        "instance_id": name,
+        "failure_domain": "domain-0",
+        "port": 0,
+        "peer_port": 0,
+        "peer_token": TOKEN,
+        "table_url": world.url("table"),
+        "objects_url": world.url("objects"),
+        "weights_url": world.url("weights"),
+        "instance_list_url": world.url("instance-list"),
+        "connect_timeout_seconds": 0.2,
+        "idle_timeout_seconds": 0.3,
+    }
+    return Settings(**{**fields, **changes})
+
+
+async def declare(world: World, **defaults: object) -> None:
+    """Put defaults in force; operations are not idempotent."""
+    wanted = Defaults(**{"idempotent": False, **defaults})
+    await ConfigurationStore(world.table).edit(
+        lambda current: Ok(msgspec.structs.replace(current, defaults=wanted)),
+        expected=Revision(0),
+    )
+
+
+@asynccontextmanager
+async def running_bench(
+    instances: int = 2, size: WorldSize = SIZE, **defaults: object
+) -> AsyncIterator[Bench]:
+    """Run instances in this process before stand-ins."""
+    world = start_world(SystemClock(), size)
+    await declare(world, **defaults)
+    bench = Bench(world)
+    try:
+        for number in range(instances):
+            daemon = Daemon(settings_for(world, f"instance-{number}"))
+            await daemon.start()
+            bench.daemons.append(daemon)
+            bench.urls.append(daemon.caller_listener.url)
+        yield bench
+    finally:
+        bench.clear_faults()
+        for daemon in bench.daemons:
+            for task in [*daemon.tasks, *daemon.operations.settler.tasks]:
+                task.cancel()
+            await daemon.caller_listener.close()
+            await daemon.peer_listener.close()
+        await world.close()
+        for reserved in bench.reserved:
+            reserved.close()
+
+
+async def settled_answer(bench: Bench, key: str) -> Got:
+    """Repeat an operation until its answer no longer changes."""
+    got = NOTHING
+    async with asyncio.timeout(GENEROUS_SECONDS):
+        for turn in range(1000):
+            got = await bench.ask(turn, key)
+            if got.kind not in {"operation_running", "0", "backend_failed"}:
+                break
+            await asyncio.sleep(0.1)
+    return got
+
+
+def judge(tally: Tally, name: str, key: str, bench: Bench, answers: list[Got]) -> None:
+    """Check the answers to one key against what was executed."""
+    executed = bench.executions(key)
+    tally.cases += 1
+    tally.executions += executed
+    if executed > 1:
+        tally.repeats += 1
+        tally.wrong.append(f"{name}: executed {executed} times")
+    whole = [got for got in answers if got.status == 200]
+    if any(not got.whole for got in whole):
+        tally.truncated += 1
+        tally.wrong.append(f"{name}: a truncated answer was taken for whole")
+    if len({got.body for got in whole}) > 1:
+        tally.wrong.append(f"{name}: repeats got different answers")
+    if whole and not executed:
+        tally.wrong.append(f"{name}: answered without an execution")
+    ran = set().union(*(service.requests for service in bench.world.services))
+    for got in answers:
+        if got.not_run and got.refusal.error.request_id in ran:
+            tally.false_not_run += 1
+            tally.wrong.append(f"{name}: {got.kind} was not true")
+        if got.status not in (0, 200) and got.refusal is None:
+            tally.wrong.append(f"{name}: neither whole nor refused: {got.status}")
