--- a/benchmarks/slopes/__main__.py
+++ b/benchmarks/slopes/__main__.py
@@ -9,7 +9,7 @@
 import msgspec
 from benchmarks.slopes.calls import call_slopes
 from benchmarks.slopes.decisions import configuration_slopes, decision_slopes
-from benchmarks.slopes.entry import entry_slopes
+from benchmarks.slopes.entry import entry_slopes, memory_slopes
 from benchmarks.slopes.fit import Slope
 from benchmarks.slopes.messages import codec_slopes, ledger_slopes
 from benchmarks.slopes.state import adapter_slopes, fleet_slopes, permit_slopes
@@ -24,6 +24,7 @@
     codec_slopes,
     call_slopes,
     ledger_slopes,
+    memory_slopes,
     entry_slopes,
 ]
 
--- a/benchmarks/slopes/entry.py
+++ b/benchmarks/slopes/entry.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 from benchmarks.slopes.fit import Slope, fitted
+from benchmarks.slopes.state import ADAPTERS
 from tests.processes.fleet import Fleet, running_fleet
 
 from magnoliatrail.standins.world import WorldSize
@@ -25,10 +26,12 @@
     return (user + system) / TICKS_PER_SECOND
 
 
-def resident_bytes(pid: int) -> int:
-    """Return the resident memory of a process."""
-    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
-    return pages * os.sysconf("SC_PAGE_SIZE")
+def memory_bytes(pid: int, field: str) -> float:
+    """Return a field of a process's memory, such as VmRSS or VmHWM."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith(f"{field}:"):
+            return float(line.split()[1]) * 1024
+    raise ValueError(f"no field {field}")
 
 
 async def ask_all(fleet: Fleet, requests: int, *, stream: bool, tokens: int) -> None:
@@ -52,8 +55,6 @@
     def __init__(self) -> None:
         self.whole: dict[int, float] = {}
         self.streamed: dict[int, float] = {}
-        self.idle_share = 0.0
-        self.resident_bytes = 0
 
 
 async def measure() -> EntryCosts:
@@ -61,7 +62,6 @@
     costs = EntryCosts()
     async with running_fleet(["one"], SIZE) as fleet:
         pid = fleet.processes["one"].popen.pid
-        costs.resident_bytes = resident_bytes(pid)
         await ask_all(fleet, 32, stream=True, tokens=4)
         for requests in REQUESTS:
             before = processor_seconds(pid)
@@ -74,6 +74,35 @@
     return costs
 
 
+async def memory_with(adapters: int) -> tuple[float, float]:
+    """Return the resident memory of an idle daemon, and the most that it had."""
+    size = WorldSize(engines=2, adapters=adapters)
+    async with running_fleet(["one"], size) as fleet:
+        pid = fleet.processes["one"].popen.pid
+        return memory_bytes(pid, "VmRSS"), memory_bytes(pid, "VmHWM")
+
+
+def memory_slopes() -> list[Slope]:
+    """Measure the memory of a whole daemon by the adapters in the catalogue."""
+    memory = {size: asyncio.run(memory_with(size)) for size in ADAPTERS}
+    return [
+        fitted(
+            "resident memory of an idle daemon",
+            "adapter",
+            "B",
+            ADAPTERS,
+            lambda n: memory[n][0],
+        ),
+        fitted(
+            "peak memory of an idle daemon",
+            "adapter",
+            "B",
+            ADAPTERS,
+            lambda n: memory[n][1],
+        ),
+    ]
+
+
 def entry_slopes() -> list[Slope]:
     """Measure requests and streamed chunks at one daemon."""
     costs = asyncio.run(measure())
