--- a/src/magnoliatrail/placement/catalogue.py
+++ b/src/magnoliatrail/placement/catalogue.py
@@ -1,5 +1,7 @@
 """The adapters that callers may name."""
 
+from sys import intern
+
 from expression import Error, Ok, Result
 
 from magnoliatrail.errors import ErrorKind, Failure
@@ -15,8 +17,11 @@
 
     def replace(self, catalogue: Catalogue) -> None:
         """Take a newer catalogue."""
+        # Many adapters share few versions and base models: keep each text once.
         self.base_models = {
-            AdapterVersion(entry.adapter, entry.version): entry.base_model
+            AdapterVersion(entry.adapter, intern(entry.version)): intern(
+                entry.base_model
+            )
             for entry in catalogue.adapters
         }
 
