--- /dev/null
+++ b/tests/docs/test_readme.py
@@ -0,0 +1,80 @@
+"""The first request of the README works as it is printed."""
+
+import contextlib
+import os
+import re
+import shlex
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from urllib.error import URLError
+from urllib.request import Request, urlopen
+
+import pytest
+
+from tests.docs.pages import FENCE, ROOT
+
+pytestmark = pytest.mark.processes
+
+# Ports of its own, below those that the kernel hands to outgoing connections.
+PORTS = {"9100": "19100", "9101": "19101", "9102": "19102", "9103": "19103"}
+PORTS |= {"8080": "18080", "8081": "18081"}
+PATIENCE_SECONDS = 60.0
+
+
+def commands() -> list[list[str]]:
+    """Return the words of each command in the README, with other ports."""
+    blocks = FENCE.findall((ROOT / "README.md").read_text())
+    shells = [block for block in blocks if block.startswith("```sh")]
+    text = "\n".join(block.removeprefix("```sh").strip("`") for block in shells)
+    moved = re.sub(r"\d{4}", lambda port: PORTS.get(port[0], port[0]), text)
+    lines = moved.replace("\\\n", " ").splitlines()
+    return [words for line in lines if (words := shlex.split(line, comments=True))]
+
+
+@contextlib.contextmanager
+def running(words: list[str]) -> Iterator[None]:
+    """Run one of the program's commands in a process."""
+    process = subprocess.Popen(
+        [sys.executable, "-m", "magnoliatrail", *words[1:]],
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+        env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
+    )
+    try:
+        yield
+    finally:
+        process.kill()
+        process.wait()
+
+
+def curl(words: list[str]) -> bytes:
+    """Send what a curl command sends, until somebody answers it well."""
+    headers = dict(
+        words[i + 1].split(": ") for i, word in enumerate(words) if word == "-H"
+    )
+    url = next(word for word in words if word.startswith("http"))
+    body = words[words.index("-d") + 1].encode()
+    until = time.monotonic() + PATIENCE_SECONDS
+    while True:
+        try:
+            with urlopen(
+                Request(url, body, headers), timeout=PATIENCE_SECONDS
+            ) as answer:
+                return bytes(answer.read())
+        except (URLError, ConnectionError):
+            if time.monotonic() > until:
+                raise
+            time.sleep(0.1)
+
+
+def test_the_first_request_is_answered_whole():
+    by_program = {tuple(words[:2]): words for words in commands()}
+    standins = next(w for key, w in by_program.items() if key[1] == "standin")
+    instance = next(w for key, w in by_program.items() if key[1] == "serve")
+    request = next(w for key, w in by_program.items() if key[0] == "curl")
+    with running(standins), running(instance):
+        answer = curl(request)
+    assert answer.rstrip().endswith(b"data: [DONE]")
+    assert b'"model":"adapter-0007@1"' in answer
--- /dev/null
+++ b/tests/unit/test_benchmark_parts.py
@@ -0,0 +1,58 @@
+import pytest
+from benchmarks.capacity.figures import permit_load
+from benchmarks.marked_cuckoo_filter import MarkedCuckooFilter, buckets_for
+from benchmarks.slopes.fit import fitted
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+SETS = 5
+names = st.sets(st.text("abcdefgh", min_size=4, max_size=8), min_size=1, max_size=40)
+
+
+def test_a_line_is_fitted_exactly():
+    slope = fitted("cost", "item", "B", (1, 10, 100), lambda size: 7 + 3 * size)
+    assert slope.slope == pytest.approx(3)
+    assert slope.intercept == pytest.approx(7)
+    assert slope.r_squared == pytest.approx(1)
+    assert slope.worst_residual == pytest.approx(0, abs=1e-9)
+
+
+def test_two_sizes_make_no_slope():
+    with pytest.raises(ValueError, match="three sizes"):
+        fitted("cost", "item", "B", (1, 10), float)
+
+
+@settings(derandomize=True, max_examples=30)
+@given(names)
+def test_a_filter_finds_what_it_holds_after_the_wire(elements):
+    buckets = buckets_for(len(elements))
+    held = MarkedCuckooFilter(buckets, SETS)
+    for element in elements:
+        assert held.add(element, 0b101)
+    taken = MarkedCuckooFilter.decode(held.encode(), buckets, SETS)
+    assert all(taken.marks(element) & 0b101 == 0b101 for element in elements)
+
+
+def test_an_aggregate_names_every_set_that_holds_an_element():
+    one, other = MarkedCuckooFilter(8, SETS), MarkedCuckooFilter(8, SETS)
+    one.add("shared", 0b001)
+    other.add("shared", 0b010)
+    other.add("own", 0b010)
+    assert one.aggregate(other)
+    assert (one.marks("shared"), one.marks("own")) == (0b011, 0b010)
+
+
+def test_a_removed_element_is_gone_from_its_set_only():
+    held = MarkedCuckooFilter(8, SETS)
+    held.add("element", 0b011)
+    held.remove("element", 0b001)
+    assert held.marks("element") == 0b010
+    held.remove("element", 0b010)
+    assert held.marks("element") == 0
+
+
+def test_permits_that_live_longer_are_asked_for_less():
+    short, long = permit_load(30.0, 60.0), permit_load(30.0, 6_000.0)
+    assert short.asked_per_second > long.asked_per_second
+    assert short.held < long.held
+    assert long.asked_per_second < 30.0
