--- /dev/null
+++ b/src/magnoliatrail/entry/chunked.py
@@ -0,0 +1,53 @@
+"""Decoding of a chunked HTTP body, many chunks to a read."""
+
+import re
+
+from tornado.httputil import HTTPInputError
+
+LINE_END = b"\r\n"
+SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,8})\r\n")
+SIZE_LINE_START = re.compile(rb"(?:[0-9A-Fa-f]{1,8}\r?)?")
+MAX_CHUNK_BYTES = 1024 * 1024
+
+
+class ChunkedBody:
+    """Decode a chunked body from reads of any size."""
+
+    def __init__(self) -> None:
+        self.partial = b""
+        self.finished = False
+
+    def take(self, data: bytes) -> bytes:
+        """Return the content of the chunks that data completes.
+
+        Raises HTTPInputError for what is not a chunked body.
+        """
+        if self.partial:
+            data = self.partial + data
+        content = []
+        at = 0
+        while not self.finished:
+            matched = SIZE_LINE.match(data, at)
+            if matched is None:
+                check_size_line(data, at)
+                break
+            size = int(matched[1], 16)
+            if size > MAX_CHUNK_BYTES:
+                raise HTTPInputError(f"a chunk has more than {MAX_CHUNK_BYTES} bytes")
+            start = matched.end()
+            end = start + size
+            if len(data) < end + 2:
+                break
+            if data[end : end + 2] != LINE_END:
+                raise HTTPInputError("a chunk does not end where its size says")
+            content.append(data[start:end])
+            self.finished = not size
+            at = end + 2
+        self.partial = data[at:]
+        return content[0] if len(content) == 1 else b"".join(content)
+
+
+def check_size_line(data: bytes, at: int) -> None:
+    """Check that what stands before a chunk can still become its size."""
+    if not SIZE_LINE_START.fullmatch(data, at):
+        raise HTTPInputError("the size of a chunk is no number")
--- /dev/null
+++ b/src/magnoliatrail/entry/engine_stream.py
@@ -0,0 +1,250 @@
+"""One connection to an engine, and the answer that arrives on it."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from socket import socket
+from typing import Any
+from urllib.parse import urlsplit
+
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPInputError,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.ioloop import IOLoop
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpclient import TCPClient
+
+from magnoliatrail.engines.client import HTTP_OK
+from magnoliatrail.entry.engine_body import EngineBody
+from magnoliatrail.wire import CallFailed
+
+READ_BYTES = 16 * 1024
+MAX_REFUSAL_BYTES = 1024 * 1024
+TCP = TCPClient()
+
+TakeContent = Callable[[bytes], Awaitable[None] | None]
+
+
+@dataclass(frozen=True, slots=True)
+class StreamLimits:
+    """Bound the silences of one connection."""
+
+    connect: timedelta
+    idle: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class EngineRequest:
+    """Hold what is sent to an engine."""
+
+    method: str
+    url: str
+    headers: dict[str, str]
+    body: bytes = b""
+
+
+class SilentConnection(CallFailed):
+    """Carry that a connection was silent for longer than its limit."""
+
+
+class AnswerHead(HTTPMessageDelegate):
+    """Take an answer's status and headers, and the body of a refusal."""
+
+    def __init__(self, connection: HTTP1Connection) -> None:
+        self.connection = connection
+        self.status = 0
+        self.headers = HTTPHeaders()
+        self.refusal = bytearray()
+        self.stream: IOStream | None = None
+
+    def headers_received(
+        self,
+        start_line: RequestStartLine | ResponseStartLine,
+        headers: HTTPHeaders,
+    ) -> None:
+        """Take the head, and the connection from a library that reads slowly."""
+        assert isinstance(start_line, ResponseStartLine)
+        self.status = start_line.code
+        self.headers = headers
+        if self.status == HTTP_OK:
+            self.stream = self.connection.detach()
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take a part of a refusal."""
+        self.refusal += chunk
+
+
+class EngineStream:
+    """Hand on an answer as it comes, with a limit on silence."""
+
+    def __init__(self, head: AnswerHead, source: IOStream, idle: timedelta) -> None:
+        self.status = head.status
+        self.refusal = bytes(head.refusal)
+        self.source = source
+        self.body = EngineBody(head.headers)
+        self.socket: socket | None = None
+        self.idle_seconds = idle.total_seconds()
+        self.io_loop = IOLoop.current()
+        self.stopped = False
+        self.waiting_since: float | None = None
+        self.pause: asyncio.Future[Awaitable[None] | None]
+        self.take: TakeContent
+        self.timer = self.io_loop.call_later(self.idle_seconds, self.check_idle)
+
+    def check_idle(self) -> None:
+        """Give up the connection if it has been silent for too long."""
+        # One timer for each stream, as one for each read costs more than the read.
+        now = self.io_loop.time()
+        since = now if self.waiting_since is None else self.waiting_since
+        left = since + self.idle_seconds - now
+        if left > 0:
+            self.timer = self.io_loop.call_later(left, self.check_idle)
+            return
+        if not self.pause.done():
+            error = SilentConnection("the connection is silent", sent=True)
+            self.pause.set_exception(error)
+
+    async def pump(self, take: TakeContent) -> None:
+        """Hand the body to a function read by read, until its end or `stop`.
+
+        Nothing is read while what the function returned has not ended.
+        Raises CallFailed if the connection breaks or is silent, and
+        HTTPInputError if the body is malformed.
+        """
+        self.take = take
+        while not self.ended:
+            self.pause = asyncio.get_running_loop().create_future()
+            self.waiting_since = self.io_loop.time()
+            if self.socket:
+                self.io_loop.add_handler(self.socket, self.on_readable, IOLoop.READ)
+            else:
+                read = asyncio.ensure_future(self.read_buffered())
+                self.io_loop.add_future(read, self.on_buffered)
+            try:
+                written = await self.pause
+            finally:
+                self.waiting_since = None
+                if self.socket:
+                    self.io_loop.remove_handler(self.socket)
+            if written is not None:
+                await written
+
+    @property
+    def ended(self) -> bool:
+        """Return whether nothing more is to be read."""
+        return self.stopped or self.body.finished
+
+    def stop(self) -> None:
+        """Read nothing more."""
+        self.stopped = True
+
+    def read_buffered(self) -> Awaitable[bytes]:
+        """Read through the library, which may hold a first part of the body."""
+        return self.source.read_bytes(READ_BYTES, partial=True)
+
+    def on_buffered(self, read: "asyncio.Future[bytes]") -> None:
+        """Take a read, and the socket once the library holds no more bytes."""
+        if self.pause.done():
+            return
+        try:
+            data = read.result()
+        except StreamClosedError:
+            self.feed(b"")
+            return
+        if len(data) < READ_BYTES and not self.source.closed():
+            # Reading through IOStream costs a second system call, a future and
+            # a task switch for each event.
+            self.socket = self.source.socket.dup()
+            self.source.close()
+        self.feed(data)
+        if not self.pause.done():
+            self.pause.set_result(None)
+
+    def on_readable(self, socket: Any, events: int) -> None:
+        """Read once and hand the content on."""
+        try:
+            data = socket.recv(READ_BYTES)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            data = b""
+        self.feed(data)
+
+    def feed(self, data: bytes) -> None:
+        """Hand on the content of one read, and pause if it does not leave at once."""
+        if self.pause.done():
+            return
+        self.waiting_since = self.io_loop.time()
+        try:
+            content = self.body.take(data)
+            written = self.take(content) if content else None
+        except Exception as error:
+            self.pause.set_exception(error)
+            return
+        if written is not None or self.ended:
+            self.pause.set_result(written)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.io_loop.remove_timeout(self.timer)
+        self.source.close()
+        if self.socket:
+            self.socket.close()
+
+
+async def open_stream(request: EngineRequest, limits: StreamLimits) -> EngineStream:
+    """Send a request over a new connection and return its answer's start.
+
+    Raises CallFailed if there is no answer.
+    """
+    address = urlsplit(request.url)
+    try:
+        source = await TCP.connect(
+            address.hostname or "", address.port or 80, timeout=limits.connect
+        )
+    except (OSError, TimeoutError, StreamClosedError) as error:
+        raise CallFailed(str(error), sent=False) from error
+    source.set_nodelay(True)
+    source.read_chunk_size = READ_BYTES
+    try:
+        head = await exchange_heads(source, request, limits.idle)
+        return EngineStream(head, source, limits.idle)
+    except TimeoutError as error:
+        source.close()
+        raise SilentConnection("no answer began", sent=True) from error
+    except (StreamClosedError, HTTPInputError) as error:
+        source.close()
+        raise CallFailed(str(error), sent=True) from error
+    except asyncio.CancelledError:
+        source.close()
+        raise
+
+
+async def exchange_heads(
+    source: IOStream, request: EngineRequest, idle: timedelta
+) -> AnswerHead:
+    """Send a request, and read the head of its answer or the whole refusal."""
+    address = urlsplit(request.url)
+    parameters = HTTP1ConnectionParameters(
+        no_keep_alive=True, max_body_size=MAX_REFUSAL_BYTES
+    )
+    connection = HTTP1Connection(source, True, parameters)
+    headers = HTTPHeaders(request.headers)
+    headers["Host"] = address.netloc
+    headers["Connection"] = "close"
+    headers["Content-Length"] = str(len(request.body))
+    start_line = RequestStartLine(request.method, address.path, "HTTP/1.1")
+    connection.write_headers(start_line, headers, request.body)
+    connection.finish()
+    head = AnswerHead(connection)
+    async with asyncio.timeout(idle.total_seconds()):
+        whole = await connection.read_response(head)
+    if not whole and head.stream is None:
+        raise HTTPInputError("the answer's head is malformed or cut")
+    return head
