--- a/Makefile
+++ b/Makefile
@@ -20,16 +20,16 @@
 
 generate: $(VENV)/ready
 	$(PYTHON) scripts/generate.py
-	$(PYTHON) scripts/settings_table.py
+	$(PYTHON) -m scripts.settings_table
 
 check-generated: $(VENV)/ready
 	$(PYTHON) scripts/generate.py --check
-	$(PYTHON) scripts/settings_table.py --check
-	$(PYTHON) scripts/error_table.py --check
+	$(PYTHON) -m scripts.settings_table --check
+	$(PYTHON) -m scripts.error_table --check
 
 tables: $(VENV)/ready
-	$(PYTHON) scripts/settings_table.py
-	$(PYTHON) scripts/error_table.py
+	$(PYTHON) -m scripts.settings_table
+	$(PYTHON) -m scripts.error_table
 	$(PYTHON) -m benchmarks.capacity
 
 slopes: $(VENV)/ready
--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -1,12 +1,12 @@
 """Write the capacity page's tables from the committed runs."""
 
-import argparse
 import sys
 from pathlib import Path
 
 import msgspec
 from benchmarks.capacity.figures import LIMITS, PARTS, Figure, Slopes
 from benchmarks.slopes.__main__ import RESULTS, SlopeRun, table
+from scripts.generated_page import write_or_check
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 PAGE = ROOT / "docs" / "CAPACITY.md"
@@ -76,18 +76,8 @@
 
 
 def main() -> int:
-    """Write the tables, or with `--check` compare them with the committed ones."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--check", action="store_true")
-    arguments = parser.parse_args()
-    text = PAGE.read_text()
-    if not arguments.check:
-        PAGE.write_text(page(text))
-        return 0
-    if text == page(text):
-        return 0
-    print("docs/CAPACITY.md does not match its runs: run make tables", file=sys.stderr)
-    return 1
+    """Write the page, or with `--check` compare it with the committed one."""
+    return write_or_check(PAGE, page, __doc__)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Generators of code and of tables in the documentation."""
--- a/scripts/error_table.py
+++ b/scripts/error_table.py
@@ -1,11 +1,11 @@
 """Write the callers' table of error kinds from the program's."""
 
-import argparse
 import re
 import sys
 from pathlib import Path
 
 from magnoliatrail.errors import ANSWERS, ErrorKind
+from scripts.generated_page import write_or_check
 
 PAGE = Path(__file__).resolve().parent.parent / "docs" / "callers.md"
 TABLE = re.compile(r"^\| kind \|.*?(?=^$)", re.DOTALL | re.MULTILINE)
@@ -29,18 +29,8 @@
 
 
 def main() -> int:
-    """Write the table, or with `--check` compare it with the committed one."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--check", action="store_true")
-    arguments = parser.parse_args()
-    text = PAGE.read_text()
-    if not arguments.check:
-        PAGE.write_text(page(text))
-        return 0
-    if text == page(text):
-        return 0
-    print("docs/callers.md does not match errors.py: run make tables", file=sys.stderr)
-    return 1
+    """Write the page, or with `--check` compare it with the committed one."""
+    return write_or_check(PAGE, page, __doc__)
 
 
 if __name__ == "__main__":
--- a/scripts/settings_table.py
+++ b/scripts/settings_table.py
@@ -1,6 +1,5 @@
 """Write the operators' table of settings from the schema."""
 
-import argparse
 import sys
 from pathlib import Path
 
@@ -10,6 +9,7 @@
 from magnoliatrail.cli.options import default_of, description_of, flag_of, variable_of
 from magnoliatrail.generated.configuration import Defaults
 from magnoliatrail.generated.settings import Settings
+from scripts.generated_page import write_or_check
 
 PAGE = Path(__file__).resolve().parent.parent / "docs" / "operations" / "settings.md"
 HEADER = """# Settings and defaults
@@ -69,16 +69,7 @@
 
 def main() -> int:
     """Write the page, or with `--check` compare it with the committed one."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--check", action="store_true")
-    arguments = parser.parse_args()
-    if not arguments.check:
-        PAGE.write_text(page())
-        return 0
-    if PAGE.exists() and PAGE.read_text() == page():
-        return 0
-    print(f"{PAGE.name} does not match schema/: run make tables", file=sys.stderr)
-    return 1
+    return write_or_check(PAGE, lambda committed: page(), __doc__)
 
 
 if __name__ == "__main__":
--- a/tests/docs/test_tables.py
+++ b/tests/docs/test_tables.py
@@ -84,14 +84,10 @@
 
 @pytest.mark.parametrize(
     "generator",
-    [
-        ["scripts/settings_table.py"],
-        ["scripts/error_table.py"],
-        ["-m", "benchmarks.capacity"],
-    ],
+    ["scripts.settings_table", "scripts.error_table", "benchmarks.capacity"],
 )
 def test_a_generated_table_matches_its_source(generator):
-    command = [sys.executable, *generator, "--check"]
+    command = [sys.executable, "-m", generator, "--check"]
     result = subprocess.run(
         command, check=False, cwd=ROOT, capture_output=True, text=True
     )
