--- a/benchmarks/capacity/figures.py
+++ b/benchmarks/capacity/figures.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
+from pathlib import Path
 
+import msgspec
 from benchmarks.capacity.target import (
     ADAPTER_SLOTS,
     ADAPTERS,
@@ -30,6 +32,7 @@
 from benchmarks.slopes.__main__ import SlopeRun
 
 CORE = 1e6
+CHUNK_RUN = Path(__file__).resolve().parent.parent / "entry_chunk_cost.json"
 
 
 class Budget(Enum):
@@ -55,6 +58,25 @@
     budget: Budget | None = None
 
 
+class ChunkCost(msgspec.Struct, frozen=True):
+    """Hold the entry's cost of one chunk beside a plain relay's, in microseconds."""
+
+    naive: float
+    entry: float
+
+
+class ChunkRound(msgspec.Struct, frozen=True):
+    """Hold one way in which chunks came."""
+
+    microseconds_per_chunk: ChunkCost
+
+
+class ChunkRun(msgspec.Struct, frozen=True):
+    """Hold what is used of the run of `benchmarks/entry_chunk_cost.py`."""
+
+    spread: ChunkRound
+
+
 class Slopes:
     """Look measured slopes up by name."""
 
@@ -96,6 +118,8 @@
     whole = slopes.each("whole answers at the entry")
     lookup = slopes.at("looking one setting up", EXCEPTIONS)
     streamed = slopes.each("streamed chunks at the entry")
+    run = msgspec.json.decode(CHUNK_RUN.read_bytes(), type=ChunkRun)
+    alone = run.spread.microseconds_per_chunk
     return [
         Figure("entry", "requests", "12,000 / 370", requests, "/s"),
         Figure("entry", "chunks", "3.5 M / 370", chunks, "/s"),
@@ -113,6 +137,20 @@
             chunks * streamed / CORE,
             "cores",
         ),
+        Figure(
+            "entry",
+            "processor time, chunks, entry alone",
+            f"{alone.entry:,.0f} us each, chunks as they come",
+            chunks * alone.entry / CORE,
+            "cores",
+        ),
+        Figure(
+            "entry",
+            "the same by a plain relay",
+            f"{alone.naive:,.0f} us each, in the same run",
+            chunks * alone.naive / CORE,
+            "cores",
+        ),
         Figure(
             "entry",
             "one lookup of a setting",
