--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -6,9 +6,11 @@
 import msgspec
 from benchmarks.capacity.figures import LIMITS, PARTS, Figure, Slopes
 from benchmarks.slopes.__main__ import RESULTS, SlopeRun, table
+from benchmarks.slopes.fit import Slope
 from scripts.generated_page import write_or_check
 
 ROOT = Path(__file__).resolve().parent.parent.parent
+TOGETHER = ROOT / "benchmarks" / "together.json"
 PAGE = ROOT / "docs" / "CAPACITY.md"
 BEGIN = "<!-- begin: {} -->\n"
 END = "<!-- end: {} -->\n"
@@ -61,6 +63,23 @@
     return f"{before}{begin}\n{content}\n\n{end}{after}"
 
 
+class TogetherRun(msgspec.Struct, frozen=True):
+    """Hold what is used of the run of `benchmarks/together.py`."""
+
+    time: str
+    load_average: float
+    slopes: list[Slope]
+
+
+def nodes_table() -> str:
+    """Return what one node spends by the number of nodes."""
+    if not TOGETHER.exists():
+        return "Not run yet."
+    run = msgspec.json.decode(TOGETHER.read_bytes(), type=TogetherRun)
+    heading = f"Run of {run.time}, load average {run.load_average}, shared machine."
+    return f"{heading}\n\n{table(run.slopes)}"
+
+
 def page(text: str) -> str:
     """Return the page as the committed runs make it."""
     run = msgspec.json.decode(RESULTS.read_bytes(), type=SlopeRun)
@@ -71,6 +90,7 @@
         "on a shared machine of 10 cores."
     )
     text = replaced(text, "slopes", f"{heading}\n\n{table(run.slopes)}")
+    text = replaced(text, "nodes", nodes_table())
     text = replaced(text, "budget", budget_table(figures))
     return replaced(text, "figures", figure_table(figures))
 
