--- a/benchmarks/entry_chunk_cost.py
+++ b/benchmarks/entry_chunk_cost.py
@@ -51,6 +51,12 @@
 CHUNKS = 200
 TOKEN_GAP = timedelta(milliseconds=62)
 TARGET_RATIO = 0.4
+# Whole answers at once, as fast as the source can in turns, and as real tokens.
+ARRIVALS = {
+    "burst": timedelta(seconds=-1),
+    "saturated": timedelta(),
+    "spread": TOKEN_GAP,
+}
 RESULTS = Path(__file__).parent / "entry_chunk_cost.json"
 
 
@@ -63,13 +69,14 @@
         request_id = self.request.headers["X-Request-Id"]
         gap = float(order["gap"])
         self.set_header("Content-Type", "text/event-stream")
-        await asyncio.sleep(random.random() * gap)
+        await asyncio.sleep(random.random() * max(gap, 0.0))
         for position in range(order["max_tokens"]):
             last = position + 1 == order["max_tokens"]
             self.write(event(request_id, order["model"], position, last=last))
             await self.flush()
-            # An engine's batch gives each stream one token in turn.
-            await asyncio.sleep(gap)
+            if gap >= 0:
+                # An engine's batch gives each stream one token in turn.
+                await asyncio.sleep(gap)
         self.write(b"data: [DONE]\n\n")
 
 
@@ -315,8 +322,10 @@
             "chunks": STREAMS * CHUNKS,
             "rounds": rounds,
             "target_ratio": TARGET_RATIO,
-            "at_once": await measure_all(source, relays, timedelta(), rounds),
-            "spread": await measure_all(source, relays, TOKEN_GAP, rounds),
+            **{
+                arrival: await measure_all(source, relays, gap, rounds)
+                for arrival, gap in ARRIVALS.items()
+            },
         }
     finally:
         source.popen.terminate()
--- a/src/magnoliatrail/entry/engine_stream.py
+++ b/src/magnoliatrail/entry/engine_stream.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from datetime import timedelta
-from socket import socket
+from socket import AF_INET, AF_INET6, SOCK_STREAM, socket
 from typing import Any
 from urllib.parse import urlsplit
 
@@ -18,7 +18,6 @@
 )
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamClosedError
-from tornado.tcpclient import TCPClient
 
 from magnoliatrail.engines.client import HTTP_OK
 from magnoliatrail.entry.engine_body import EngineBody
@@ -26,7 +25,7 @@
 
 READ_BYTES = 16 * 1024
 MAX_REFUSAL_BYTES = 1024 * 1024
-TCP = TCPClient()
+HTTP_PORT = 80
 
 TakeContent = Callable[[bytes], Awaitable[None] | None]
 
@@ -204,12 +203,18 @@
     Raises CallFailed if there is no answer.
     """
     address = urlsplit(request.url)
+    family = AF_INET6 if ":" in (address.hostname or "") else AF_INET
+    source = IOStream(socket(family, SOCK_STREAM))
     try:
-        source = await TCP.connect(
-            address.hostname or "", address.port or 80, timeout=limits.connect
-        )
-    except (OSError, TimeoutError, StreamClosedError) as error:
+        async with asyncio.timeout(limits.connect.total_seconds()):
+            # Backend servers have IP numbers, so there is no name to resolve.
+            await source.connect((address.hostname or "", address.port or HTTP_PORT))
+    except (OSError, TimeoutError) as error:
+        source.close()
         raise CallFailed(str(error), sent=False) from error
+    except asyncio.CancelledError:
+        source.close()
+        raise
     source.set_nodelay(True)
     source.read_chunk_size = READ_BYTES
     try:
