--- a/src/magnoliatrail/entry/answer_check.py
+++ b/src/magnoliatrail/entry/answer_check.py
@@ -62,6 +62,7 @@
         self.caller_name = b'"model":"%s"' % str(model).encode()
         self.engine_id = b'"id":"%s"' % request_id.encode()
         self.caller_id = b'"id":"%s"' % self.caller_request_id.encode()
+        self.renames_id = self.engine_id != self.caller_id
         self.expected_id = request_id.encode()
         self.expected_handle = handle.encode()
         self.partial = b""
@@ -106,14 +107,14 @@
     def take_expected(self, data: bytes) -> int:
         """Check leading events in the usual layout, and return their length."""
         progress = self.progress
-        expected = self.expected_id, self.expected_handle
         checked = 0
-        for matched in USUAL_EVENT.finditer(data):
+        while matched := USUAL_EVENT.match(data, checked):
             position, request_id, handle, choices = matched.groups()
-            in_order = matched.start() == checked and int(position) == (
-                self.next_position
-            )
-            if not in_order or (request_id, handle) != expected:
+            if (
+                int(position) != self.next_position
+                or request_id != self.expected_id
+                or handle != self.expected_handle
+            ):
                 break
             progress.digest.update(choices)
             if FINISH_REASON in choices:
@@ -125,7 +126,7 @@
 
     def renamed(self, data: bytes) -> bytes:
         """Return checked events with the caller's names in them."""
-        if self.engine_id != self.caller_id:
+        if self.renames_id:
             data = data.replace(self.engine_id, self.caller_id)
         return data.replace(self.engine_name, self.caller_name)
 
--- a/src/magnoliatrail/entry/engine_stream.py
+++ b/src/magnoliatrail/entry/engine_stream.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from socket import AF_INET, AF_INET6, SOCK_STREAM, socket
+from time import monotonic
 from typing import Any
 from urllib.parse import urlsplit
 
@@ -99,7 +100,7 @@
     def check_idle(self) -> None:
         """Give up the connection if it has been silent for too long."""
         # One timer for each stream, as one for each read costs more than the read.
-        now = self.io_loop.time()
+        now = monotonic()
         since = now if self.waiting_since is None else self.waiting_since
         left = since + self.idle_seconds - now
         if left > 0:
@@ -119,7 +120,7 @@
         self.take = take
         while not self.ended:
             self.pause = asyncio.get_running_loop().create_future()
-            self.waiting_since = self.io_loop.time()
+            self.waiting_since = monotonic()
             if self.socket:
                 self.io_loop.add_handler(self.socket, self.on_readable, IOLoop.READ)
             else:
@@ -179,7 +180,7 @@
         """Hand on the content of one read, and pause if it does not leave at once."""
         if self.pause.done():
             return
-        self.waiting_since = self.io_loop.time()
+        self.waiting_since = monotonic()
         try:
             content = self.body.take(data)
             written = self.take(content) if content else None
