--- a/benchmarks/entry_chunk_cost.py
+++ b/benchmarks/entry_chunk_cost.py
@@ -24,7 +24,7 @@
 from tornado.web import Application, RequestHandler
 
 from magnoliatrail.clock import SystemClock
-from magnoliatrail.config.store import ConfigurationInForce
+from magnoliatrail.config.in_force import ConfigurationInForce
 from magnoliatrail.engines.permits import Permit, PermitHolder
 from magnoliatrail.entry.answer_check import AnswerCheck
 from magnoliatrail.entry.application import caller_application
@@ -226,7 +226,8 @@
         settings=settings, clock=clock, client=client, permits=permits
     )
     search: Any = OnePermit(permits, source)
-    configuration = ConfigurationInForce()
+    configuration = ConfigurationInForce(clock)
+    configuration.offer(configuration.configuration)
     catalogue = AdapterCatalogue()
     catalogue.base_models = {MODEL: "base"}
     ledger: Any = None
--- /dev/null
+++ b/tests/docs/test_tables.py
@@ -0,0 +1,123 @@
+"""The tables in the documentation say what the program does."""
+
+import ast
+import re
+import subprocess
+import sys
+from collections.abc import Iterator
+
+import pytest
+
+from magnoliatrail.errors import ErrorKind
+from tests.docs.pages import ROOT, SOURCE, first_code_cells
+
+METRIC_METHODS = {"count", "timing", "gauge"}
+LOG_METHODS = {"debug", "info", "warning", "error"}
+NAME = re.compile(r"[a-z][a-z0-9_.]*")
+# Every module that sends no metric of its own but hands one on.
+HANDS_ON = {"metrics.py"}
+
+
+def metric_calls() -> Iterator[ast.Call]:
+    """Return every call in the sources that sends a metric."""
+    for file in SOURCE.rglob("*.py"):
+        if file.name in HANDS_ON:
+            continue
+        for node in ast.walk(ast.parse(file.read_text())):
+            if not isinstance(node, ast.Call):
+                continue
+            target = node.func
+            if not isinstance(target, ast.Attribute):
+                continue
+            receiver = ast.unparse(target.value)
+            if target.attr in METRIC_METHODS and receiver.endswith("metrics"):
+                yield node
+
+
+def texts_of(node: ast.expr) -> Iterator[str]:
+    """Return the texts that an argument can be, `<x>` for what varies."""
+    match node:
+        case ast.Constant(value=str(name)):
+            yield name
+        case ast.IfExp(body=body, orelse=orelse):
+            yield from texts_of(body)
+            yield from texts_of(orelse)
+        case ast.JoinedStr(values=values):
+            parts = [
+                str(part.value) if isinstance(part, ast.Constant) else "<x>"
+                for part in values
+            ]
+            yield "".join(parts)
+
+
+def documented_metrics() -> set[str]:
+    """Return the metrics that the operators' page lists."""
+    text = (ROOT / "docs/operations/metrics.md").read_text()
+    return {re.sub(r"<[a-z_ ]+>", "<x>", name) for name in first_code_cells(text)}
+
+
+def test_every_metric_is_on_the_operators_page():
+    sent = {name for call in metric_calls() for name in texts_of(call.args[0])}
+    missing = sent - documented_metrics()
+    assert not missing, f"add a row for each of {missing} to docs/operations/metrics.md"
+
+
+def test_every_metric_on_the_operators_page_is_sent():
+    sent = {name for call in metric_calls() for name in texts_of(call.args[0])}
+    # A name that is not written where it is sent must still stand in the sources.
+    sources = "\n".join(file.read_text() for file in SOURCE.rglob("*.py"))
+    gone = {name for name in documented_metrics() - sent if f'"{name}"' not in sources}
+    assert not gone, f"take {gone} off docs/operations/metrics.md"
+
+
+def test_the_callers_error_table_lists_nothing_else():
+    text = (ROOT / "docs/callers.md").read_text()
+    _, _, errors = text.partition("## Errors")
+    table, _, _ = errors.partition("\n## ")
+    assert first_code_cells(table) <= kinds(), "docs/callers.md lists a kind too many"
+
+
+def kinds() -> set[str]:
+    """Return the names of all error kinds."""
+    return {kind.value for kind in ErrorKind}
+
+
+@pytest.mark.parametrize(
+    "generator",
+    [
+        ["scripts/settings_table.py"],
+        ["scripts/error_table.py"],
+        ["-m", "benchmarks.capacity"],
+    ],
+)
+def test_a_generated_table_matches_its_source(generator):
+    command = [sys.executable, *generator, "--check"]
+    result = subprocess.run(
+        command, check=False, cwd=ROOT, capture_output=True, text=True
+    )
+    assert result.returncode == 0, result.stderr
+
+
+def logged_events() -> set[str]:
+    """Return the events that the sources log."""
+    events = set()
+    for file in SOURCE.rglob("*.py"):
+        for node in ast.walk(ast.parse(file.read_text())):
+            match node:
+                case ast.Call(
+                    func=ast.Attribute(value=receiver, attr=level), args=[first, *_]
+                ) if level in LOG_METHODS and ast.unparse(receiver).endswith("log"):
+                    events.update(texts_of(first))
+    return events
+
+
+def test_every_logged_event_is_on_the_operators_page():
+    listed = first_code_cells((ROOT / "docs/operations/logs.md").read_text())
+    missing = logged_events() - listed
+    assert not missing, f"add {missing} to a table of docs/operations/logs.md"
+
+
+def test_every_event_on_the_operators_page_is_logged():
+    listed = first_code_cells((ROOT / "docs/operations/logs.md").read_text())
+    gone = listed - logged_events()
+    assert not gone, f"take {gone} off docs/operations/logs.md"
--- a/tests/unit/entry_rig.py
+++ b/tests/unit/entry_rig.py
@@ -8,7 +8,7 @@
 from tornado.httpclient import HTTPRequest
 
 from magnoliatrail.clock import SystemClock
-from magnoliatrail.config.store import ConfigurationInForce
+from magnoliatrail.config.in_force import ConfigurationInForce
 from magnoliatrail.engines.permits import PermitHolder
 from magnoliatrail.entry.application import caller_application
 from magnoliatrail.entry.dispatch import Dispatcher
@@ -74,7 +74,8 @@
             settings=self.settings, clock=clock, client=self.client, permits=holder
         )
         metrics = RecordedMetrics()
-        configuration = ConfigurationInForce()
+        configuration = ConfigurationInForce(clock)
+        configuration.offer(configuration.configuration)
         catalogue = AdapterCatalogue()
         catalogue.base_models = {MODEL: "base"}
         parts = EntryParts(
--- a/tests/unit/test_streams.py
+++ b/tests/unit/test_streams.py
@@ -2,8 +2,10 @@
 
 import msgspec
 import pytest
+from expression import Error, Ok
 
 from magnoliatrail.demo import expected_text, streamed_text, whole_text
+from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.generated.answers import ErrorAnswer, Outcome
 from magnoliatrail.generated.engine import ChatAnswer, ChatEvent
 from magnoliatrail.wire import CallFailed
@@ -203,3 +205,23 @@
             assert rig.obtained == 0
 
     run(scenario())
+
+
+@pytest.mark.parametrize("stream", [True, False])
+def test_a_request_that_ran_in_part_is_never_refused_as_not_run(run, stream):
+    async def scenario():
+        async with running_rig(engines=1) as rig:
+            rig.engines[0].faults.wrong_adapter = 1
+            refusals = iter([Ok(rig.permits[0])])
+
+            async def obtain(request):
+                refusal = Failure(ErrorKind.SHUTTING_DOWN, "stop")
+                return next(refusals, Error(refusal))
+
+            rig.obtain = obtain
+            headers = {"X-Deadline-Seconds": "0.5"}
+            response = await rig.complete(stream=stream, headers=headers)
+            answer = msgspec.json.decode(response.body, type=ErrorAnswer)
+            assert answer.error.outcome is Outcome.OUTCOME_UNKNOWN
+
+    run(scenario())
