--- a/src/magnoliatrail/entry/completions.py
+++ b/src/magnoliatrail/entry/completions.py
@@ -15,7 +15,7 @@
 from magnoliatrail.entry.chunk_writer import ChunkWriter
 from magnoliatrail.entry.handlers import CallerHandler
 from magnoliatrail.entry.parts import EntryParts
-from magnoliatrail.errors import Failure, answer_of
+from magnoliatrail.errors import ErrorKind, Failure, answer_of
 from magnoliatrail.generated.answers import (
     ChatBody,
     CompletionBody,
@@ -108,9 +108,9 @@
                 self.parts.metrics.count("answers")
                 await self.finish()
             case Result(error=failure) if self._headers_written:
-                await self.end_broken(failure)
+                await self.end_broken(after_runs(failure, self.progress))
             case Result(error=failure):
-                self.refuse(failure)
+                self.refuse(after_runs(failure, self.progress))
 
     def write_events(self, data: bytes) -> Awaitable[None] | None:
         """Pass checked events on; what is returned ends once they have left."""
@@ -172,6 +172,14 @@
             self.detach().close()
 
 
+def after_runs(failure: Failure, progress: StreamProgress) -> Failure:
+    """Return a failure that says no "not run" of what an engine began."""
+    if not (progress.interruptions and failure.not_run):
+        return failure
+    message = f"an engine broke off, and then: {failure.message}"
+    return Failure(ErrorKind.ANSWER_INTERRUPTED, message, failure.retry_after)
+
+
 class ModelsHandler(CallerHandler):
     """Serve `GET /v1/models`."""
 
