--- a/benchmarks/slopes/calls.py
+++ b/benchmarks/slopes/calls.py
@@ -81,6 +81,12 @@
         instance="instance-002",
         incarnation=message.incarnation,
         configuration_revision=message.configuration_revision,
+        renewals=100_000,
+        through=10_000,
+        members=[],
+        owners=[],
+        leaving=[],
+        list_age_seconds=0.5,
     )
 
 
--- a/src/magnoliatrail/entry/services.py
+++ b/src/magnoliatrail/entry/services.py
@@ -21,9 +21,10 @@
 class ServiceHandler(CallerHandler):
     """Serve `/services/<name>/<path>`."""
 
-    def prepare(self) -> None:
+    async def prepare(self) -> None:
         """Collect the body as it is, without parsing forms in it."""
         self.body = bytearray()
+        await super().prepare()
 
     def data_received(self, chunk: bytes) -> None:
         """Take a part of the body; the listener bounds its size."""
