--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of the routing and placement decisions on a virtual clock."""
--- /dev/null
+++ b/benchmarks/clairvoyant.py
@@ -0,0 +1,63 @@
+"""Bounds on the number of loads: Belady's choice, and plain partitioned LRU."""
+
+import heapq
+from collections import OrderedDict
+from collections.abc import Sequence
+
+from magnoliatrail.ids import AdapterVersion
+from magnoliatrail.routing.rendezvous import ranked
+
+NEVER = 1 << 60
+
+
+def belady_loads(models: Sequence[AdapterVersion], slots: int) -> int:
+    """Return the fewest loads that serve a sequence with pooled slots."""
+    next_use = [NEVER] * len(models)
+    seen: dict[AdapterVersion, int] = {}
+    for index in range(len(models) - 1, -1, -1):
+        next_use[index] = seen.get(models[index], NEVER)
+        seen[models[index]] = index
+    resident: dict[AdapterVersion, int] = {}
+    farthest: list[tuple[int, str, AdapterVersion]] = []
+    loads = 0
+    for index, model in enumerate(models):
+        if model not in resident:
+            loads += 1
+            if len(resident) >= slots:
+                evict_farthest(resident, farthest)
+        resident[model] = next_use[index]
+        heapq.heappush(farthest, (-next_use[index], str(model), model))
+    return loads
+
+
+def evict_farthest(
+    resident: dict[AdapterVersion, int],
+    farthest: list[tuple[int, str, AdapterVersion]],
+) -> None:
+    """Evict the adapter whose next use is farthest away."""
+    while True:
+        use, _, model = heapq.heappop(farthest)
+        if resident.get(model) == -use:
+            del resident[model]
+            return
+
+
+def rendezvous_lru_loads(
+    models: Sequence[AdapterVersion], engines: Sequence[str], slots: int
+) -> int:
+    """Return the loads of LRU on the engines that rendezvous hashing picks."""
+    caches: dict[str, OrderedDict[AdapterVersion, None]] = {
+        engine: OrderedDict() for engine in engines
+    }
+    homes = {model: ranked(str(model), engines)[0] for model in set(models)}
+    loads = 0
+    for model in models:
+        cache = caches[homes[model]]
+        if model in cache:
+            cache.move_to_end(model)
+            continue
+        loads += 1
+        if len(cache) >= slots:
+            cache.popitem(last=False)
+        cache[model] = None
+    return loads
--- /dev/null
+++ b/benchmarks/measures.py
@@ -0,0 +1,139 @@
+"""What a run is judged by."""
+
+import statistics
+from dataclasses import asdict, dataclass
+
+from benchmarks.clairvoyant import belady_loads
+from benchmarks.simulation import Job, Simulation
+from magnoliatrail.generated.permits import RequestClass
+
+WARM_UP_SHARE = 0.25
+SHIFT_RECOVERY_SECONDS = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class StallMeasures:
+    """Describe the load stalls of one class, in seconds."""
+
+    mean: float
+    p50: float
+    p95: float
+    p99: float
+
+
+@dataclass(frozen=True, slots=True)
+class Measures:
+    """Describe one run."""
+
+    requests: int
+    loads_per_request: float
+    loads_over_bound: float
+    stalls: dict[str, StallMeasures]
+    batch_fill: float | None
+    refused: int
+    late_refusals: int
+    good_rate: float
+    batch_jobs: int
+    batch_jobs_done: int
+    least_fair_share: float
+    after_event_mean: float
+    steady_mean: float
+
+    def as_dict(self) -> dict[str, object]:
+        """Return the measures for JSON."""
+        return asdict(self)
+
+
+def quantile(ordered: list[float], share: float) -> float:
+    """Return a quantile of ordered values."""
+    if not ordered:
+        return 0.0
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def stall_measures(stalls: list[float]) -> StallMeasures:
+    """Return the measures of some stalls."""
+    ordered = sorted(stalls)
+    mean = statistics.fmean(ordered) if ordered else 0.0
+    shares = (0.5, 0.95, 0.99)
+    return StallMeasures(mean, *(quantile(ordered, share) for share in shares))
+
+
+def is_good(job: Job) -> bool:
+    """Return whether a request ended within its deadline."""
+    return job.ended is not None and job.ended <= job.arrival.deadline
+
+
+def is_late_refusal(job: Job) -> bool:
+    """Return whether a refusal came after half of the deadline."""
+    if job.refused is None:
+        return False
+    half = (job.arrival.at + job.arrival.deadline) / 2
+    return job.refused >= half
+
+
+def least_fair_share(jobs: list[Job]) -> float:
+    """Return the least share that a caller got of what was fair for it.
+
+    The fair share is the max-min one: what a caller asked for, up to a level that
+    is the same for all callers.
+    """
+    offered: dict[str, int] = {}
+    good: dict[str, int] = {}
+    for job in jobs:
+        caller = job.arrival.caller
+        offered[caller] = offered.get(caller, 0) + 1
+        good[caller] = good.get(caller, 0) + is_good(job)
+    left = sum(good.values())
+    fair: dict[str, float] = {}
+    for index, caller in enumerate(sorted(offered, key=lambda name: offered[name])):
+        level = left / (len(offered) - index)
+        fair[caller] = min(offered[caller], level)
+        left -= fair[caller]
+    return min(good[name] / fair[name] if fair[name] else 1.0 for name in offered)
+
+
+def measure(sim: Simulation) -> Measures:
+    """Return the measures of a run."""
+    jobs = list(sim.jobs.values())
+    warm = jobs[int(len(jobs) * WARM_UP_SHARE) :]
+    slots = sum(engine.slot_limit for engine in sim.engines.values())
+    bound = belady_loads([job.arrival.model for job in jobs], slots)
+    stalls = {
+        item.value: stall_measures(
+            [
+                job.stall
+                for job in warm
+                if job.arrival.request_class is item and job.refused is None
+            ]
+        )
+        for item in RequestClass
+    }
+    event_at = sim.trace.event_at
+    recovered = event_at + SHIFT_RECOVERY_SECONDS
+    after = [
+        job.stall
+        for job in warm
+        if recovered <= job.arrival.at < recovered + SHIFT_RECOVERY_SECONDS
+        and job.refused is None
+    ]
+    before = [
+        job.stall for job in warm if job.arrival.at < event_at and job.refused is None
+    ]
+    span = warm[-1].arrival.at - warm[0].arrival.at
+    batch = [job for job in jobs if job.arrival.request_class is RequestClass.BATCH]
+    return Measures(
+        requests=len(jobs),
+        loads_per_request=sim.loads / len(jobs),
+        loads_over_bound=sim.loads / bound,
+        stalls=stalls,
+        batch_fill=sim.fill_time / sim.wait_time if sim.wait_time else None,
+        refused=sum(job.refused is not None for job in jobs),
+        late_refusals=sum(map(is_late_refusal, jobs)),
+        good_rate=sum(map(is_good, warm)) / span,
+        batch_jobs=len(batch),
+        batch_jobs_done=sum(job.ended is not None for job in batch),
+        least_fair_share=least_fair_share(warm),
+        after_event_mean=statistics.fmean(after) if after else 0.0,
+        steady_mean=statistics.fmean(before) if before else 0.0,
+    )
--- /dev/null
+++ b/benchmarks/traces.py
@@ -0,0 +1,139 @@
+"""Seeded traces of requests, and the faults that go with them."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from itertools import accumulate
+
+from benchmarks.sites import Site
+from magnoliatrail.generated.permits import RequestClass
+from magnoliatrail.ids import AdapterVersion, CallerId, RequestId
+
+CALLERS = 12
+HEAVY_CALLER_SHARE = 0.4
+INTERACTIVE_TOKENS = (20, 100)
+BATCH_TOKENS = (400, 800)
+INTERACTIVE_DEADLINE_SECONDS = 20.0
+BATCH_DEADLINE_SECONDS = 600.0
+FLASH_SHARE = 0.5
+FLASH_SECONDS = 30.0
+SLOW_STORE_SECONDS = 60.0
+SLOW_STORE_FACTOR = 3.0
+
+
+class TraceKind(Enum):
+    """Name the course of a trace."""
+
+    STEADY = "steady"
+    SHIFT = "shift"
+    FLASH = "flash"
+    RESTART = "restart"
+    SLOW_STORE = "slow_store"
+    MIXED = "mixed"
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """Describe one request of a trace."""
+
+    at: float
+    request_id: RequestId
+    model: AdapterVersion
+    caller: CallerId
+    request_class: RequestClass
+    tokens: int
+    deadline: float
+
+
+@dataclass(frozen=True, slots=True)
+class TraceSettings:
+    """Say which trace to make."""
+
+    kind: TraceKind
+    zipf: float
+    requests: int
+    rate: float
+    seed: int
+
+
+@dataclass(frozen=True, slots=True)
+class Trace:
+    """Hold the arrivals of a trace and the moment of its event."""
+
+    kind: TraceKind
+    arrivals: list[Arrival]
+    event_at: float
+    callers: list[CallerId] = field(default_factory=list)
+
+
+def adapter(number: int) -> AdapterVersion:
+    """Name an adapter."""
+    return AdapterVersion(f"adapter-{number:04d}", "1")
+
+
+def zipf_chooser(
+    generator: random.Random, adapters: list[AdapterVersion], exponent: float
+) -> Callable[[], AdapterVersion]:
+    """Return a function that draws an adapter."""
+    weights = [1 / (rank + 1) ** exponent for rank in range(len(adapters))]
+    cumulative = list(accumulate(weights))
+    return lambda: generator.choices(adapters, cum_weights=cumulative)[0]
+
+
+def caller_of(generator: random.Random) -> CallerId:
+    """Draw a caller, of which one asks far more than the others."""
+    if generator.random() < HEAVY_CALLER_SHARE:
+        return CallerId("caller-00")
+    return CallerId(f"caller-{generator.randrange(1, CALLERS):02d}")
+
+
+def make_trace(site: Site, settings: TraceSettings) -> Trace:
+    """Make the trace that the settings describe."""
+    generator = random.Random(settings.seed)
+    adapters = [adapter(number) for number in range(site.adapters)]
+    generator.shuffle(adapters)
+    draw = zipf_chooser(generator, adapters, settings.zipf)
+    event_at = settings.requests / settings.rate / 2
+    cold = adapters[-1]
+    arrivals = []
+    now = 0.0
+    shifted = False
+    for number in range(settings.requests):
+        now += generator.expovariate(settings.rate)
+        if settings.kind is TraceKind.SHIFT and now >= event_at and not shifted:
+            shifted = True
+            generator.shuffle(adapters)
+            draw = zipf_chooser(generator, adapters, settings.zipf)
+        model = draw()
+        flash = event_at <= now < event_at + FLASH_SECONDS
+        if settings.kind is TraceKind.FLASH and flash:
+            model = cold if generator.random() < FLASH_SHARE else model
+        batch = (
+            settings.kind is TraceKind.MIXED and generator.random() < site.batch_share
+        )
+        arrivals.append(arrival(generator, number, now, model, batch=batch))
+    callers = sorted({item.caller for item in arrivals})
+    return Trace(settings.kind, arrivals, event_at, callers)
+
+
+def arrival(
+    generator: random.Random,
+    number: int,
+    at: float,
+    model: AdapterVersion,
+    *,
+    batch: bool,
+) -> Arrival:
+    """Return one request of a class."""
+    tokens = BATCH_TOKENS if batch else INTERACTIVE_TOKENS
+    patience = BATCH_DEADLINE_SECONDS if batch else INTERACTIVE_DEADLINE_SECONDS
+    return Arrival(
+        at=at,
+        request_id=RequestId(f"req-{number}"),
+        model=model,
+        caller=caller_of(generator),
+        request_class=RequestClass.BATCH if batch else RequestClass.INTERACTIVE,
+        tokens=generator.randint(*tokens),
+        deadline=at + patience,
+    )
--- /dev/null
+++ b/src/magnoliatrail/placement/load_queue.py
@@ -0,0 +1,130 @@
+"""Adapter loads that wait for their turn, with the requests that wait for them."""
+
+from collections import Counter
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from magnoliatrail.generated.permits import RequestClass
+from magnoliatrail.ids import AdapterVersion, CallerId, EngineId, RequestId
+
+LEAST_SLACK_SECONDS = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class ClassWeights:
+    """Say how much the waiting of each class of requests weighs."""
+
+    interactive: float = 1.0
+    batch: float = 0.1
+
+    def of(self, request_class: RequestClass) -> float:
+        """Return the weight of a class."""
+        if request_class is RequestClass.INTERACTIVE:
+            return self.interactive
+        return self.batch
+
+
+@dataclass(frozen=True, slots=True)
+class Waiter:
+    """Describe a request that waits for an adapter."""
+
+    request_id: RequestId
+    caller: CallerId
+    request_class: RequestClass
+    since: timedelta
+    deadline: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class LoadKey:
+    """Name an adapter and the engine that is to load it."""
+
+    engine: EngineId
+    model: AdapterVersion
+
+
+@dataclass(slots=True)
+class PendingLoad:
+    """Hold one adapter that is to be loaded and everyone who waits for it."""
+
+    key: LoadKey
+    waiters: dict[RequestId, Waiter] = field(default_factory=dict)
+    not_before: timedelta = timedelta()
+
+
+LoadValue = Callable[[PendingLoad, timedelta], float]
+
+
+def urgency(weights: ClassWeights) -> LoadValue:
+    """Return the value of loads: class weight by time left, for each waiter."""
+
+    def value(load: PendingLoad, now: timedelta) -> float:
+        total = 0.0
+        for waiter in load.waiters.values():
+            slack = (waiter.deadline - now).total_seconds()
+            weight = weights.of(waiter.request_class)
+            total += weight / max(slack, LEAST_SLACK_SECONDS)
+        return total
+
+    return value
+
+
+class LoadQueue:
+    """Keep the loads that wait for their turn, one for each engine and adapter."""
+
+    def __init__(self, value: LoadValue) -> None:
+        self.value = value
+        self.pending: dict[LoadKey, PendingLoad] = {}
+
+    def join(self, key: LoadKey, waiter: Waiter) -> PendingLoad:
+        """Let a request wait for an adapter, together with others."""
+        load = self.pending.setdefault(key, PendingLoad(key))
+        load.waiters[waiter.request_id] = waiter
+        return load
+
+    def leave(self, key: LoadKey, request_id: RequestId) -> None:
+        """Forget a request that waits no longer, and a load that nobody awaits."""
+        load = self.pending.get(key)
+        if load is None:
+            return
+        load.waiters.pop(request_id, None)
+        if not load.waiters:
+            del self.pending[key]
+
+    def take(
+        self, now: timedelta, can_start: Callable[[LoadKey], bool]
+    ) -> PendingLoad | None:
+        """Take the most valuable load that may start."""
+        ordered = sorted(
+            (load for load in self.pending.values() if load.not_before <= now),
+            key=lambda load: self.value(load, now),
+            reverse=True,
+        )
+        for load in ordered:
+            if can_start(load.key):
+                return self.pending.pop(load.key)
+        return None
+
+    def put_back(self, load: PendingLoad, not_before: timedelta) -> None:
+        """Let a load wait again, with those who joined meanwhile."""
+        load.not_before = not_before
+        joined = self.pending.pop(load.key, None)
+        if joined:
+            load.waiters.update(joined.waiters)
+        self.pending[load.key] = load
+
+    def waiters(self) -> Iterator[tuple[LoadKey, Waiter]]:
+        """Return every request that waits for a load."""
+        for load in self.pending.values():
+            for waiter in load.waiters.values():
+                yield load.key, waiter
+
+    def best_value(self, now: timedelta) -> float:
+        """Return the value of the most valuable load."""
+        values = (self.value(load, now) for load in self.pending.values())
+        return max(values, default=0.0)
+
+    def waiting_by_caller(self) -> Counter[CallerId]:
+        """Return the number of waiting requests of each caller."""
+        return Counter(waiter.caller for _, waiter in self.waiters())
--- /dev/null
+++ b/src/magnoliatrail/placement/popularity.py
@@ -0,0 +1,79 @@
+"""Popularity of adapters: use counts that decay with time."""
+
+import math
+from dataclasses import dataclass
+from datetime import timedelta
+
+from magnoliatrail.ids import AdapterVersion
+
+
+@dataclass(frozen=True, slots=True)
+class PopularitySettings:
+    """Say how fast past use loses its weight."""
+
+    memory: timedelta = timedelta(seconds=600)
+    idle_uses: float = 3.0
+    negligible_uses: float = 0.001
+
+
+@dataclass(slots=True)
+class UseCount:
+    """Hold the decayed number of uses of one adapter, as of its last use."""
+
+    uses: float
+    last_used: float
+
+
+class Popularity:
+    """Count the uses of adapters, recent ones with more weight."""
+
+    def __init__(self, settings: PopularitySettings) -> None:
+        self.settings = settings
+        self.memory_seconds = settings.memory.total_seconds()
+        self.counts: dict[AdapterVersion, UseCount] = {}
+
+    def record(
+        self, model: AdapterVersion, now: timedelta, *, uses: float = 1.0
+    ) -> None:
+        """Count some uses of an adapter."""
+        seconds = now.total_seconds()
+        count = self.counts.get(model)
+        if count is None:
+            self.counts[model] = UseCount(uses, seconds)
+            return
+        idle = max(0.0, seconds - count.last_used)
+        count.uses = uses + count.uses * math.exp(-idle / self.memory_seconds)
+        count.last_used = seconds
+
+    def rate(self, model: AdapterVersion, now: timedelta) -> float:
+        """Return the uses a second of an adapter, averaged over the memory."""
+        count = self.counts.get(model)
+        if count is None:
+            return 0.0
+        idle = max(0.0, now.total_seconds() - count.last_used)
+        return self.decayed_rate(count, idle)
+
+    def decayed_rate(self, count: UseCount, idle_seconds: float) -> float:
+        """Return the uses a second of a count that has been idle."""
+        decay = math.exp(-idle_seconds / self.memory_seconds)
+        return count.uses * decay / self.memory_seconds
+
+    def value(self, model: AdapterVersion, now: timedelta) -> float:
+        """Return the uses a second to expect, less for an adapter gone quiet.
+
+        An adapter that has been idle for several of its usual gaps has probably
+        lost its popularity, which the decay alone would notice too late.
+        """
+        count = self.counts.get(model)
+        if count is None:
+            return 0.0
+        idle = max(0.0, now.total_seconds() - count.last_used)
+        rate = self.decayed_rate(count, idle)
+        return min(rate, self.settings.idle_uses / idle) if idle else rate
+
+    def forget_idle(self, now: timedelta) -> None:
+        """Drop the counts that have decayed to almost nothing."""
+        least = self.settings.negligible_uses / self.memory_seconds
+        idle = [model for model in self.counts if self.rate(model, now) < least]
+        for model in idle:
+            del self.counts[model]
--- /dev/null
+++ b/src/magnoliatrail/routing/engine_choice.py
@@ -0,0 +1,157 @@
+"""Choice of the engine that a request goes to."""
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+
+from magnoliatrail.ids import EngineId
+
+TARGET_BATCH_USE = 0.8
+
+
+class Residency(Enum):
+    """Say whether an engine has an adapter."""
+
+    LOADED = "loaded"
+    LOADING = "loading"
+    ABSENT = "absent"
+
+
+class Reason(Enum):
+    """Say why an engine was chosen."""
+
+    PREFIX_CACHED = "prefix_cached"
+    LOADED_HERE = "loaded_here"
+    LOADING_HERE = "loading_here"
+    QUEUE_SHORTEST = "queue_shortest"
+    SPILL = "spill"
+    FREE_SLOT = "free_slot"
+    LEAST_VALUABLE_SLOT = "least_valuable_slot"
+    NO_ROOM = "no_room"
+
+
+@dataclass(frozen=True, slots=True)
+class EngineView:
+    """Describe a candidate engine for one adapter, as far as it is known."""
+
+    engine: EngineId
+    residency: Residency
+    batch_slots: int
+    in_flight: int = 0
+    waiting: int = 0
+    free_slots: int = 0
+    slot_value: float = math.inf
+    prefix_cached: bool = False
+
+    @property
+    def load(self) -> float:
+        """Return the requests running and waiting for each batch slot."""
+        return (self.in_flight + self.waiting) / self.batch_slots
+
+    @property
+    def full(self) -> bool:
+        """Return whether a further request would have to wait."""
+        return self.in_flight + self.waiting >= self.batch_slots
+
+
+@dataclass(frozen=True, slots=True)
+class AdapterDemand:
+    """Say how much an adapter is used and what it takes to serve it."""
+
+    rate: float
+    service_time: timedelta
+    load_wait: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementWeights:
+    """Weigh load stalls against batch efficiency."""
+
+    stall: float = 1.0
+    batch: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """Name the engine for a request, and why."""
+
+    engine: EngineId
+    reason: Reason
+
+
+def replicas_wanted(demand: AdapterDemand, batch_slots: int) -> int:
+    """Return the number of engines that an adapter's popularity fills."""
+    busy = demand.rate * demand.service_time.total_seconds()
+    return max(1, math.ceil(busy / (batch_slots * TARGET_BATCH_USE)))
+
+
+def queue_wait(view: EngineView, demand: AdapterDemand) -> timedelta:
+    """Return the expected wait for a batch place on an engine."""
+    ahead = max(0, view.in_flight + view.waiting + 1 - view.batch_slots)
+    return demand.service_time * (ahead / view.batch_slots)
+
+
+def should_spill(
+    here: Sequence[EngineView], demand: AdapterDemand, weights: PlacementWeights
+) -> bool:
+    """Return whether another replica is worth a load."""
+    if any(view.residency is Residency.LOADING for view in here):
+        return False
+    shortest = min(queue_wait(view, demand) for view in here)
+    busy = sum(view.in_flight + view.waiting for view in here)
+    wanted = replicas_wanted(demand, here[0].batch_slots)
+    overflowing = busy > sum(view.batch_slots for view in here)
+    if len(here) >= wanted and not overflowing:
+        return False
+    return shortest * weights.stall > demand.load_wait * weights.batch
+
+
+def choose_present(here: Sequence[EngineView]) -> Choice:
+    """Choose among the engines that have the adapter or are loading it."""
+    open_views = [view for view in here if not view.full]
+    if not open_views:
+        shortest = min(here, key=lambda view: view.load)
+        return Choice(shortest.engine, Reason.QUEUE_SHORTEST)
+    best = min(
+        open_views,
+        key=lambda view: (
+            view.residency is not Residency.LOADED,
+            not view.prefix_cached,
+            view.load,
+        ),
+    )
+    if best.residency is Residency.LOADING:
+        return Choice(best.engine, Reason.LOADING_HERE)
+    if best.prefix_cached:
+        return Choice(best.engine, Reason.PREFIX_CACHED)
+    return Choice(best.engine, Reason.LOADED_HERE)
+
+
+def choose_absent(elsewhere: Sequence[EngineView]) -> Choice:
+    """Choose the engine that is to load the adapter."""
+    free = [view for view in elsewhere if view.free_slots > 0]
+    if free:
+        emptiest = max(free, key=lambda view: (view.free_slots, -view.load))
+        return Choice(emptiest.engine, Reason.FREE_SLOT)
+    cheapest = min(elsewhere, key=lambda view: (view.slot_value, view.load))
+    if math.isinf(cheapest.slot_value):
+        return Choice(cheapest.engine, Reason.NO_ROOM)
+    return Choice(cheapest.engine, Reason.LEAST_VALUABLE_SLOT)
+
+
+def choose_engine(
+    views: Sequence[EngineView], demand: AdapterDemand, weights: PlacementWeights
+) -> Choice:
+    """Choose the engine for a request among its candidates, in their order."""
+    here = [view for view in views if view.residency is not Residency.ABSENT]
+    elsewhere = [view for view in views if view.residency is Residency.ABSENT]
+    if here and not (elsewhere and should_spill(here, demand, weights)):
+        return choose_present(here)
+    choice = choose_absent(elsewhere)
+    if here:
+        if choice.reason is Reason.NO_ROOM:
+            return choose_present(here)
+        return Choice(choice.engine, Reason.SPILL)
+    return choice
--- /dev/null
+++ b/src/magnoliatrail/routing/fair_queue.py
@@ -0,0 +1,129 @@
+"""A bounded queue: fair between callers, earliest deadline first, batch not starved."""
+
+import heapq
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import Generic, TypeVar
+
+from magnoliatrail.generated.permits import RequestClass
+from magnoliatrail.ids import CallerId, RequestId
+
+T = TypeVar("T")
+
+INTERACTIVE_TURNS_PER_BATCH_TURN = 8
+
+
+@dataclass(order=True, slots=True)
+class Entry(Generic[T]):
+    """Hold one queued item."""
+
+    deadline: timedelta
+    order: int
+    request_id: RequestId = field(compare=False)
+    item: T = field(compare=False)
+
+
+@dataclass(slots=True)
+class ClassQueue(Generic[T]):
+    """Hold the queued items of one class, by caller."""
+
+    by_caller: dict[CallerId, list[Entry[T]]] = field(default_factory=dict)
+    served: dict[CallerId, float] = field(default_factory=dict)
+    turn: float = 0.0
+
+    def push(self, caller: CallerId, entry: Entry[T]) -> None:
+        """Queue an item; a caller that was away gets no credit for it."""
+        if caller not in self.by_caller:
+            self.served[caller] = max(self.turn, self.served.get(caller, 0.0))
+        heapq.heappush(self.by_caller.setdefault(caller, []), entry)
+
+    def pop(self) -> Entry[T]:
+        """Take the most urgent item of the caller that was served least."""
+        caller = min(
+            self.by_caller,
+            key=lambda name: (self.served[name], self.by_caller[name][0].deadline),
+        )
+        self.turn = self.served[caller]
+        self.served[caller] += 1.0
+        entries = self.by_caller[caller]
+        entry = heapq.heappop(entries)
+        if not entries:
+            del self.by_caller[caller]
+            self.served = {
+                name: turn
+                for name, turn in self.served.items()
+                if name in self.by_caller or turn > self.turn
+            }
+        return entry
+
+    def remove(self, caller: CallerId, request_id: RequestId) -> T | None:
+        """Take an item out of turn."""
+        entries = self.by_caller.get(caller, [])
+        for index, entry in enumerate(entries):
+            if entry.request_id == request_id:
+                del entries[index]
+                heapq.heapify(entries)
+                if not entries:
+                    del self.by_caller[caller]
+                return entry.item
+        return None
+
+
+class FairQueue(Generic[T]):
+    """Queue requests until there is a place for them."""
+
+    def __init__(self, limit_per_caller: int) -> None:
+        self.limit_per_caller = limit_per_caller
+        self.classes: dict[RequestClass, ClassQueue[T]] = {
+            request_class: ClassQueue() for request_class in RequestClass
+        }
+        self.pushed = 0
+        self.length = 0
+        self.interactive_turns = 0
+
+    def __len__(self) -> int:
+        """Return the number of queued items."""
+        return self.length
+
+    def has_room(self, caller: CallerId, request_class: RequestClass) -> bool:
+        """Return whether a caller may queue one more request of a class."""
+        queued = self.classes[request_class].by_caller.get(caller, ())
+        return len(queued) < self.limit_per_caller
+
+    def push(
+        self,
+        item: T,
+        *,
+        request_id: RequestId,
+        caller: CallerId,
+        request_class: RequestClass,
+        deadline: timedelta,
+    ) -> None:
+        """Queue a request."""
+        self.pushed += 1
+        self.length += 1
+        entry = Entry(deadline, self.pushed, request_id, item)
+        self.classes[request_class].push(caller, entry)
+
+    def pop(self) -> T | None:
+        """Take the next request: interactive first, batch every few turns."""
+        interactive = self.classes[RequestClass.INTERACTIVE]
+        batch = self.classes[RequestClass.BATCH]
+        if not self.length:
+            return None
+        self.length -= 1
+        batch_due = self.interactive_turns >= INTERACTIVE_TURNS_PER_BATCH_TURN
+        if batch.by_caller and (batch_due or not interactive.by_caller):
+            self.interactive_turns = 0
+            return batch.pop().item
+        self.interactive_turns += 1
+        return interactive.pop().item
+
+    def remove(
+        self, request_id: RequestId, caller: CallerId, request_class: RequestClass
+    ) -> T | None:
+        """Take a request out of turn, None if it is not queued."""
+        item = self.classes[request_class].remove(caller, request_id)
+        if item is not None:
+            self.length -= 1
+        return item
