--- /dev/null
+++ b/benchmarks/matrix.py
@@ -0,0 +1,89 @@
+"""The cells of the benchmark, and how one is run."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from benchmarks.clairvoyant import rendezvous_lru_loads
+from benchmarks.measures import Measures, measure
+from benchmarks.simulation import Simulation
+from benchmarks.sites import SITES
+from benchmarks.strategies import STRATEGIES
+from benchmarks.traces import TraceKind, TraceSettings, make_trace
+
+SLOTS = (4, 8)
+ZIPF_EXPONENTS = (0.9, 1.1)
+LOADS = (0.7, 0.9)
+OVERLOAD = 1.5
+OVERLOAD_KINDS = (TraceKind.STEADY, TraceKind.MIXED)
+CAPACITY_REQUESTS = 20_000
+CAPACITY_SEED = 99
+
+
+@dataclass(frozen=True, slots=True)
+class Cell:
+    """Name one combination that is measured."""
+
+    site: str
+    slots: int
+    zipf: float
+    load: float
+    kind: TraceKind
+    seed: int
+    requests: int
+
+    def __str__(self) -> str:
+        """Return a short name for tables."""
+        return (
+            f"{self.site} slots={self.slots} zipf={self.zipf} "
+            f"load={self.load} {self.kind.value} seed={self.seed}"
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class CellResult:
+    """Hold what each strategy did in one cell."""
+
+    cell: Cell
+    capacity: float
+    measures: dict[str, Measures]
+
+
+def capacity_of(site_name: str, slots: int, zipf: float) -> float:
+    """Return the requests a second that the store lets rendezvous + LRU carry."""
+    site = SITES[site_name]
+    settings = TraceSettings(
+        TraceKind.STEADY, zipf, CAPACITY_REQUESTS, 1.0, CAPACITY_SEED
+    )
+    models = [item.model for item in make_trace(site, settings).arrivals]
+    engines = [f"engine-{number}" for number in range(site.engines)]
+    loads = rendezvous_lru_loads(models, engines, slots)
+    return site.store.loads_per_second * len(models) / loads
+
+
+def run_cell(cell: Cell, strategies: tuple[str, ...] = tuple(STRATEGIES)) -> CellResult:
+    """Run every strategy on the trace of a cell."""
+    site = SITES[cell.site]
+    capacity = capacity_of(cell.site, cell.slots, cell.zipf)
+    settings = TraceSettings(
+        cell.kind, cell.zipf, cell.requests, capacity * cell.load, cell.seed
+    )
+    trace = make_trace(site, settings)
+    measures = {}
+    for name in strategies:
+        sim = Simulation(site, cell.slots, trace, STRATEGIES[name](site, cell.seed))
+        sim.run()
+        measures[name] = measure(sim)
+    return CellResult(cell, capacity, measures)
+
+
+def all_cells(requests: int, seeds: tuple[int, ...]) -> Iterator[Cell]:
+    """Return the whole matrix."""
+    for site in SITES:
+        for slots in SLOTS:
+            for zipf in ZIPF_EXPONENTS:
+                for seed in seeds:
+                    for kind in TraceKind:
+                        for load in LOADS:
+                            yield Cell(site, slots, zipf, load, kind, seed, requests)
+                    for kind in OVERLOAD_KINDS:
+                        yield Cell(site, slots, zipf, OVERLOAD, kind, seed, requests)
--- a/benchmarks/measures.py
+++ b/benchmarks/measures.py
@@ -1,7 +1,7 @@
 """What a run is judged by."""
 
 import statistics
-from dataclasses import asdict, dataclass
+from dataclasses import dataclass
 
 from benchmarks.clairvoyant import belady_loads
 from benchmarks.simulation import Job, Simulation
@@ -9,6 +9,7 @@
 
 WARM_UP_SHARE = 0.25
 SHIFT_RECOVERY_SECONDS = 60.0
+SHIFT_WINDOW_SECONDS = 60.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,15 +34,11 @@
     refused: int
     late_refusals: int
     good_rate: float
+    lost: int
     batch_jobs: int
     batch_jobs_done: int
     least_fair_share: float
-    after_event_mean: float
-    steady_mean: float
-
-    def as_dict(self) -> dict[str, object]:
-        """Return the measures for JSON."""
-        return asdict(self)
+    recovered_mean: float
 
 
 def quantile(ordered: list[float], share: float) -> float:
@@ -109,17 +106,13 @@
         )
         for item in RequestClass
     }
-    event_at = sim.trace.event_at
-    recovered = event_at + SHIFT_RECOVERY_SECONDS
-    after = [
+    recovered_at = sim.trace.event_at + SHIFT_RECOVERY_SECONDS
+    recovered = [
         job.stall
         for job in warm
-        if recovered <= job.arrival.at < recovered + SHIFT_RECOVERY_SECONDS
+        if 0 <= job.arrival.at - recovered_at < SHIFT_WINDOW_SECONDS
         and job.refused is None
     ]
-    before = [
-        job.stall for job in warm if job.arrival.at < event_at and job.refused is None
-    ]
     span = warm[-1].arrival.at - warm[0].arrival.at
     batch = [job for job in jobs if job.arrival.request_class is RequestClass.BATCH]
     return Measures(
@@ -131,9 +124,9 @@
         refused=sum(job.refused is not None for job in jobs),
         late_refusals=sum(map(is_late_refusal, jobs)),
         good_rate=sum(map(is_good, warm)) / span,
+        lost=sum(job.ended is None and job.refused is None for job in jobs),
         batch_jobs=len(batch),
         batch_jobs_done=sum(job.ended is not None for job in batch),
         least_fair_share=least_fair_share(warm),
-        after_event_mean=statistics.fmean(after) if after else 0.0,
-        steady_mean=statistics.fmean(before) if before else 0.0,
+        recovered_mean=statistics.fmean(recovered) if recovered else 0.0,
     )
--- a/benchmarks/simulation.py
+++ b/benchmarks/simulation.py
@@ -22,7 +22,7 @@
 from magnoliatrail.routing.fair_queue import FairQueue
 from magnoliatrail.standins.weights import FakeWeightStore
 
-ASK_FOR_PLACES_SECONDS = 0.02
+ASK_FOR_PLACES_SECONDS = 0.05
 SWEEP_SECONDS = 0.25
 LOAD_BACKOFF = timedelta(seconds=1)
 UNBOUNDED = 1 << 30
@@ -82,8 +82,8 @@
         self.internal: list[tuple[int, int, Job]] = []
         self.queues = {entry: FairQueue[Job](UNBOUNDED) for entry in self.entries}
         self.in_flight = Counter[InstanceId]()
-        self.places = dict.fromkeys(self.entries, 1)
         self.asked = False
+        self.share()
 
     @property
     def queued(self) -> int:
@@ -110,6 +110,7 @@
     used: Callable[["Simulation", AdapterVersion], None]
     sweep: Callable[["Simulation"], None] | None = None
     share_places: bool = True
+    paced: bool = True
 
 
 class Simulation:
@@ -127,9 +128,7 @@
             f"engine-{n}": SimEngine(f"engine-{n}", site, slots)
             for n in range(site.engines)
         }
-        self.pacer = LoadPacer(
-            LoadLimits(site.store.loads_per_second, site.store.burst, site.store.knee)
-        )
+        self.pacer = LoadPacer(pace_of(site, strategy))
         self.load_queue = strategy.queue()
         self.jobs: dict[RequestId, Job] = {}
         self.events: list[tuple[float, int, Callable[[], None]]] = []
@@ -367,6 +366,14 @@
             self.route(job)
 
 
+def pace_of(site: Site, strategy: Strategy) -> LoadLimits:
+    """Return the pace at which a strategy orders loads."""
+    if not strategy.paced:
+        return LoadLimits(UNBOUNDED, UNBOUNDED, UNBOUNDED)
+    store = site.store
+    return LoadLimits(store.loads_per_second, store.burst, store.knee)
+
+
 def waiter_of(job: Job) -> Waiter:
     """Describe a job that waits for a load."""
     arrival = job.arrival
--- a/benchmarks/strategies.py
+++ b/benchmarks/strategies.py
@@ -3,6 +3,7 @@
 import math
 import random
 from datetime import timedelta
+from functools import partial
 
 from benchmarks.simulation import Job, SimEngine, Simulation, Strategy
 from benchmarks.sites import Site
@@ -16,10 +17,7 @@
     urgency,
 )
 from magnoliatrail.placement.popularity import Popularity, PopularitySettings
-from magnoliatrail.routing.admission import (
-    expected_load_wait,
-    waits_too_long,
-)
+from magnoliatrail.routing.admission import LoadForecast, shed
 from magnoliatrail.routing.candidates import CandidateIndex
 from magnoliatrail.routing.engine_choice import (
     AdapterDemand,
@@ -69,10 +67,11 @@
         lambda: LoadQueue(oldest_first),
         ignore_use,
         share_places=False,
+        paced=False,
     )
 
 
-def rendezvous_lru(site: Site, seed: int) -> Strategy:
+def rendezvous_lru(site: Site, seed: int, *, paced: bool = False) -> Strategy:
     """Return the baseline that hashes each adapter to one engine."""
     names = [f"engine-{n}" for n in range(site.engines)]
     homes: dict[AdapterVersion, str] = {}
@@ -85,12 +84,13 @@
         return sim.engines[home]
 
     return Strategy(
-        "rendezvous+lru",
+        "rendezvous+lru+pace" if paced else "rendezvous+lru",
         choose,
         least_recent,
         lambda: LoadQueue(oldest_first),
         ignore_use,
         share_places=False,
+        paced=paced,
     )
 
 
@@ -116,6 +116,7 @@
         self.site = site
         self.popularity = Popularity(popularity)
         self.index = CandidateIndex(listed(site))
+        self.forecast = LoadForecast(site.store.loads_per_second, site.store.load_time)
 
     def used(self, sim: Simulation, model: AdapterVersion) -> None:
         """Count a use."""
@@ -186,24 +187,15 @@
         demand = AdapterDemand(
             rate=self.popularity.value(model, sim.now()),
             service_time=SERVICE_TIME,
-            load_wait=expected_load_wait(
-                len(sim.load_queue.pending),
-                self.site.store.loads_per_second,
-                self.site.store.load_time,
-            ),
+            load_wait=self.forecast.wait(len(sim.load_queue.pending)),
         )
         choice = choose_engine(views, demand, self.site.weights)
         return sim.engines[choice.engine]
 
     def sweep(self, sim: Simulation) -> None:
-        """Refuse early what waits too long for a load."""
-        late = [
-            (key, waiter)
-            for key, waiter in sim.load_queue.waiters()
-            if waits_too_long(waiter, sim.now())
-        ]
-        for key, waiter in late:
-            sim.refuse(key, waiter.request_id)
+        """Refuse at once what cannot have its adapter in time."""
+        for refusal in shed(sim.load_queue, sim.now(), self.forecast):
+            sim.refuse(refusal.key, refusal.waiter.request_id)
 
 
 def product(site: Site, seed: int) -> Strategy:
@@ -223,5 +215,6 @@
 STRATEGIES = {
     "random+lru": random_lru,
     "rendezvous+lru": rendezvous_lru,
+    "rendezvous+lru+pace": partial(rendezvous_lru, paced=True),
     "magnoliatrail": product,
 }
--- /dev/null
+++ b/benchmarks/targets.py
@@ -0,0 +1,118 @@
+"""The bounds of the benchmark, from the targets that were set for the policy."""
+
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+
+from benchmarks.matrix import OVERLOAD, CellResult
+from benchmarks.traces import TraceKind
+
+PRODUCT = "magnoliatrail"
+BASELINE = "rendezvous+lru"
+CALM = (TraceKind.STEADY, TraceKind.MIXED)
+
+MOST_LOADS_OVER_BOUND = 1.2
+MOST_STALL_OF_BASELINE = 0.5
+MOST_STALL_AFTER_SHIFT = 1.25
+LEAST_BATCH_FILL = 0.9
+LEAST_GOODPUT = 0.9
+LEAST_FAIR_SHARE = 0.8
+
+
+@dataclass(frozen=True, slots=True)
+class Check:
+    """Hold one figure and its bound."""
+
+    where: str
+    what: str
+    figure: float
+    bound: float
+    at_least: bool = False
+
+    @property
+    def met(self) -> bool:
+        """Return whether the figure keeps to the bound."""
+        if self.at_least:
+            return self.figure >= self.bound
+        return self.figure <= self.bound
+
+
+def load_checks(result: CellResult) -> Iterator[Check]:
+    """Return the checks of the number of loads."""
+    if result.cell.kind is TraceKind.STEADY and result.cell.load < OVERLOAD:
+        ratio = result.measures[PRODUCT].loads_over_bound
+        yield Check(str(result.cell), "loads_over_bound", ratio, MOST_LOADS_OVER_BOUND)
+
+
+def stall_checks(result: CellResult) -> Iterator[Check]:
+    """Return the checks of the stalls of interactive requests."""
+    if result.cell.load >= OVERLOAD:
+        return
+    share = MOST_STALL_OF_BASELINE if result.cell.kind in CALM else 1.0
+    ours = result.measures[PRODUCT].stalls["interactive"]
+    theirs = result.measures[BASELINE].stalls["interactive"]
+    where = str(result.cell)
+    yield Check(where, "stall_mean", ours.mean, theirs.mean * share)
+    yield Check(where, "stall_p95", ours.p95, theirs.p95 * share)
+
+
+def work_checks(result: CellResult) -> Iterator[Check]:
+    """Return the checks of batch fill, batch jobs and lost requests."""
+    measures = result.measures[PRODUCT]
+    where = str(result.cell)
+    yield Check(where, "lost", measures.lost, 0)
+    if measures.batch_fill is not None:
+        yield Check(
+            where, "batch_fill", measures.batch_fill, LEAST_BATCH_FILL, at_least=True
+        )
+    if result.cell.load < OVERLOAD:
+        undone = measures.batch_jobs - measures.batch_jobs_done
+        yield Check(where, "batch_jobs_undone", undone, 0)
+
+
+def overload_checks(result: CellResult) -> Iterator[Check]:
+    """Return the checks of what is left to callers under overload."""
+    if result.cell.load < OVERLOAD:
+        return
+    measures = result.measures[PRODUCT]
+    where = str(result.cell)
+    goodput = measures.good_rate / result.capacity
+    fair = measures.least_fair_share
+    yield Check(where, "goodput", goodput, LEAST_GOODPUT, at_least=True)
+    yield Check(where, "late_refusals", measures.late_refusals, 0)
+    yield Check(where, "fair_share", fair, LEAST_FAIR_SHARE, at_least=True)
+
+
+def shift_checks(results: Sequence[CellResult]) -> Iterator[Check]:
+    """Compare the stalls after a shift with those of the steady trace then.
+
+    Both traces have the same arrivals; the means are taken over all seeds.
+    """
+    groups: dict[tuple[str, int, float, float], dict[TraceKind, list[float]]] = {}
+    for result in results:
+        cell = result.cell
+        if cell.load >= OVERLOAD:
+            continue
+        key = (cell.site, cell.slots, cell.zipf, cell.load)
+        by_kind = groups.setdefault(key, {})
+        mean = result.measures[PRODUCT].recovered_mean
+        by_kind.setdefault(cell.kind, []).append(mean)
+    for (site, slots, zipf, load), by_kind in groups.items():
+        if TraceKind.SHIFT not in by_kind or TraceKind.STEADY not in by_kind:
+            continue
+        shifted = sum(by_kind[TraceKind.SHIFT])
+        steady = sum(by_kind[TraceKind.STEADY])
+        where = f"{site} slots={slots} zipf={zipf} load={load} shift"
+        ratio = shifted / steady
+        yield Check(where, "stall_after_shift", ratio, MOST_STALL_AFTER_SHIFT)
+
+
+def all_checks(results: Sequence[CellResult]) -> list[Check]:
+    """Return every check of a run."""
+    checks: list[Check] = []
+    for result in results:
+        checks.extend(load_checks(result))
+        checks.extend(stall_checks(result))
+        checks.extend(work_checks(result))
+        checks.extend(overload_checks(result))
+    checks.extend(shift_checks(results))
+    return checks
--- a/benchmarks/traces.py
+++ b/benchmarks/traces.py
@@ -91,6 +91,7 @@
 def make_trace(site: Site, settings: TraceSettings) -> Trace:
     """Make the trace that the settings describe."""
     generator = random.Random(settings.seed)
+    shift = random.Random(settings.seed + 1)
     adapters = [adapter(number) for number in range(site.adapters)]
     generator.shuffle(adapters)
     draw = zipf_chooser(generator, adapters, settings.zipf)
@@ -103,7 +104,7 @@
         now += generator.expovariate(settings.rate)
         if settings.kind is TraceKind.SHIFT and now >= event_at and not shifted:
             shifted = True
-            generator.shuffle(adapters)
+            shift.shuffle(adapters)
             draw = zipf_chooser(generator, adapters, settings.zipf)
         model = draw()
         flash = event_at <= now < event_at + FLASH_SECONDS
--- a/src/magnoliatrail/placement/load_queue.py
+++ b/src/magnoliatrail/placement/load_queue.py
@@ -1,14 +1,15 @@
 """Adapter loads that wait for their turn, with the requests that wait for them."""
 
-from collections import Counter
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from datetime import timedelta
 
 from magnoliatrail.generated.permits import RequestClass
 from magnoliatrail.ids import AdapterVersion, CallerId, EngineId, RequestId
+from magnoliatrail.placement.popularity import Popularity, PopularitySettings
 
 LEAST_SLACK_SECONDS = 0.5
+CALLER_MEMORY = PopularitySettings(memory=timedelta(seconds=60))
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,11 +77,13 @@
     def __init__(self, value: LoadValue) -> None:
         self.value = value
         self.pending: dict[LoadKey, PendingLoad] = {}
+        self.use_by_caller: Popularity[CallerId] = Popularity(CALLER_MEMORY)
 
     def join(self, key: LoadKey, waiter: Waiter) -> PendingLoad:
         """Let a request wait for an adapter, together with others."""
         load = self.pending.setdefault(key, PendingLoad(key))
         load.waiters[waiter.request_id] = waiter
+        self.use_by_caller.record(waiter.caller, waiter.since)
         return load
 
     def leave(self, key: LoadKey, request_id: RequestId) -> None:
@@ -96,15 +99,18 @@
         self, now: timedelta, can_start: Callable[[LoadKey], bool]
     ) -> PendingLoad | None:
         """Take the most valuable load that may start."""
-        ordered = sorted(
-            (load for load in self.pending.values() if load.not_before <= now),
+        for load in self.ordered(now):
+            if load.not_before <= now and can_start(load.key):
+                return self.pending.pop(load.key)
+        return None
+
+    def ordered(self, now: timedelta) -> list[PendingLoad]:
+        """Return all loads, the most valuable first."""
+        return sorted(
+            self.pending.values(),
             key=lambda load: self.value(load, now),
             reverse=True,
         )
-        for load in ordered:
-            if can_start(load.key):
-                return self.pending.pop(load.key)
-        return None
 
     def put_back(self, load: PendingLoad, not_before: timedelta) -> None:
         """Let a load wait again, with those who joined meanwhile."""
@@ -124,7 +130,3 @@
         """Return the value of the most valuable load."""
         values = (self.value(load, now) for load in self.pending.values())
         return max(values, default=0.0)
-
-    def waiting_by_caller(self) -> Counter[CallerId]:
-        """Return the number of waiting requests of each caller."""
-        return Counter(waiter.caller for _, waiter in self.waiters())
--- a/src/magnoliatrail/placement/places.py
+++ b/src/magnoliatrail/placement/places.py
@@ -26,20 +26,17 @@
 ) -> dict[InstanceId, int]:
     """Divide the places by demand, slightly more than there are.
 
-    Every holder gets at least one place, so that a request that comes before the
-    next division need not wait for it.
+    What nobody asks for is given to every holder in full: while the engine has room,
+    no request waits for the next division, and the few that collide wait in the
+    engine's own queue. Every holder gets at least one place.
     """
-    total = max(len(demands), round(batch_slots * OVERBOOKING))
-    places = dict.fromkeys(demands, 1)
-    left = total - len(places)
+    places = dict.fromkeys(demands, 0)
+    left = round(batch_slots * OVERBOOKING)
     while left > 0 and (short := hungry(demands, places)):
         for holder in short[:left]:
             places[holder] += 1
         left -= min(left, len(short))
-    for holder in sorted(places, key=lambda name: (-demands[name].wanted, name)):
-        spare = -(-left // len(places))
-        places[holder] += spare
-    return places
+    return {holder: max(1, given + left) for holder, given in places.items()}
 
 
 def hungry(
--- a/src/magnoliatrail/placement/popularity.py
+++ b/src/magnoliatrail/placement/popularity.py
@@ -1,53 +1,52 @@
-"""Popularity of adapters: use counts that decay with time."""
+"""Popularity of adapters, and use by callers: counts that decay with time."""
 
 import math
 from dataclasses import dataclass
 from datetime import timedelta
+from typing import Generic, TypeVar
 
-from magnoliatrail.ids import AdapterVersion
+Key = TypeVar("Key")
 
 
 @dataclass(frozen=True, slots=True)
 class PopularitySettings:
     """Say how fast past use loses its weight."""
 
-    memory: timedelta = timedelta(seconds=600)
-    idle_uses: float = 3.0
+    memory: timedelta = timedelta(seconds=300)
+    idle_uses: float = 1.5
     negligible_uses: float = 0.001
 
 
 @dataclass(slots=True)
 class UseCount:
-    """Hold the decayed number of uses of one adapter, as of its last use."""
+    """Hold the decayed number of uses of one key, as of its last use."""
 
     uses: float
     last_used: float
 
 
-class Popularity:
-    """Count the uses of adapters, recent ones with more weight."""
+class Popularity(Generic[Key]):
+    """Count the uses of adapters or callers, recent ones with more weight."""
 
     def __init__(self, settings: PopularitySettings) -> None:
         self.settings = settings
         self.memory_seconds = settings.memory.total_seconds()
-        self.counts: dict[AdapterVersion, UseCount] = {}
+        self.counts: dict[Key, UseCount] = {}
 
-    def record(
-        self, model: AdapterVersion, now: timedelta, *, uses: float = 1.0
-    ) -> None:
-        """Count some uses of an adapter."""
+    def record(self, key: Key, now: timedelta, *, uses: float = 1.0) -> None:
+        """Count some uses."""
         seconds = now.total_seconds()
-        count = self.counts.get(model)
+        count = self.counts.get(key)
         if count is None:
-            self.counts[model] = UseCount(uses, seconds)
+            self.counts[key] = UseCount(uses, seconds)
             return
         idle = max(0.0, seconds - count.last_used)
         count.uses = uses + count.uses * math.exp(-idle / self.memory_seconds)
         count.last_used = seconds
 
-    def rate(self, model: AdapterVersion, now: timedelta) -> float:
-        """Return the uses a second of an adapter, averaged over the memory."""
-        count = self.counts.get(model)
+    def rate(self, key: Key, now: timedelta) -> float:
+        """Return the uses a second of a key, averaged over the memory."""
+        count = self.counts.get(key)
         if count is None:
             return 0.0
         idle = max(0.0, now.total_seconds() - count.last_used)
@@ -58,13 +57,13 @@
         decay = math.exp(-idle_seconds / self.memory_seconds)
         return count.uses * decay / self.memory_seconds
 
-    def value(self, model: AdapterVersion, now: timedelta) -> float:
+    def value(self, key: Key, now: timedelta) -> float:
         """Return the uses a second to expect, less for an adapter gone quiet.
 
         An adapter that has been idle for several of its usual gaps has probably
         lost its popularity, which the decay alone would notice too late.
         """
-        count = self.counts.get(model)
+        count = self.counts.get(key)
         if count is None:
             return 0.0
         idle = max(0.0, now.total_seconds() - count.last_used)
@@ -74,6 +73,6 @@
     def forget_idle(self, now: timedelta) -> None:
         """Drop the counts that have decayed to almost nothing."""
         least = self.settings.negligible_uses / self.memory_seconds
-        idle = [model for model in self.counts if self.rate(model, now) < least]
-        for model in idle:
-            del self.counts[model]
+        idle = [key for key in self.counts if self.rate(key, now) < least]
+        for key in idle:
+            del self.counts[key]
--- a/src/magnoliatrail/routing/admission.py
+++ b/src/magnoliatrail/routing/admission.py
@@ -1,10 +1,12 @@
-"""Early refusal of requests that cannot end before their deadline."""
+"""Early refusal of requests that cannot get their adapter in time."""
 
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 
-from magnoliatrail.ids import CallerId, RequestId
-from magnoliatrail.placement.load_queue import LoadQueue, Waiter
+from magnoliatrail.generated.permits import RequestClass
+from magnoliatrail.ids import CallerId
+from magnoliatrail.placement.load_queue import LoadKey, LoadQueue, PendingLoad, Waiter
 
 LONGEST_WAIT_SHARE = 0.4
 LEAST_RETRY_AFTER = timedelta(seconds=1)
@@ -12,32 +14,84 @@
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
-    """Name a request that cannot be served in time, and when to come back."""
+    """Name a waiting request that is refused, and when to come back."""
 
-    request_id: RequestId
+    key: LoadKey
+    waiter: Waiter
     retry_after: timedelta
 
 
-def expected_load_wait(
-    loads_ahead: int, loads_per_second: float, load_time: timedelta
-) -> timedelta:
-    """Return the time until an adapter is loaded, with some loads before it."""
-    return timedelta(seconds=loads_ahead / loads_per_second) + load_time
+@dataclass(frozen=True, slots=True)
+class LoadForecast:
+    """Say how fast waiting loads are expected to start and end."""
+
+    loads_per_second: float
+    load_time: timedelta
+
+    def wait(self, loads_ahead: int) -> timedelta:
+        """Return the time until an adapter is loaded, with some loads before it."""
+        return timedelta(seconds=loads_ahead / self.loads_per_second) + self.load_time
+
+
+def allowed_wait(waiter: Waiter) -> timedelta:
+    """Return how long a request may wait for a load: a share of its whole time."""
+    return (waiter.deadline - waiter.since) * LONGEST_WAIT_SHARE
 
 
 def waits_too_long(waiter: Waiter, now: timedelta) -> bool:
     """Return whether a request has used up the time that it may wait for a load."""
-    allowed = (waiter.deadline - waiter.since) * LONGEST_WAIT_SHARE
-    return now - waiter.since >= allowed
+    return now - waiter.since >= allowed_wait(waiter)
+
+
+def overloaded_classes(
+    ordered: Sequence[PendingLoad], now: timedelta, forecast: LoadForecast
+) -> list[RequestClass]:
+    """Return the classes of which some request would wait too long."""
+    found: set[RequestClass] = set()
+    for ahead, load in enumerate(ordered):
+        wait = forecast.wait(ahead)
+        for waiter in load.waiters.values():
+            if now - waiter.since + wait > allowed_wait(waiter):
+                found.add(waiter.request_class)
+    return sorted(found)
+
 
+def request_to_shed(
+    ordered: Sequence[PendingLoad],
+    request_class: RequestClass,
+    use: Callable[[CallerId], float],
+) -> tuple[LoadKey, Waiter]:
+    """Return the least valuable request of the caller that used most of late."""
+    waiting = [
+        (load.key, waiter)
+        for load in ordered
+        for waiter in load.waiters.values()
+        if waiter.request_class is request_class
+    ]
+    callers = {waiter.caller for _, waiter in waiting}
+    busiest = max(callers, key=lambda caller: (use(caller), caller))
+    return next(item for item in reversed(waiting) if item[1].caller == busiest)
 
-def longest_queue(queue: LoadQueue) -> CallerId:
-    """Return the caller with the most requests that wait for loads."""
-    counts = queue.waiting_by_caller()
-    return max(counts, key=lambda caller: (counts[caller], caller))
 
+def shed(queue: LoadQueue, now: timedelta, forecast: LoadForecast) -> list[Refusal]:
+    """Take out of the queue what cannot be served in time, and say when to retry.
 
-def retry_after(queue: LoadQueue, loads_per_second: float) -> timedelta:
-    """Return when the loads that wait now will have started."""
-    drained = timedelta(seconds=len(queue.pending) / loads_per_second)
-    return max(drained, LEAST_RETRY_AFTER)
+    The queue shrinks by one request of the busiest caller at a time, until all that
+    is left can have its adapter early enough.
+    """
+    refusals: list[Refusal] = []
+    while queue.pending:
+        ordered = queue.ordered(now)
+        classes = overloaded_classes(ordered, now, forecast)
+        if not classes:
+            break
+        key, waiter = request_to_shed(
+            ordered,
+            classes[0],
+            lambda caller: queue.use_by_caller.rate(caller, now),
+        )
+        queue.leave(key, waiter.request_id)
+        queue.use_by_caller.record(waiter.caller, now, uses=-1.0)
+        retry_after = max(forecast.wait(len(ordered)), LEAST_RETRY_AFTER)
+        refusals.append(Refusal(key, waiter, retry_after))
+    return refusals
