--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,5 @@
-.PHONY: demo test lint types bench generate check-generated clean
+.PHONY: demo test lint types bench generate check-generated clean tables slopes \
+	bench-configuration
 VENV := .venv
 PYTHON ?= $(VENV)/bin/python
 export PYTHONPATH := src
@@ -12,15 +13,28 @@
 lint: $(VENV)/ready
 	$(PYTHON) -m ruff format --check .
 	$(PYTHON) -m ruff check .
+	$(dir $(PYTHON))lint-imports --no-logo
 
 types: $(VENV)/ready
 	$(PYTHON) -m mypy
 
 generate: $(VENV)/ready
 	$(PYTHON) scripts/generate.py
+	$(PYTHON) -m scripts.settings_table
 
 check-generated: $(VENV)/ready
 	$(PYTHON) scripts/generate.py --check
+	$(PYTHON) -m scripts.settings_table --check
+	$(PYTHON) -m scripts.error_table --check
+
+tables: $(VENV)/ready
+	$(PYTHON) -m scripts.settings_table
+	$(PYTHON) -m scripts.error_table
+	$(PYTHON) -m benchmarks.capacity
+
+slopes: $(VENV)/ready
+	$(PYTHON) -m benchmarks.slopes
+	$(PYTHON) -m benchmarks.capacity
 
 $(VENV)/ready: requirements.lock pyproject.toml
 	test -x $(VENV)/bin/python || python3 -m venv $(VENV)
@@ -28,5 +42,8 @@
 	$(VENV)/bin/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
 	touch $@
 
+bench-configuration: $(VENV)/ready
+	$(PYTHON) -m benchmarks.configuration_spread
+
 clean:
 	rm -rf $(VENV) .pytest_cache .mypy_cache .ruff_cache .hypothesis
--- a/src/magnoliatrail/standins/objects.py
+++ b/src/magnoliatrail/standins/objects.py
@@ -27,6 +27,13 @@
         self.objects[name] = body
         return Ok(None)
 
+    async def delete(self, name: str) -> Result[None, Failure]:
+        """Delete an object."""
+        if self.faults.down:
+            return Error(outage())
+        self.objects.pop(name, None)
+        return Ok(None)
+
 
 def outage() -> Failure:
     """Return the failure of an object store that is down."""
@@ -34,7 +41,7 @@
 
 
 class ObjectHandler(FaultyHandler):
-    """Serve `GET` and `PUT /objects/<name>`."""
+    """Serve `GET`, `PUT` and `DELETE /objects/<name>`."""
 
     def initialize(self, store: FakeObjects) -> None:
         """Take the store to serve."""
@@ -50,11 +57,14 @@
         self.set_header("Content-Type", "application/octet-stream")
         self.write(body)
 
-    def put(self, name: str) -> None:
+    async def put(self, name: str) -> None:
         """Write an object."""
         self.store.objects[name] = self.request.body
-        if self.loses_answer():
-            self.drop_connection()
+        await self.answer(b"")
+
+    def delete(self, name: str) -> None:
+        """Delete an object."""
+        self.store.objects.pop(name, None)
 
 
 def objects_application(store: FakeObjects) -> Application:
--- a/src/magnoliatrail/standins/table.py
+++ b/src/magnoliatrail/standins/table.py
@@ -23,6 +23,7 @@
         self.reads = 0
         self.writes = 0
         self.last_revision = 0
+        self.late: list[Transaction] = []
 
     def commit(self, transaction: Transaction) -> TransactionAnswer:
         """Commit a transaction if its conditions hold."""
@@ -49,6 +50,12 @@
                     key=write.key, value=write.value, revision=self.last_revision
                 )
 
+    def deliver_late(self) -> None:
+        """Commit the transactions that were held up on their way."""
+        late, self.late = self.late, []
+        for transaction in late:
+            self.commit(transaction)
+
     def revision(self, key: str) -> int:
         """Return the revision of a row, 0 if it is absent."""
         row = self.rows.get(key)
@@ -75,9 +82,16 @@
     async def transact(
         self, transaction: Transaction
     ) -> Result[TransactionAnswer, Failure]:
-        """Commit a transaction, or lose its answer."""
+        """Commit a transaction, or lose it or its answer."""
         if self.faults.down:
             return Error(outage())
+        if self.faults.lose_requests:
+            self.faults.lose_requests -= 1
+            return Error(Failure(ErrorKind.TABLE_OUTCOME_UNKNOWN, "request lost"))
+        if self.faults.late_requests:
+            self.faults.late_requests -= 1
+            self.late.append(transaction)
+            return Error(Failure(ErrorKind.TABLE_OUTCOME_UNKNOWN, "request late"))
         answer = self.commit(transaction)
         if self.faults.lose_answers:
             self.faults.lose_answers -= 1
@@ -122,14 +136,14 @@
 class TransactionHandler(TableHandler):
     """Serve `POST /transactions`."""
 
-    def post(self) -> None:
+    async def post(self) -> None:
         """Commit a transaction."""
         transaction = msgspec.json.decode(self.request.body, type=Transaction)
-        answer = self.table.commit(transaction)
-        if self.loses_answer():
+        if self.takes("lose_requests"):
             self.drop_connection()
             return
-        self.write(msgspec.json.encode(answer))
+        answer = self.table.commit(transaction)
+        await self.answer(msgspec.json.encode(answer))
 
 
 def table_application(table: FakeTable) -> Application:
