Wire value-ordered loads, engine choice and fair queues into the daemon

Cause: the dispatcher retried every 50 ms, each owner loaded at once in order of arrival and evicted by recency, and engines were tried in hash order. Now one live instance keeps the pace of the store, loads start most valuable first with joined waits, owners report digests, and requests queue for batch places.

--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -4,10 +4,11 @@
 from pathlib import Path
 
 import msgspec
+from scripts.generated_page import write_or_check
+
 from benchmarks.capacity.figures import LIMITS, PARTS, Figure, Slopes
 from benchmarks.slopes.__main__ import RESULTS, SlopeRun, table
 from benchmarks.slopes.fit import Slope
-from scripts.generated_page import write_or_check
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 TOGETHER = ROOT / "benchmarks" / "together.json"
--- a/benchmarks/capacity/figures.py
+++ b/benchmarks/capacity/figures.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import msgspec
+
 from benchmarks.capacity.target import (
     ADAPTER_SLOTS,
     ADAPTERS,
--- a/benchmarks/codecs.py
+++ b/benchmarks/codecs.py
@@ -5,10 +5,10 @@
 from pathlib import Path
 
 import msgspec
+
 from benchmarks.slopes.measure import processor_microseconds
 from benchmarks.slopes.messages import operation_row, permit_grant, permit_request
 from benchmarks.slopes.state import catalogue_body, list_body
-
 from magnoliatrail.generated.platform import Catalogue, InstanceList
 
 RESULTS = Path(__file__).resolve().parent / "codecs.json"
--- a/benchmarks/residency_digest.py
+++ b/benchmarks/residency_digest.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 
 import msgspec
+
 from benchmarks.marked_cuckoo_filter import MarkedCuckooFilter, buckets_for
 
 ROUNDS = 30
--- a/benchmarks/simulation.py
+++ b/benchmarks/simulation.py
@@ -80,7 +80,7 @@
         self.slots: dict[AdapterVersion, SimSlot] = {}
         self.running: set[Job] = set()
         self.internal: list[tuple[int, int, Job]] = []
-        self.queues = {entry: FairQueue[Job](UNBOUNDED) for entry in self.entries}
+        self.queues = {entry: FairQueue[Job]() for entry in self.entries}
         self.in_flight = Counter[InstanceId]()
         self.asked = False
         self.share()
--- a/benchmarks/slopes/__main__.py
+++ b/benchmarks/slopes/__main__.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 import msgspec
+
 from benchmarks.slopes.calls import call_slopes
 from benchmarks.slopes.decisions import configuration_slopes, decision_slopes
 from benchmarks.slopes.entry import entry_slopes, memory_slopes
--- a/benchmarks/slopes/calls.py
+++ b/benchmarks/slopes/calls.py
@@ -7,12 +7,12 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from benchmarks.slopes.fit import Slope, fitted
-from benchmarks.slopes.messages import heartbeat, permit_grant, permit_request
-from benchmarks.slopes.wire_bytes import CountingProxy
 from expression import Ok, Result
 from tornado.web import Application, RequestHandler
 
+from benchmarks.slopes.fit import Slope, fitted
+from benchmarks.slopes.messages import heartbeat, permit_grant, permit_request
+from benchmarks.slopes.wire_bytes import CountingProxy
 from magnoliatrail.engines.client import EngineClient
 from magnoliatrail.errors import Failure
 from magnoliatrail.generated.engine import LoadedHandle, LoadReport
--- a/benchmarks/slopes/decisions.py
+++ b/benchmarks/slopes/decisions.py
@@ -3,7 +3,6 @@
 from benchmarks.slopes.fit import Slope, fitted
 from benchmarks.slopes.measure import processor_microseconds
 from benchmarks.slopes.state import BASE_MODELS
-
 from magnoliatrail.config.resolve import Scopes, setting_of
 from magnoliatrail.engines.permits import PermitHolder
 from magnoliatrail.generated.configuration import (
--- a/benchmarks/slopes/entry.py
+++ b/benchmarks/slopes/entry.py
@@ -4,10 +4,10 @@
 import os
 from pathlib import Path
 
-from benchmarks.slopes.fit import Slope, fitted
-from benchmarks.slopes.state import ADAPTERS
 from tests.processes.fleet import Fleet, running_fleet
 
+from benchmarks.slopes.fit import Slope, fitted
+from benchmarks.slopes.state import ADAPTERS
 from magnoliatrail.standins.world import WorldSize
 
 REQUESTS = (100, 200, 400)
--- a/benchmarks/slopes/messages.py
+++ b/benchmarks/slopes/messages.py
@@ -4,7 +4,6 @@
 
 from benchmarks.slopes.fit import Slope, fitted
 from benchmarks.slopes.measure import processor_microseconds
-
 from magnoliatrail.generated.membership import Heartbeat
 from magnoliatrail.generated.operations import ClaimState, OperationRow
 from magnoliatrail.generated.permits import PermitGrant, PermitRequest, RequestClass
--- a/benchmarks/slopes/state.py
+++ b/benchmarks/slopes/state.py
@@ -2,7 +2,6 @@
 
 from benchmarks.slopes.fit import Slope, fitted
 from benchmarks.slopes.measure import kept_bytes, peak_bytes, processor_microseconds
-
 from magnoliatrail.engines.permits import PermitHolder
 from magnoliatrail.generated.membership import OwnerRow, SessionRow
 from magnoliatrail.generated.permits import PermitGrant
--- a/src/magnoliatrail/daemon.py
+++ b/src/magnoliatrail/daemon.py
@@ -46,6 +46,8 @@
 )
 from magnoliatrail.peers.heartbeats import Heartbeats
 from magnoliatrail.peers.permit_calls import PermitCalls
+from magnoliatrail.peers.placement_links import Neighbours
+from magnoliatrail.peers.placement_parts import PlacementParts
 from magnoliatrail.peers.server import PeerRoute, peer_application
 from magnoliatrail.periodic import PeriodicTasks
 from magnoliatrail.placement.catalogue import AdapterCatalogue
@@ -88,6 +90,7 @@
         self.peers = PeerClient(settings.peer_token)
         self.spread = self.new_spread()
         self.join_parts()
+        self.placement = self.new_placement()
         self.lifecycle = Lifecycle(self.configuration)
         self.operations = operation_parts(
             table=self.table,
@@ -165,6 +168,25 @@
             catch_up=self.spread.catch_up,
         )
 
+    def new_placement(self) -> PlacementParts:
+        """Return the parts that decide about places, loads and evictions."""
+        neighbours = Neighbours(
+            instance=self.instance,
+            live=lambda: list(self.fleet.sessions),
+            url_of=lambda peer: self.fleet.sessions[peer].peer_url,
+            peers=self.peers,
+            limits=self.limits,
+        )
+        return PlacementParts(
+            settings=self.settings,
+            clock=self.clock,
+            metrics=self.metrics,
+            configuration=self.configuration,
+            fleet=self.fleet,
+            neighbours=neighbours,
+            owners=lambda: self.owned.owners,
+        )
+
     def new_owner(self, listed: ListedInstance, row: OwnerRow) -> EngineOwner:
         """Return the owner's task for one engine."""
         return EngineOwner(
@@ -174,6 +196,8 @@
             recall=self.permit_calls.recall,
             clock=self.clock,
             metrics=self.metrics,
+            loads=self.placement.loads,
+            popularity=self.placement.new_popularity(),
         )
 
     def new_entry(self) -> EntryParts:
@@ -203,6 +227,7 @@
             catalogue=self.catalogue,
             permits=self.permits,
             ask_owner=self.permit_calls.ask_owner,
+            state=self.placement.state,
         )
         caller = EngineCaller(
             settings=self.settings,
@@ -211,7 +236,14 @@
             permits=self.permits,
         )
         return Dispatcher(
-            clock=self.clock, metrics=self.metrics, search=search, caller=caller
+            clock=self.clock,
+            metrics=self.metrics,
+            search=search,
+            caller=caller,
+            places=self.placement.places,
+            circuits=self.placement.state.circuits,
+            retry_share=lambda: self.configuration.configuration.defaults.retry_share,
+            generator=self.operations.generator,
         )
 
     def new_service_caller(self) -> ServiceCaller:
@@ -262,6 +294,7 @@
         self.tasks.every(settings.load_report_seconds, self.owned.refresh)
         self.tasks.every(settings.configuration_poll_seconds, self.spread.poll)
         self.tasks.every(settings.heartbeat_seconds, self.heartbeats.send_all)
+        self.tasks.every(settings.heartbeat_seconds, self.placement.demand.report_all)
         self.tasks.every(CATALOGUE_SECONDS, self.refresh_catalogue)
         self.tasks.once(self.forget_operations)
 
@@ -349,4 +382,5 @@
             PeerRoute("/peer/heartbeat", Heartbeat, self.heartbeats.answer),
             PeerRoute("/peer/status", object, self.answer_status),
             *configuration_routes(self.spread),
+            *self.placement.routes(),
         ]
--- /dev/null
+++ b/src/magnoliatrail/engines/demand.py
@@ -0,0 +1,104 @@
+"""Reports of demand from holders to owners, and what owners tell them."""
+
+import math
+from collections import Counter
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from magnoliatrail.generated.permits import (
+    AdapterUses,
+    DemandReport,
+    EngineDemand,
+    EngineDigest,
+)
+from magnoliatrail.ids import AdapterVersion, EngineId, InstanceId
+from magnoliatrail.placement.places import HolderDemand, share_places
+
+FRESH = timedelta(seconds=5)
+NO_VICTIM = -1.0
+
+
+@dataclass
+class DemandBook:
+    """Keep the latest demand of each holder on one engine."""
+
+    reports: dict[InstanceId, tuple[timedelta, HolderDemand]] = field(
+        default_factory=dict
+    )
+
+    def take(self, holder: InstanceId, demand: HolderDemand, now: timedelta) -> None:
+        """Use a holder's report, and forget holders that went silent."""
+        self.reports[holder] = (now, demand)
+        self.reports = {
+            name: entry
+            for name, entry in self.reports.items()
+            if now - entry[0] <= FRESH
+        }
+
+    def places(self, holder: InstanceId, batch_slots: int) -> int:
+        """Return the batch places of one holder."""
+        demands = {name: demand for name, (_, demand) in self.reports.items()}
+        demands.setdefault(holder, HolderDemand(0, 1))
+        return share_places(demands, batch_slots)[holder]
+
+    def total(self) -> HolderDemand:
+        """Return the demand of all holders together."""
+        demands = [demand for _, demand in self.reports.values()]
+        return HolderDemand(
+            sum(demand.in_flight for demand in demands),
+            sum(demand.waiting for demand in demands),
+        )
+
+
+class EngineDirectory:
+    """Keep what owners say about engines, and what this instance has to report."""
+
+    def __init__(self) -> None:
+        self.digests: dict[EngineId, EngineDigest] = {}
+        self.loaded: dict[EngineId, frozenset[str]] = {}
+        self.uses: dict[EngineId, Counter[AdapterVersion]] = {}
+
+    def take(self, digest: EngineDigest) -> None:
+        """Use an owner's newest digest of an engine."""
+        engine = EngineId(digest.engine)
+        self.digests[engine] = digest
+        self.loaded[engine] = frozenset(digest.loaded)
+
+    def record_use(self, engine: EngineId, model: AdapterVersion) -> None:
+        """Count a use that the engine's owner has not heard of."""
+        self.uses.setdefault(engine, Counter())[model] += 1
+
+    def report(
+        self,
+        holder: InstanceId,
+        engines: list[EngineId],
+        demand_on: dict[EngineId, HolderDemand],
+    ) -> DemandReport:
+        """Return the report to the owner of some engines, and start to count anew."""
+        return DemandReport(
+            holder=holder,
+            engines=[
+                self.engine_demand(engine, demand_on.get(engine, HolderDemand(0, 0)))
+                for engine in engines
+            ],
+        )
+
+    def engine_demand(self, engine: EngineId, demand: HolderDemand) -> EngineDemand:
+        """Return the report on one engine."""
+        uses = self.uses.pop(engine, Counter())
+        return EngineDemand(
+            engine=engine,
+            in_flight=demand.in_flight,
+            waiting=demand.waiting,
+            uses=[
+                AdapterUses(adapter=model.adapter, version=model.version, uses=count)
+                for model, count in uses.items()
+            ],
+        )
+
+    def slot_value(self, engine: EngineId) -> float:
+        """Return the value of the adapter that an engine would evict next."""
+        digest = self.digests.get(engine)
+        if digest is None:
+            return 0.0
+        return math.inf if digest.slot_value < 0 else digest.slot_value
--- /dev/null
+++ b/src/magnoliatrail/engines/digest.py
@@ -0,0 +1,56 @@
+"""What an owner tells the holders about its engine, and learns from them."""
+
+from datetime import timedelta
+
+from magnoliatrail.engines.demand import NO_VICTIM
+from magnoliatrail.engines.owner import EngineOwner, eviction_candidate
+from magnoliatrail.generated.permits import EngineDemand, EngineDigest
+from magnoliatrail.ids import AdapterVersion, InstanceId
+from magnoliatrail.placement.eviction import eviction_order
+from magnoliatrail.placement.places import HolderDemand
+
+BATCH_SLOTS_UNTIL_REPORTED = 1
+
+
+def take_demand(
+    owner: EngineOwner, holder: InstanceId, demand: EngineDemand, now: timedelta
+) -> None:
+    """Use a holder's report on an engine."""
+    owner.demand.take(holder, HolderDemand(demand.in_flight, demand.waiting), now)
+    for item in demand.uses:
+        model = AdapterVersion(item.adapter, item.version)
+        owner.popularity.record(model, now, uses=item.uses)
+        if model in owner.slots:
+            owner.slots[model].last_used = now
+
+
+def digest_of(owner: EngineOwner, holder: InstanceId, now: timedelta) -> EngineDigest:
+    """Describe an engine to one holder."""
+    report = owner.report
+    batch_slots = report.batch_slots if report else BATCH_SLOTS_UNTIL_REPORTED
+    total = owner.demand.total()
+    return EngineDigest(
+        engine=owner.engine,
+        places=owner.demand.places(holder, batch_slots),
+        batch_slots=batch_slots,
+        in_flight=total.in_flight,
+        waiting=total.waiting,
+        free_slots=owner.free_slots(),
+        slot_value=slot_value(owner, now),
+        loaded=[str(model) for model in owner.slots],
+    )
+
+
+def slot_value(owner: EngineOwner, now: timedelta) -> float:
+    """Return the value of the adapter that would be evicted next.
+
+    Loads that wait for their turn take the cheapest slots first, so that the next
+    load would have to evict a more valuable adapter.
+    """
+    slots = [eviction_candidate(owner, slot, now) for slot in owner.slots.values()]
+    order = eviction_order(slots, now)
+    ahead = owner.loads.waiting_for(owner.engine) if owner.loads else 0
+    if ahead >= len(order):
+        return NO_VICTIM
+    values = {item.handle: item.value for item in slots}
+    return values[order[ahead]]
--- a/src/magnoliatrail/engines/owner.py
+++ b/src/magnoliatrail/engines/owner.py
@@ -10,6 +10,8 @@
 
 from magnoliatrail.clock import Clock
 from magnoliatrail.engines.client import EngineClient
+from magnoliatrail.engines.demand import DemandBook
+from magnoliatrail.engines.load_scheduler import LoadScheduler
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.generated.engine import LoadReport
 from magnoliatrail.generated.permits import (
@@ -21,15 +23,19 @@
 from magnoliatrail.generated.platform import ListedInstance
 from magnoliatrail.ids import (
     AdapterVersion,
+    CallerId,
     EngineId,
     FencingNumber,
     Handle,
     InstanceId,
+    RequestId,
     handle_for,
 )
 from magnoliatrail.logs import EventLog
 from magnoliatrail.metrics import Metrics
 from magnoliatrail.placement.eviction import EvictionCandidate, eviction_order
+from magnoliatrail.placement.load_queue import LoadKey, Waiter
+from magnoliatrail.placement.popularity import Popularity, PopularitySettings
 
 log = EventLog("owner")
 
@@ -56,6 +62,7 @@
     waiters: int = 0
     loaded: asyncio.Event = field(default_factory=asyncio.Event)
     failure: Failure | None = None
+    loaded_at: timedelta = timedelta()
 
 
 class EngineOwner:
@@ -70,6 +77,8 @@
         recall: Recall,
         clock: Clock,
         metrics: Metrics,
+        loads: LoadScheduler | None = None,
+        popularity: Popularity[AdapterVersion] | None = None,
     ) -> None:
         self.engine = EngineId(listed.id)
         self.url = listed.url
@@ -81,6 +90,9 @@
         self.report: LoadReport | None = None
         self.slots: dict[AdapterVersion, Slot] = {}
         self.ordering = asyncio.Lock()
+        self.loads = loads
+        self.popularity = popularity or Popularity(PopularitySettings())
+        self.demand = DemandBook()
 
     async def refresh(self) -> None:
         """Read the load report, and forget handles that a restart took."""
@@ -110,7 +122,7 @@
         model = AdapterVersion(request.adapter, request.version)
         slot = self.slots.get(model)
         if slot is None or slot.state is SlotState.EVICTING:
-            match await self.start_load(model, request):
+            match await self.load_in_turn(model, request):
                 case Result(tag="ok", ok=started):
                     slot = started
                 case Result(error=failure):
@@ -126,6 +138,26 @@
         slot.holders.add(InstanceId(request.holder))
         return Ok(self.grant(slot))
 
+    async def load_in_turn(
+        self, model: AdapterVersion, request: PermitRequest
+    ) -> Result[Slot, Failure]:
+        """Start to load an adapter once it is its turn."""
+        if self.loads is None:
+            return await self.start_load(model, request)
+        now = self.clock.monotonic()
+        if request.rate and not self.popularity.value(model, now):
+            memory = self.popularity.memory_seconds
+            self.popularity.record(model, now, uses=request.rate * memory)
+        key = LoadKey(self.engine, model)
+        match await self.loads.turn(key, waiter_of(request, now)):
+            case Result(tag="ok"):
+                started = await self.start_load(model, request)
+            case Result(error=failure):
+                return Error(failure)
+        if started.is_error():
+            self.loads.ended(key)
+        return started
+
     def grant(self, slot: Slot) -> PermitGrant:
         """Return the grant for a loaded slot."""
         assert self.report is not None
@@ -183,6 +215,7 @@
         match result:
             case Result(tag="ok"):
                 slot.state = SlotState.LOADED
+                slot.loaded_at = self.clock.monotonic()
                 self.metrics.count("loads")
                 self.metrics.timing("load_time", duration)
                 log.info("load_ended", engine=self.engine, handle=slot.handle)
@@ -197,20 +230,25 @@
                     reason=failure.message,
                 )
         slot.loaded.set()
+        if self.loads:
+            key = LoadKey(self.engine, slot.model)
+            self.loads.ended(key, failed=slot.failure is not None)
+
+    def free_slots(self) -> int:
+        """Return how many adapter slots are neither taken nor spoken for."""
+        if self.report is None:
+            return 0
+        spoken_for = self.loads.waiting_for(self.engine) if self.loads else 0
+        return max(0, self.report.adapter_slots - len(self.slots) - spoken_for)
 
     async def free_slot(self) -> bool:
         """Evict the least valuable adapter that nobody uses."""
         by_handle = {slot.handle: slot for slot in self.slots.values()}
+        now = self.clock.monotonic()
         candidates = [
-            EvictionCandidate(
-                slot.handle,
-                slot.state is not SlotState.LOADED,
-                slot.waiters > 0,
-                slot.last_used,
-            )
-            for slot in self.slots.values()
+            eviction_candidate(self, slot, now) for slot in self.slots.values()
         ]
-        for handle in eviction_order(candidates):
+        for handle in eviction_order(candidates, now):
             if await self.evict(by_handle[handle]):
                 return True
         return False
@@ -244,3 +282,28 @@
                 return False
             slot.holders.discard(holder)
         return True
+
+
+def eviction_candidate(
+    owner: EngineOwner, slot: Slot, now: timedelta
+) -> EvictionCandidate:
+    """Describe a slot to the choice of a victim."""
+    return EvictionCandidate(
+        handle=slot.handle,
+        in_use=slot.state is not SlotState.LOADED,
+        awaited=slot.waiters > 0,
+        last_used=slot.last_used,
+        value=owner.popularity.value(slot.model, now),
+        loaded_at=slot.loaded_at,
+    )
+
+
+def waiter_of(request: PermitRequest, now: timedelta) -> Waiter:
+    """Describe a request that waits for its adapter."""
+    return Waiter(
+        request_id=RequestId(request.request_id),
+        caller=CallerId(request.caller),
+        request_class=request.request_class,
+        since=now,
+        deadline=now + timedelta(seconds=request.deadline_seconds),
+    )
--- a/src/magnoliatrail/engines/permits.py
+++ b/src/magnoliatrail/engines/permits.py
@@ -21,6 +21,7 @@
 
     grant: PermitGrant
     in_flight: int = 0
+    waiting: int = 0
     revoked: bool = False
 
     @property
@@ -39,9 +40,9 @@
         return AdapterVersion(self.grant.adapter, self.grant.version)
 
     @property
-    def free_places(self) -> int:
-        """Return how many more requests may be dispatched."""
-        return 0 if self.revoked else self.grant.places - self.in_flight
+    def awaited(self) -> bool:
+        """Return whether a request uses the handle or waits for a place on it."""
+        return self.in_flight > 0 or self.waiting > 0
 
 
 class PermitHolder:
@@ -65,9 +66,9 @@
     def usable(
         self, model: AdapterVersion, allowed: Callable[[EngineId], bool]
     ) -> list[Permit]:
-        """Return the permits for an adapter with a free place."""
+        """Return the permits for an adapter that may be used."""
         permits = self.permits.get(model, {}).values()
-        return [item for item in permits if item.free_places and allowed(item.engine)]
+        return [item for item in permits if not item.revoked and allowed(item.engine)]
 
     def drop(self, permit: Permit) -> None:
         """Forget a permit whose handle is gone."""
@@ -91,7 +92,7 @@
         for permit in self.on_engine(EngineId(recall.engine)):
             if permit.handle != recall.handle:
                 continue
-            if permit.in_flight:
+            if permit.awaited:
                 return RecallAnswer(state=RecallState.BUSY)
             self.drop(permit)
             log.info("permit_returned", engine=permit.engine, handle=permit.handle)
--- a/src/magnoliatrail/entry/dispatch.py
+++ b/src/magnoliatrail/entry/dispatch.py
@@ -1,18 +1,49 @@
-"""Dispatch of a completion: find a permit, run the request, try again if safe."""
+"""Dispatch of a completion: permit, batch place, engine, and retries in bounds."""
 
+from collections.abc import Callable
 from datetime import timedelta
+from random import Random
 
 from expression import Error, Ok, Result
 
 from magnoliatrail.clock import Clock
+from magnoliatrail.engines.permits import Permit
 from magnoliatrail.entry.answer_sink import AnswerSink
 from magnoliatrail.entry.engine_call import EngineCaller
+from magnoliatrail.entry.places import EntryPlaces
+from magnoliatrail.entry.retry_budget import RetryBudget
 from magnoliatrail.errors import ErrorKind, Failure
+from magnoliatrail.ids import CallerId
+from magnoliatrail.logs import EventLog
 from magnoliatrail.metrics import Metrics
+from magnoliatrail.operations.backoff import Backoff, waits
 from magnoliatrail.requests import CompletionCall
+from magnoliatrail.routing.circuit import Circuits, CircuitSettings
 from magnoliatrail.routing.permit_search import PermitSearch
 
-RETRY_DELAY = timedelta(milliseconds=50)
+log = EventLog("dispatch")
+
+RETRY = Backoff(
+    first=timedelta(milliseconds=20),
+    longest=timedelta(seconds=1),
+    total=timedelta(hours=1),
+)
+RETRY_SHARE = 0.1
+QUEUE_LIMIT = 256
+
+# A request that was refused for its limits or its time is not tried again.
+FINAL_KINDS = {ErrorKind.QUEUE_FULL, ErrorKind.DEADLINE_UNREACHABLE}
+ENGINE_AT_FAULT = {
+    ErrorKind.BACKEND_UNREACHABLE,
+    ErrorKind.BACKEND_FAILED,
+    ErrorKind.ANSWER_INTERRUPTED,
+    ErrorKind.ANSWER_INVALID,
+}
+
+
+def default_queue_limit(caller: CallerId) -> int:
+    """Return how many requests of a caller and class may wait for an engine."""
+    return QUEUE_LIMIT
 
 
 class Dispatcher:
@@ -25,27 +56,56 @@
         metrics: Metrics,
         search: PermitSearch,
         caller: EngineCaller,
+        places: EntryPlaces | None = None,
+        circuits: Circuits | None = None,
+        retry_share: Callable[[], float] = lambda: RETRY_SHARE,
+        generator: Random | None = None,
     ) -> None:
         self.clock = clock
         self.metrics = metrics
         self.search = search
         self.caller = caller
+        self.places = places or EntryPlaces(
+            clock=clock, queue_limit=default_queue_limit
+        )
+        self.circuits = circuits or Circuits(CircuitSettings())
+        self.budget = RetryBudget(retry_share)
+        self.generator = generator or Random()
 
     async def dispatch(
         self, request: CompletionCall, sink: AnswerSink
     ) -> Result[None, Failure]:
         """Answer a request, again on another engine where it did not run."""
-        failure = Failure(ErrorKind.NO_BACKEND_SERVER, "no engine is live")
-        while request.context.time_left(self.clock) > RETRY_DELAY:
+        self.budget.earn()
+        delays = waits(RETRY, self.generator)
+        while True:
             match await self.try_once(request, sink):
                 case Result(tag="ok"):
                     return Ok(None)
                 case Result(error=failure):
-                    if not failure.may_run_again:
-                        break
+                    pass
+            delay = next(delays, timedelta.max)
+            if not self.may_retry(request, failure, delay):
+                return Error(failure)
             self.metrics.count("retries")
-            await self.clock.sleep(RETRY_DELAY)
-        return Error(failure)
+            log.info(
+                "retry",
+                request=request.context.request_id,
+                kind=failure.kind,
+                reason=failure.message,
+                delay_ms=round(delay.total_seconds() * 1000),
+            )
+            await self.clock.sleep(delay)
+
+    def may_retry(
+        self, request: CompletionCall, failure: Failure, delay: timedelta
+    ) -> bool:
+        """Return whether a failed attempt may be followed by another."""
+        if not failure.may_run_again or failure.kind in FINAL_KINDS:
+            return False
+        if delay >= request.context.time_left(self.clock):
+            return False
+        return failure.kind not in ENGINE_AT_FAULT or self.budget.spend()
 
     async def try_once(
         self, request: CompletionCall, sink: AnswerSink
@@ -53,6 +113,32 @@
         """Get a permit and run the request under it."""
         match await self.search.obtain(request):
             case Result(tag="ok", ok=permit):
-                return await self.caller.run(request, permit, sink)
+                return await self.run_in_place(request, permit, sink)
             case Result(error=failure):
                 return Error(failure)
+
+    async def run_in_place(
+        self, request: CompletionCall, permit: Permit, sink: AnswerSink
+    ) -> Result[None, Failure]:
+        """Wait for a batch place, and run the request in it."""
+        permit.waiting += 1
+        try:
+            place = await self.places.acquire(permit.engine, request.context)
+        finally:
+            permit.waiting -= 1
+        if place.is_error():
+            return place
+        self.circuits.started(permit.engine, self.clock.monotonic())
+        try:
+            result = await self.caller.run(request, permit, sink)
+        finally:
+            self.places.release(permit.engine, request.context)
+        self.judge(permit, result)
+        return result
+
+    def judge(self, permit: Permit, result: Result[None, Failure]) -> None:
+        """Open or close an engine's circuit by what came of a request."""
+        if result.is_ok():
+            self.circuits.succeeded(permit.engine)
+        elif result.error.kind in ENGINE_AT_FAULT:
+            self.circuits.failed(permit.engine, self.clock.monotonic())
--- a/src/magnoliatrail/routing/fair_queue.py
+++ b/src/magnoliatrail/routing/fair_queue.py
@@ -72,8 +72,7 @@
 class FairQueue(Generic[T]):
     """Queue requests until there is a place for them."""
 
-    def __init__(self, limit_per_caller: int) -> None:
-        self.limit_per_caller = limit_per_caller
+    def __init__(self) -> None:
         self.classes: dict[RequestClass, ClassQueue[T]] = {
             request_class: ClassQueue() for request_class in RequestClass
         }
@@ -85,10 +84,9 @@
         """Return the number of queued items."""
         return self.length
 
-    def has_room(self, caller: CallerId, request_class: RequestClass) -> bool:
-        """Return whether a caller may queue one more request of a class."""
-        queued = self.classes[request_class].by_caller.get(caller, ())
-        return len(queued) < self.limit_per_caller
+    def waiting(self, caller: CallerId, request_class: RequestClass) -> int:
+        """Return how many requests of a class a caller has queued."""
+        return len(self.classes[request_class].by_caller.get(caller, ()))
 
     def push(
         self,
--- a/src/magnoliatrail/routing/permit_search.py
+++ b/src/magnoliatrail/routing/permit_search.py
@@ -1,20 +1,35 @@
 """Search for a permit: one that is held, or one from an engine's owner."""
 
+from collections import Counter
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
 
 from expression import Error, Ok, Result
 
 from magnoliatrail.clock import Clock
+from magnoliatrail.engines.demand import EngineDirectory
 from magnoliatrail.engines.permits import Permit, PermitHolder
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.generated.permits import PermitGrant, PermitRequest
-from magnoliatrail.ids import EngineId, InstanceId
+from magnoliatrail.ids import AdapterVersion, EngineId, InstanceId
 from magnoliatrail.logs import EventLog
 from magnoliatrail.membership.fleet import Fleet
 from magnoliatrail.metrics import Metrics
 from magnoliatrail.placement.catalogue import AdapterCatalogue
+from magnoliatrail.placement.places import HolderDemand
+from magnoliatrail.placement.popularity import Popularity, PopularitySettings
 from magnoliatrail.requests import CompletionCall
-from magnoliatrail.routing.rendezvous import ranked
+from magnoliatrail.routing.candidates import CandidateIndex
+from magnoliatrail.routing.circuit import Circuits, CircuitSettings
+from magnoliatrail.routing.engine_choice import (
+    AdapterDemand,
+    Choice,
+    EngineView,
+    PlacementWeights,
+    Residency,
+    choose_engine,
+)
 
 log = EventLog("routing")
 
@@ -22,6 +37,26 @@
     [InstanceId, PermitRequest], Awaitable[Result[PermitGrant, Failure]]
 ]
 
+CANDIDATES = 12
+BATCH_SLOTS_UNTIL_TOLD = 8
+LOAD_WAIT = timedelta(seconds=0.5)
+FINAL_KINDS = {ErrorKind.DEADLINE_UNREACHABLE}
+
+
+@dataclass
+class RoutingState:
+    """Hold what the routing decisions of one instance depend on."""
+
+    popularity: Popularity[AdapterVersion] = field(
+        default_factory=lambda: Popularity(PopularitySettings())
+    )
+    directory: EngineDirectory = field(default_factory=EngineDirectory)
+    circuits: Circuits = field(default_factory=lambda: Circuits(CircuitSettings()))
+    demand: Callable[[], dict[EngineId, HolderDemand]] = dict
+    service_time: Callable[[], timedelta] = timedelta
+    weights: Callable[[], PlacementWeights] = PlacementWeights
+    instances: Callable[[], int] = lambda: 1
+
 
 class PermitSearch:
     """Find a permit for each request of one instance."""
@@ -36,6 +71,7 @@
         catalogue: AdapterCatalogue,
         permits: PermitHolder,
         ask_owner: AskOwner,
+        state: RoutingState | None = None,
     ) -> None:
         self.instance = instance
         self.clock = clock
@@ -44,34 +80,97 @@
         self.catalogue = catalogue
         self.permits = permits
         self.ask_owner = ask_owner
+        self.state = state or RoutingState()
+        self.asking: dict[AdapterVersion, Counter[EngineId]] = {}
+        self.indexes: dict[tuple[str, ...], CandidateIndex] = {}
 
     async def obtain(self, request: CompletionCall) -> Result[Permit, Failure]:
         """Return a permit that is held, or ask the candidates' owners for one."""
-        held = self.permits.usable(request.model, self.fleet.is_live)
-        if held:
-            chosen = max(held, key=lambda permit: permit.free_places)
-            self.log_route(request, chosen.engine, "permit_held")
-            return Ok(chosen)
         started = self.clock.monotonic()
-        base_model = self.catalogue.base_models[request.model]
-        engines = [item.id for item in self.fleet.live_engines(base_model)]
-        failure = Failure(ErrorKind.NO_BACKEND_SERVER, f"no engine for {base_model}")
-        for engine in ranked(str(request.model), engines):
-            match await self.ask(request, EngineId(engine)):
+        self.state.popularity.record(request.model, started)
+        candidates = self.candidates(request.model)
+        failure = Failure(ErrorKind.NO_BACKEND_SERVER, "no live engine answers")
+        while candidates:
+            choice = self.choose(request.model, candidates)
+            permit = self.held(request.model, choice.engine)
+            if permit:
+                self.chosen(request, choice, started)
+                return Ok(permit)
+            match await self.ask(request, choice.engine):
                 case Result(tag="ok", ok=grant):
-                    stall = self.clock.monotonic() - started
-                    self.metrics.timing("load_stall", stall)
-                    self.log_route(request, EngineId(engine), "permit_granted")
+                    self.chosen(request, choice, started)
                     return Ok(self.permits.put(grant))
                 case Result(error=failure):
-                    log.info(
-                        "candidate_refused",
-                        request=request.context.request_id,
-                        engine=engine,
-                        reason=failure.message,
-                    )
+                    self.log_refusal(request, choice.engine, failure)
+                    if failure.kind in FINAL_KINDS:
+                        break
+            candidates.remove(choice.engine)
         return Error(failure)
 
+    def candidates(self, model: AdapterVersion) -> list[EngineId]:
+        """Return the live engines that may serve an adapter, the preferred first."""
+        base_model = self.catalogue.base_models[model]
+        engines = self.fleet.live_engines(base_model)
+        key = (base_model, *(item.id for item in engines))
+        if key not in self.indexes:
+            self.indexes = {
+                known: index
+                for known, index in self.indexes.items()
+                if known[0] != base_model
+            }
+            self.indexes[key] = CandidateIndex(engines)
+        names = self.indexes[key].candidates(str(model), CANDIDATES)
+        now = self.clock.monotonic()
+        usable = [name for name in names if self.state.circuits.allows(name, now)]
+        return usable or names
+
+    def choose(self, model: AdapterVersion, candidates: list[EngineId]) -> Choice:
+        """Choose an engine by what is known of the candidates."""
+        demand = self.state.demand()
+        views = [self.view(model, engine, demand) for engine in candidates]
+        rate = self.state.popularity.value(model, self.clock.monotonic())
+        adapter_demand = AdapterDemand(
+            rate=rate * self.state.instances(),
+            service_time=self.state.service_time(),
+            load_wait=LOAD_WAIT,
+        )
+        return choose_engine(views, adapter_demand, self.state.weights())
+
+    def view(
+        self,
+        model: AdapterVersion,
+        engine: EngineId,
+        demand: dict[EngineId, HolderDemand],
+    ) -> EngineView:
+        """Describe a candidate engine, as far as this instance knows it."""
+        directory = self.state.directory
+        digest = directory.digests.get(engine)
+        own = demand.get(engine, HolderDemand(0, 0))
+        return EngineView(
+            engine=engine,
+            residency=self.residency(model, engine),
+            batch_slots=digest.batch_slots if digest else BATCH_SLOTS_UNTIL_TOLD,
+            in_flight=max(own.in_flight, digest.in_flight if digest else 0),
+            waiting=max(own.waiting, digest.waiting if digest else 0),
+            free_slots=digest.free_slots if digest else 0,
+            slot_value=directory.slot_value(engine),
+        )
+
+    def residency(self, model: AdapterVersion, engine: EngineId) -> Residency:
+        """Return whether an engine has an adapter, by permits, asks and digests."""
+        if self.held(model, engine):
+            return Residency.LOADED
+        if engine in self.asking.get(model, ()):
+            return Residency.LOADING
+        if str(model) in self.state.directory.loaded.get(engine, ()):
+            return Residency.LOADED
+        return Residency.ABSENT
+
+    def held(self, model: AdapterVersion, engine: EngineId) -> Permit | None:
+        """Return the permit that is held for an adapter on an engine."""
+        usable = self.permits.usable(model, lambda name: name == engine)
+        return usable[0] if usable else None
+
     async def ask(
         self, request: CompletionCall, engine: EngineId
     ) -> Result[PermitGrant, Failure]:
@@ -80,8 +179,24 @@
         if owner is None:
             message = f"engine {engine} has no owner"
             return Error(Failure(ErrorKind.NO_BACKEND_SERVER, message))
+        asking = self.asking.setdefault(request.model, Counter())
+        asking[engine] += 1
+        try:
+            return await self.ask_owner(owner, self.permit_request(request, engine))
+        finally:
+            asking[engine] -= 1
+            if not asking[engine]:
+                del asking[engine]
+            if not asking:
+                self.asking.pop(request.model, None)
+
+    def permit_request(
+        self, request: CompletionCall, engine: EngineId
+    ) -> PermitRequest:
+        """Return the message that asks for a permit."""
         time_left = request.context.time_left(self.clock)
-        permit_request = PermitRequest(
+        rate = self.state.popularity.value(request.model, self.clock.monotonic())
+        return PermitRequest(
             holder=self.instance,
             engine=engine,
             adapter=request.model.adapter,
@@ -90,15 +205,34 @@
             request_class=request.context.request_class,
             waiting=1,
             deadline_seconds=time_left.total_seconds(),
+            rate=rate * self.state.instances(),
+            caller=request.context.caller,
         )
-        return await self.ask_owner(owner, permit_request)
 
-    def log_route(self, request: CompletionCall, engine: EngineId, reason: str) -> None:
-        """Log a routing decision."""
+    def chosen(
+        self, request: CompletionCall, choice: Choice, started: timedelta
+    ) -> None:
+        """Record and log a routing decision."""
+        stall = self.clock.monotonic() - started
+        self.metrics.timing("load_stall", stall)
+        self.state.directory.record_use(choice.engine, request.model)
         log.info(
             "routed",
             request=request.context.request_id,
             model=request.model,
+            engine=choice.engine,
+            reason=choice.reason,
+            stall_ms=round(stall.total_seconds() * 1000),
+        )
+
+    def log_refusal(
+        self, request: CompletionCall, engine: EngineId, failure: Failure
+    ) -> None:
+        """Log that a candidate cannot serve a request."""
+        log.info(
+            "candidate_refused",
+            request=request.context.request_id,
             engine=engine,
-            reason=reason,
+            kind=failure.kind,
+            reason=failure.message,
         )
--- /dev/null
+++ b/src/magnoliatrail/routing/prefixes.py
@@ -0,0 +1,59 @@
+"""Which prompt prefixes an engine has probably cached."""
+
+from collections import OrderedDict
+
+from magnoliatrail.generated.engine import CacheEventKind, CacheEvents
+from magnoliatrail.ids import EngineId
+
+
+class EnginePrefixes:
+    """Follow the cache events of one engine."""
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self.boot_id = ""
+        self.sequence = 0
+        self.hashes: OrderedDict[str, None] = OrderedDict()
+
+    def take(self, events: CacheEvents) -> None:
+        """Use some events; a restart or a gap makes all that was known doubtful."""
+        if events.boot_id != self.boot_id:
+            self.hashes.clear()
+            self.boot_id = events.boot_id
+            self.sequence = 0
+        for event in events.events:
+            if event.sequence <= self.sequence:
+                continue
+            if event.sequence != self.sequence + 1:
+                self.hashes.clear()
+            self.sequence = event.sequence
+            if event.kind is CacheEventKind.REMOVED:
+                self.hashes.pop(event.prefix_hash, None)
+                continue
+            self.hashes[event.prefix_hash] = None
+            self.hashes.move_to_end(event.prefix_hash)
+        while len(self.hashes) > self.limit:
+            self.hashes.popitem(last=False)
+
+
+class PrefixIndex:
+    """Give hints about cached prefixes; an engine may have dropped them since."""
+
+    def __init__(self, limit_per_engine: int = 4096) -> None:
+        self.limit_per_engine = limit_per_engine
+        self.engines: dict[EngineId, EnginePrefixes] = {}
+
+    def take(self, engine: EngineId, events: CacheEvents) -> None:
+        """Use the cache events of an engine."""
+        if engine not in self.engines:
+            self.engines[engine] = EnginePrefixes(self.limit_per_engine)
+        self.engines[engine].take(events)
+
+    def has(self, engine: EngineId, prefix_hash: str) -> bool:
+        """Return whether an engine has probably cached a prefix."""
+        prefixes = self.engines.get(engine)
+        return prefixes is not None and prefix_hash in prefixes.hashes
+
+    def forget(self, engine: EngineId) -> None:
+        """Forget an engine that is gone."""
+        self.engines.pop(engine, None)
