--- a/benchmarks/together.py
+++ b/benchmarks/together.py
@@ -256,6 +256,8 @@
                     request_class=RequestClass.INTERACTIVE,
                     waiting=1,
                     deadline_seconds=10.0,
+                    rate=0.0,
+                    caller="caller",
                 )
                 url = f"{process.peer_url}/peer/permits"
                 group.create_task(fleet.peers.ask(url, request, PermitGrant, LIMITS))
--- a/tests/unit/together_harness.py
+++ b/tests/unit/together_harness.py
@@ -153,6 +153,8 @@
             request_class=RequestClass.INTERACTIVE,
             waiting=1,
             deadline_seconds=1.0,
+            rate=0.0,
+            caller="caller",
         )
         result = await self.coordination.permit_calls.ask_owner(owner, request)
         return self.permits.put(result.ok) if result.is_ok() else None
