--- a/benchmarks/together.py
+++ b/benchmarks/together.py
@@ -14,9 +14,9 @@
 from pathlib import Path
 
 import msgspec
-from benchmarks.slopes.fit import Slope, fitted
 from tests.processes.fleet import LIMITS, Fleet, Process
 
+from benchmarks.slopes.fit import Slope, fitted
 from magnoliatrail.clock import SystemClock
 from magnoliatrail.generated.permits import PermitGrant, PermitRequest, RequestClass
 from magnoliatrail.ids import new_request_id
