Check the ledger by a state machine, and forgetting by unit tests

500 examples of 50 steps, derandomized: three instances claim, dispatch, crash, forget and resolve while the table loses answers and requests, delivers requests late or is down.

--- a/src/magnoliatrail/operations/sweep.py
+++ b/src/magnoliatrail/operations/sweep.py
@@ -67,14 +67,16 @@
     return f"sweep-{shard:02x}"
 
 
-def places_due(
-    now: datetime, retention: timedelta, is_mine: Callable[[str], bool]
-) -> list[Place]:
-    """Return the places of some shards whose batches may be due, oldest first."""
-    newest = (now - retention - CLOCK_MARGIN).date()
-    days = [newest - back * DAY for back in range(DAYS_LOOKED_BACK, -1, -1)]
-    shards = [shard for shard in range(SHARDS) if is_mine(shard_name(shard))]
-    return [Place(day, shard) for day in days for shard in shards]
+def newest_due(now: datetime, retention: timedelta) -> date:
+    """Return the last day whose batches may be due."""
+    return (now - retention - CLOCK_MARGIN).date()
+
+
+def place_at(visited: int, newest: date, shards: list[int]) -> Place:
+    """Return the place to visit next: the oldest day first, shard by shard."""
+    turn, position = divmod(visited, len(shards))
+    back = DAYS_LOOKED_BACK - turn % (DAYS_LOOKED_BACK + 1)
+    return Place(newest - back * DAY, shards[position])
 
 
 def is_due(batch: SweepBatch, now: datetime, retention: timedelta) -> bool:
@@ -122,10 +124,10 @@
     async def sweep(self, retention: timedelta, is_mine: Callable[[str], bool]) -> int:
         """Forget at most one batch of this instance's share; return its size."""
         now = self.clock.now()
-        places = places_due(now, retention, is_mine)
-        if not places:
+        shards = [shard for shard in range(SHARDS) if is_mine(shard_name(shard))]
+        if not shards:
             return 0
-        place = places[self.visited % len(places)]
+        place = place_at(self.visited, newest_due(now, retention), shards)
         match await self.table.scan(place.prefix):
             case Result(tag="ok", ok=rows):
                 pass
--- /dev/null
+++ b/tests/outcomes/test_ledger_machine.py
@@ -0,0 +1,217 @@
+"""A state machine over the ledger: no key is executed twice, whatever fails."""
+
+import asyncio
+from datetime import date, timedelta
+from random import Random
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from magnoliatrail.clock import ManualClock
+from magnoliatrail.ids import CallerId, Incarnation
+from magnoliatrail.operations.operators import OperatorLedger, Resolution
+from magnoliatrail.operations.parts import operation_parts
+from magnoliatrail.operations.rows import (
+    CLAIMS,
+    ROW_ANSWER_BYTES,
+    Claim,
+    Operation,
+    RecordedAnswer,
+)
+from magnoliatrail.operations.sweep import BATCHES, DAYS_LOOKED_BACK, SHARDS, newest_due
+from magnoliatrail.standins.objects import FakeObjects
+from magnoliatrail.standins.table import FakeTable
+
+EXAMPLES = 500
+STEPS = 50
+INSTANCES = 3
+RETENTION = timedelta(days=2)
+ALLOWED = timedelta(seconds=20)
+TURNS = 12
+LOSSES = ["lose_answers", "lose_requests", "late_requests"]
+
+instances = st.integers(0, INSTANCES - 1)
+keys = st.sampled_from(["a", "b"])
+seconds = st.sampled_from([1, 1, 5, 45, 3600, 43_200, 43_200, 86_400])
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    """Claim, dispatch, crash and resolve on three instances and one table."""
+
+    def __init__(self):
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.clock = ManualClock()
+        self.table = FakeTable()
+        self.objects = FakeObjects()
+        self.incarnations = 0
+        self.parts = [self.new_instance() for _ in range(INSTANCES)]
+        # Claims that were given and not yet dispatched, by instance.
+        self.claims: list[list[tuple[Operation, Claim]]] = [[], [], []]
+        self.executed: dict[str, list[RecordedAnswer]] = {}
+        self.ran_at: dict[str, timedelta] = {}
+
+    def new_instance(self):
+        self.incarnations += 1
+        return operation_parts(
+            table=self.table,
+            objects=self.objects,
+            clock=self.clock,
+            holder=Incarnation(str(self.incarnations)),
+            generator=Random(self.incarnations),
+        )
+
+    def run(self, work):
+        async def with_turns():
+            result = await work
+            await turns()
+            return result
+
+        return self.loop.run_until_complete(with_turns())
+
+    def start(self, work):
+        """Run work that may wait for the clock, and leave it going."""
+
+        async def begin():
+            self.loop.create_task(work)
+            await turns()
+
+        self.loop.run_until_complete(begin())
+
+    @rule(instance=instances, key=keys, body=st.sampled_from([b"1", b"1", b"2"]))
+    def ask(self, instance, key, body):
+        operation = Operation(CallerId("c"), "bookings", "POST confirm", key, body)
+        ledger = self.parts[instance].ledger
+        result = self.run(ledger.claim(operation, ALLOWED)).default_value(None)
+        if isinstance(result, Claim):
+            self.check_claim(operation, result)
+            self.claims[instance].append((operation, result))
+        elif isinstance(result, RecordedAnswer):
+            assert result in self.executed[operation.row_key]
+
+    def check_claim(self, operation, claim):
+        """Check that a claim is given for a key only once, until it is forgotten."""
+        key = operation.row_key
+        others = [held for held in sum(self.claims, []) if held[0].row_key == key]
+        assert not others, "two instances hold a claim on one key"
+        if self.executed.get(key):
+            age = self.clock.monotonic() - self.ran_at[key]
+            assert age >= RETENTION, f"a key was forgotten after {age}"
+            self.executed[key] = []
+
+    @rule(
+        instance=instances,
+        fate=st.sampled_from(["answered", "answered", "large", "lost", "not sent"]),
+    )
+    def dispatch(self, instance, fate):
+        if not self.claims[instance]:
+            return
+        operation, claim = self.claims[instance].pop(0)
+        ledger = self.parts[instance].ledger
+        if fate == "not sent":
+            self.start(ledger.release(claim))
+            return
+        answer = self.execute(operation, large=fate == "large")
+        if fate == "lost":
+            ledger.abandon(claim)
+        else:
+            self.start(ledger.complete(claim, answer))
+
+    def execute(self, operation, *, large):
+        done = self.executed.setdefault(operation.row_key, [])
+        size = ROW_ANSWER_BYTES + 1 if large else 3
+        answer = RecordedAnswer(200, "text/plain", b"%d" % len(done) * size)
+        done.append(answer)
+        self.ran_at[operation.row_key] = self.clock.monotonic()
+        return answer
+
+    @rule(instance=instances, executed=st.booleans())
+    def crash(self, instance, executed):
+        """Replace an instance, perhaps just after it sent an operation."""
+        for operation, _ in self.claims[instance]:
+            if executed:
+                self.execute(operation, large=False)
+        self.claims[instance] = []
+        settler = self.parts[instance].settler
+        for task in [*settler.tasks, *settler.watchers]:
+            task.cancel()
+        self.parts[instance] = self.new_instance()
+
+    @rule(fault=st.sampled_from(LOSSES), count=st.integers(1, 2))
+    def table_loses(self, fault, count):
+        setattr(self.table.faults, fault, count)
+
+    @rule(down=st.booleans())
+    def outage(self, down):
+        self.table.faults.down = down
+        self.objects.faults.down = down
+
+    @rule()
+    def table_recovers(self):
+        for fault in LOSSES:
+            setattr(self.table.faults, fault, 0)
+        self.outage(False)
+
+    @rule()
+    def late_requests_arrive(self):
+        self.table.deliver_late()
+
+    @rule(passed=seconds)
+    def time_passes(self, passed):
+        self.clock.advance(timedelta(seconds=passed))
+        self.run(turns())
+
+    @rule(instance=instances)
+    def forget(self, instance):
+        sweeper = self.parts[instance].sweeper
+        self.run(sweeper.flush())
+        newest = newest_due(self.clock.now(), RETENTION)
+        for key in [key for key in self.table.rows if key.startswith(BATCHES)]:
+            day, shard, _ = key.removeprefix(BATCHES).split("/")
+            back = (newest - date.fromisoformat(day)).days
+            sweeper.visited = (DAYS_LOOKED_BACK - back) * SHARDS + int(shard, 16)
+            if 0 <= back <= DAYS_LOOKED_BACK:
+                self.run(sweeper.sweep(RETENTION, lambda _: True))
+
+    @rule()
+    def resolve(self):
+        """Resolve the claims of unknown fate truthfully, as operators would."""
+        operators = OperatorLedger(self.table, self.clock)
+        held = {claim.row.attempt_id for _, claim in sum(self.claims, [])}
+        for listed in self.run(listed_claims(operators)):
+            if listed.row.attempt_id in held:
+                continue
+            ran = bool(self.executed.get(CLAIMS + listed.claim_id))
+            resolution = Resolution(ran=ran, reason="asked the desk", author="Awa")
+            self.run(operators.resolve(listed.claim_id, resolution))
+
+    @invariant()
+    def nothing_runs_twice(self):
+        assert all(len(answers) <= 1 for answers in self.executed.values())
+
+    def teardown(self):
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.loop.run_until_complete(turns())
+        self.loop.close()
+
+
+async def turns():
+    for _ in range(TURNS):
+        await asyncio.sleep(0)
+
+
+async def listed_claims(operators):
+    return [item.ok async for item in operators.unknown() if item.is_ok()]
+
+
+TestLedger = LedgerMachine.TestCase
+TestLedger.settings = settings(
+    max_examples=EXAMPLES,
+    stateful_step_count=STEPS,
+    derandomize=True,
+    database=None,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
--- /dev/null
+++ b/tests/unit/test_sweep.py
@@ -0,0 +1,129 @@
+from datetime import timedelta
+
+import pytest
+
+from magnoliatrail.clock import ManualClock
+from magnoliatrail.generated.operations import SweepEntry
+from magnoliatrail.generated.platform import RowWrite, Transaction
+from magnoliatrail.operations.sweep import (
+    BATCH_ENTRIES,
+    CLOCK_MARGIN,
+    DAYS_LOOKED_BACK,
+    FLEET_WRITES_PER_SECOND,
+    SHARDS,
+    Sweeper,
+    round_interval,
+)
+from magnoliatrail.standins.objects import FakeObjects
+from magnoliatrail.standins.table import FakeTable
+
+RETENTION = timedelta(days=2)
+CLAIM = "operations/claims/one"
+
+
+class Sweeping:
+    def __init__(self):
+        self.clock = ManualClock()
+        self.table = FakeTable()
+        self.objects = FakeObjects()
+        self.sweeper = Sweeper(table=self.table, objects=self.objects, clock=self.clock)
+
+    def write(self, key=CLAIM):
+        write = RowWrite(key=key, value="{}")
+        self.table.commit(Transaction(conditions=[], writes=[write]))
+
+    async def note(self, count=1, answer_object=""):
+        for number in range(count):
+            key = f"{CLAIM}{number}"
+            self.write(key)
+            revision = self.table.revision(key)
+            entry = SweepEntry(key=key, revision=revision, answer_object=answer_object)
+            self.sweeper.note(entry)
+        await self.sweeper.flush()
+
+    async def sweep_all(self, is_mine=lambda _: True):
+        rounds = range((DAYS_LOOKED_BACK + 1) * SHARDS)
+        return [await self.sweeper.sweep(RETENTION, is_mine) for _ in rounds]
+
+
+@pytest.fixture
+def sweeping():
+    return Sweeping()
+
+
+def test_no_key_is_forgotten_before_the_retention(run, sweeping):
+    async def scenario():
+        sweeping.clock.advance(timedelta(hours=12))
+        await sweeping.note()
+        sweeping.clock.advance(RETENTION - timedelta(seconds=1))
+        await sweeping.sweep_all()
+        assert CLAIM + "0" in sweeping.table.rows
+        sweeping.clock.advance(CLOCK_MARGIN)
+        await sweeping.sweep_all()
+        assert CLAIM + "0" in sweeping.table.rows
+
+    run(scenario())
+
+
+def test_an_old_operation_is_forgotten_with_its_answer(run, sweeping):
+    async def scenario():
+        sweeping.objects.objects["answer"] = b"x"
+        await sweeping.note(answer_object="answer")
+        sweeping.clock.advance(RETENTION + timedelta(days=1))
+        await sweeping.sweep_all()
+        assert not sweeping.table.rows
+        assert not sweeping.objects.objects
+
+    run(scenario())
+
+
+def test_a_row_that_changed_since_is_not_forgotten(run, sweeping):
+    async def scenario():
+        await sweeping.note(2)
+        sweeping.write(CLAIM + "0")
+        sweeping.clock.advance(RETENTION + timedelta(days=1))
+        await sweeping.sweep_all()
+        assert list(sweeping.table.rows) == [CLAIM + "0"]
+
+    run(scenario())
+
+
+def test_a_round_is_bounded(run, sweeping):
+    async def scenario():
+        await sweeping.note(3 * BATCH_ENTRIES)
+        sweeping.clock.advance(RETENTION + timedelta(days=1))
+        sizes = await sweeping.sweep_all()
+        assert max(sizes) == BATCH_ENTRIES
+        assert sum(sizes) == 3 * BATCH_ENTRIES
+
+    run(scenario())
+
+
+def test_other_instances_shards_are_left_alone(run, sweeping):
+    async def scenario():
+        await sweeping.note()
+        sweeping.clock.advance(RETENTION + timedelta(days=1))
+        reads = sweeping.table.reads
+        assert sum(await sweeping.sweep_all(lambda _: False)) == 0
+        assert sweeping.table.reads == reads
+
+    run(scenario())
+
+
+def test_an_outage_forgets_nothing_and_loses_no_note(run, sweeping):
+    async def scenario():
+        sweeping.table.faults.down = True
+        await sweeping.note()
+        assert len(sweeping.sweeper.noted) == 1
+        sweeping.table.faults.down = False
+        await sweeping.sweeper.flush()
+        assert not sweeping.sweeper.noted
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("instances", [1, 6, 64, 370])
+def test_the_fleet_stays_within_its_writes(instances):
+    sweeping = min(instances, SHARDS)
+    writes = sweeping * (BATCH_ENTRIES + 1) / round_interval(instances).total_seconds()
+    assert writes <= FLEET_WRITES_PER_SECOND + 1e-6
