--- a/tests/outcomes/bench.py
+++ b/tests/outcomes/bench.py
@@ -9,16 +9,21 @@
 from datetime import timedelta
 
 import msgspec
-from expression import Ok
 from tornado.httpclient import HTTPRequest
 
 from magnoliatrail.clock import SystemClock
 from magnoliatrail.config.store import ConfigurationStore
 from magnoliatrail.daemon import Daemon
 from magnoliatrail.generated.answers import ErrorAnswer, Outcome
-from magnoliatrail.generated.configuration import Defaults
+from magnoliatrail.generated.configuration import (
+    Change,
+    ChangeKind,
+    ConfigurationEdit,
+    ConfigurationException,
+    ScopeKind,
+)
 from magnoliatrail.generated.settings import Settings
-from magnoliatrail.ids import Revision
+from magnoliatrail.ids import new_write_id
 from magnoliatrail.operations.rows import CLAIMS
 from magnoliatrail.standins.world import HOST, World, WorldSize, start_world
 from magnoliatrail.wire import CallFailed, CallLimits, call, new_http_client
@@ -179,22 +184,35 @@
     return Settings(**{**fields, **changes})
 
 
-async def declare(world: World, **defaults: object) -> None:
-    """Put defaults in force; operations are not idempotent."""
-    wanted = Defaults(**{"idempotent": False, **defaults})
-    await ConfigurationStore(world.table).edit(
-        lambda current: Ok(msgspec.structs.replace(current, defaults=wanted)),
-        expected=Revision(0),
+async def declare(world: World) -> None:
+    """Declare that the operations of bookings are not idempotent."""
+    exception = ConfigurationException(
+        id="bookings-once",
+        scope=ScopeKind.SERVICE,
+        name="bookings",
+        setting="idempotent",
+        value="false",
+        reason="a doubled confirmation double-books a model",
+        author="tests",
+        time="2026-01-01T00:00:00+00:00",
     )
+    edit = ConfigurationEdit(
+        edit_id=new_write_id(),
+        author="tests",
+        time=exception.time,
+        change=Change(kind=ChangeKind.ADD_EXCEPTION, exception=exception),
+    )
+    result = await ConfigurationStore(world.table, SystemClock()).edit(edit)
+    assert result.is_ok(), result
 
 
 @asynccontextmanager
 async def running_bench(
-    instances: int = 2, size: WorldSize = SIZE, **defaults: object
+    instances: int = 2, size: WorldSize = SIZE
 ) -> AsyncIterator[Bench]:
     """Run instances in this process before stand-ins."""
     world = start_world(SystemClock(), size)
-    await declare(world, **defaults)
+    await declare(world)
     bench = Bench(world)
     try:
         for number in range(instances):
@@ -206,7 +224,7 @@
     finally:
         bench.clear_faults()
         for daemon in bench.daemons:
-            for task in [*daemon.tasks, *daemon.operations.settler.tasks]:
+            for task in [*daemon.tasks.tasks, *daemon.operations.settler.tasks]:
                 task.cancel()
             await daemon.caller_listener.close()
             await daemon.peer_listener.close()
--- a/tests/outcomes/test_ledger_machine.py
+++ b/tests/outcomes/test_ledger_machine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from datetime import date, timedelta
+from itertools import chain
 from random import Random
 
 from hypothesis import HealthCheck, settings
@@ -93,7 +94,7 @@
     def check_claim(self, operation, claim):
         """Check that a claim is given for a key only once, until it is forgotten."""
         key = operation.row_key
-        others = [held for held in sum(self.claims, []) if held[0].row_key == key]
+        others = [held for held in chain(*self.claims) if held[0].row_key == key]
         assert not others, "two instances hold a claim on one key"
         if self.executed.get(key):
             age = self.clock.monotonic() - self.ran_at[key]
@@ -178,7 +179,7 @@
     def resolve(self):
         """Resolve the claims of unknown fate truthfully, as operators would."""
         operators = OperatorLedger(self.table, self.clock)
-        held = {claim.row.attempt_id for _, claim in sum(self.claims, [])}
+        held = {claim.row.attempt_id for _, claim in chain(*self.claims)}
         for listed in self.run(listed_claims(operators)):
             if listed.row.attempt_id in held:
                 continue
