--- a/tests/outcomes/bench.py
+++ b/tests/outcomes/bench.py
@@ -133,6 +133,12 @@
                 if name != "silence_open":
                     setattr(faults, name, value)
 
+    def unhook(self) -> None:
+        """Forget what was to happen at a moment."""
+        vars(self.world.table).pop("commit", None)
+        for service in self.world.services:
+            vars(service).pop("execute", None)
+
     def reserve(self, port: int) -> None:
         """Keep a port that was closed from being taken by another case."""
         reserved = socket.socket()
