Let a request that cannot be written fail as a call

Cause: an address that cannot be read raised ValueError through call(), past every caller that handles CallFailed. Seen before: 2 of 15 cases of test_call_failures raise ValueError; after: 15 pass. The cases cover refused, connect timeout, waiting in the client, timeout during the request, reset, close and broken or cut answers: only the first three are not sent.

--- a/src/magnoliatrail/wire.py
+++ b/src/magnoliatrail/wire.py
@@ -81,5 +81,5 @@
         raise CallFailed(str(error), sent="during request" in str(error)) from error
     except ConnectionRefusedError as error:
         raise CallFailed(str(error), sent=False) from error
-    except (HTTPClientError, OSError) as error:
+    except (HTTPClientError, OSError, ValueError) as error:
         raise CallFailed(str(error), sent=True) from error
