--- a/src/magnoliatrail/cli/main.py
+++ b/src/magnoliatrail/cli/main.py
@@ -5,6 +5,7 @@
 from magnoliatrail import __version__
 from magnoliatrail.cli.config import config
 from magnoliatrail.cli.demo import demo
+from magnoliatrail.cli.operations import operations
 from magnoliatrail.cli.serve import serve
 from magnoliatrail.cli.standin import standin
 from magnoliatrail.cli.status import status
@@ -34,3 +35,4 @@
 main.add_command(standin)
 main.add_command(status)
 main.add_command(config)
+main.add_command(operations)
--- /dev/null
+++ b/src/magnoliatrail/cli/operations.py
@@ -0,0 +1,141 @@
+"""The commands `magnoliatrail operations ...` for claims of unknown fate."""
+
+import asyncio
+import getpass
+from collections.abc import AsyncIterator, Coroutine
+from datetime import timedelta
+from typing import TypeVar
+
+import click
+import msgspec
+from expression import Result
+
+from magnoliatrail.cli.instance import fail
+from magnoliatrail.clock import SystemClock
+from magnoliatrail.errors import Failure
+from magnoliatrail.generated.operations import OperationRow
+from magnoliatrail.operations.operators import Listed, OperatorLedger, Resolution
+from magnoliatrail.platform.table import HttpTable
+from magnoliatrail.wire import CallLimits, new_http_client
+
+T = TypeVar("T")
+
+LIMITS = CallLimits(timedelta(seconds=2), timedelta(seconds=30))
+
+
+@click.group()
+@click.option(
+    "--table-url",
+    envvar="MAGNOLIATRAIL_TABLE_URL",
+    show_envvar=True,
+    required=True,
+    help="Address of the platform's table service.",
+)
+@click.pass_context
+def operations(context: click.Context, table_url: str) -> None:
+    """List and resolve non-idempotent operations of unknown fate.
+
+    Such an operation may have run: its key is never run again by itself. Ask the
+    service what it did, then record it with `resolve`.
+    """
+    context.obj = table_url
+
+
+def ledger_at(table_url: str) -> OperatorLedger:
+    """Return the ledger on a table service."""
+    table = HttpTable(new_http_client(), table_url, LIMITS)
+    return OperatorLedger(table, SystemClock())
+
+
+def finish(work: Coroutine[None, None, Result[T, Failure]]) -> T:
+    """Do some work and return what came of it, or end with an error."""
+    result = asyncio.run(work)
+    if result.is_error():
+        fail(result.error)
+    return result.ok
+
+
+@operations.command("list")
+@click.pass_obj
+def list_(table_url: str) -> None:
+    """List the claims of unknown fate, oldest first.
+
+    Reads every claim that is kept, page by page.
+    """
+
+    async def read() -> list[Result[Listed, Failure]]:
+        return await collected(ledger_at(table_url).unknown())
+
+    found = asyncio.run(read())
+    claims = [result.ok for result in found if result.is_ok()]
+    for claim in sorted(claims, key=lambda item: item.row.claimed_at):
+        click.echo(line_of(claim))
+    for result in found:
+        if result.is_error():
+            fail(result.error)
+
+
+async def collected(found: AsyncIterator[T]) -> list[T]:
+    """Return all items of an asynchronous iteration."""
+    return [item async for item in found]
+
+
+def line_of(claim: Listed) -> str:
+    """Return the line that a listing prints for one claim."""
+    row = claim.row
+    return (
+        f"{claim.claim_id} claimed {row.claimed_at} caller {row.caller!r} "
+        f"key {row.key!r} {row.operation}"
+    )
+
+
+@operations.command()
+@click.argument("claim")
+@click.pass_obj
+def show(table_url: str, claim: str) -> None:
+    """Print one claim as JSON, whatever its state."""
+
+    async def read() -> Result[Listed, Failure]:
+        return await ledger_at(table_url).show(claim)
+
+    print_row(finish(read()).row)
+
+
+def print_row(row: OperationRow) -> None:
+    """Print a row of the ledger as JSON."""
+    click.echo(msgspec.json.format(msgspec.json.encode(row)).decode())
+
+
+@operations.command()
+@click.argument("claim")
+@click.option(
+    "--ran/--not-run",
+    default=None,
+    help="What the service says. --not-run frees the key for use.",
+)
+@click.option("--reason", required=True, help="How this is known.")
+@click.option(
+    "--author",
+    envvar="MAGNOLIATRAIL_AUTHOR",
+    default=getpass.getuser,
+    help="Who decides; the login name by default.",
+)
+@click.pass_obj
+def resolve(
+    table_url: str, claim: str, ran: bool | None, reason: str, author: str
+) -> None:
+    """Record what became of a claim of unknown fate.
+
+    Of operators who race, one gets a conflict (exit code 4).
+    """
+    if ran is None:
+        raise click.UsageError("say --ran or --not-run, as the service knows it")
+    for name, value in (("--reason", reason), ("--author", author)):
+        if not value.strip():
+            raise click.UsageError(f"{name} is empty; write it out")
+    resolution = Resolution(ran=ran, reason=reason.strip(), author=author.strip())
+
+    async def write() -> Result[OperationRow, Failure]:
+        return await ledger_at(table_url).resolve(claim, resolution)
+
+    print_row(finish(write()))
--- a/src/magnoliatrail/operations/operators.py
+++ b/src/magnoliatrail/operations/operators.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
+from datetime import timedelta
 
 import msgspec
 from expression import Error, Ok, Result
@@ -28,6 +29,8 @@
 from magnoliatrail.platform.table import TableService
 from magnoliatrail.wire import encode
 
+# An operator's clock may be ahead of the instance's by this much.
+CLOCK_MARGIN = timedelta(minutes=1)
 # A listing reads the claims in pages, one for each prefix of two hex digits.
 PAGES = [f"{number:02x}" for number in range(256)]
 
@@ -78,7 +81,7 @@
                 return [Error(failure)]
         if found.state is not ClaimState.CLAIMED:
             return []
-        if may_still_run(found, self.clock.now()):
+        if may_still_run(found, self.clock.now() - CLOCK_MARGIN):
             return []
         return [Ok(Listed(row.key.removeprefix(CLAIMS), found, row.revision))]
 
@@ -126,7 +129,7 @@
         if listed.row.state is not ClaimState.CLAIMED:
             message = f"claim {listed.claim_id} is {listed.row.state.value} already"
             return Failure(ErrorKind.CONFLICT, message)
-        if may_still_run(listed.row, self.clock.now()):
+        if may_still_run(listed.row, self.clock.now() - CLOCK_MARGIN):
             message = f"claim {listed.claim_id} may run until {listed.row.expires_at}"
             return Failure(ErrorKind.CONFLICT, message)
         return None
