--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
-.PHONY: settings-table slopes bench-together
-.PHONY: demo test lint types bench generate check-generated clean
+.PHONY: demo test lint types bench generate check-generated clean tables slopes \
+	bench-configuration bench-together
 VENV := .venv
 PYTHON ?= $(VENV)/bin/python
 export PYTHONPATH := src
@@ -20,17 +20,21 @@
 
 generate: $(VENV)/ready
 	$(PYTHON) scripts/generate.py
-	$(PYTHON) scripts/settings_table.py
+	$(PYTHON) -m scripts.settings_table
 
 check-generated: $(VENV)/ready
 	$(PYTHON) scripts/generate.py --check
-	$(PYTHON) scripts/settings_table.py --check
+	$(PYTHON) -m scripts.settings_table --check
+	$(PYTHON) -m scripts.error_table --check
 
-settings-table: $(VENV)/ready
-	$(PYTHON) scripts/settings_table.py
+tables: $(VENV)/ready
+	$(PYTHON) -m scripts.settings_table
+	$(PYTHON) -m scripts.error_table
+	$(PYTHON) -m benchmarks.capacity
 
 slopes: $(VENV)/ready
 	$(PYTHON) -m benchmarks.slopes
+	$(PYTHON) -m benchmarks.capacity
 
 bench-together: $(VENV)/ready
 	$(PYTHON) -m benchmarks.together
@@ -41,5 +45,8 @@
 	$(VENV)/bin/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
 	touch $@
 
+bench-configuration: $(VENV)/ready
+	$(PYTHON) -m benchmarks.configuration_spread
+
 clean:
 	rm -rf $(VENV) .pytest_cache .mypy_cache .ruff_cache .hypothesis
--- a/benchmarks/together.py
+++ b/benchmarks/together.py
@@ -14,9 +14,9 @@
 from pathlib import Path
 
 import msgspec
-from benchmarks.slopes.fit import Slope, fitted
 from tests.processes.fleet import LIMITS, Fleet, Process
 
+from benchmarks.slopes.fit import Slope, fitted
 from magnoliatrail.clock import SystemClock
 from magnoliatrail.generated.permits import PermitGrant, PermitRequest, RequestClass
 from magnoliatrail.ids import new_request_id
@@ -256,6 +256,8 @@
                     request_class=RequestClass.INTERACTIVE,
                     waiting=1,
                     deadline_seconds=10.0,
+                    rate=0.0,
+                    caller="caller",
                 )
                 url = f"{process.peer_url}/peer/permits"
                 group.create_task(fleet.peers.ask(url, request, PermitGrant, LIMITS))
--- a/src/magnoliatrail/daemon.py
+++ b/src/magnoliatrail/daemon.py
@@ -15,10 +15,12 @@
 from magnoliatrail.engines.owner import EngineOwner
 from magnoliatrail.engines.permits import PermitHolder
 from magnoliatrail.entry.application import caller_application
+from magnoliatrail.entry.body_limit import BodyLimit
 from magnoliatrail.entry.dispatch import Dispatcher
 from magnoliatrail.entry.engine_call import EngineCaller
 from magnoliatrail.entry.lifecycle import Lifecycle
 from magnoliatrail.entry.parts import EntryParts
+from magnoliatrail.entry.service_call import ServiceCaller
 from magnoliatrail.errors import Failure
 from magnoliatrail.generated.membership import InstanceStatus, OwnerRow
 from magnoliatrail.generated.platform import ListedInstance
@@ -33,6 +35,8 @@
     configuration_links,
     configuration_routes,
 )
+from magnoliatrail.peers.placement_links import Neighbours
+from magnoliatrail.peers.placement_parts import PlacementParts
 from magnoliatrail.peers.server import PeerRoute, peer_application
 from magnoliatrail.periodic import PeriodicTasks
 from magnoliatrail.placement.catalogue import AdapterCatalogue
@@ -87,6 +91,7 @@
         self.fleet = self.coordination.fleet
         self.gate = self.coordination.gate
         self.spread = self.new_spread()
+        self.placement = self.new_placement()
         self.lifecycle = Lifecycle(self.configuration)
         self.lifecycle.gate = self.gate
         self.operations = operation_parts(
@@ -135,6 +140,25 @@
         configuration = self.configuration.configuration
         return setting_of(configuration, "engine_checks_fencing", bool, scopes)
 
+    def new_placement(self) -> PlacementParts:
+        """Return the parts that decide about places, loads and evictions."""
+        neighbours = Neighbours(
+            instance=self.instance,
+            live=lambda: [self.instance, *self.fleet.members.peers()],
+            url_of=lambda peer: self.fleet.members.records[peer].peer_url,
+            peers=self.peers,
+            limits=self.limits,
+        )
+        return PlacementParts(
+            settings=self.settings,
+            clock=self.clock,
+            metrics=self.metrics,
+            configuration=self.configuration,
+            fleet=self.fleet,
+            neighbours=neighbours,
+            owners=lambda: self.coordination.owned.owners,
+        )
+
     def new_owner(self, listed: ListedInstance, row: OwnerRow) -> EngineOwner:
         """Return the owner's task for one engine."""
         return EngineOwner(
@@ -146,6 +170,8 @@
             recall=self.coordination.permit_calls.recall,
             clock=self.clock,
             metrics=self.metrics,
+            loads=self.placement.loads,
+            popularity=self.placement.new_popularity(),
         )
 
     def new_entry(self) -> EntryParts:
@@ -160,6 +186,8 @@
             catalogue=self.catalogue,
             dispatcher=self.new_dispatcher(),
             ledger=self.operations.ledger,
+            settler=self.operations.settler,
+            services=self.new_service_caller(),
             lifecycle=self.lifecycle,
         )
 
@@ -173,6 +201,7 @@
             catalogue=self.catalogue,
             permits=self.permits,
             ask_owner=self.coordination.permit_calls.ask_owner,
+            state=self.placement.state,
         )
         caller = EngineCaller(
             settings=self.settings,
@@ -186,6 +215,22 @@
             search=search,
             caller=caller,
             gate=self.gate,
+            places=self.placement.places,
+            circuits=self.placement.state.circuits,
+            retry_share=lambda: self.configuration.configuration.defaults.retry_share,
+            generator=self.operations.generator,
+        )
+
+    def new_service_caller(self) -> ServiceCaller:
+        """Return the part that calls plain services."""
+        return ServiceCaller(
+            settings=self.settings,
+            clock=self.clock,
+            client=self.client,
+            fleet=self.fleet,
+            metrics=self.metrics,
+            retry_share=lambda: self.configuration.configuration.defaults.retry_share,
+            generator=self.operations.generator,
         )
 
     async def start(self) -> None:
@@ -197,7 +242,7 @@
             port=settings.peer_port,
         )
         self.caller_listener = listen(
-            caller_application(self.entry),
+            BodyLimit(caller_application(self.entry), settings.max_body_bytes),
             host=settings.host,
             port=settings.port,
             max_body_bytes=settings.max_body_bytes,
@@ -213,7 +258,9 @@
         await self.spread.start()
         self.coordination.start_tasks()
         self.tasks.every(settings.configuration_poll_seconds, self.spread.poll)
+        self.tasks.every(settings.heartbeat_seconds, self.placement.demand.report_all)
         self.tasks.every(CATALOGUE_SECONDS, self.refresh_catalogue)
+        self.tasks.once(self.forget_operations)
         self.lifecycle.ready = True
         log.info(
             "started",
@@ -229,6 +276,7 @@
         log.info("stopping", in_flight=self.lifecycle.in_flight)
         await self.coordination.hand_all_over()
         await self.lifecycle.idle.wait()
+        await self.operations.drain()
         await self.coordination.say_goodbye()
         await self.tasks.cancel()
         for listener in (self.caller_listener, self.peer_listener):
@@ -251,6 +299,14 @@
             case Result(error=failure):
                 log.warning("catalogue_missing", reason=failure.message)
 
+    async def forget_operations(self) -> None:
+        """Forget this instance's share of the operations past the retention."""
+        await self.operations.forget_forever(
+            lambda: self.configuration.configuration.defaults,
+            lambda: [self.instance, *self.fleet.members.peers()],
+            self.instance,
+        )
+
     async def answer_status(self, request: object) -> Result[InstanceStatus, Failure]:
         """Describe this instance to operators."""
         assert self.caller_listener is not None
@@ -277,4 +333,5 @@
             *self.coordination.peer_routes(),
             PeerRoute("/peer/status", object, self.answer_status),
             *configuration_routes(self.spread),
+            *self.placement.routes(),
         ]
