--- a/src/magnoliatrail/engines/foreign.py
+++ b/src/magnoliatrail/engines/foreign.py
@@ -34,7 +34,8 @@
 
 def generation_of(handle: Handle) -> FencingNumber | None:
     """Return the fencing number that a handle carries."""
-    _, separator, number = handle.rpartition("~")
+    _, separator, text = handle.rpartition("~")
+    number, _, _ = text.partition(".")
     if not separator or not number.isdecimal():
         return None
     return FencingNumber(int(number))
--- a/src/magnoliatrail/engines/owner.py
+++ b/src/magnoliatrail/engines/owner.py
@@ -97,6 +97,7 @@
         self.slots: dict[AdapterVersion, Slot] = {}
         self.foreign: dict[Handle, ForeignHandle] = {}
         self.closed: Failure | None = None
+        self.loads_ordered = 0
         self.ordering = asyncio.Lock()
         self.loads = loads
         self.popularity = popularity or Popularity(PopularitySettings())
@@ -135,9 +136,14 @@
     async def permit(self, request: PermitRequest) -> Result[PermitGrant, Failure]:
         """Grant the use of an adapter, loading it first if need be."""
         model = AdapterVersion(request.adapter, request.version)
-        slot = self.slots.get(model)
+        if self.report is None:
+            await self.refresh()
+        if self.report is None:
+            message = f"engine {self.engine} gives no load report"
+            return Error(Failure(ErrorKind.NO_BACKEND_SERVER, message))
         if self.closed:
             return Error(self.closed)
+        slot = self.slots.get(model)
         if slot is None or slot.state in UNUSABLE:
             match await self.load_in_turn(model, request):
                 case Result(tag="ok", ok=started):
@@ -152,11 +158,6 @@
         refusal = slot.failure or self.closed
         if refusal:
             return Error(refusal)
-        if self.report is None:
-            await self.refresh()
-        if self.report is None:
-            message = f"engine {self.engine} gives no load report"
-            return Error(Failure(ErrorKind.NO_BACKEND_SERVER, message))
         slot.last_used = self.clock.monotonic()
         slot.holders.add(InstanceId(request.holder))
         return Ok(self.grant(slot))
@@ -219,9 +220,10 @@
                 if not freed:
                     message = f"every adapter slot of {self.engine} is in use"
                     return Error(Failure(ErrorKind.QUEUE_FULL, message))
+            self.loads_ordered += 1
             slot = Slot(
                 model,
-                handle_for(model, self.fencing_number),
+                handle_for(model, self.fencing_number, self.loads_ordered),
                 SlotState.LOADING,
                 self.clock.monotonic(),
             )
--- a/src/magnoliatrail/ids.py
+++ b/src/magnoliatrail/ids.py
@@ -36,9 +36,15 @@
     return AdapterVersion(adapter, version)
 
 
-def handle_for(model: AdapterVersion, fencing_number: FencingNumber) -> Handle:
-    """Name a loaded adapter so that the name carries its owner's generation."""
-    return Handle(f"{model}~{fencing_number}")
+def handle_for(
+    model: AdapterVersion, fencing_number: FencingNumber, load: int
+) -> Handle:
+    """Name a loaded adapter by its owner's generation and by the load itself.
+
+    A name is never used for a second load, because a holder may still have a permit
+    for the first, of which an owner knows nothing after the engine restarted.
+    """
+    return Handle(f"{model}~{fencing_number}.{load}")
 
 
 def new_request_id() -> RequestId:
--- a/tests/unit/test_takeover.py
+++ b/tests/unit/test_takeover.py
@@ -196,3 +196,16 @@
         await network.close()
 
     run(scenario())
+
+
+def test_a_permit_from_before_an_engine_restart_opens_no_later_load(run):
+    async def scenario():
+        network, owner, others = await started(checks_fencing=False)
+        stale = await others[0].permit(MODELS[0])
+        network.engine.restart()
+        await owner.owner.refresh()
+        await others[1].permit(MODELS[0])
+        assert network.start_request(others[0], stale) is None
+        await network.close()
+
+    run(scenario())
