--- a/src/magnoliatrail/daemon.py
+++ b/src/magnoliatrail/daemon.py
@@ -275,6 +275,8 @@
         self.lifecycle.stopping = True
         log.info("stopping", in_flight=self.lifecycle.in_flight)
         await self.coordination.hand_all_over()
+        if self.caller_listener:
+            self.caller_listener.server.stop()
         await self.lifecycle.idle.wait()
         await self.operations.drain()
         await self.coordination.say_goodbye()
--- a/src/magnoliatrail/entry/dispatch.py
+++ b/src/magnoliatrail/entry/dispatch.py
@@ -115,10 +115,6 @@
     ) -> Result[None, Failure]:
         """Get a permit and run the request under it."""
         match await self.search.obtain(request):
-            case Result(tag="ok") if self.gate and not self.gate.is_open:
-                await self.gate.passed()
-                message = "this instance was paused while it looked for a permit"
-                return Error(Failure(ErrorKind.STALE_FENCING_NUMBER, message))
             case Result(tag="ok", ok=permit):
                 return await self.run_in_place(request, permit, sink)
             case Result(error=failure):
@@ -135,6 +131,10 @@
             permit.waiting -= 1
         if place.is_error():
             return place
+        unfit = await self.unfit(permit)
+        if unfit:
+            self.places.release(permit.engine, request.context)
+            return Error(unfit)
         self.circuits.started(permit.engine, self.clock.monotonic())
         try:
             result = await self.caller.run(request, permit, sink)
@@ -143,6 +143,17 @@
         self.judge(permit, result)
         return result
 
+    async def unfit(self, permit: Permit) -> Failure | None:
+        """Return what has changed while a request waited, None if nothing has."""
+        if self.gate and not self.gate.is_open:
+            await self.gate.passed()
+            message = "this instance was paused while a request waited"
+            return Failure(ErrorKind.STALE_FENCING_NUMBER, message)
+        if not self.search.fleet.is_live(permit.engine):
+            message = f"engine {permit.engine} began to leave"
+            return Failure(ErrorKind.NO_BACKEND_SERVER, message)
+        return None
+
     def judge(self, permit: Permit, result: Result[None, Failure]) -> None:
         """Open or close an engine's circuit by what came of a request."""
         if result.is_ok():
--- /dev/null
+++ b/tests/unit/test_membership.py
@@ -0,0 +1,204 @@
+from datetime import timedelta
+
+import pytest
+from msgspec.structs import replace
+
+from magnoliatrail.clock import ManualClock
+from magnoliatrail.generated.membership import (
+    LeavingServer,
+    MemberRecord,
+    MemberState,
+    OwnerRow,
+)
+from magnoliatrail.generated.platform import (
+    InstanceList,
+    ListedInstance,
+    ListedKind,
+    ListedState,
+)
+from magnoliatrail.ids import EngineId, Incarnation, InstanceId
+from magnoliatrail.membership.fleet import Fleet
+from magnoliatrail.membership.neighbours import LINKS, neighbours
+from magnoliatrail.membership.news import NEWS_PER_MESSAGE, NewsLog
+from magnoliatrail.membership.ownership import OwnershipTable
+from magnoliatrail.membership.pause import PauseGate
+from magnoliatrail.membership.preference import choose
+from magnoliatrail.membership.session import SessionLease, read_session
+from magnoliatrail.metrics import RecordedMetrics
+from magnoliatrail.standins.table import FakeTable
+
+from .together_harness import Network
+
+ME, PEER = InstanceId("me"), InstanceId("peer")
+
+
+def record(name, *, version=1, state=MemberState.LIVE, domain="d", region="r"):
+    return MemberRecord(
+        instance=name,
+        incarnation=f"run-of-{name}",
+        failure_domain=domain,
+        region=region,
+        peer_url=f"http://{name}",
+        version=version,
+        state=state,
+    )
+
+
+def fleet():
+    return Fleet(ManualClock(), record(ME))
+
+
+def engine(state=ListedState.LIVE):
+    return ListedInstance(
+        id="e", kind=ListedKind.ENGINE, url="http://e", failure_domain="d", state=state
+    )
+
+
+def test_an_older_record_never_replaces_a_newer_one():
+    members = fleet().members
+    assert members.merge(record(PEER, version=5), PEER)
+    assert not members.merge(record(PEER, version=4, state=MemberState.GONE), PEER)
+    assert members.get(PEER).version == 5
+
+
+def test_an_instance_refutes_that_it_is_gone():
+    members = fleet().members
+    members.publish()
+    members.merge(replace(members.own, state=MemberState.GONE), PEER)
+    assert members.own.state is MemberState.LIVE
+    assert members.own.version == 3
+
+
+def test_a_run_that_said_goodbye_is_not_doubtful():
+    members = fleet().members
+    members.merge(record(PEER), PEER)
+    members.merge(record(PEER, version=2, state=MemberState.LEFT), PEER)
+    assert members.ended == {}
+
+
+def test_a_reader_takes_all_news_in_bounded_messages():
+    news = NewsLog()
+    for number in range(NEWS_PER_MESSAGE + 10):
+        news.put(record(f"i{number}"), ME)
+    first = news.after(0, PEER)
+    second = news.after(first.through, PEER)
+    assert len(first.members) == NEWS_PER_MESSAGE
+    assert not first.complete
+    assert len(second.members) == 10
+    assert second.complete
+
+
+def test_news_do_not_go_back_to_their_source():
+    news = NewsLog()
+    news.put(record("x"), PEER)
+    assert news.after(0, PEER).members == []
+
+
+@pytest.mark.parametrize("size", [2, 7, 370])
+def test_links_are_few_and_connect_the_fleet(size):
+    records = [
+        record(f"i{n}", domain=f"d{n % 22}", region=f"r{n % 22 % 7}")
+        for n in range(size)
+    ]
+    links = {item.instance: neighbours(item, records) for item in records}
+    assert max(len(peers) for peers in links.values()) <= LINKS
+    reached, frontier = {"i0"}, ["i0"]
+    while frontier:
+        for peer in links[frontier.pop()]:
+            if peer not in reached:
+                reached.add(peer)
+                frontier.append(peer)
+    assert len(reached) == size
+
+
+def test_few_engines_move_when_an_instance_joins():
+    before = tuple(InstanceId(f"i{n}") for n in range(16))
+    after = (*before, InstanceId("new"))
+    engines = [EngineId(f"e{n}") for n in range(1000)]
+    moved = [e for e in engines if choose(e, before) != choose(e, after)]
+    assert all(choose(e, after) == "new" for e in moved)
+    assert len(moved) < 120
+
+
+def test_a_peer_tells_of_a_leaving_server():
+    view = fleet().servers
+    view.take_list(InstanceList(instances=[engine()]), timedelta())
+    assert view.is_live("e")
+    assert view.hear([LeavingServer(server="e", age_seconds=0)], timedelta())
+    assert not view.is_live("e")
+
+
+def test_an_instance_cut_off_from_list_and_peers_sends_no_new_work():
+    here = fleet()
+    here.members.merge(record(PEER), PEER)
+    here.servers.take_list(InstanceList(instances=[engine()]), timedelta())
+    assert here.is_live("e")
+    here.clock.advance(timedelta(seconds=3))
+    assert not here.is_live("e")
+    here.last_contact = here.clock.monotonic()
+    assert here.is_live("e")
+
+
+def test_a_stale_owner_row_is_ignored():
+    here = fleet()
+    row = OwnerRow(
+        engine="e", instance=PEER, incarnation="x", fencing_number=4, write_id="w"
+    )
+    assert here.take_owner(row, PEER)
+    assert not here.take_owner(replace(row, fencing_number=3), PEER)
+    assert here.owner_of(EngineId("e")) is None
+
+
+def test_a_claim_whose_answer_was_lost_is_recognised(run):
+    async def scenario():
+        table = FakeTable()
+        ownership = OwnershipTable(table, ME, Incarnation("run"))
+        table.faults.lose_answers = 1
+        claimed = await ownership.claim(EngineId("e"))
+        assert claimed.is_ok()
+        assert (await ownership.read(EngineId("e"))).ok == claimed.ok
+
+    run(scenario())
+
+
+def test_a_claim_from_an_expected_owner_fails_after_another_claim(run):
+    async def scenario():
+        ownership = OwnershipTable(FakeTable(), ME, Incarnation("run"))
+        await ownership.claim(EngineId("e"))
+        assert (await ownership.claim(EngineId("e"), expected=0)).is_error()
+        assert (await ownership.claim(EngineId("e"), expected=1)).is_ok()
+
+    run(scenario())
+
+
+def test_a_renewal_whose_answer_was_lost_is_recognised(run):
+    async def scenario():
+        network = Network(["one"], checks_fencing=False)
+        table = FakeTable()
+        lease = SessionLease(table, network.nodes["one"].coordination.session.row)
+        await lease.renew()
+        table.faults.lose_answers = 1
+        assert (await lease.renew()).is_ok()
+        assert (await lease.renew()).is_ok()
+        assert (await read_session(table, InstanceId("one"))).ok.renewals == 3
+
+    run(scenario())
+
+
+def test_a_pause_holds_work_back_until_the_refresh(run):
+    async def scenario():
+        clock, refreshed = ManualClock(), []
+
+        async def refresh():
+            refreshed.append(clock.monotonic())
+
+        gate = PauseGate(clock=clock, metrics=RecordedMetrics(), refresh=refresh)
+        await gate.passed()
+        assert refreshed == []
+        clock.advance(timedelta(seconds=5))
+        assert not gate.is_open
+        await gate.passed()
+        assert len(refreshed) == 1
+        assert gate.is_open
+
+    run(scenario())
