--- a/tests/unit/entry_rig.py
+++ b/tests/unit/entry_rig.py
@@ -90,6 +90,8 @@
                 clock=clock, metrics=metrics, search=self, caller=caller
             ),
             ledger=None,
+            settler=None,
+            services=None,
             lifecycle=Lifecycle(configuration),
         )
         self.entry = listen(caller_application(parts), host="127.0.0.1")
