Read fast streams at most every 20 ms, so that events go out in groups

A stream whose reads come less than 25 ms apart now pauses 20 ms.

Events that come faster than 40 a second reach the caller up to 20 ms later; the end of an answer is never held for longer.

--- a/src/magnoliatrail/entry/engine_stream.py
+++ b/src/magnoliatrail/entry/engine_stream.py
@@ -25,6 +25,8 @@
 from magnoliatrail.wire import CallFailed
 
 READ_BYTES = 16 * 1024
+READ_PAUSE_SECONDS = 0.02
+FAST_GAP_SECONDS = 0.025
 MAX_REFUSAL_BYTES = 1024 * 1024
 HTTP_PORT = 80
 
@@ -93,6 +95,7 @@
         self.io_loop = IOLoop.current()
         self.stopped = False
         self.waiting_since: float | None = None
+        self.last_read = 0.0
         self.pause: asyncio.Future[Awaitable[None] | None]
         self.take: TakeContent
         self.timer = self.io_loop.call_later(self.idle_seconds, self.check_idle)
@@ -144,20 +147,17 @@
         """Read nothing more."""
         self.stopped = True
 
-    def read_buffered(self) -> Awaitable[bytes]:
+    async def read_buffered(self) -> bytes:
         """Read through the library, which may hold a first part of the body."""
-        return self.source.read_bytes(READ_BYTES, partial=True)
+        try:
+            return await self.source.read_bytes(READ_BYTES, partial=True)
+        except StreamClosedError:
+            return b""
 
     def on_buffered(self, read: "asyncio.Future[bytes]") -> None:
         """Take a read, and the socket once the library holds no more bytes."""
-        if self.pause.done():
-            return
-        try:
-            data = read.result()
-        except StreamClosedError:
-            self.feed(b"")
-            return
-        if len(data) < READ_BYTES and not self.source.closed():
+        data = read.result()
+        if 0 < len(data) < READ_BYTES and not self.source.closed():
             # Reading through IOStream costs a second system call, a future and
             # a task switch for each event.
             self.socket = self.source.socket.dup()
@@ -180,15 +180,21 @@
         """Hand on the content of one read, and pause if it does not leave at once."""
         if self.pause.done():
             return
-        self.waiting_since = monotonic()
+        now = monotonic()
+        fast = now - self.last_read < FAST_GAP_SECONDS
+        self.waiting_since = self.last_read = now
         try:
             content = self.body.take(data)
             written = self.take(content) if content else None
         except Exception as error:
             self.pause.set_exception(error)
             return
-        if written is not None or self.ended:
+        if written is not None or self.stopped or self.body.finished:
             self.pause.set_result(written)
+        elif fast:
+            # Events that come faster than people read go out in groups, as each
+            # system call costs far more than the bytes that it moves.
+            self.pause.set_result(asyncio.sleep(READ_PAUSE_SECONDS))
 
     def close(self) -> None:
         """Close the connection."""
--- a/tests/unit/test_stream_relay.py
+++ b/tests/unit/test_stream_relay.py
@@ -3,10 +3,11 @@
 from datetime import timedelta
 from socket import socketpair
 
+import pytest
 from tornado.iostream import IOStream
 
 from magnoliatrail.entry.answer_check import AnswerCheck
-from magnoliatrail.entry.engine_stream import AnswerHead, EngineStream
+from magnoliatrail.entry.engine_stream import READ_BYTES, AnswerHead, EngineStream
 from magnoliatrail.entry.stream_relay import pass_events_on
 from magnoliatrail.ids import AdapterVersion, Handle, RequestId
 
@@ -51,6 +52,23 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("size", [1, 40, READ_BYTES])
+def test_a_connection_that_closes_after_its_first_bytes_is_broken(run, size):
+    async def scenario():
+        near, far = socketpair()
+        far.sendall((event(0) * READ_BYTES)[:size])
+        far.close()
+        stream = EngineStream(AnswerHead(None), IOStream(near), timedelta(hours=1))
+        sink = SlowSink()
+        sink.may_go_on.set()
+        check = AnswerCheck(RequestId("r"), Handle("a@1~3"), AdapterVersion("a", "1"))
+        broken = await pass_events_on(stream, check, sink)
+        assert "ended at position" in broken.reason
+        stream.close()
+
+    run(scenario())
+
+
 def writable(sock):
     """Return whether a socket takes more bytes at once."""
     return bool(select.select([], [sock], [], 0)[1])
