Restart the engine stand-in with an empty batch, and test streams through daemons

Cause: a restart set the running count to 0, and then each cancelled task counted itself out, so the load report said -1, which is no valid report; the owner read none any more and its adapters stayed lost for good. The stand-in also called cancelled answers finished.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 .PHONY: demo test lint types bench generate check-generated clean tables slopes \
-	bench-configuration
+	bench-configuration bench-chunks
 VENV := .venv
 PYTHON ?= $(VENV)/bin/python
 export PYTHONPATH := src
@@ -45,5 +45,8 @@
 bench-configuration: $(VENV)/ready
 	$(PYTHON) -m benchmarks.configuration_spread
 
+bench-chunks: $(VENV)/ready
+	$(PYTHON) benchmarks/entry_chunk_cost.py
+
 clean:
 	rm -rf $(VENV) .pytest_cache .mypy_cache .ruff_cache .hypothesis
--- a/src/magnoliatrail/entry/engine_stream.py
+++ b/src/magnoliatrail/entry/engine_stream.py
@@ -96,6 +96,7 @@
         self.stopped = False
         self.waiting_since: float | None = None
         self.last_read = 0.0
+        self.fast = False
         self.pause: asyncio.Future[Awaitable[None] | None]
         self.take: TakeContent
         self.timer = self.io_loop.call_later(self.idle_seconds, self.check_idle)
@@ -137,6 +138,10 @@
                     self.io_loop.remove_handler(self.socket)
             if written is not None:
                 await written
+            elif self.fast and not self.ended:
+                # Events that come faster than people read go out in groups, as each
+                # system call costs far more than the bytes that it moves.
+                await asyncio.sleep(READ_PAUSE_SECONDS)
 
     @property
     def ended(self) -> bool:
@@ -181,7 +186,7 @@
         if self.pause.done():
             return
         now = monotonic()
-        fast = now - self.last_read < FAST_GAP_SECONDS
+        self.fast = now - self.last_read < FAST_GAP_SECONDS
         self.waiting_since = self.last_read = now
         try:
             content = self.body.take(data)
@@ -191,10 +196,8 @@
             return
         if written is not None or self.stopped or self.body.finished:
             self.pause.set_result(written)
-        elif fast:
-            # Events that come faster than people read go out in groups, as each
-            # system call costs far more than the bytes that it moves.
-            self.pause.set_result(asyncio.sleep(READ_PAUSE_SECONDS))
+        elif self.fast:
+            self.pause.set_result(None)
 
     def close(self) -> None:
         """Close the connection."""
--- a/src/magnoliatrail/standins/engine.py
+++ b/src/magnoliatrail/standins/engine.py
@@ -85,16 +85,19 @@
         self.runs = 0
         self.cancels = 0
         self.tasks: set[asyncio.Task[None]] = set()
+        self.answers: dict[str, GeneratedAnswer] = {}
         self.restart()
 
     def restart(self) -> None:
         """Start cold, with nothing loaded and nothing remembered."""
+        for answer in self.answers.values():
+            answer.cancelled = not answer.finished
         for task in self.tasks:
             task.cancel()
         self.boot_id = uuid4().hex
         self.loaded: dict[str, LoadedAdapter] = {}
         self.loading: set[str] = set()
-        self.answers: dict[str, GeneratedAnswer] = {}
+        self.answers = {}
         self.queue: list[tuple[int, int, asyncio.Future[None]]] = []
         self.queued = 0
         self.running = 0
@@ -161,12 +164,15 @@
         self, answer: GeneratedAnswer, order: CompletionOrder, adapter: LoadedAdapter
     ) -> None:
         """Generate an answer token by token, once the batch has a place."""
+        boot_id = self.boot_id
         try:
             await self.enter_batch(order.priority)
             try:
                 await self.generate_tokens(answer, order, adapter.source)
             finally:
-                self.leave_batch()
+                # A restart has emptied the batch already.
+                if boot_id == self.boot_id:
+                    self.leave_batch()
         finally:
             adapter.running -= 1
             answer.finished = not answer.cancelled
--- /dev/null
+++ b/tests/processes/test_streams.py
@@ -0,0 +1,64 @@
+import asyncio
+from datetime import timedelta
+
+import pytest
+
+from magnoliatrail.demo import expected_text, streamed_text
+from magnoliatrail.standins.engine import EngineLimits
+from magnoliatrail.standins.world import WorldSize
+
+from .fleet import GENEROUS_SECONDS, running_fleet
+
+pytestmark = pytest.mark.processes
+
+MODEL = "adapter-0000@1"
+TOKENS = 40
+SIZE = WorldSize(engines=2, engine=EngineLimits(token_time=timedelta(milliseconds=10)))
+TEXT = expected_text(MODEL, "brief", TOKENS)
+
+
+async def until(condition):
+    async with asyncio.timeout(GENEROUS_SECONDS):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def running(engines):
+    return [engine for engine in engines if engine.running]
+
+
+@pytest.mark.parametrize("fault", ["break_streams", "silence_streams"])
+def test_a_daemon_resumes_a_stream_on_the_same_engine(run, fault):
+    async def scenario():
+        async with running_fleet(["other"], SIZE) as fleet:
+            await fleet.start("one", "--idle-timeout-seconds=1")
+            await fleet.until_settled()
+            engines = fleet.world.engines
+            for engine in engines:
+                setattr(engine.faults, fault, 1)
+            answer = await fleet.complete(
+                "one", MODEL, "brief", stream=True, tokens=TOKENS
+            )
+            assert streamed_text(answer.body) == TEXT
+            assert sum(engine.runs for engine in engines) == 1
+            assert sum(getattr(engine.faults, fault) for engine in engines) == 1
+
+    run(scenario())
+
+
+def test_a_daemon_finishes_a_stream_after_its_engine_restarted(run):
+    async def scenario():
+        async with running_fleet(["one"], SIZE) as fleet:
+            engines = fleet.world.engines
+            asking = asyncio.create_task(
+                fleet.complete("one", MODEL, "brief", stream=True, tokens=TOKENS)
+            )
+            await until(lambda: running(engines))
+            (engine,) = running(engines)
+            await until(lambda: any(item.texts for item in engine.answers.values()))
+            engine.restart()
+            answer = await asking
+            assert streamed_text(answer.body) == TEXT
+            assert sum(engine.runs for engine in engines) == 2
+
+    run(scenario())
--- /dev/null
+++ b/tests/unit/test_engine_standin.py
@@ -0,0 +1,19 @@
+from .entry_rig import HANDLE, running_rig
+
+
+def test_a_restart_leaves_the_batch_of_the_engine_empty(run):
+    async def scenario():
+        async with running_rig() as rig:
+            _, writer = await rig.open_stream(1_000_000)
+            engine = rig.engines[0]
+            await rig.until(lambda: engine.running)
+            old = list(engine.answers.values())
+            engine.restart()
+            await rig.until(lambda: not engine.tasks)
+            assert engine.running == 0
+            assert HANDLE not in engine.loaded
+            assert all(answer.cancelled and not answer.finished for answer in old)
+            writer.close()
+            await rig.until(lambda: rig.idle)
+
+    run(scenario())
