--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 .PHONY: demo test lint types bench generate check-generated clean tables slopes \
-	bench-configuration bench-chunks
+	bench-configuration bench-chunks bench-together
 VENV := .venv
 PYTHON ?= $(VENV)/bin/python
 export PYTHONPATH := src
@@ -20,22 +20,25 @@
 
 generate: $(VENV)/ready
 	$(PYTHON) scripts/generate.py
-	$(PYTHON) scripts/settings_table.py
+	$(PYTHON) -m scripts.settings_table
 
 check-generated: $(VENV)/ready
 	$(PYTHON) scripts/generate.py --check
-	$(PYTHON) scripts/settings_table.py --check
-	$(PYTHON) scripts/error_table.py --check
+	$(PYTHON) -m scripts.settings_table --check
+	$(PYTHON) -m scripts.error_table --check
 
 tables: $(VENV)/ready
-	$(PYTHON) scripts/settings_table.py
-	$(PYTHON) scripts/error_table.py
+	$(PYTHON) -m scripts.settings_table
+	$(PYTHON) -m scripts.error_table
 	$(PYTHON) -m benchmarks.capacity
 
 slopes: $(VENV)/ready
 	$(PYTHON) -m benchmarks.slopes
 	$(PYTHON) -m benchmarks.capacity
 
+bench-together: $(VENV)/ready
+	$(PYTHON) -m benchmarks.together
+
 $(VENV)/ready: requirements.lock pyproject.toml
 	test -x $(VENV)/bin/python || python3 -m venv $(VENV)
 	$(VENV)/bin/python -m pip install --quiet --disable-pip-version-check -r requirements.lock
--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -1,14 +1,17 @@
 """Write the capacity page's tables from the committed runs."""
 
-import argparse
 import sys
 from pathlib import Path
 
 import msgspec
+from scripts.generated_page import write_or_check
+
 from benchmarks.capacity.figures import LIMITS, PARTS, Figure, Slopes
 from benchmarks.slopes.__main__ import RESULTS, SlopeRun, table
+from benchmarks.slopes.fit import Slope
 
 ROOT = Path(__file__).resolve().parent.parent.parent
+TOGETHER = ROOT / "benchmarks" / "together.json"
 PAGE = ROOT / "docs" / "CAPACITY.md"
 BEGIN = "<!-- begin: {} -->\n"
 END = "<!-- end: {} -->\n"
@@ -61,6 +64,23 @@
     return f"{before}{begin}\n{content}\n\n{end}{after}"
 
 
+class TogetherRun(msgspec.Struct, frozen=True):
+    """Hold what is used of the run of `benchmarks/together.py`."""
+
+    time: str
+    load_average: float
+    slopes: list[Slope]
+
+
+def nodes_table() -> str:
+    """Return what one node spends by the number of nodes."""
+    if not TOGETHER.exists():
+        return "Not run yet."
+    run = msgspec.json.decode(TOGETHER.read_bytes(), type=TogetherRun)
+    heading = f"Run of {run.time}, load average {run.load_average}, shared machine."
+    return f"{heading}\n\n{table(run.slopes)}"
+
+
 def page(text: str) -> str:
     """Return the page as the committed runs make it."""
     run = msgspec.json.decode(RESULTS.read_bytes(), type=SlopeRun)
@@ -71,23 +91,14 @@
         "on a shared machine of 10 cores."
     )
     text = replaced(text, "slopes", f"{heading}\n\n{table(run.slopes)}")
+    text = replaced(text, "nodes", nodes_table())
     text = replaced(text, "budget", budget_table(figures))
     return replaced(text, "figures", figure_table(figures))
 
 
 def main() -> int:
-    """Write the tables, or with `--check` compare them with the committed ones."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--check", action="store_true")
-    arguments = parser.parse_args()
-    text = PAGE.read_text()
-    if not arguments.check:
-        PAGE.write_text(page(text))
-        return 0
-    if text == page(text):
-        return 0
-    print("docs/CAPACITY.md does not match its runs: run make tables", file=sys.stderr)
-    return 1
+    """Write the page, or with `--check` compare it with the committed one."""
+    return write_or_check(PAGE, page, __doc__)
 
 
 if __name__ == "__main__":
--- a/benchmarks/entry_chunk_cost.py
+++ b/benchmarks/entry_chunk_cost.py
@@ -32,10 +32,11 @@
 from magnoliatrail.entry.engine_call import EngineCaller
 from magnoliatrail.entry.lifecycle import Lifecycle
 from magnoliatrail.entry.parts import EntryParts
+from magnoliatrail.entry.places import EntryPlaces
 from magnoliatrail.errors import Failure
 from magnoliatrail.generated.permits import PermitGrant
 from magnoliatrail.generated.settings import Settings
-from magnoliatrail.ids import AdapterVersion, Handle, RequestId
+from magnoliatrail.ids import AdapterVersion, EngineId, Handle, RequestId
 from magnoliatrail.listeners import listen
 from magnoliatrail.membership.fleet import Fleet
 from magnoliatrail.metrics import RecordedMetrics
@@ -230,7 +231,9 @@
     configuration.offer(configuration.configuration)
     catalogue = AdapterCatalogue()
     catalogue.base_models = {MODEL: "base"}
-    ledger: Any = None
+    places = EntryPlaces(clock=clock, queue_limit=lambda caller: STREAMS)
+    places.set_places(EngineId("engine"), STREAMS)
+    unused: Any = None
     parts = EntryParts(
         settings=settings,
         clock=clock,
@@ -240,9 +243,15 @@
         configuration=configuration,
         catalogue=catalogue,
         dispatcher=Dispatcher(
-            clock=clock, metrics=metrics, search=search, caller=caller
+            clock=clock,
+            metrics=metrics,
+            search=search,
+            caller=caller,
+            places=places,
         ),
-        ledger=ledger,
+        ledger=unused,
+        settler=unused,
+        services=unused,
         lifecycle=Lifecycle(configuration),
     )
     return caller_application(parts)
--- a/benchmarks/slopes/messages.py
+++ b/benchmarks/slopes/messages.py
@@ -4,7 +4,6 @@
 
 from benchmarks.slopes.fit import Slope, fitted
 from benchmarks.slopes.measure import processor_microseconds
-
 from magnoliatrail.generated.membership import Heartbeat
 from magnoliatrail.generated.operations import ClaimState, OperationRow
 from magnoliatrail.generated.permits import PermitGrant, PermitRequest, RequestClass
@@ -21,6 +20,12 @@
         instance="instance-001",
         incarnation=new_incarnation(),
         configuration_revision=8_500,
+        renewals=100_000,
+        taken=10_000,
+        members=[],
+        owners=[],
+        leaving=[],
+        list_age_seconds=0.5,
     )
 
 
--- a/src/magnoliatrail/engines/owner.py
+++ b/src/magnoliatrail/engines/owner.py
@@ -10,6 +10,9 @@
 
 from magnoliatrail.clock import Clock
 from magnoliatrail.engines.client import EngineClient
+from magnoliatrail.engines.demand import DemandBook
+from magnoliatrail.engines.foreign import ForeignHandle, reported_idle
+from magnoliatrail.engines.load_scheduler import LoadScheduler
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.generated.engine import LoadReport
 from magnoliatrail.generated.permits import (
@@ -21,15 +24,19 @@
 from magnoliatrail.generated.platform import ListedInstance
 from magnoliatrail.ids import (
     AdapterVersion,
+    CallerId,
     EngineId,
     FencingNumber,
     Handle,
     InstanceId,
+    RequestId,
     handle_for,
 )
 from magnoliatrail.logs import EventLog
 from magnoliatrail.metrics import Metrics
 from magnoliatrail.placement.eviction import EvictionCandidate, eviction_order
+from magnoliatrail.placement.load_queue import LoadKey, Waiter
+from magnoliatrail.placement.popularity import Popularity, PopularitySettings
 
 log = EventLog("owner")
 
@@ -42,6 +49,10 @@
     LOADING = "loading"
     LOADED = "loaded"
     EVICTING = "evicting"
+    DOUBTFUL = "doubtful"
+
+
+UNUSABLE = {SlotState.EVICTING, SlotState.DOUBTFUL}
 
 
 @dataclass
@@ -56,6 +67,8 @@
     waiters: int = 0
     loaded: asyncio.Event = field(default_factory=asyncio.Event)
     failure: Failure | None = None
+    checks_idle: bool = False
+    loaded_at: timedelta = timedelta()
 
 
 class EngineOwner:
@@ -70,6 +83,8 @@
         recall: Recall,
         clock: Clock,
         metrics: Metrics,
+        loads: LoadScheduler | None = None,
+        popularity: Popularity[AdapterVersion] | None = None,
     ) -> None:
         self.engine = EngineId(listed.id)
         self.url = listed.url
@@ -80,13 +95,24 @@
         self.metrics = metrics
         self.report: LoadReport | None = None
         self.slots: dict[AdapterVersion, Slot] = {}
+        self.foreign: dict[Handle, ForeignHandle] = {}
+        self.closed: Failure | None = None
         self.ordering = asyncio.Lock()
+        self.loads = loads
+        self.popularity = popularity or Popularity(PopularitySettings())
+        self.demand = DemandBook()
+
+    @property
+    def slots_taken(self) -> int:
+        """Return how many adapter slots are taken, by whomever."""
+        return len(self.slots) + len(self.foreign)
 
     async def refresh(self) -> None:
         """Read the load report, and forget handles that a restart took."""
         match await self.client.report():
             case Result(tag="ok", ok=report):
                 self.take_report(report)
+                await self.repeat_unloads()
             case Result(error=failure):
                 log.warning(
                     "load_report_missing", engine=self.engine, reason=failure.message
@@ -102,6 +128,7 @@
                 for model, slot in self.slots.items()
                 if slot.state is SlotState.LOADING
             }
+            self.foreign.clear()
         self.report = report
         self.metrics.gauge("batch_fill", report.running / report.batch_slots)
 
@@ -109,8 +136,10 @@
         """Grant the use of an adapter, loading it first if need be."""
         model = AdapterVersion(request.adapter, request.version)
         slot = self.slots.get(model)
-        if slot is None or slot.state is SlotState.EVICTING:
-            match await self.start_load(model, request):
+        if self.closed:
+            return Error(self.closed)
+        if slot is None or slot.state in UNUSABLE:
+            match await self.load_in_turn(model, request):
                 case Result(tag="ok", ok=started):
                     slot = started
                 case Result(error=failure):
@@ -120,12 +149,40 @@
             await slot.loaded.wait()
         finally:
             slot.waiters -= 1
-        if slot.failure:
-            return Error(slot.failure)
+        refusal = slot.failure or self.closed
+        if refusal:
+            return Error(refusal)
+        if self.report is None:
+            await self.refresh()
+        if self.report is None:
+            message = f"engine {self.engine} gives no load report"
+            return Error(Failure(ErrorKind.NO_BACKEND_SERVER, message))
         slot.last_used = self.clock.monotonic()
         slot.holders.add(InstanceId(request.holder))
         return Ok(self.grant(slot))
 
+    async def load_in_turn(
+        self, model: AdapterVersion, request: PermitRequest
+    ) -> Result[Slot, Failure]:
+        """Start to load an adapter once it is its turn."""
+        if self.loads is None:
+            return await self.start_load(model, request)
+        now = self.clock.monotonic()
+        if request.rate and not self.popularity.value(model, now):
+            memory = self.popularity.memory_seconds
+            self.popularity.record(model, now, uses=request.rate * memory)
+        key = LoadKey(self.engine, model)
+        match await self.loads.turn(key, waiter_of(request, now)):
+            case Result(tag="error", error=failure):
+                return Error(failure)
+        try:
+            return await self.start_load(model, request)
+        finally:
+            # A turn that started no load, for whatever reason, is given back.
+            slot = self.slots.get(model)
+            if slot is None or slot.state is not SlotState.LOADING:
+                self.loads.ended(key)
+
     def grant(self, slot: Slot) -> PermitGrant:
         """Return the grant for a loaded slot."""
         assert self.report is not None
@@ -144,7 +201,12 @@
     ) -> Result[Slot, Failure]:
         """Take a slot for an adapter and start to load it."""
         async with self.ordering:
+            if self.closed:
+                return Error(self.closed)
             present = self.slots.get(model)
+            if present and present.state is SlotState.DOUBTFUL:
+                message = f"{present.handle} may still be unloaded"
+                return Error(Failure(ErrorKind.LOAD_FAILED, message))
             if present and present.state is not SlotState.EVICTING:
                 return Ok(present)
             if self.report is None:
@@ -152,7 +214,7 @@
             if self.report is None:
                 message = f"engine {self.engine} gives no load report"
                 return Error(Failure(ErrorKind.NO_BACKEND_SERVER, message))
-            if len(self.slots) >= self.report.adapter_slots:
+            if self.slots_taken >= self.report.adapter_slots:
                 freed = await self.free_slot()
                 if not freed:
                     message = f"every adapter slot of {self.engine} is in use"
@@ -183,6 +245,7 @@
         match result:
             case Result(tag="ok"):
                 slot.state = SlotState.LOADED
+                slot.loaded_at = self.clock.monotonic()
                 self.metrics.count("loads")
                 self.metrics.timing("load_time", duration)
                 log.info("load_ended", engine=self.engine, handle=slot.handle)
@@ -197,20 +260,25 @@
                     reason=failure.message,
                 )
         slot.loaded.set()
+        if self.loads:
+            key = LoadKey(self.engine, slot.model)
+            self.loads.ended(key, failed=slot.failure is not None)
+
+    def free_slots(self) -> int:
+        """Return how many adapter slots are neither taken nor spoken for."""
+        if self.report is None:
+            return 0
+        spoken_for = self.loads.waiting_for(self.engine) if self.loads else 0
+        return max(0, self.report.adapter_slots - self.slots_taken - spoken_for)
 
     async def free_slot(self) -> bool:
         """Evict the least valuable adapter that nobody uses."""
         by_handle = {slot.handle: slot for slot in self.slots.values()}
+        now = self.clock.monotonic()
         candidates = [
-            EvictionCandidate(
-                slot.handle,
-                slot.state is not SlotState.LOADED,
-                slot.waiters > 0,
-                slot.last_used,
-            )
-            for slot in self.slots.values()
+            eviction_candidate(self, slot, now) for slot in self.slots.values()
         ]
-        for handle in eviction_order(candidates):
+        for handle in eviction_order(candidates, now):
             if await self.evict(by_handle[handle]):
                 return True
         return False
@@ -218,12 +286,15 @@
     async def evict(self, slot: Slot) -> bool:
         """Evict an adapter if every holder gives it back."""
         slot.state = SlotState.EVICTING
-        if not await self.recall_all(slot):
+        idle = await self.recall_all(slot)
+        if slot.checks_idle:
+            idle = idle and await reported_idle(self, slot.handle)
+        if not idle:
             slot.state = SlotState.LOADED
             return False
         result = await self.client.unload(slot.handle, self.fencing_number)
         if result.is_error():
-            slot.state = SlotState.LOADED
+            slot.state = SlotState.DOUBTFUL
             return False
         self.slots.pop(slot.model, None)
         self.metrics.count("evictions")
@@ -232,6 +303,22 @@
         )
         return True
 
+    async def repeat_unloads(self) -> None:
+        """Unload again what may still be loaded; nobody may use it meanwhile."""
+        doubtful = [s for s in self.slots.values() if s.state is SlotState.DOUBTFUL]
+        for slot in doubtful:
+            result = await self.client.unload(slot.handle, self.fencing_number)
+            if result.is_ok() and self.slots.get(slot.model) is slot:
+                del self.slots[slot.model]
+
+    def rename_holder(self, holder: InstanceId, former: InstanceId) -> None:
+        """Keep the permits of a run that ended apart from those of the next run."""
+        for slot in self.slots.values():
+            if holder in slot.holders:
+                slot.holders.discard(holder)
+                slot.holders.add(former)
+                slot.checks_idle = True
+
     async def recall_all(self, slot: Slot) -> bool:
         """Ask every holder for a handle; silence counts as busy."""
         recall = PermitRecall(
@@ -244,3 +331,28 @@
                 return False
             slot.holders.discard(holder)
         return True
+
+
+def eviction_candidate(
+    owner: EngineOwner, slot: Slot, now: timedelta
+) -> EvictionCandidate:
+    """Describe a slot to the choice of a victim."""
+    return EvictionCandidate(
+        handle=slot.handle,
+        in_use=slot.state is not SlotState.LOADED,
+        awaited=slot.waiters > 0,
+        last_used=slot.last_used,
+        value=owner.popularity.value(slot.model, now),
+        loaded_at=slot.loaded_at,
+    )
+
+
+def waiter_of(request: PermitRequest, now: timedelta) -> Waiter:
+    """Describe a request that waits for its adapter."""
+    return Waiter(
+        request_id=RequestId(request.request_id),
+        caller=CallerId(request.caller),
+        request_class=request.request_class,
+        since=now,
+        deadline=now + timedelta(seconds=request.deadline_seconds),
+    )
