--- a/src/magnoliatrail/standins/engine_streams.py
+++ b/src/magnoliatrail/standins/engine_streams.py
@@ -34,7 +34,7 @@
             return
         body = msgspec.json.encode(whole_of(answer))
         self.set_header("Content-Type", "application/json")
-        if self.takes("cut_answers"):
+        if self.uses_up("cut_answers"):
             # Without a length, only the body itself can show that it was cut.
             self.write(body[: len(body) // 2])
             await self.flush()
@@ -67,22 +67,22 @@
         event = event_of(answer, position)
         if position < FAULT_POSITION:
             return event
-        if self.takes("duplicate_events"):
+        if self.uses_up("duplicate_events"):
             return event + event_of(answer, 0) + event
-        if self.takes("reorder_events"):
+        if self.uses_up("reorder_events"):
             return event_of(answer, position - 1) + event_of(answer, position).replace(
                 b"id: %d" % position, b"id: %d" % (position + 1), 1
             )
-        if self.takes("cross_events"):
+        if self.uses_up("cross_events"):
             return event.replace(answer.request_id.encode(), b"req-of-another", 1)
         return event
 
     async def fails(self) -> bool:
         """Break the connection, or fall silent on it for good, if a fault says so."""
-        if self.takes("break_streams"):
+        if self.uses_up("break_streams"):
             self.drop_connection()
             return True
-        if self.takes("silence_streams"):
+        if self.uses_up("silence_streams"):
             await asyncio.Event().wait()
         return False
 
@@ -92,7 +92,7 @@
 
     async def post(self) -> None:
         """Generate an answer."""
-        if self.takes("drop_answers"):
+        if self.uses_up("drop_answers"):
             await asyncio.Event().wait()
         order = msgspec.json.decode(self.request.body, type=CompletionOrder)
         request_id = self.request.headers["X-Request-Id"]
@@ -102,7 +102,7 @@
         except Refused as refused:
             self.refuse(refused)
             return
-        if self.takes("wrong_adapter"):
+        if self.uses_up("wrong_adapter"):
             answer.handle = "another@1~0"
         await self.write_answer(answer, 0, stream=order.stream)
 
--- a/src/magnoliatrail/standins/faults.py
+++ b/src/magnoliatrail/standins/faults.py
@@ -112,6 +112,14 @@
         else:
             self.write(body)
 
+    def uses_up(self, fault: str) -> bool:
+        """Return whether a counted fault is due, and count it down."""
+        left: int = getattr(self.faults, fault)
+        if not left:
+            return False
+        setattr(self.faults, fault, left - 1)
+        return True
+
     def drop_connection(self) -> None:
         """Close the connection without an answer."""
         self.detach().close()
