--- a/src/magnoliatrail/daemon.py
+++ b/src/magnoliatrail/daemon.py
@@ -215,6 +215,7 @@
             search=search,
             caller=caller,
             gate=self.gate,
+            is_live=self.fleet.is_live,
             places=self.placement.places,
             circuits=self.placement.state.circuits,
             retry_share=lambda: self.configuration.configuration.defaults.retry_share,
--- a/src/magnoliatrail/entry/dispatch.py
+++ b/src/magnoliatrail/entry/dispatch.py
@@ -13,7 +13,7 @@
 from magnoliatrail.entry.places import EntryPlaces
 from magnoliatrail.entry.retry_budget import RetryBudget
 from magnoliatrail.errors import ErrorKind, Failure
-from magnoliatrail.ids import CallerId
+from magnoliatrail.ids import CallerId, EngineId
 from magnoliatrail.logs import EventLog
 from magnoliatrail.membership.pause import PauseGate
 from magnoliatrail.metrics import Metrics
@@ -58,6 +58,7 @@
         search: PermitSearch,
         caller: EngineCaller,
         gate: PauseGate | None = None,
+        is_live: Callable[[EngineId], bool] = lambda engine: True,
         places: EntryPlaces | None = None,
         circuits: Circuits | None = None,
         retry_share: Callable[[], float] = lambda: RETRY_SHARE,
@@ -68,6 +69,7 @@
         self.search = search
         self.caller = caller
         self.gate = gate
+        self.is_live = is_live
         self.places = places or EntryPlaces(
             clock=clock, queue_limit=default_queue_limit
         )
@@ -149,7 +151,7 @@
             await self.gate.passed()
             message = "this instance was paused while a request waited"
             return Failure(ErrorKind.STALE_FENCING_NUMBER, message)
-        if not self.search.fleet.is_live(permit.engine):
+        if not self.is_live(permit.engine):
             message = f"engine {permit.engine} began to leave"
             return Failure(ErrorKind.NO_BACKEND_SERVER, message)
         return None
