--- a/benchmarks/matrix.py
+++ b/benchmarks/matrix.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass
+from functools import cache
 
 from benchmarks.clairvoyant import rendezvous_lru_loads
 from benchmarks.measures import Measures, measure
@@ -48,6 +49,7 @@
     measures: dict[str, Measures]
 
 
+@cache
 def capacity_of(site_name: str, slots: int, zipf: float) -> float:
     """Return the requests a second that the store lets rendezvous + LRU carry."""
     site = SITES[site_name]
--- /dev/null
+++ b/tests/unit/test_popularity.py
@@ -0,0 +1,33 @@
+from datetime import timedelta
+
+from magnoliatrail.placement.popularity import Popularity, PopularitySettings
+
+MINUTE = timedelta(minutes=1)
+
+
+def counted(uses, *, every):
+    popularity = Popularity(PopularitySettings(memory=5 * MINUTE, idle_uses=1.5))
+    for number in range(uses):
+        popularity.record("one", every * number)
+    return popularity
+
+
+def test_rate_of_steady_use_is_the_true_rate():
+    popularity = counted(3000, every=timedelta(seconds=1))
+    assert abs(popularity.rate("one", timedelta(seconds=3000)) - 1) < 0.05
+
+
+def test_unknown_adapter_has_no_value():
+    assert counted(0, every=MINUTE).value("one", MINUTE) == 0
+
+
+def test_adapter_gone_quiet_loses_value_before_its_count_decays():
+    popularity = counted(300, every=timedelta(seconds=1))
+    later = timedelta(seconds=300) + MINUTE
+    assert popularity.value("one", later) < popularity.rate("one", later) / 10
+
+
+def test_idle_counts_are_forgotten():
+    popularity = counted(10, every=timedelta(seconds=1))
+    popularity.forget_idle(timedelta(hours=2))
+    assert not popularity.counts
