--- a/benchmarks/slopes/messages.py
+++ b/benchmarks/slopes/messages.py
@@ -20,6 +20,12 @@
         instance="instance-001",
         incarnation=new_incarnation(),
         configuration_revision=8_500,
+        renewals=100_000,
+        taken=10_000,
+        members=[],
+        owners=[],
+        leaving=[],
+        list_age_seconds=0.5,
     )
 
 
--- a/src/magnoliatrail/engines/owner.py
+++ b/src/magnoliatrail/engines/owner.py
@@ -11,6 +11,7 @@
 from magnoliatrail.clock import Clock
 from magnoliatrail.engines.client import EngineClient
 from magnoliatrail.engines.demand import DemandBook
+from magnoliatrail.engines.foreign import ForeignHandle, reported_idle
 from magnoliatrail.engines.load_scheduler import LoadScheduler
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.generated.engine import LoadReport
@@ -48,6 +49,10 @@
     LOADING = "loading"
     LOADED = "loaded"
     EVICTING = "evicting"
+    DOUBTFUL = "doubtful"
+
+
+UNUSABLE = {SlotState.EVICTING, SlotState.DOUBTFUL}
 
 
 @dataclass
@@ -63,6 +68,7 @@
     loaded: asyncio.Event = field(default_factory=asyncio.Event)
     failure: Failure | None = None
     loaded_at: timedelta = timedelta()
+    checks_idle: bool = False
 
 
 class EngineOwner:
@@ -89,16 +95,24 @@
         self.metrics = metrics
         self.report: LoadReport | None = None
         self.slots: dict[AdapterVersion, Slot] = {}
+        self.foreign: dict[Handle, ForeignHandle] = {}
+        self.closed: Failure | None = None
         self.ordering = asyncio.Lock()
         self.loads = loads
         self.popularity = popularity or Popularity(PopularitySettings())
         self.demand = DemandBook()
 
+    @property
+    def slots_taken(self) -> int:
+        """Return how many adapter slots are taken, by whomever."""
+        return len(self.slots) + len(self.foreign)
+
     async def refresh(self) -> None:
         """Read the load report, and forget handles that a restart took."""
         match await self.client.report():
             case Result(tag="ok", ok=report):
                 self.take_report(report)
+                await self.repeat_unloads()
             case Result(error=failure):
                 log.warning(
                     "load_report_missing", engine=self.engine, reason=failure.message
@@ -114,6 +128,7 @@
                 for model, slot in self.slots.items()
                 if slot.state is SlotState.LOADING
             }
+            self.foreign.clear()
         self.report = report
         self.metrics.gauge("batch_fill", report.running / report.batch_slots)
 
@@ -121,7 +136,9 @@
         """Grant the use of an adapter, loading it first if need be."""
         model = AdapterVersion(request.adapter, request.version)
         slot = self.slots.get(model)
-        if slot is None or slot.state is SlotState.EVICTING:
+        if self.closed:
+            return Error(self.closed)
+        if slot is None or slot.state in UNUSABLE:
             match await self.load_in_turn(model, request):
                 case Result(tag="ok", ok=started):
                     slot = started
@@ -132,8 +149,14 @@
             await slot.loaded.wait()
         finally:
             slot.waiters -= 1
-        if slot.failure:
-            return Error(slot.failure)
+        refusal = slot.failure or self.closed
+        if refusal:
+            return Error(refusal)
+        if self.report is None:
+            await self.refresh()
+        if self.report is None:
+            message = f"engine {self.engine} gives no load report"
+            return Error(Failure(ErrorKind.NO_BACKEND_SERVER, message))
         slot.last_used = self.clock.monotonic()
         slot.holders.add(InstanceId(request.holder))
         return Ok(self.grant(slot))
@@ -144,6 +167,9 @@
         """Start to load an adapter once it is its turn."""
         if self.loads is None:
             return await self.start_load(model, request)
+        if not self.may_have_room():
+            message = f"every adapter slot of {self.engine} is in use"
+            return Error(Failure(ErrorKind.QUEUE_FULL, message))
         now = self.clock.monotonic()
         if request.rate and not self.popularity.value(model, now):
             memory = self.popularity.memory_seconds
@@ -158,6 +184,14 @@
             self.loads.ended(key)
         return started
 
+    def may_have_room(self) -> bool:
+        """Return whether a slot is free, or an adapter could be evicted."""
+        if self.report is None or self.slots_taken < self.report.adapter_slots:
+            return True
+        now = self.clock.monotonic()
+        slots = [eviction_candidate(self, slot, now) for slot in self.slots.values()]
+        return bool(eviction_order(slots, now))
+
     def grant(self, slot: Slot) -> PermitGrant:
         """Return the grant for a loaded slot."""
         assert self.report is not None
@@ -176,7 +210,12 @@
     ) -> Result[Slot, Failure]:
         """Take a slot for an adapter and start to load it."""
         async with self.ordering:
+            if self.closed:
+                return Error(self.closed)
             present = self.slots.get(model)
+            if present and present.state is SlotState.DOUBTFUL:
+                message = f"{present.handle} may still be unloaded"
+                return Error(Failure(ErrorKind.LOAD_FAILED, message))
             if present and present.state is not SlotState.EVICTING:
                 return Ok(present)
             if self.report is None:
@@ -184,7 +223,7 @@
             if self.report is None:
                 message = f"engine {self.engine} gives no load report"
                 return Error(Failure(ErrorKind.NO_BACKEND_SERVER, message))
-            if len(self.slots) >= self.report.adapter_slots:
+            if self.slots_taken >= self.report.adapter_slots:
                 freed = await self.free_slot()
                 if not freed:
                     message = f"every adapter slot of {self.engine} is in use"
@@ -239,7 +278,7 @@
         if self.report is None:
             return 0
         spoken_for = self.loads.waiting_for(self.engine) if self.loads else 0
-        return max(0, self.report.adapter_slots - len(self.slots) - spoken_for)
+        return max(0, self.report.adapter_slots - self.slots_taken - spoken_for)
 
     async def free_slot(self) -> bool:
         """Evict the least valuable adapter that nobody uses."""
@@ -256,12 +295,15 @@
     async def evict(self, slot: Slot) -> bool:
         """Evict an adapter if every holder gives it back."""
         slot.state = SlotState.EVICTING
-        if not await self.recall_all(slot):
+        idle = await self.recall_all(slot)
+        if slot.checks_idle:
+            idle = idle and await reported_idle(self, slot.handle)
+        if not idle:
             slot.state = SlotState.LOADED
             return False
         result = await self.client.unload(slot.handle, self.fencing_number)
         if result.is_error():
-            slot.state = SlotState.LOADED
+            slot.state = SlotState.DOUBTFUL
             return False
         self.slots.pop(slot.model, None)
         self.metrics.count("evictions")
@@ -270,6 +312,22 @@
         )
         return True
 
+    async def repeat_unloads(self) -> None:
+        """Unload again what may still be loaded; nobody may use it meanwhile."""
+        doubtful = [s for s in self.slots.values() if s.state is SlotState.DOUBTFUL]
+        for slot in doubtful:
+            result = await self.client.unload(slot.handle, self.fencing_number)
+            if result.is_ok() and self.slots.get(slot.model) is slot:
+                del self.slots[slot.model]
+
+    def rename_holder(self, holder: InstanceId, former: InstanceId) -> None:
+        """Keep the permits of a run that ended apart from those of the next run."""
+        for slot in self.slots.values():
+            if holder in slot.holders:
+                slot.holders.discard(holder)
+                slot.holders.add(former)
+                slot.checks_idle = True
+
     async def recall_all(self, slot: Slot) -> bool:
         """Ask every holder for a handle; silence counts as busy."""
         recall = PermitRecall(
--- a/src/magnoliatrail/entry/dispatch.py
+++ b/src/magnoliatrail/entry/dispatch.py
@@ -15,6 +15,7 @@
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.ids import CallerId
 from magnoliatrail.logs import EventLog
+from magnoliatrail.membership.pause import PauseGate
 from magnoliatrail.metrics import Metrics
 from magnoliatrail.operations.backoff import Backoff, waits
 from magnoliatrail.requests import CompletionCall
@@ -31,8 +32,6 @@
 RETRY_SHARE = 0.1
 QUEUE_LIMIT = 256
 
-# A request that was refused for its limits or its time is not tried again.
-FINAL_KINDS = {ErrorKind.QUEUE_FULL, ErrorKind.DEADLINE_UNREACHABLE}
 ENGINE_AT_FAULT = {
     ErrorKind.BACKEND_UNREACHABLE,
     ErrorKind.BACKEND_FAILED,
@@ -46,6 +45,13 @@
     return QUEUE_LIMIT
 
 
+def is_final(failure: Failure) -> bool:
+    """Return whether a request was refused for its limits or its time."""
+    if failure.kind is ErrorKind.QUEUE_FULL:
+        return failure.retry_after is not None
+    return failure.kind is ErrorKind.DEADLINE_UNREACHABLE
+
+
 class Dispatcher:
     """Answer completions, again on another engine where they did not run."""
 
@@ -60,6 +66,7 @@
         circuits: Circuits | None = None,
         retry_share: Callable[[], float] = lambda: RETRY_SHARE,
         generator: Random | None = None,
+        gate: PauseGate | None = None,
     ) -> None:
         self.clock = clock
         self.metrics = metrics
@@ -71,6 +78,7 @@
         self.circuits = circuits or Circuits(CircuitSettings())
         self.budget = RetryBudget(retry_share)
         self.generator = generator or Random()
+        self.gate = gate
 
     async def dispatch(
         self, request: CompletionCall, sink: AnswerSink
@@ -101,7 +109,7 @@
         self, request: CompletionCall, failure: Failure, delay: timedelta
     ) -> bool:
         """Return whether a failed attempt may be followed by another."""
-        if not failure.may_run_again or failure.kind in FINAL_KINDS:
+        if not failure.may_run_again or is_final(failure):
             return False
         if delay >= request.context.time_left(self.clock):
             return False
@@ -112,6 +120,10 @@
     ) -> Result[None, Failure]:
         """Get a permit and run the request under it."""
         match await self.search.obtain(request):
+            case Result(tag="ok") if self.gate and not self.gate.is_open:
+                await self.gate.passed()
+                message = "this instance was paused while it looked for a permit"
+                return Error(Failure(ErrorKind.STALE_FENCING_NUMBER, message))
             case Result(tag="ok", ok=permit):
                 return await self.run_in_place(request, permit, sink)
             case Result(error=failure):
--- a/tests/unit/entry_rig.py
+++ b/tests/unit/entry_rig.py
@@ -15,6 +15,7 @@
 from magnoliatrail.entry.engine_call import EngineCaller
 from magnoliatrail.entry.lifecycle import Lifecycle
 from magnoliatrail.entry.parts import EntryParts
+from magnoliatrail.generated.membership import MemberRecord, MemberState
 from magnoliatrail.generated.permits import PermitGrant
 from magnoliatrail.generated.settings import Settings
 from magnoliatrail.ids import AdapterVersion
@@ -83,7 +84,7 @@
             clock=clock,
             metrics=metrics,
             client=self.client,
-            fleet=Fleet(),
+            fleet=Fleet(clock, member_record()),
             configuration=configuration,
             catalogue=catalogue,
             dispatcher=Dispatcher(
@@ -145,6 +146,19 @@
         return not any(permit.in_flight for permit in self.permits)
 
 
+def member_record():
+    """Return what the entry says of itself."""
+    return MemberRecord(
+        instance="one",
+        incarnation="i",
+        version=1,
+        state=MemberState.LIVE,
+        failure_domain="domain-0",
+        region="local",
+        peer_url="http://127.0.0.1:1",
+    )
+
+
 def grant_for(number, url):
     """Return a grant for an engine."""
     return PermitGrant(
