--- a/src/magnoliatrail/daemon.py
+++ b/src/magnoliatrail/daemon.py
@@ -214,11 +214,11 @@
             metrics=self.metrics,
             search=search,
             caller=caller,
+            gate=self.gate,
             places=self.placement.places,
             circuits=self.placement.state.circuits,
             retry_share=lambda: self.configuration.configuration.defaults.retry_share,
             generator=self.operations.generator,
-            gate=self.gate,
         )
 
     def new_service_caller(self) -> ServiceCaller:
@@ -258,8 +258,9 @@
         await self.spread.start()
         self.coordination.start_tasks()
         self.tasks.every(settings.configuration_poll_seconds, self.spread.poll)
-        self.tasks.every(CATALOGUE_SECONDS, self.refresh_catalogue)
         self.tasks.every(settings.heartbeat_seconds, self.placement.demand.report_all)
+        self.tasks.every(CATALOGUE_SECONDS, self.refresh_catalogue)
+        self.tasks.once(self.forget_operations)
         self.lifecycle.ready = True
         log.info(
             "started",
@@ -275,6 +276,7 @@
         log.info("stopping", in_flight=self.lifecycle.in_flight)
         await self.coordination.hand_all_over()
         await self.lifecycle.idle.wait()
+        await self.operations.drain()
         await self.coordination.say_goodbye()
         await self.tasks.cancel()
         for listener in (self.caller_listener, self.peer_listener):
@@ -297,6 +299,14 @@
             case Result(error=failure):
                 log.warning("catalogue_missing", reason=failure.message)
 
+    async def forget_operations(self) -> None:
+        """Forget this instance's share of the operations past the retention."""
+        await self.operations.forget_forever(
+            lambda: self.configuration.configuration.defaults,
+            lambda: [self.instance, *self.fleet.members.peers()],
+            self.instance,
+        )
+
     async def answer_status(self, request: object) -> Result[InstanceStatus, Failure]:
         """Describe this instance to operators."""
         assert self.caller_listener is not None
--- a/src/magnoliatrail/engines/owner.py
+++ b/src/magnoliatrail/engines/owner.py
@@ -67,8 +67,8 @@
     waiters: int = 0
     loaded: asyncio.Event = field(default_factory=asyncio.Event)
     failure: Failure | None = None
-    loaded_at: timedelta = timedelta()
     checks_idle: bool = False
+    loaded_at: timedelta = timedelta()
 
 
 class EngineOwner:
@@ -176,13 +176,15 @@
             self.popularity.record(model, now, uses=request.rate * memory)
         key = LoadKey(self.engine, model)
         match await self.loads.turn(key, waiter_of(request, now)):
-            case Result(tag="ok"):
-                started = await self.start_load(model, request)
-            case Result(error=failure):
+            case Result(tag="error", error=failure):
                 return Error(failure)
-        if started.is_error():
-            self.loads.ended(key)
-        return started
+        try:
+            return await self.start_load(model, request)
+        finally:
+            # A turn that started no load, for whatever reason, is given back.
+            slot = self.slots.get(model)
+            if slot is None or slot.state is not SlotState.LOADING:
+                self.loads.ended(key)
 
     def may_have_room(self) -> bool:
         """Return whether a slot is free, or an adapter could be evicted."""
--- a/src/magnoliatrail/entry/dispatch.py
+++ b/src/magnoliatrail/entry/dispatch.py
@@ -62,23 +62,23 @@
         metrics: Metrics,
         search: PermitSearch,
         caller: EngineCaller,
+        gate: PauseGate | None = None,
         places: EntryPlaces | None = None,
         circuits: Circuits | None = None,
         retry_share: Callable[[], float] = lambda: RETRY_SHARE,
         generator: Random | None = None,
-        gate: PauseGate | None = None,
     ) -> None:
         self.clock = clock
         self.metrics = metrics
         self.search = search
         self.caller = caller
+        self.gate = gate
         self.places = places or EntryPlaces(
             clock=clock, queue_limit=default_queue_limit
         )
         self.circuits = circuits or Circuits(CircuitSettings())
         self.budget = RetryBudget(retry_share)
         self.generator = generator or Random()
-        self.gate = gate
 
     async def dispatch(
         self, request: CompletionCall, sink: AnswerSink
--- a/src/magnoliatrail/placement/popularity.py
+++ b/src/magnoliatrail/placement/popularity.py
@@ -12,8 +12,8 @@
 class PopularitySettings:
     """Say how fast past use loses its weight."""
 
-    memory: timedelta = timedelta(seconds=300)
-    idle_uses: float = 1.5
+    memory: timedelta = timedelta(seconds=230)
+    usual_gaps: float = 0.4
     negligible_uses: float = 0.001
 
 
@@ -60,15 +60,16 @@
     def value(self, key: Key, now: timedelta) -> float:
         """Return the uses a second to expect, less for an adapter gone quiet.
 
-        An adapter that has been idle for several of its usual gaps has probably
-        lost its popularity, which the decay alone would notice too late.
+        The longer an adapter has been idle, counted in its usual gaps, the less likely
+        is it that its popularity lasts; the decay alone would notice too late.
         """
         count = self.counts.get(key)
         if count is None:
             return 0.0
         idle = max(0.0, now.total_seconds() - count.last_used)
         rate = self.decayed_rate(count, idle)
-        return min(rate, self.settings.idle_uses / idle) if idle else rate
+        missed_uses = rate * idle - self.settings.usual_gaps
+        return rate * math.exp(-missed_uses) if missed_uses > 0 else rate
 
     def forget_idle(self, now: timedelta) -> None:
         """Drop the counts that have decayed to almost nothing."""
--- a/tests/unit/test_popularity.py
+++ b/tests/unit/test_popularity.py
@@ -6,7 +6,7 @@
 
 
 def counted(uses, *, every):
-    popularity = Popularity(PopularitySettings(memory=5 * MINUTE, idle_uses=1.5))
+    popularity = Popularity(PopularitySettings(memory=5 * MINUTE))
     for number in range(uses):
         popularity.record("one", every * number)
     return popularity
