--- a/src/magnoliatrail/daemon.py
+++ b/src/magnoliatrail/daemon.py
@@ -50,7 +50,7 @@
 
 log = EventLog("daemon")
 
-CATALOGUE_SECONDS = 30.0
+CATALOGUE_SECONDS = 5.0
 
 
 class Daemon:
@@ -294,9 +294,9 @@
     async def refresh_catalogue(self) -> None:
         """Read the adapter catalogue."""
         match await self.weights.catalogue():
-            case Result(tag="ok", ok=catalogue):
+            case Result(tag="ok", ok=catalogue) if catalogue:
                 self.catalogue.replace(catalogue)
-            case Result(error=failure):
+            case Result(tag="error", error=failure):
                 log.warning("catalogue_missing", reason=failure.message)
 
     async def forget_operations(self) -> None:
--- a/src/magnoliatrail/platform/weights.py
+++ b/src/magnoliatrail/platform/weights.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from expression import Error, Result
+from expression import Error, Ok, Result
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
 from magnoliatrail.errors import ErrorKind, Failure
@@ -10,13 +10,14 @@
 from magnoliatrail.wire import CallFailed, CallLimits, call, decode
 
 HTTP_OK = 200
+HTTP_NOT_MODIFIED = 304
 
 
 class WeightStore(Protocol):
     """Tell which adapters can be loaded."""
 
-    async def catalogue(self) -> Result[Catalogue, Failure]:
-        """Read all adapter versions."""
+    async def catalogue(self) -> Result[Catalogue | None, Failure]:
+        """Read all adapter versions, None if they are as they were last read."""
 
 
 class HttpWeightStore:
@@ -26,15 +27,22 @@
         self.client = client
         self.url = url
         self.limits = limits
+        self.etag = ""
 
-    async def catalogue(self) -> Result[Catalogue, Failure]:
-        """Read all adapter versions."""
-        request = HTTPRequest(f"{self.url}/catalogue")
+    async def catalogue(self) -> Result[Catalogue | None, Failure]:
+        """Read all adapter versions, None if they are as they were last read."""
+        headers = {"If-None-Match": self.etag} if self.etag else {}
+        request = HTTPRequest(f"{self.url}/catalogue", headers=headers)
         try:
             response = await call(self.client, request, self.limits)
         except CallFailed as error:
             return Error(Failure(ErrorKind.STORE_UNAVAILABLE, str(error)))
+        if response.code == HTTP_NOT_MODIFIED:
+            return Ok(None)
         if response.code != HTTP_OK:
             message = f"the weight store answered {response.code}"
             return Error(Failure(ErrorKind.STORE_UNAVAILABLE, message))
-        return decode(response.body, Catalogue)
+        catalogue = decode(response.body, Catalogue)
+        if catalogue.is_ok():
+            self.etag = response.headers.get("Etag", "")
+        return catalogue
--- a/src/magnoliatrail/routing/permit_search.py
+++ b/src/magnoliatrail/routing/permit_search.py
@@ -109,7 +109,8 @@
 
     def candidates(self, model: AdapterVersion) -> list[EngineId]:
         """Return the live engines that may serve an adapter, the preferred first."""
-        base_model = self.catalogue.base_models[model]
+        # The adapter may have left the catalogue since the request came.
+        base_model = self.catalogue.base_models.get(model, "")
         engines = self.fleet.live_engines(base_model)
         key = (base_model, *(item.id for item in engines))
         if key not in self.indexes:
