Lose no byte when the socket of a stream changes hands

Cause: after the first read tornado's stream goes on listening, so bytes that came before the callback of that read stood in its buffer and were closed away with it. The check saw the gap and resumed, so no caller got a wrong answer, at the price of a connection. The socket is now taken over in one step with a read that finds the buffer empty. The test failed with 'event 1 is missing' before and passes after.

The decoders of a body are now three small classes, and the event loop calls the read without tornado's wrapper.

--- a/src/magnoliatrail/entry/chunked.py
+++ b/src/magnoliatrail/entry/chunked.py
@@ -4,6 +4,8 @@
 
 from tornado.httputil import HTTPInputError
 
+from magnoliatrail.wire import CallFailed
+
 LINE_END = b"\r\n"
 SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,8})\r\n")
 SIZE_LINE_START = re.compile(rb"(?:[0-9A-Fa-f]{1,8}\r?)?")
@@ -46,6 +48,13 @@
         self.partial = data[at:]
         return content[0] if len(content) == 1 else b"".join(content)
 
+    def take_close(self) -> None:
+        """Take the close of the connection, which cuts the body.
+
+        Raises CallFailed.
+        """
+        raise CallFailed("the connection closed within the body", sent=True)
+
 
 def check_size_line(data: bytes, at: int) -> None:
     """Check that what stands before a chunk can still become its size."""
--- a/src/magnoliatrail/entry/engine_body.py
+++ b/src/magnoliatrail/entry/engine_body.py
@@ -1,5 +1,7 @@
 """The body of an engine's answer, in each framing that HTTP has for it."""
 
+from typing import Protocol
+
 from tornado.http1connection import is_transfer_encoding_chunked
 from tornado.httputil import HTTPHeaders, HTTPInputError
 
@@ -7,37 +9,67 @@
 from magnoliatrail.wire import CallFailed
 
 
-class EngineBody:
+class EngineBody(Protocol):
     """Decode a body and know its end."""
 
-    def __init__(self, headers: HTTPHeaders) -> None:
-        self.chunks = ChunkedBody() if is_transfer_encoding_chunked(headers) else None
-        self.left = None if self.chunks else length_of(headers)
-        self.finished = self.left == 0
+    finished: bool
 
     def take(self, data: bytes) -> bytes:
-        """Return the content of a read, which is empty if the connection closed.
+        """Return the content of a read.
 
-        Raises CallFailed if the body is cut, HTTPInputError if it is malformed.
+        Raises HTTPInputError if the body is malformed.
         """
-        if not data:
-            return self.take_close()
-        if self.chunks:
-            content = self.chunks.take(data)
-            self.finished = self.chunks.finished
-            return content
-        if self.left is not None:
-            data = data[: self.left]
-            self.left -= len(data)
-            self.finished = not self.left
+
+    def take_close(self) -> None:
+        """Take the close of the connection.
+
+        Raises CallFailed if it cuts the body.
+        """
+
+
+class SizedBody:
+    """Take a body whose length is given."""
+
+    def __init__(self, size: int) -> None:
+        self.left = size
+        self.finished = not size
+
+    def take(self, data: bytes) -> bytes:
+        """Return the content of a read."""
+        data = data[: self.left]
+        self.left -= len(data)
+        self.finished = not self.left
+        return data
+
+    def take_close(self) -> None:
+        """Take the close of the connection, which cuts the body."""
+        raise CallFailed("the connection closed within the body", sent=True)
+
+
+class UnsizedBody:
+    """Take a body that ends with its connection."""
+
+    def __init__(self) -> None:
+        self.finished = False
+
+    def take(self, data: bytes) -> bytes:
+        """Return the content of a read."""
         return data
 
-    def take_close(self) -> bytes:
-        """End a body that a close ends, else raise CallFailed."""
-        if self.chunks or self.left is not None:
-            raise CallFailed("the connection closed within the body", sent=True)
+    def take_close(self) -> None:
+        """Take the close of the connection, which ends the body."""
         self.finished = True
-        return b""
+
+
+def body_of(headers: HTTPHeaders) -> EngineBody:
+    """Return the decoder for an answer's body.
+
+    Raises HTTPInputError if the headers do not say how the body is framed.
+    """
+    if is_transfer_encoding_chunked(headers):
+        return ChunkedBody()
+    size = length_of(headers)
+    return UnsizedBody() if size is None else SizedBody(size)
 
 
 def length_of(headers: HTTPHeaders) -> int | None:
--- a/src/magnoliatrail/entry/engine_stream.py
+++ b/src/magnoliatrail/entry/engine_stream.py
@@ -6,7 +6,6 @@
 from datetime import timedelta
 from socket import AF_INET, AF_INET6, SOCK_STREAM, socket
 from time import monotonic
-from typing import Any
 from urllib.parse import urlsplit
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
@@ -17,11 +16,10 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamClosedError
 
 from magnoliatrail.engines.client import HTTP_OK
-from magnoliatrail.entry.engine_body import EngineBody
+from magnoliatrail.entry.engine_body import body_of
 from magnoliatrail.wire import CallFailed
 
 READ_BYTES = 16 * 1024
@@ -89,17 +87,17 @@
         self.status = head.status
         self.refusal = bytes(head.refusal)
         self.source = source
-        self.body = EngineBody(head.headers)
+        self.body = body_of(head.headers)
         self.socket: socket | None = None
         self.idle_seconds = idle.total_seconds()
-        self.io_loop = IOLoop.current()
+        self.loop = asyncio.get_running_loop()
         self.stopped = False
         self.waiting_since: float | None = None
         self.last_read = 0.0
         self.fast = False
         self.pause: asyncio.Future[Awaitable[None] | None]
         self.take: TakeContent
-        self.timer = self.io_loop.call_later(self.idle_seconds, self.check_idle)
+        self.timer = self.loop.call_later(self.idle_seconds, self.check_idle)
 
     def check_idle(self) -> None:
         """Give up the connection if it has been silent for too long."""
@@ -108,7 +106,7 @@
         since = now if self.waiting_since is None else self.waiting_since
         left = since + self.idle_seconds - now
         if left > 0:
-            self.timer = self.io_loop.call_later(left, self.check_idle)
+            self.timer = self.loop.call_later(left, self.check_idle)
             return
         if not self.pause.done():
             error = SilentConnection("the connection is silent", sent=True)
@@ -123,19 +121,19 @@
         """
         self.take = take
         while not self.ended:
-            self.pause = asyncio.get_running_loop().create_future()
+            self.pause = self.loop.create_future()
             self.waiting_since = monotonic()
             if self.socket:
-                self.io_loop.add_handler(self.socket, self.on_readable, IOLoop.READ)
+                self.loop.add_reader(self.socket, self.on_readable, self.socket)
             else:
                 read = asyncio.ensure_future(self.read_buffered())
-                self.io_loop.add_future(read, self.on_buffered)
+                read.add_done_callback(self.on_buffered)
             try:
                 written = await self.pause
             finally:
                 self.waiting_since = None
                 if self.socket:
-                    self.io_loop.remove_handler(self.socket)
+                    self.loop.remove_reader(self.socket)
             if written is not None:
                 await written
             elif self.fast and not self.ended:
@@ -160,18 +158,35 @@
             return b""
 
     def on_buffered(self, read: "asyncio.Future[bytes]") -> None:
-        """Take a read, and the socket once the library holds no more bytes."""
+        """Take a read through the library, and then the socket itself."""
         data = read.result()
-        if 0 < len(data) < READ_BYTES and not self.source.closed():
-            # Reading through IOStream costs a second system call, a future and
-            # a task switch for each event.
-            self.socket = self.source.socket.dup()
-            self.source.close()
-        self.feed(data)
+        # Reading through IOStream costs a second system call, a future and a task
+        # switch for each event.
+        self.feed(data + self.take_socket() if data else data)
         if not self.pause.done():
             self.pause.set_result(None)
 
-    def on_readable(self, socket: Any, events: int) -> None:
+    def take_socket(self) -> bytes:
+        """Take the socket over, and return what the library has read ahead."""
+        data = b""
+        while len(data) < READ_BYTES:
+            try:
+                read = self.source.read_bytes(READ_BYTES, partial=True)
+            except StreamClosedError:
+                return data
+            assert isinstance(read, asyncio.Future)
+            if not read.done():
+                # Nothing is left in the library's buffer, and no event of the loop
+                # can come between this read and the close.
+                self.socket = self.source.socket.dup()
+                self.source.close()
+                return data
+            if read.exception():
+                return data
+            data += read.result()
+        return data
+
+    def on_readable(self, socket: socket) -> None:
         """Read once and hand the content on."""
         try:
             data = socket.recv(READ_BYTES)
@@ -189,6 +204,8 @@
         self.fast = now - self.last_read < FAST_GAP_SECONDS
         self.waiting_since = self.last_read = now
         try:
+            if not data:
+                self.body.take_close()
             content = self.body.take(data)
             written = self.take(content) if content else None
         except Exception as error:
@@ -201,7 +218,7 @@
 
     def close(self) -> None:
         """Close the connection."""
-        self.io_loop.remove_timeout(self.timer)
+        self.timer.cancel()
         self.source.close()
         if self.socket:
             self.socket.close()
--- a/tests/unit/test_event_cost.py
+++ b/tests/unit/test_event_cost.py
@@ -56,7 +56,7 @@
         counted = CountedSocket(near)
         for position in range(10):
             far.sendall(event(position))
-            stream.on_readable(counted, 0)
+            stream.on_readable(counted)
         assert counted.calls == 10
         assert taken
         pump.cancel()
--- a/tests/unit/test_stream_relay.py
+++ b/tests/unit/test_stream_relay.py
@@ -52,6 +52,42 @@
     run(scenario())
 
 
+class StreamBeforeEvents(IOStream):
+    """Let the far end write an event right after each of the first reads."""
+
+    def __init__(self, near, far):
+        super().__init__(near)
+        self.far = far
+        self.position = 1
+
+    def read_from_fd(self, buffer):
+        size = super().read_from_fd(buffer)
+        if size and self.position < 4:
+            self.far.sendall(event(self.position))
+            self.position += 1
+        return size
+
+
+def test_no_byte_is_lost_while_the_socket_changes_hands(run):
+    async def scenario():
+        near, far = socketpair()
+        source = StreamBeforeEvents(near, far)
+        stream = EngineStream(AnswerHead(None), source, timedelta(hours=1))
+        sink = SlowSink()
+        sink.may_go_on.set()
+        check = AnswerCheck(RequestId("r"), Handle("a@1~3"), AdapterVersion("a", "1"))
+        relay = asyncio.create_task(pass_events_on(stream, check, sink))
+        await asyncio.sleep(0.01)
+        far.sendall(event(0))
+        await asyncio.sleep(0.01)
+        far.sendall(event(source.position, reason=LAST) + DONE)
+        assert await relay is None
+        stream.close()
+        far.close()
+
+    run(scenario())
+
+
 @pytest.mark.parametrize("size", [1, 40, READ_BYTES])
 def test_a_connection_that_closes_after_its_first_bytes_is_broken(run, size):
     async def scenario():
