--- a/benchmarks/entry_chunk_cost.py
+++ b/benchmarks/entry_chunk_cost.py
@@ -38,7 +38,6 @@
 from magnoliatrail.generated.settings import Settings
 from magnoliatrail.ids import AdapterVersion, EngineId, Handle, RequestId
 from magnoliatrail.listeners import listen
-from magnoliatrail.membership.fleet import Fleet
 from magnoliatrail.metrics import RecordedMetrics
 from magnoliatrail.placement.catalogue import AdapterCatalogue
 from magnoliatrail.requests import CompletionCall
@@ -239,7 +238,7 @@
         clock=clock,
         metrics=metrics,
         client=client,
-        fleet=Fleet(),
+        fleet=unused,
         configuration=configuration,
         catalogue=catalogue,
         dispatcher=Dispatcher(
