--- a/tests/outcomes/bench.py
+++ b/tests/outcomes/bench.py
@@ -19,9 +19,11 @@
     Change,
     ChangeKind,
     ConfigurationEdit,
-    Defaults,
+    ConfigurationException,
+    ScopeKind,
 )
 from magnoliatrail.generated.settings import Settings
+from magnoliatrail.ids import new_write_id
 from magnoliatrail.operations.rows import CLAIMS
 from magnoliatrail.standins.world import HOST, World, WorldSize, start_world
 from magnoliatrail.wire import CallFailed, CallLimits, call, new_http_client
@@ -131,6 +133,12 @@
                 if name != "silence_open":
                     setattr(faults, name, value)
 
+    def unhook(self) -> None:
+        """Forget what was to happen at a moment."""
+        vars(self.world.table).pop("commit", None)
+        for service in self.world.services:
+            vars(service).pop("execute", None)
+
     def reserve(self, port: int) -> None:
         """Keep a port that was closed from being taken by another case."""
         reserved = socket.socket()
@@ -182,26 +190,35 @@
     return Settings(**{**fields, **changes})
 
 
-async def declare(world: World, **defaults: object) -> None:
-    """Put defaults in force; operations are not idempotent."""
-    wanted = Defaults(**{"idempotent": False, **defaults})
+async def declare(world: World) -> None:
+    """Declare that the operations of bookings are not idempotent."""
+    exception = ConfigurationException(
+        id="bookings-once",
+        scope=ScopeKind.SERVICE,
+        name="bookings",
+        setting="idempotent",
+        value="false",
+        reason="a doubled confirmation double-books a model",
+        author="tests",
+        time="2026-01-01T00:00:00+00:00",
+    )
     edit = ConfigurationEdit(
-        edit_id="declared",
-        author="test",
-        time=SystemClock().now().isoformat(),
-        change=Change(kind=ChangeKind.REPLACE_ALL, defaults=wanted),
+        edit_id=new_write_id(),
+        author="tests",
+        time=exception.time,
+        change=Change(kind=ChangeKind.ADD_EXCEPTION, exception=exception),
     )
-    accepted = await ConfigurationStore(world.table, SystemClock()).edit(edit)
-    assert accepted.is_ok(), accepted
+    result = await ConfigurationStore(world.table, SystemClock()).edit(edit)
+    assert result.is_ok(), result
 
 
 @asynccontextmanager
 async def running_bench(
-    instances: int = 2, size: WorldSize = SIZE, **defaults: object
+    instances: int = 2, size: WorldSize = SIZE
 ) -> AsyncIterator[Bench]:
     """Run instances in this process before stand-ins."""
     world = start_world(SystemClock(), size)
-    await declare(world, **defaults)
+    await declare(world)
     bench = Bench(world)
     try:
         for number in range(instances):
