--- a/src/magnoliatrail/entry/answer_check.py
+++ b/src/magnoliatrail/entry/answer_check.py
@@ -14,6 +14,7 @@
 DONE = b"data: [DONE]"
 CHOICES = b'"choices":'
 FINISH_REASON = b'"finish_reason":"'
+COMMENT = re.compile(rb":[^\n]*\Z")
 EVENT = re.compile(rb"\Aid: (\d+)\ndata: (.*)\Z", re.DOTALL)
 # The layout that engines usually write. A quote within a JSON string is
 # escaped, so no generated text can look like a name.
@@ -136,6 +137,8 @@
             return b""
         if event == DONE:
             return self.check_end()
+        if COMMENT.match(event):
+            return b""
         matched = EVENT.match(event)
         if matched is None:
             return invalid("an event has no position")
--- a/tests/unit/test_answer_check.py
+++ b/tests/unit/test_answer_check.py
@@ -44,6 +44,12 @@
     assert check.failure is None
 
 
+def test_a_comment_that_keeps_the_connection_alive_is_dropped():
+    check = new_check()
+    assert check.take(b": ping\n\n" + event(0)) == event(0, model="a@1")
+    assert check.failure is None
+
+
 def test_a_late_event_after_the_end_is_dropped():
     check = new_check()
     check.take(event(0, reason=LAST) + DONE)
