Refuse completions as starting until a catalogue is known, and ask for it each second

Cause: an instance that started before the weight store answered had an empty catalogue until the next read 30 s later, and called every adapter unknown (404) while ready. Ruled out: ports taken by others (those now are found free each time). The rigs set the catalogue by replace(), as the daemon does.

--- a/benchmarks/entry_chunk_cost.py
+++ b/benchmarks/entry_chunk_cost.py
@@ -34,6 +34,7 @@
 from magnoliatrail.entry.parts import EntryParts
 from magnoliatrail.errors import Failure
 from magnoliatrail.generated.permits import PermitGrant
+from magnoliatrail.generated.platform import Catalogue, CatalogueEntry
 from magnoliatrail.generated.settings import Settings
 from magnoliatrail.ids import AdapterVersion, Handle, RequestId
 from magnoliatrail.listeners import listen
@@ -45,6 +46,7 @@
 
 HOST = "127.0.0.1"
 MODEL = AdapterVersion("adapter-0000", "1")
+ENTRY = CatalogueEntry(adapter=MODEL.adapter, version=MODEL.version, base_model="base")
 HANDLE = Handle("adapter-0000@1~17")
 PATH = "/v1/completions"
 STREAMS = 100
@@ -221,7 +223,7 @@
     search: Any = OnePermit(permits, source)
     configuration = ConfigurationInForce()
     catalogue = AdapterCatalogue()
-    catalogue.base_models = {MODEL: "base"}
+    catalogue.replace(Catalogue(adapters=[ENTRY]))
     ledger: Any = None
     parts = EntryParts(
         settings=settings,
--- a/src/magnoliatrail/daemon.py
+++ b/src/magnoliatrail/daemon.py
@@ -1,5 +1,6 @@
 """One instance: its parts, its tasks, and its graceful shutdown."""
 
+from datetime import timedelta
 from typing import Any
 
 from expression import Ok, Result
@@ -60,6 +61,7 @@
 log = EventLog("daemon")
 
 CATALOGUE_SECONDS = 30.0
+FIRST_CATALOGUE_INTERVAL = timedelta(seconds=1)
 
 
 class Daemon:
@@ -263,6 +265,7 @@
         self.tasks.every(settings.configuration_poll_seconds, self.spread.poll)
         self.tasks.every(settings.heartbeat_seconds, self.heartbeats.send_all)
         self.tasks.every(CATALOGUE_SECONDS, self.refresh_catalogue)
+        self.tasks.once(self.read_first_catalogue)
         self.tasks.once(self.forget_operations)
 
     async def shutdown(self) -> None:
@@ -310,6 +313,12 @@
         if result.is_error():
             log.warning("lease_not_renewed", reason=result.error.message)
 
+    async def read_first_catalogue(self) -> None:
+        """Try more often until a first catalogue is known."""
+        while not self.catalogue.known:
+            await self.clock.sleep(FIRST_CATALOGUE_INTERVAL)
+            await self.refresh_catalogue()
+
     async def refresh_catalogue(self) -> None:
         """Read the adapter catalogue."""
         match await self.weights.catalogue():
--- a/src/magnoliatrail/placement/catalogue.py
+++ b/src/magnoliatrail/placement/catalogue.py
@@ -14,9 +14,11 @@
 
     def __init__(self) -> None:
         self.base_models: dict[AdapterVersion, str] = {}
+        self.known = False
 
     def replace(self, catalogue: Catalogue) -> None:
         """Take a newer catalogue."""
+        self.known = True
         # Many adapters share few versions and base models: keep each text once.
         self.base_models = {
             AdapterVersion(entry.adapter, intern(entry.version)): intern(
@@ -31,6 +33,9 @@
         if model is None:
             message = f"model {name!r} does not name a version"
             return Error(Failure(ErrorKind.VERSION_MISSING, message))
+        if not self.known:
+            message = "this instance has not read the catalogue yet"
+            return Error(Failure(ErrorKind.STARTING, message))
         if model not in self.base_models:
             message = f"model {name!r} is not in the catalogue"
             return Error(Failure(ErrorKind.UNKNOWN_ADAPTER, message))
--- a/tests/docs/test_readme.py
+++ b/tests/docs/test_readme.py
@@ -2,8 +2,10 @@
 
 import contextlib
 import os
+import random
 import re
 import shlex
+import socket
 import subprocess
 import sys
 import time
@@ -17,18 +19,43 @@
 
 pytestmark = pytest.mark.processes
 
-# Ports of its own, below those that the kernel hands to outgoing connections.
-PORTS = {"9100": "19100", "9101": "19101", "9102": "19102", "9103": "19103"}
-PORTS |= {"8080": "18080", "8081": "18081"}
+PRINTED_PORTS = ("9100", "9101", "9102", "9103", "8080", "8081")
+# Stand-ins take consecutive ports; outgoing connections get theirs from 32768 on.
+STANDIN_PORTS = 16
+FIRST_PORTS = range(10_000, 32_000, STANDIN_PORTS + 2)
 PATIENCE_SECONDS = 60.0
 
 
+def is_free(port: int) -> bool:
+    """Return whether nobody listens on a port."""
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+        return True
+
+
+def free_ports() -> dict[str, str]:
+    """Return a port of its own for each that the README prints."""
+    size = STANDIN_PORTS + 2
+    first = next(
+        first
+        for first in random.SystemRandom().sample(FIRST_PORTS, len(FIRST_PORTS))
+        if all(is_free(port) for port in range(first, first + size))
+    )
+    standins = [str(first + offset) for offset in range(4)]
+    instance = [str(first + STANDIN_PORTS), str(first + STANDIN_PORTS + 1)]
+    return dict(zip(PRINTED_PORTS, [*standins, *instance], strict=True))
+
+
 def commands() -> list[list[str]]:
-    """Return the words of each command in the README, with other ports."""
+    """Return the words of each command in the README, with free ports."""
+    ports = free_ports()
     blocks = FENCE.findall((ROOT / "README.md").read_text())
     shells = [block for block in blocks if block.startswith("```sh")]
     text = "\n".join(block.removeprefix("```sh").strip("`") for block in shells)
-    moved = re.sub(r"\d{4}", lambda port: PORTS.get(port[0], port[0]), text)
+    moved = re.sub(r"\d{4}", lambda port: ports.get(port[0], port[0]), text)
     lines = moved.replace("\\\n", " ").splitlines()
     return [words for line in lines if (words := shlex.split(line, comments=True))]
 
--- /dev/null
+++ b/tests/processes/test_catalogue.py
@@ -0,0 +1,38 @@
+import asyncio
+
+import msgspec
+import pytest
+
+from magnoliatrail.clock import SystemClock
+from magnoliatrail.generated.answers import ErrorAnswer
+from magnoliatrail.standins.world import WorldSize, start_world
+from tests.processes.fleet import GENEROUS_SECONDS, POLL_SECONDS, Fleet
+
+pytestmark = pytest.mark.processes
+
+
+async def ask(fleet):
+    return await fleet.complete("one", "adapter-0000@1", "x", stream=False)
+
+
+async def start_without_weight_store():
+    fleet = Fleet(start_world(SystemClock(), WorldSize()))
+    fleet.world.weights.faults.down = True
+    try:
+        await fleet.start("one")
+        early = await ask(fleet)
+        fleet.world.weights.faults.down = False
+        async with asyncio.timeout(GENEROUS_SECONDS):
+            while (late := await ask(fleet)).code != 200:
+                await asyncio.sleep(POLL_SECONDS)
+        return early, late
+    finally:
+        await fleet.close()
+
+
+def test_an_instance_started_before_the_weight_store_calls_no_adapter_unknown(run):
+    early, late = run(start_without_weight_store())
+    assert early.code == 503
+    error = msgspec.json.decode(early.body, type=ErrorAnswer).error
+    assert (error.kind, error.outcome) == ("starting", "not_run")
+    assert late.code == 200
--- a/tests/unit/entry_rig.py
+++ b/tests/unit/entry_rig.py
@@ -16,6 +16,7 @@
 from magnoliatrail.entry.lifecycle import Lifecycle
 from magnoliatrail.entry.parts import EntryParts
 from magnoliatrail.generated.permits import PermitGrant
+from magnoliatrail.generated.platform import Catalogue, CatalogueEntry
 from magnoliatrail.generated.settings import Settings
 from magnoliatrail.ids import AdapterVersion
 from magnoliatrail.listeners import listen
@@ -27,6 +28,7 @@
 from magnoliatrail.wire import CallLimits, call, encode, new_http_client
 
 MODEL = AdapterVersion("adapter", "1")
+ENTRY = CatalogueEntry(adapter=MODEL.adapter, version=MODEL.version, base_model="base")
 HANDLE = "adapter@1~1"
 LIMITS = CallLimits(timedelta(seconds=5), timedelta(seconds=60))
 GENEROUS_SECONDS = 30.0
@@ -77,7 +79,7 @@
         configuration = ConfigurationInForce(clock)
         configuration.offer(configuration.configuration)
         catalogue = AdapterCatalogue()
-        catalogue.base_models = {MODEL: "base"}
+        catalogue.replace(Catalogue(adapters=[ENTRY]))
         parts = EntryParts(
             settings=self.settings,
             clock=clock,
--- a/tests/unit/test_catalogue.py
+++ b/tests/unit/test_catalogue.py
@@ -36,3 +36,7 @@
 def test_a_newer_catalogue_replaces_the_older_one(catalogue):
     catalogue.replace(Catalogue(adapters=[]))
     assert catalogue.find("layla@3").is_error()
+
+
+def test_before_the_first_catalogue_nothing_is_called_unknown():
+    assert AdapterCatalogue().find("layla@3").error.kind is ErrorKind.STARTING
