--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 .PHONY: demo test lint types bench generate check-generated clean tables slopes \
-	bench-configuration
+	bench-configuration bench-together
 VENV := .venv
 PYTHON ?= $(VENV)/bin/python
 export PYTHONPATH := src
@@ -36,6 +36,9 @@
 	$(PYTHON) -m benchmarks.slopes
 	$(PYTHON) -m benchmarks.capacity
 
+bench-together: $(VENV)/ready
+	$(PYTHON) -m benchmarks.together
+
 $(VENV)/ready: requirements.lock pyproject.toml
 	test -x $(VENV)/bin/python || python3 -m venv $(VENV)
 	$(VENV)/bin/python -m pip install --quiet --disable-pip-version-check -r requirements.lock
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -6,7 +6,7 @@
 import subprocess
 import sys
 import threading
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -16,6 +16,11 @@
 
 from magnoliatrail.clock import SystemClock
 from magnoliatrail.generated.membership import InstanceStatus
+from magnoliatrail.generated.platform import (
+    ListedInstance,
+    ListedKind,
+    ListedState,
+)
 from magnoliatrail.peers.client import PeerClient
 from magnoliatrail.standins.world import World, WorldSize, start_world
 from magnoliatrail.wire import CallLimits, call, encode, new_http_client
@@ -45,7 +50,10 @@
     """Hold the stand-ins and the daemons before them."""
 
     world: World
+    module: str = "magnoliatrail"
+    environment: Callable[[str], dict[str, str]] = lambda name: {}
     processes: dict[str, Process] = field(default_factory=dict)
+    ended: list[Process] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self.client = new_http_client()
@@ -57,12 +65,12 @@
 
     def start_blocking(self, name: str, flags: tuple[str, ...]) -> Process:
         """Start a daemon and read its log up to the line `started`."""
-        command = [sys.executable, "-m", "magnoliatrail", "serve", *self.flags(name)]
+        command = [sys.executable, "-m", self.module, "serve", *self.flags(name)]
         popen = subprocess.Popen(
             [*command, *flags],
             stderr=subprocess.PIPE,
             text=True,
-            env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            env={**os.environ, "PYTHONUNBUFFERED": "1", **self.environment(name)},
         )
         assert popen.stderr is not None
         lines = []
@@ -72,6 +80,7 @@
                 pairs = dict(pair.split("=", 1) for pair in line.split())
                 process = Process(name, popen, pairs["callers"], pairs["peers"])
                 self.processes[name] = process
+                self.world.instances.put(listed_instance(process))
                 threading.Thread(target=popen.stderr.read, daemon=True).start()
                 return process
         raise AssertionError(f"{name} ended with {popen.wait()}: {lines}")
@@ -131,15 +140,36 @@
         request = HTTPRequest(url, method="POST", body=encode(fields))
         return await call(self.client, request, LIMITS)
 
+    def kill(self, name: str, *, listed: bool = False) -> None:
+        """Kill a daemon as a crash would; the platform's list may drop it."""
+        process = self.processes.pop(name)
+        process.popen.kill()
+        process.popen.wait()
+        self.ended.append(process)
+        if not listed:
+            self.world.instances.remove(name)
+
     async def close(self) -> None:
         """End every process that was started here."""
-        for process in self.processes.values():
+        self.peers.close()
+        for process in [*self.processes.values(), *self.ended]:
             if process.popen.poll() is None:
                 process.popen.kill()
             process.popen.wait()
         await self.world.close()
 
 
+def listed_instance(process: Process) -> ListedInstance:
+    """Return what the platform lists of a daemon."""
+    return ListedInstance(
+        id=process.name,
+        kind=ListedKind.INSTANCE,
+        url=process.peer_url,
+        failure_domain="domain-0",
+        state=ListedState.LIVE,
+    )
+
+
 @asynccontextmanager
 async def running_fleet(
     names: list[str], size: WorldSize | None = None, *, flags: Sequence[str] = ()
