--- a/benchmarks/capacity/figures.py
+++ b/benchmarks/capacity/figures.py
@@ -12,6 +12,7 @@
     ADAPTERS,
     CATALOGUE_SECONDS,
     DAY_SECONDS,
+    DEMAND_SECONDS,
     EDITS_A_DAY,
     ENGINES,
     EXCEPTIONS,
@@ -265,7 +266,13 @@
     answering = slopes.each("heartbeat calls, answering")
     wire = slopes.each("heartbeat calls, wire")
     return [
-        Figure("peer", "heartbeats sent, and as many answered", "4 links", asked, "/s"),
+        Figure(
+            "peer",
+            "heartbeats sent, and as many answered",
+            f"{HEARTBEAT_LINKS} links",
+            asked,
+            "/s",
+        ),
         Figure(
             "peer",
             "processor time of heartbeats",
@@ -285,6 +292,59 @@
     ]
 
 
+def demand_figures(slopes: Slopes) -> list[Figure]:
+    """Return the figures of reports of demand, one to each owner."""
+    reports = (NODES - 1) / DEMAND_SECONDS
+    one = ENGINES / NODES
+    call = slopes.each("heartbeat calls, asking") + slopes.each(
+        "heartbeat calls, answering"
+    )
+    codec = slopes.at("encoding and decoding a demand report and answer", one)
+    head = slopes.each("heartbeat calls, wire")
+    body = slopes.at("demand report and answer", one)
+    decision = slopes.at("candidate engines of an adapter", ENGINES / 3)
+    return [
+        Figure(
+            "routing",
+            "candidate engines of an adapter",
+            "2,067 of a base model",
+            decision,
+            "us",
+        ),
+        Figure(
+            "routing",
+            "popularity in memory",
+            "all 130,000 used at one node",
+            slopes.at("popularity in memory", ADAPTERS) / 1e6,
+            "MB",
+            Budget.MEMORY,
+        ),
+        Figure(
+            "routing",
+            "reports of demand sent, and as many answered",
+            f"to each owner every {DEMAND_SECONDS} s",
+            reports,
+            "/s",
+        ),
+        Figure(
+            "routing",
+            "processor time of reports of demand",
+            f"{call:,.0f} us a call, {codec:,.0f} us for 16.8 engines",
+            reports * (call + codec) / CORE * 100,
+            "% of a core",
+            Budget.CORE,
+        ),
+        Figure(
+            "routing",
+            "bytes of reports of demand",
+            f"{head:,.0f} B a call, {body:,.0f} B for 16.8 engines",
+            reports * (head + body),
+            "B/s",
+            Budget.BYTES,
+        ),
+    ]
+
+
 def configuration_figures(slopes: Slopes) -> list[Figure]:
     """Return the figures of the configuration."""
     size = slopes.at("configuration document", EXCEPTIONS)
@@ -463,6 +523,7 @@
     holder_figures,
     owner_figures,
     peer_figures,
+    demand_figures,
     configuration_figures,
     membership_figures,
     catalogue_figures,
--- a/benchmarks/slopes/__main__.py
+++ b/benchmarks/slopes/__main__.py
@@ -12,7 +12,7 @@
 from benchmarks.slopes.decisions import configuration_slopes, decision_slopes
 from benchmarks.slopes.entry import entry_slopes, memory_slopes
 from benchmarks.slopes.fit import Slope
-from benchmarks.slopes.messages import codec_slopes, ledger_slopes
+from benchmarks.slopes.messages import codec_slopes, demand_slopes, ledger_slopes
 from benchmarks.slopes.state import adapter_slopes, fleet_slopes, permit_slopes
 
 RESULTS = Path(__file__).resolve().parent.parent / "slopes.json"
@@ -23,6 +23,7 @@
     decision_slopes,
     configuration_slopes,
     codec_slopes,
+    demand_slopes,
     call_slopes,
     ledger_slopes,
     memory_slopes,
--- a/benchmarks/slopes/decisions.py
+++ b/benchmarks/slopes/decisions.py
@@ -2,7 +2,7 @@
 
 from benchmarks.slopes.fit import Slope, fitted
 from benchmarks.slopes.measure import processor_microseconds
-from benchmarks.slopes.state import BASE_MODELS
+from benchmarks.slopes.state import BASE_MODELS, list_body
 from magnoliatrail.config.resolve import Scopes, setting_of
 from magnoliatrail.engines.permits import PermitHolder
 from magnoliatrail.generated.configuration import (
@@ -12,12 +12,14 @@
     ScopeKind,
 )
 from magnoliatrail.generated.permits import PermitGrant
-from magnoliatrail.ids import AdapterVersion, EngineId, InstanceId
-from magnoliatrail.membership.preference import choose
+from magnoliatrail.generated.platform import InstanceList
+from magnoliatrail.ids import AdapterVersion
+from magnoliatrail.routing.candidates import CandidateIndex
 from magnoliatrail.routing.rendezvous import ranked
 from magnoliatrail.wire import decode, encode
 
 ENGINES_OF_A_MODEL = (20, 200, 6_200 // BASE_MODELS)
+CANDIDATES = 8
 INSTANCES = (14, 100, 370)
 HOLDING_ENGINES = (1, 8, 64)
 EXCEPTIONS = (10, 100, 500)
@@ -30,10 +32,17 @@
     return processor_microseconds(lambda: ranked(str(MODEL), names))
 
 
+def candidates_microseconds(engines: int) -> float:
+    """Return the time to find the candidate engines of an adapter."""
+    listed = decode(list_body(engines), InstanceList).ok.instances
+    index = CandidateIndex(listed)
+    return processor_microseconds(lambda: index.candidates(str(MODEL), CANDIDATES))
+
+
 def owner_microseconds(instances: int) -> float:
     """Return the time to find the instance that should own an engine."""
-    names = tuple(InstanceId(f"instance-{number:03d}") for number in range(instances))
-    return processor_microseconds(lambda: choose(EngineId("engine"), names))
+    names = [f"instance-{number:03d}" for number in range(instances)]
+    return processor_microseconds(lambda: ranked("engine-00001", names))
 
 
 def held_microseconds(engines: int) -> float:
@@ -95,6 +104,13 @@
             ENGINES_OF_A_MODEL,
             rendezvous_microseconds,
         ),
+        fitted(
+            "candidate engines of an adapter",
+            "engine",
+            "us",
+            ENGINES_OF_A_MODEL,
+            candidates_microseconds,
+        ),
         fitted(
             "finding the preferred owner",
             "instance",
--- a/benchmarks/slopes/messages.py
+++ b/benchmarks/slopes/messages.py
@@ -6,10 +6,19 @@
 from benchmarks.slopes.measure import processor_microseconds
 from magnoliatrail.generated.membership import Heartbeat
 from magnoliatrail.generated.operations import ClaimState, OperationRow
-from magnoliatrail.generated.permits import PermitGrant, PermitRequest, RequestClass
+from magnoliatrail.generated.permits import (
+    DemandAnswer,
+    DemandReport,
+    EngineDemand,
+    EngineDigest,
+    PermitGrant,
+    PermitRequest,
+    RequestClass,
+)
 from magnoliatrail.ids import new_incarnation, new_request_id, new_write_id
 from magnoliatrail.wire import decode, encode
 
+ENGINES = (1, 17, 170)
 MESSAGES = (100, 1_000, 10_000)
 ANSWER_BYTES = (0, 4_096, 65_536)
 
@@ -40,6 +49,8 @@
         request_class=RequestClass.INTERACTIVE,
         waiting=1,
         deadline_seconds=4.2,
+        rate=0.05,
+        caller="bookers",
     )
 
 
@@ -56,6 +67,66 @@
     )
 
 
+def demand_report(engines: int) -> DemandReport:
+    """Return what a holder tells an owner of idle engines."""
+    return DemandReport(
+        holder="instance-001",
+        engines=[
+            EngineDemand(engine=f"engine-{n:05d}", in_flight=0, waiting=0, uses=[])
+            for n in range(engines)
+        ],
+    )
+
+
+def demand_answer(engines: int) -> DemandAnswer:
+    """Return what an owner tells a holder about full engines."""
+    return DemandAnswer(
+        engines=[
+            EngineDigest(
+                engine=f"engine-{number:05d}",
+                places=2,
+                batch_slots=8,
+                in_flight=6,
+                waiting=2,
+                free_slots=0,
+                slot_value=0.01,
+                loaded=[f"adapter-{slot:06d}@1" for slot in range(8)],
+            )
+            for number in range(engines)
+        ]
+    )
+
+
+def demand_bytes(engines: int) -> float:
+    """Return the bytes of a report of demand and its answer, bodies only."""
+    return len(encode(demand_report(engines))) + len(encode(demand_answer(engines)))
+
+
+def demand_microseconds(engines: int) -> float:
+    """Return the time to encode and decode a report of demand and its answer."""
+    report, answer = demand_report(engines), demand_answer(engines)
+
+    def work() -> None:
+        decode(encode(report), DemandReport)
+        decode(encode(answer), DemandAnswer)
+
+    return processor_microseconds(work)
+
+
+def demand_slopes() -> list[Slope]:
+    """Measure reports of demand by the engines in them."""
+    return [
+        fitted("demand report and answer", "engine", "B", ENGINES, demand_bytes),
+        fitted(
+            "encoding and decoding a demand report and answer",
+            "engine",
+            "us",
+            ENGINES,
+            demand_microseconds,
+        ),
+    ]
+
+
 def codec_slopes() -> list[Slope]:
     """Measure encoding and decoding alone."""
     samples = [
--- a/benchmarks/slopes/state.py
+++ b/benchmarks/slopes/state.py
@@ -1,5 +1,7 @@
 """Memory and processor time of what an instance knows: adapters, engines, permits."""
 
+from datetime import timedelta
+
 from benchmarks.slopes.fit import Slope, fitted
 from benchmarks.slopes.measure import kept_bytes, peak_bytes, processor_microseconds
 from magnoliatrail.clock import ManualClock
@@ -19,9 +21,16 @@
     ListedKind,
     ListedState,
 )
-from magnoliatrail.ids import EngineId, InstanceId, new_incarnation, new_write_id
+from magnoliatrail.ids import (
+    AdapterVersion,
+    EngineId,
+    InstanceId,
+    new_incarnation,
+    new_write_id,
+)
 from magnoliatrail.membership.fleet import Fleet
 from magnoliatrail.placement.catalogue import AdapterCatalogue
+from magnoliatrail.placement.popularity import Popularity, PopularitySettings
 from magnoliatrail.wire import decode, encode
 
 ADAPTERS = (1_000, 10_000, 130_000)
@@ -167,6 +176,15 @@
     return holder
 
 
+def used_adapters(adapters: int) -> Popularity:
+    """Return the use counts of adapters that were each used once."""
+    popularity = Popularity(PopularitySettings())
+    for number in range(adapters):
+        model = AdapterVersion(f"adapter-{number:06d}", "1")
+        popularity.record(model, timedelta(seconds=number))
+    return popularity
+
+
 def adapter_slopes() -> list[Slope]:
     """Measure what the catalogue of adapters costs."""
     bodies = {size: catalogue_body(size) for size in ADAPTERS}
@@ -186,6 +204,13 @@
             ADAPTERS,
             lambda n: peak_bytes(lambda: read_catalogue(bodies[n])),
         ),
+        fitted(
+            "popularity in memory",
+            "adapter",
+            "B",
+            ADAPTERS,
+            lambda n: kept_bytes(lambda: used_adapters(n)),
+        ),
         fitted(
             "reading the catalogue",
             "adapter",
