--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -77,7 +77,7 @@
     if not TOGETHER.exists():
         return "Not run yet."
     run = msgspec.json.decode(TOGETHER.read_bytes(), type=TogetherRun)
-    heading = f"Run of {run.time}, load average {run.load_average}, shared machine."
+    heading = f"Run of {run.time}, load average {run.load_average:.1f}, shared machine."
     return f"{heading}\n\n{table(run.slopes)}"
 
 
