--- a/tests/docs/test_tables.py
+++ b/tests/docs/test_tables.py
@@ -9,11 +9,19 @@
 import pytest
 
 from magnoliatrail.errors import ErrorKind
-from tests.docs.pages import ROOT, SOURCE, first_code_cells
+from tests.docs.pages import (
+    CODE_SPAN,
+    PAGES,
+    ROOT,
+    SOURCE,
+    first_code_cells,
+    table_rows,
+)
 
 METRIC_METHODS = {"count", "timing", "gauge"}
 LOG_METHODS = {"debug", "info", "warning", "error"}
 NAME = re.compile(r"[a-z][a-z0-9_.]*")
+MENTIONED = re.compile(r"event=([a-z_]+)")
 # Every module that sends no metric of its own but hands one on.
 HANDS_ON = {"metrics.py"}
 
@@ -117,3 +125,22 @@
     listed = first_code_cells((ROOT / "docs/operations/logs.md").read_text())
     gone = listed - logged_events()
     assert not gone, f"take {gone} off docs/operations/logs.md"
+
+
+def test_every_event_that_a_page_mentions_is_logged():
+    mentioned = {name for page in PAGES for name in MENTIONED.findall(page.read_text())}
+    gone = mentioned - logged_events()
+    assert not gone, f"no log line has event={gone}: mend the page that says so"
+
+
+def test_every_metric_that_the_page_of_failures_mentions_is_listed():
+    text = (ROOT / "docs/operations/failures.md").read_text()
+    spans = {span for row in table_rows(text)[2:] for span in CODE_SPAN.findall(row[1])}
+    names = {span for span in spans if "=" not in span and not span.endswith(".md")}
+    listed = documented_metrics()
+    missing = {
+        name
+        for name in names - listed
+        if re.sub(r"^refusals\..*", "refusals.<x>", name) not in listed
+    }
+    assert not missing, "docs/operations/failures.md names metrics that are not sent"
