--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -12,6 +12,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 TOGETHER = ROOT / "benchmarks" / "together.json"
+TOGETHER_DEMAND = ROOT / "benchmarks" / "together_demand.json"
 PAGE = ROOT / "docs" / "CAPACITY.md"
 BEGIN = "<!-- begin: {} -->\n"
 END = "<!-- end: {} -->\n"
@@ -72,11 +73,9 @@
     slopes: list[Slope]
 
 
-def nodes_table() -> str:
+def nodes_table(path: Path) -> str:
     """Return what one node spends by the number of nodes."""
-    if not TOGETHER.exists():
-        return "Not run yet."
-    run = msgspec.json.decode(TOGETHER.read_bytes(), type=TogetherRun)
+    run = msgspec.json.decode(path.read_bytes(), type=TogetherRun)
     heading = f"Run of {run.time}, load average {run.load_average:.1f}, shared machine."
     return f"{heading}\n\n{table(run.slopes)}"
 
@@ -91,7 +90,8 @@
         "on a shared machine of 10 cores."
     )
     text = replaced(text, "slopes", f"{heading}\n\n{table(run.slopes)}")
-    text = replaced(text, "nodes", nodes_table())
+    text = replaced(text, "nodes", nodes_table(TOGETHER))
+    text = replaced(text, "nodes with demand", nodes_table(TOGETHER_DEMAND))
     text = replaced(text, "budget", budget_table(figures))
     return replaced(text, "figures", figure_table(figures))
 
