--- a/src/magnoliatrail/daemon.py
+++ b/src/magnoliatrail/daemon.py
@@ -1,6 +1,5 @@
 """One instance: its parts, its tasks, and its graceful shutdown."""
 
-from datetime import timedelta
 from typing import Any
 
 from expression import Ok, Result
@@ -51,8 +50,7 @@
 
 log = EventLog("daemon")
 
-CATALOGUE_SECONDS = 30.0
-FIRST_CATALOGUE_INTERVAL = timedelta(seconds=1)
+CATALOGUE_SECONDS = 5.0
 
 
 class Daemon:
@@ -262,7 +260,6 @@
         self.tasks.every(settings.configuration_poll_seconds, self.spread.poll)
         self.tasks.every(settings.heartbeat_seconds, self.placement.demand.report_all)
         self.tasks.every(CATALOGUE_SECONDS, self.refresh_catalogue)
-        self.tasks.once(self.read_first_catalogue)
         self.tasks.once(self.forget_operations)
         self.lifecycle.ready = True
         log.info(
@@ -294,18 +291,12 @@
         host = self.settings.advertised_host or self.settings.host
         return f"http://{host}:{listener.port}"
 
-    async def read_first_catalogue(self) -> None:
-        """Try more often until a first catalogue is known."""
-        while not self.catalogue.known:
-            await self.clock.sleep(FIRST_CATALOGUE_INTERVAL)
-            await self.refresh_catalogue()
-
     async def refresh_catalogue(self) -> None:
         """Read the adapter catalogue."""
         match await self.weights.catalogue():
-            case Result(tag="ok", ok=catalogue):
+            case Result(tag="ok", ok=catalogue) if catalogue:
                 self.catalogue.replace(catalogue)
-            case Result(error=failure):
+            case Result(tag="error", error=failure):
                 log.warning("catalogue_missing", reason=failure.message)
 
     async def forget_operations(self) -> None:
--- a/src/magnoliatrail/placement/catalogue.py
+++ b/src/magnoliatrail/placement/catalogue.py
@@ -34,7 +34,7 @@
             message = f"model {name!r} does not name a version"
             return Error(Failure(ErrorKind.VERSION_MISSING, message))
         if not self.known:
-            message = "this instance has not read the catalogue yet"
+            message = "this instance has not read the catalogue of adapters yet"
             return Error(Failure(ErrorKind.STARTING, message))
         if model not in self.base_models:
             message = f"model {name!r} is not in the catalogue"
