--- a/benchmarks/entry_chunk_cost.py
+++ b/benchmarks/entry_chunk_cost.py
@@ -35,10 +35,10 @@
 from magnoliatrail.entry.places import EntryPlaces
 from magnoliatrail.errors import Failure
 from magnoliatrail.generated.permits import PermitGrant
+from magnoliatrail.generated.platform import Catalogue, CatalogueEntry
 from magnoliatrail.generated.settings import Settings
 from magnoliatrail.ids import AdapterVersion, EngineId, Handle, RequestId
 from magnoliatrail.listeners import listen
-from magnoliatrail.membership.fleet import Fleet
 from magnoliatrail.metrics import RecordedMetrics
 from magnoliatrail.placement.catalogue import AdapterCatalogue
 from magnoliatrail.requests import CompletionCall
@@ -46,6 +46,7 @@
 
 HOST = "127.0.0.1"
 MODEL = AdapterVersion("adapter-0000", "1")
+ENTRY = CatalogueEntry(adapter=MODEL.adapter, version=MODEL.version, base_model="base")
 HANDLE = Handle("adapter-0000@1~17")
 PATH = "/v1/completions"
 STREAMS = 100
@@ -230,7 +231,7 @@
     configuration = ConfigurationInForce(clock)
     configuration.offer(configuration.configuration)
     catalogue = AdapterCatalogue()
-    catalogue.base_models = {MODEL: "base"}
+    catalogue.replace(Catalogue(adapters=[ENTRY]))
     places = EntryPlaces(clock=clock, queue_limit=lambda caller: STREAMS)
     places.set_places(EngineId("engine"), STREAMS)
     unused: Any = None
@@ -239,7 +240,7 @@
         clock=clock,
         metrics=metrics,
         client=client,
-        fleet=Fleet(),
+        fleet=unused,
         configuration=configuration,
         catalogue=catalogue,
         dispatcher=Dispatcher(
--- a/src/magnoliatrail/engines/owner.py
+++ b/src/magnoliatrail/engines/owner.py
@@ -168,6 +168,9 @@
         """Start to load an adapter once it is its turn."""
         if self.loads is None:
             return await self.start_load(model, request)
+        if not self.may_have_room():
+            message = f"every adapter slot of {self.engine} is in use"
+            return Error(Failure(ErrorKind.QUEUE_FULL, message))
         now = self.clock.monotonic()
         if request.rate and not self.popularity.value(model, now):
             memory = self.popularity.memory_seconds
@@ -184,6 +187,14 @@
             if slot is None or slot.state is not SlotState.LOADING:
                 self.loads.ended(key)
 
+    def may_have_room(self) -> bool:
+        """Return whether a slot is free, or an adapter could be evicted."""
+        if self.report is None or self.slots_taken < self.report.adapter_slots:
+            return True
+        now = self.clock.monotonic()
+        slots = [eviction_candidate(self, slot, now) for slot in self.slots.values()]
+        return bool(eviction_order(slots, now))
+
     def grant(self, slot: Slot) -> PermitGrant:
         """Return the grant for a loaded slot."""
         assert self.report is not None
