--- a/benchmarks/entry_chunk_cost.py
+++ b/benchmarks/entry_chunk_cost.py
@@ -39,7 +39,6 @@
 from magnoliatrail.generated.settings import Settings
 from magnoliatrail.ids import AdapterVersion, EngineId, Handle, RequestId
 from magnoliatrail.listeners import listen
-from magnoliatrail.membership.fleet import Fleet
 from magnoliatrail.metrics import RecordedMetrics
 from magnoliatrail.placement.catalogue import AdapterCatalogue
 from magnoliatrail.requests import CompletionCall
@@ -241,7 +240,7 @@
         clock=clock,
         metrics=metrics,
         client=client,
-        fleet=Fleet(),
+        fleet=unused,
         configuration=configuration,
         catalogue=catalogue,
         dispatcher=Dispatcher(
