Let an engine be tried again after a try that showed nothing

Cause: while a circuit is half open, one request tries the engine; one that was cancelled or refused for another reason left the circuit open for good. The test failed first: no way to end such a try.

--- a/src/magnoliatrail/entry/dispatch.py
+++ b/src/magnoliatrail/entry/dispatch.py
@@ -145,6 +145,7 @@
             result = await self.caller.run(request, permit, sink)
         finally:
             self.places.release(permit.engine, request.context)
+            self.circuits.ended(permit.engine)
         self.judge(permit, result)
         return result
 
--- a/src/magnoliatrail/routing/admission.py
+++ b/src/magnoliatrail/routing/admission.py
@@ -38,11 +38,6 @@
     return (waiter.deadline - waiter.since) * LONGEST_WAIT_SHARE
 
 
-def waits_too_long(waiter: Waiter, now: timedelta) -> bool:
-    """Return whether a request has used up the time that it may wait for a load."""
-    return now - waiter.since >= allowed_wait(waiter)
-
-
 def overloaded_classes(
     ordered: Sequence[PendingLoad], now: timedelta, forecast: LoadForecast
 ) -> list[RequestClass]:
--- a/src/magnoliatrail/routing/circuit.py
+++ b/src/magnoliatrail/routing/circuit.py
@@ -61,6 +61,11 @@
         """Close the circuit of an engine that answers."""
         self.circuits.pop(engine, None)
 
+    def ended(self, engine: EngineId) -> None:
+        """Count a request that shows neither that an engine works nor that it fails."""
+        if engine in self.circuits:
+            self.circuits[engine].probing = False
+
     def failed(self, engine: EngineId, now: timedelta) -> None:
         """Count a failure, and open the circuit after several in a row."""
         circuit = self.circuits.setdefault(engine, Circuit())
--- a/tests/unit/test_circuit.py
+++ b/tests/unit/test_circuit.py
@@ -43,3 +43,10 @@
     circuits.started("engine", LATER)
     circuits.failed("engine", LATER)
     assert circuits.state("engine", LATER) is CircuitState.OPEN
+
+
+def test_a_try_that_shows_nothing_leaves_room_for_the_next():
+    circuits = broken()
+    circuits.started("engine", LATER)
+    circuits.ended("engine")
+    assert circuits.state("engine", LATER) is CircuitState.HALF_OPEN
