Give back the turn to load of a request that was cancelled

Cause: a request cancelled between its turn and its load left the load counted as in flight for good; with a share of one, no load of the instance started again. The regression test failed first.

--- a/src/magnoliatrail/engines/load_scheduler.py
+++ b/src/magnoliatrail/engines/load_scheduler.py
@@ -90,6 +90,10 @@
             self.running = asyncio.create_task(self.run())
         try:
             return await turn
+        except asyncio.CancelledError:
+            if turn.done() and not turn.cancelled():
+                self.ended(key)
+            raise
         finally:
             self.queue.leave(key, waiter.request_id)
             self.turns.pop(waiter.request_id, None)
