Test plain services and ambiguous requests end to end

Services: every method, status, body and repeated header passes whole, the hop's own headers stay, a leaving replica gets nothing, the less busy one is chosen, an operation costs 2 table writes and an idempotent call 0, and an idempotent call whose connection went silent is answered over a new one.

Raw sockets: 8 ambiguous framings, 19 paths and 7 headers reach no service; tornado itself refuses the framings. First runs of these tests failed by their own fault: tornado drops a request whose sender half-closes, overwrites the header Connection, and a refused conditional write was counted as a write.

--- /dev/null
+++ b/tests/outcomes/test_services.py
@@ -0,0 +1,248 @@
+"""Plain services: headers and bodies whole, live replicas, and retries in bounds."""
+
+import asyncio
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import msgspec
+import pytest
+from tornado.httpclient import HTTPRequest
+from tornado.web import Application, RequestHandler, stream_request_body
+
+from magnoliatrail.generated.platform import ListedInstance, ListedKind, ListedState
+from magnoliatrail.listeners import listen
+from magnoliatrail.wire import call
+
+from .bench import LIMITS, running_bench
+
+PATH = "/services/archive"
+
+
+@dataclass
+class Seen:
+    """Hold what a replica got."""
+
+    requests: list = field(default_factory=list)
+    bodies: list = field(default_factory=list)
+
+
+@stream_request_body
+class EchoHandler(RequestHandler):
+    def initialize(self, seen):
+        self.seen = seen
+        self.body = b""
+
+    def data_received(self, chunk):
+        self.body += chunk
+
+    def echo(self):
+        self.seen.requests.append(self.request)
+        self.seen.bodies.append(self.body)
+        status = int(self.get_query_argument("status", "200"))
+        self.set_status(status)
+        self.add_header("Set-Cookie", "a=1")
+        self.add_header("Set-Cookie", "b=2")
+        self.set_header("Keep-Alive", "timeout=5")
+        self.set_header("Content-Type", "text/x-echo")
+        if status not in (204, 304):
+            self.write(self.body or b"empty")
+
+    get = head = post = put = patch = delete = options = echo
+
+
+@asynccontextmanager
+async def archive(replicas=1):
+    """Run an instance before replicas of an echo service."""
+    async with running_bench(instances=1) as bench:
+        seen, listeners = [], []
+        for number in range(replicas):
+            seen.append(Seen())
+            application = Application([("/.*", EchoHandler, {"seen": seen[-1]})])
+            listeners.append(listen(application, host="127.0.0.1"))
+            entry = ListedInstance(
+                id=f"archive-{number}",
+                kind=ListedKind.SERVICE,
+                name="archive",
+                url=listeners[-1].url,
+                failure_domain="domain-0",
+                state=ListedState.LIVE,
+            )
+            bench.world.instances.put(entry)
+        await bench.daemons[0].refresh_fleet()
+        yield bench, seen
+        for listener in listeners:
+            await listener.close()
+
+
+async def send(bench, method, path, headers=None, body=None):
+    request = HTTPRequest(
+        bench.urls[0] + path,
+        method=method,
+        headers=headers or {},
+        body=body,
+        allow_nonstandard_methods=True,
+    )
+    return await call(bench.client, request, LIMITS)
+
+
+@pytest.mark.parametrize(
+    "method", ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
+)
+def test_every_method_passes_whole(run, method):
+    async def scenario():
+        async with archive() as (bench, [seen]):
+            body = b"\x00\xff" * 1000 if method not in ("GET", "HEAD") else None
+            headers = {"Content-Type": "application/x-www-form-urlencoded"}
+            path = f"{PATH}/a%20b/c?x=1&x=%2F"
+            response = await send(bench, method, path, headers, body)
+            [got] = seen.requests
+            assert (got.method, got.uri) == (method, "/a%20b/c?x=1&x=%2F")
+            assert seen.bodies == [body or b""]
+            assert response.headers.get_list("Set-Cookie") == ["a=1", "b=2"]
+            assert response.headers["Content-Type"] == "text/x-echo"
+            assert "Keep-Alive" not in response.headers
+            if method != "HEAD":
+                assert response.body == (body or b"empty")
+
+    run(scenario())
+
+
+def test_headers_pass_but_for_the_hop(run):
+    async def scenario():
+        async with archive() as (bench, [seen]):
+            headers = {
+                "X-Own": "kept",
+                "X-Listed": "dropped",
+                "Connection": "close, X-Listed",
+                "Te": "trailers",
+                "Authorization": "Bearer caller",
+                "X-Caller": "clerk",
+                "X-Deadline-Seconds": "5",
+            }
+            await send(bench, "GET", f"{PATH}/x", headers)
+            got = seen.requests[0].headers
+            assert got["X-Own"] == "kept"
+            assert got["Authorization"] == "Bearer caller"
+            assert got["X-Caller"] == "clerk"
+            assert 0 < float(got["X-Deadline-Seconds"]) <= 5
+            assert "X-Listed" not in got
+            assert "Te" not in got
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("status", [201, 204, 304, 404, 418, 500])
+def test_status_codes_pass(run, status):
+    async def scenario():
+        async with archive() as (bench, [seen]):
+            response = await send(bench, "GET", f"{PATH}/x?status={status}")
+            assert response.code == status
+            assert len(seen.requests) == 1
+
+    run(scenario())
+
+
+def test_an_idempotent_call_that_gets_503_is_asked_again_in_bounds(run):
+    async def scenario():
+        async with archive(2) as (bench, seen):
+            response = await send(bench, "GET", f"{PATH}/x?status=503")
+            assert response.code == 503
+            assert [len(replica.requests) for replica in seen] in (
+                [2, 2],
+                [1, 3],
+                [3, 1],
+            )
+
+    run(scenario())
+
+
+def test_a_leaving_replica_gets_no_new_work(run):
+    async def scenario():
+        async with archive(2) as (bench, [left, stayed]):
+            bench.world.instances.set_leaving("archive-0")
+            await bench.daemons[0].refresh_fleet()
+            for _ in range(10):
+                await send(bench, "GET", f"{PATH}/x")
+            assert (len(left.requests), len(stayed.requests)) == (0, 10)
+            bench.world.instances.set_leaving("archive-1")
+            await bench.daemons[0].refresh_fleet()
+            response = await send(bench, "GET", f"{PATH}/x")
+            answer = msgspec.json.decode(response.body)["error"]
+            assert (answer["kind"], answer["outcome"]) == (
+                "no_backend_server",
+                "not_run",
+            )
+
+    run(scenario())
+
+
+def test_the_less_busy_replica_is_chosen(run):
+    async def scenario():
+        async with archive(2) as (bench, [busy, idle]):
+            services = bench.daemons[0].entry.services
+            services.in_flight["archive-0"] = 5
+            for _ in range(10):
+                await send(bench, "GET", f"{PATH}/x")
+            assert (len(busy.requests), len(idle.requests)) == (0, 10)
+
+    run(scenario())
+
+
+def test_an_operation_without_a_key_is_refused_and_costs_no_write(run):
+    async def scenario():
+        async with running_bench(instances=1) as bench:
+            writes = []
+            bench.on_claim_write(1, lambda: writes.append(1))
+            got = await bench.ask(0, "")
+            assert (got.kind, got.not_run) == ("idempotency_key_required", True)
+            assert not writes
+            assert not any(service.executions for service in bench.world.services)
+
+    run(scenario())
+
+
+def test_an_operation_costs_two_claim_writes_and_an_idempotent_call_none(run):
+    async def scenario():
+        async with archive() as (bench, _):
+            commit, writes = bench.world.table.commit, []
+
+            def counted(transaction):
+                answer = commit(transaction)
+                if answer.committed:
+                    writes.extend(
+                        write
+                        for write in transaction.writes
+                        if write.key.startswith("operations/")
+                    )
+                return answer
+
+            bench.world.table.commit = counted
+            await send(bench, "POST", f"{PATH}/x", body=b"x")
+            assert len(writes) == 0
+            first = await bench.ask(0, "key")
+            again = await bench.ask(0, "key")
+            assert first.body == again.body
+            assert len(writes) == 2
+
+    run(scenario())
+
+
+def test_an_idempotent_call_on_a_silent_connection_is_asked_again(run):
+    async def scenario():
+        async with running_bench(instances=1) as bench:
+            bench.daemons[0].configuration.configuration = msgspec.structs.replace(
+                bench.daemons[0].configuration.configuration, exceptions=[]
+            )
+            for service in bench.world.services:
+                service.faults.delay_seconds = 0.1
+
+            def silence():
+                for service in bench.world.services:
+                    service.faults.silence_open += 1
+                    service.faults.delay_seconds = 0
+
+            asyncio.get_running_loop().call_later(0.05, silence)
+            got = await bench.ask(0, "")
+            assert got.whole
+
+    run(scenario())
--- /dev/null
+++ b/tests/outcomes/test_smuggling.py
@@ -0,0 +1,166 @@
+"""Requests that two servers might read in two ways, sent over raw sockets."""
+
+import asyncio
+
+import pytest
+
+from .bench import TOKEN, running_bench
+
+SILENT_SECONDS = 2.0
+HOST_LINE = b"Host: x\r\n"
+INNER = b"POST /services/bookings/smuggled HTTP/1.1\r\nHost: x\r\n\r\n"
+
+FRAMING = {
+    "length and chunks": b"POST /services/bookings/x HTTP/1.1\r\n"
+    + HOST_LINE
+    + b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+    + INNER,
+    "two lengths": b"POST /services/bookings/x HTTP/1.1\r\n"
+    + HOST_LINE
+    + b"Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody"
+    + INNER,
+    "signed length": b"POST /services/bookings/x HTTP/1.1\r\n"
+    + HOST_LINE
+    + b"Content-Length: +4\r\n\r\nbody"
+    + INNER,
+    "unknown coding": b"POST /services/bookings/x HTTP/1.1\r\n"
+    + HOST_LINE
+    + b"Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n"
+    + INNER,
+    "bad chunk size": b"POST /services/bookings/x HTTP/1.1\r\n"
+    + HOST_LINE
+    + b"Transfer-Encoding: chunked\r\n\r\n0x4\r\nbody\r\n0\r\n\r\n"
+    + INNER,
+    "space before colon": b"POST /services/bookings/x HTTP/1.1\r\n"
+    + HOST_LINE
+    + b"Content-Length : 4\r\n\r\nbody"
+    + INNER,
+    "bare CR in a header": b"POST /services/bookings/x HTTP/1.1\r\n"
+    + HOST_LINE
+    + b"X: a\rContent-Length: 4\r\n\r\n",
+    "NUL in a header": b"POST /services/bookings/x HTTP/1.1\r\n"
+    + HOST_LINE
+    + b"X-Caller: a\x00b\r\n\r\n",
+}
+
+PATHS = [
+    "/services/bookings/../../peer/status",
+    "/services/bookings/a/../confirm",
+    "/services/bookings/./confirm",
+    "/services/bookings/%2e%2e/confirm",
+    "/services/bookings/%2E/confirm",
+    "/services/bookings/a%2fconfirm",
+    "/services/bookings/a%5Cconfirm",
+    "/services/bookings//confirm",
+    "/services/bookings/..;x/confirm",
+    "/services/bookings/;x/confirm",
+    "/services/bookings/confirm%0d%0aX-Evil:%20y",
+    "/services/bookings/confirm%00",
+    "/services/bookings/confirm%zz",
+    "/services/bookings/confirm#x",
+    "/services/bookings/confirm?a=b#x",
+    "/services/bookings/caf\u00e9",
+    "/services/../peer/status",
+    "http://other/services/bookings/confirm",
+    "//other/services/bookings/confirm",
+]
+
+HEADERS = [
+    b"X-Caller: " + b"a" * 129,
+    b"X-Caller: \xe9t\xe9",
+    b"X-Caller: a\r\nX-Caller: b",
+    b"X-Caller:",
+    b"Idempotency-Key: " + b"k" * 256,
+    b"Idempotency-Key: a\r\nIdempotency-Key: b",
+    b"Idempotency-Key: \xff",
+]
+
+
+async def raw(url, data):
+    """Send bytes and return what comes back before the connection falls silent."""
+    host, _, port = url.removeprefix("http://").partition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(data)
+    received = b""
+    try:
+        while True:
+            async with asyncio.timeout(SILENT_SECONDS):
+                chunk = await reader.read(65_536)
+            if not chunk:
+                break
+            received += chunk
+    except TimeoutError:
+        pass
+    writer.close()
+    return received
+
+
+def executed(bench):
+    return [key for service in bench.world.services for key in service.executions]
+
+
+def test_ambiguous_framing_reaches_no_service(run):
+    async def scenario():
+        async with running_bench(instances=1) as bench:
+            for name, data in FRAMING.items():
+                received = await raw(bench.urls[0], data)
+                assert b" 200 " not in received, (name, received)
+                assert not executed(bench), name
+
+    run(scenario())
+
+
+def test_paths_that_could_mean_another_reach_no_service(run):
+    async def scenario():
+        async with running_bench(instances=1) as bench:
+            for path in PATHS:
+                line = b"GET " + path.encode("utf-8") + b" HTTP/1.1\r\n"
+                data = line + HOST_LINE + b"Connection: close\r\n\r\n"
+                received = await raw(bench.urls[0], data)
+                status = received.split(b" ")[1]
+                assert status in (b"400", b"404"), (path, received)
+                assert not executed(bench), path
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("header", HEADERS)
+def test_names_out_of_bounds_are_refused(run, header):
+    async def scenario():
+        async with running_bench(instances=1) as bench:
+            line = b"GET /services/bookings/x HTTP/1.1\r\n"
+            data = line + HOST_LINE + header + b"\r\nConnection: close\r\n\r\n"
+            received = await raw(bench.urls[0], data)
+            assert received.split(b" ")[1] == b"400", received
+            assert not executed(bench)
+
+    run(scenario())
+
+
+def test_the_callers_listener_leads_to_no_peer_path(run):
+    async def scenario():
+        async with running_bench(instances=1) as bench:
+            token = b"Authorization: Bearer " + TOKEN.encode() + b"\r\n"
+            data = b"POST /peer/status HTTP/1.1\r\n" + HOST_LINE + token
+            received = await raw(
+                bench.urls[0],
+                data + b"Connection: close\r\nContent-Length: 2\r\n\r\n{}",
+            )
+            assert received.split(b" ")[1] == b"404"
+
+    run(scenario())
+
+
+def test_a_peer_token_that_is_not_ascii_is_refused(run):
+    async def scenario():
+        async with running_bench(instances=1) as bench:
+            data = (
+                b"POST /peer/status HTTP/1.1\r\n"
+                + HOST_LINE
+                + b"Authorization: Bearer \xff\xfe\r\nConnection: close\r\n"
+                + b"Content-Length: 2\r\n\r\n{}"
+            )
+            received = await raw(bench.daemons[0].peer_listener.url, data)
+            assert received.split(b" ")[1] == b"401"
+
+    run(scenario())
