--- a/src/magnoliatrail/entry/service_call.py
+++ b/src/magnoliatrail/entry/service_call.py
@@ -62,6 +62,7 @@
 
     replica: ListedInstance | None = None
     answer: RecordedAnswer | None = None
+    may_have_run: bool = False
     tried: set[str] = field(default_factory=set)
 
 
@@ -123,7 +124,7 @@
             if not await self.may_retry(request, wait):
                 break
             answer = await self.ask_twice_if_silent(request, progress)
-        return answer
+        return truthful(answer, progress)
 
     async def ask_once(self, request: ServiceRequest, progress: Progress) -> Answer:
         """Send a non-idempotent request, again only if it certainly did not run."""
@@ -189,7 +190,10 @@
         progress.tried.add(replica.id)
         self.in_flight[replica.id] += 1
         try:
-            return await self.send_to(request, replica)
+            answer = await self.send_to(request, replica)
+            if answer.is_ok() or not answer.error.not_run:
+                progress.may_have_run = True
+            return answer
         finally:
             self.in_flight[replica.id] -= 1
             if not self.in_flight[replica.id]:
@@ -246,6 +250,14 @@
     }
 
 
+def truthful(answer: Answer, progress: Progress) -> Answer:
+    """Return an answer that is true of the earlier tries as well."""
+    if answer.is_ok() or not (answer.error.not_run and progress.may_have_run):
+        return answer
+    message = f"an earlier try may have run; the last one: {answer.error.message}"
+    return Error(Failure(ErrorKind.BACKEND_FAILED, message))
+
+
 async def first_answer(tasks: set[asyncio.Task[Answer]]) -> Answer:
     """Return the first answer of some calls, or the last failure."""
     pending = tasks
--- a/src/magnoliatrail/platform/instance_list.py
+++ b/src/magnoliatrail/platform/instance_list.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from expression import Error, Result
+from expression import Error, Ok, Result
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
 from magnoliatrail.errors import ErrorKind, Failure
@@ -11,6 +11,7 @@
 from magnoliatrail.wire import CallFailed, CallLimits, decode
 
 HTTP_OK = 200
+HTTP_NOT_MODIFIED = 304
 
 
 class InstanceListService(Protocol):
@@ -27,17 +28,28 @@
         self.client = client
         self.url = url
         self.limits = limits
+        self.etag = ""
+        self.last = InstanceList(instances=[])
 
     async def read(self) -> Result[InstanceList, Failure]:
-        """Read the whole list."""
+        """Read the whole list, or learn that it is still the one read last."""
+        headers = {"If-None-Match": self.etag} if self.etag else {}
         url = f"{self.url}/instances"
         try:
             response = await read_again(
-                self.client, lambda: HTTPRequest(url), self.limits
+                self.client, lambda: HTTPRequest(url, headers=headers), self.limits
             )
         except CallFailed as error:
             return Error(Failure(ErrorKind.STORE_UNAVAILABLE, str(error)))
+        if response.code == HTTP_NOT_MODIFIED:
+            return Ok(self.last)
         if response.code != HTTP_OK:
             message = f"the instance list answered {response.code}"
             return Error(Failure(ErrorKind.STORE_UNAVAILABLE, message))
-        return decode(response.body, InstanceList)
+        match decode(response.body, InstanceList):
+            case Result(tag="ok", ok=instances):
+                self.last = instances
+                self.etag = response.headers.get("Etag", "")
+                return Ok(instances)
+            case Result(error=failure):
+                return Error(failure)
--- a/tests/outcomes/test_services.py
+++ b/tests/outcomes/test_services.py
@@ -13,7 +13,8 @@
 from magnoliatrail.listeners import listen
 from magnoliatrail.wire import call
 
-from .bench import LIMITS, running_bench
+from .bench import GENEROUS_SECONDS, LIMITS, running_bench
+from .test_matrix import unreachable
 
 PATH = "/services/archive"
 
@@ -68,12 +69,19 @@
                 state=ListedState.LIVE,
             )
             bench.world.instances.put(entry)
-        await bench.daemons[0].refresh_fleet()
+        await until_live(bench, replicas)
         yield bench, seen
         for listener in listeners:
             await listener.close()
 
 
+async def until_live(bench, count):
+    """Wait until the instance sees a number of live replicas."""
+    async with asyncio.timeout(GENEROUS_SECONDS):
+        while len(bench.daemons[0].fleet.live_services("archive")) != count:
+            await asyncio.sleep(0.01)
+
+
 async def send(bench, method, path, headers=None, body=None):
     request = HTTPRequest(
         bench.urls[0] + path,
@@ -160,12 +168,12 @@
     async def scenario():
         async with archive(2) as (bench, [left, stayed]):
             bench.world.instances.set_leaving("archive-0")
-            await bench.daemons[0].refresh_fleet()
+            await until_live(bench, 1)
             for _ in range(10):
                 await send(bench, "GET", f"{PATH}/x")
             assert (len(left.requests), len(stayed.requests)) == (0, 10)
             bench.world.instances.set_leaving("archive-1")
-            await bench.daemons[0].refresh_fleet()
+            await until_live(bench, 0)
             response = await send(bench, "GET", f"{PATH}/x")
             answer = msgspec.json.decode(response.body)["error"]
             assert (answer["kind"], answer["outcome"]) == (
@@ -246,3 +254,23 @@
             assert got.whole
 
     run(scenario())
+
+
+@pytest.mark.parametrize("silent", [False, True])
+def test_a_call_that_may_have_run_is_not_called_not_run_after_a_retry(run, silent):
+    async def scenario():
+        async with running_bench(instances=1) as bench:
+            bench.daemons[0].configuration.configuration = msgspec.structs.replace(
+                bench.daemons[0].configuration.configuration, exceptions=[]
+            )
+            fault = "silent_answers" if silent else "lose_answers"
+            for service in bench.world.services:
+                setattr(service.faults, fault, 1)
+            bench.on_execution(lambda: unreachable(bench))
+            got = await bench.ask(0, "")
+            ran = [len(service.requests) for service in bench.world.services]
+            assert sum(ran) == 1, got
+            assert got.refusal is not None
+            assert not got.not_run, got.kind
+
+    run(scenario())
