--- a/src/magnoliatrail/entry/dispatch.py
+++ b/src/magnoliatrail/entry/dispatch.py
@@ -32,8 +32,6 @@
 RETRY_SHARE = 0.1
 QUEUE_LIMIT = 256
 
-# A request that was refused for its limits or its time is not tried again.
-FINAL_KINDS = {ErrorKind.QUEUE_FULL, ErrorKind.DEADLINE_UNREACHABLE}
 ENGINE_AT_FAULT = {
     ErrorKind.BACKEND_UNREACHABLE,
     ErrorKind.BACKEND_FAILED,
@@ -47,6 +45,13 @@
     return QUEUE_LIMIT
 
 
+def is_final(failure: Failure) -> bool:
+    """Return whether a request was refused for its limits or its time."""
+    if failure.kind is ErrorKind.QUEUE_FULL:
+        return failure.retry_after is not None
+    return failure.kind is ErrorKind.DEADLINE_UNREACHABLE
+
+
 class Dispatcher:
     """Answer completions, again on another engine where they did not run."""
 
@@ -104,7 +109,7 @@
         self, request: CompletionCall, failure: Failure, delay: timedelta
     ) -> bool:
         """Return whether a failed attempt may be followed by another."""
-        if not failure.may_run_again or failure.kind in FINAL_KINDS:
+        if not failure.may_run_again or is_final(failure):
             return False
         if delay >= request.context.time_left(self.clock):
             return False
