--- a/src/magnoliatrail/standins/faults.py
+++ b/src/magnoliatrail/standins/faults.py
@@ -74,7 +74,7 @@
         """Apply outage, silence and slowness before the request takes effect."""
         self.stream = getattr(self.request.connection, "stream", None)
         OPENED_AT.setdefault(self.stream, self.faults.silence_open)
-        if self.faults.silent or self.takes("silent_requests"):
+        if self.faults.silent or self.uses_up("silent_requests"):
             await asyncio.Event().wait()
         if self.faults.delay_seconds:
             await asyncio.sleep(self.faults.delay_seconds)
@@ -94,25 +94,17 @@
             return asyncio.get_running_loop().create_future()
         return super().finish(chunk)
 
-    def takes(self, fault: str) -> bool:
-        """Return whether a counted fault is due, and count it down."""
-        left: int = getattr(self.faults, fault)
-        if not left:
-            return False
-        setattr(self.faults, fault, left - 1)
-        return True
-
     def loses_answer(self) -> bool:
         """Return whether this answer is to be lost after its effect."""
-        return self.takes("lose_answers")
+        return self.uses_up("lose_answers")
 
     async def answer(self, body: bytes) -> None:
         """Send an answer after its effect, unless a fault loses, cuts or holds it."""
-        if self.takes("silent_answers"):
+        if self.uses_up("silent_answers"):
             await asyncio.Event().wait()
         if self.loses_answer():
             self.drop_connection()
-        elif self.takes("cut_answers"):
+        elif self.uses_up("cut_answers"):
             self.set_header("Content-Length", str(len(body)))
             self.write(body[: len(body) // 2])
             await self.flush()
--- a/src/magnoliatrail/standins/table.py
+++ b/src/magnoliatrail/standins/table.py
@@ -139,7 +139,7 @@
     async def post(self) -> None:
         """Commit a transaction."""
         transaction = msgspec.json.decode(self.request.body, type=Transaction)
-        if self.takes("lose_requests"):
+        if self.uses_up("lose_requests"):
             self.drop_connection()
             return
         answer = self.table.commit(transaction)
