--- a/src/magnoliatrail/platform/instance_list.py
+++ b/src/magnoliatrail/platform/instance_list.py
@@ -7,7 +7,8 @@
 
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.generated.platform import InstanceList
-from magnoliatrail.wire import CallFailed, CallLimits, call, decode
+from magnoliatrail.platform.asking import read_again
+from magnoliatrail.wire import CallFailed, CallLimits, decode
 
 HTTP_OK = 200
 HTTP_NOT_MODIFIED = 304
@@ -33,9 +34,11 @@
     async def read(self) -> Result[InstanceList, Failure]:
         """Read the whole list, or learn that it is still the one read last."""
         headers = {"If-None-Match": self.etag} if self.etag else {}
-        request = HTTPRequest(f"{self.url}/instances", headers=headers)
+        url = f"{self.url}/instances"
         try:
-            response = await call(self.client, request, self.limits)
+            response = await read_again(
+                self.client, lambda: HTTPRequest(url, headers=headers), self.limits
+            )
         except CallFailed as error:
             return Error(Failure(ErrorKind.STORE_UNAVAILABLE, str(error)))
         if response.code == HTTP_NOT_MODIFIED:
--- a/src/magnoliatrail/platform/objects.py
+++ b/src/magnoliatrail/platform/objects.py
@@ -6,6 +6,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
 from magnoliatrail.errors import ErrorKind, Failure
+from magnoliatrail.platform.asking import read_again
 from magnoliatrail.wire import CallFailed, CallLimits, call
 
 HTTP_OK = 200
@@ -35,9 +36,11 @@
 
     async def get(self, name: str) -> Result[bytes | None, Failure]:
         """Read an object, None if there is none."""
-        request = HTTPRequest(f"{self.url}/objects/{name}")
+        url = f"{self.url}/objects/{name}"
         try:
-            response = await call(self.client, request, self.limits)
+            response = await read_again(
+                self.client, lambda: HTTPRequest(url), self.limits
+            )
         except CallFailed as error:
             return Error(Failure(ErrorKind.STORE_UNAVAILABLE, str(error)))
         if response.code == HTTP_NOT_FOUND:
@@ -48,9 +51,13 @@
 
     async def put(self, name: str, body: bytes) -> Result[None, Failure]:
         """Write an object; writing the same again is harmless."""
-        request = HTTPRequest(f"{self.url}/objects/{name}", method="PUT", body=body)
+        url = f"{self.url}/objects/{name}"
         try:
-            response = await call(self.client, request, self.limits)
+            response = await read_again(
+                self.client,
+                lambda: HTTPRequest(url, method="PUT", body=body),
+                self.limits,
+            )
         except CallFailed as error:
             return Error(Failure(ErrorKind.STORE_UNAVAILABLE, str(error)))
         if response.code != HTTP_OK:
--- a/tests/outcomes/bench.py
+++ b/tests/outcomes/bench.py
@@ -186,6 +186,7 @@
         "instance_list_url": world.url("instance-list"),
         "connect_timeout_seconds": 0.2,
         "idle_timeout_seconds": 0.3,
+        "instance_list_seconds": 0.1,
     }
     return Settings(**{**fields, **changes})
 
@@ -224,6 +225,9 @@
         for number in range(instances):
             daemon = Daemon(settings_for(world, f"instance-{number}"))
             await daemon.start()
+            async with asyncio.timeout(GENEROUS_SECONDS):
+                while daemon.lifecycle.refusal():
+                    await asyncio.sleep(0.01)
             bench.daemons.append(daemon)
             bench.urls.append(daemon.caller_listener.url)
         yield bench
