--- a/src/magnoliatrail/entry/places.py
+++ b/src/magnoliatrail/entry/places.py
@@ -16,6 +16,7 @@
 
 PLACES_UNTIL_TOLD = 8
 SMOOTHING = 0.1
+LEAST_RETRY_AFTER = timedelta(seconds=1)
 
 Wake = asyncio.Future[None]
 QueueLimit = Callable[[CallerId], int]
@@ -55,10 +56,11 @@
         wait = timedelta(seconds=self.service_seconds * rounds)
         if state.queue.waiting(context.caller, context.request_class) >= limit:
             message = f"{context.caller} has {limit} requests waiting for {engine}"
-            return Failure(ErrorKind.QUEUE_FULL, message, wait or None)
+            return Failure(ErrorKind.QUEUE_FULL, message, max(wait, LEAST_RETRY_AFTER))
         if wait >= context.time_left(self.clock):
             message = f"the queue for {engine} is longer than the time left"
-            return Failure(ErrorKind.DEADLINE_UNREACHABLE, message, wait)
+            retry_after = max(wait, LEAST_RETRY_AFTER)
+            return Failure(ErrorKind.DEADLINE_UNREACHABLE, message, retry_after)
         return None
 
     async def acquire(
