Report demand only for engines in use

Now an engine is reported while it has requests, and once more when it falls idle; one other owner is asked in turn.

--- a/src/magnoliatrail/daemon.py
+++ b/src/magnoliatrail/daemon.py
@@ -259,7 +259,7 @@
         await self.spread.start()
         self.coordination.start_tasks()
         self.tasks.every(settings.configuration_poll_seconds, self.spread.poll)
-        self.tasks.every(settings.heartbeat_seconds, self.placement.demand.report_all)
+        self.tasks.every(settings.heartbeat_seconds, self.placement.demand.report_due)
         self.tasks.every(CATALOGUE_SECONDS, self.refresh_catalogue)
         self.tasks.once(self.forget_operations)
         self.lifecycle.ready = True
--- a/src/magnoliatrail/peers/placement_links.py
+++ b/src/magnoliatrail/peers/placement_links.py
@@ -1,7 +1,7 @@
 """Messages between instances about demand and about turns to load."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
@@ -103,23 +103,54 @@
         self.owners = owners
         self.state = state
         self.places = places
+        self.reported_in_use: set[EngineId] = set()
+        self.next_turn = 0
         self.soon: set[InstanceId] = set()
         self.tasks: set[asyncio.Task[None]] = set()
         places.on_short = self.report_soon
 
-    async def report_all(self) -> None:
-        """Report the demand on all engines to their owners."""
-        by_owner: dict[InstanceId, list[EngineId]] = {}
-        for listed in self.fleet.engines():
-            owner = self.fleet.owner_of(EngineId(listed.id))
-            if owner:
-                by_owner.setdefault(owner, []).append(EngineId(listed.id))
-        reports = (self.report(owner, names) for owner, names in by_owner.items())
+    async def report_due(self) -> None:
+        """Report the demand on the engines in use, and hear of some others.
+
+        An instance without requests reports nothing, so that what it costs does
+        not grow with the fleet.
+        """
+        in_use = self.in_use()
+        # An engine that fell idle is reported once more, so that its owner knows.
+        due = self.by_owner(in_use | self.reported_in_use)
+        if in_use:
+            due |= self.owner_in_turn()
+        self.reported_in_use = in_use
+        reports = (self.report(owner, names) for owner, names in due.items())
         await asyncio.gather(*reports)
         now = self.clock.monotonic()
         self.state.popularity.forget_idle(now)
         self.places.forget(self.fleet.is_live)
 
+    def in_use(self) -> set[EngineId]:
+        """Return the engines that have requests, or had some since the last report."""
+        demand = self.places.demand()
+        busy = {name for name, item in demand.items() if item.in_flight + item.waiting}
+        return busy | set(self.state.directory.uses)
+
+    def by_owner(self, engines: Iterable[EngineId]) -> dict[InstanceId, list[EngineId]]:
+        """Return the engines of each owner that is known to live."""
+        owned: dict[InstanceId, list[EngineId]] = {}
+        for engine in engines:
+            owner = self.fleet.owner_of(engine)
+            if owner:
+                owned.setdefault(owner, []).append(engine)
+        return owned
+
+    def owner_in_turn(self) -> dict[InstanceId, list[EngineId]]:
+        """Return one owner with all its engines, another one each time."""
+        owned = self.by_owner(EngineId(item.id) for item in self.fleet.engines())
+        if not owned:
+            return {}
+        self.next_turn += 1
+        owner = sorted(owned)[self.next_turn % len(owned)]
+        return {owner: owned[owner]}
+
     async def report(self, owner: InstanceId, engines: list[EngineId]) -> None:
         """Report the demand on some engines to their owner."""
         report = self.state.directory.report(
@@ -157,23 +188,20 @@
         """Report once for all the requests that come up short together."""
         await self.clock.sleep(SHORT_REPORT_DELAY)
         self.soon.discard(owner)
-        engines = [
-            EngineId(listed.id)
-            for listed in self.fleet.engines()
-            if self.fleet.owner_of(EngineId(listed.id)) == owner
-        ]
+        engines = self.by_owner(self.in_use()).get(owner, [])
         await self.report(owner, engines)
 
     async def answer(self, report: DemandReport) -> Result[DemandAnswer, Failure]:
-        """Use a holder's report, and describe all engines that are owned here."""
+        """Use a holder's report, and describe the engines that it names."""
         now = self.clock.monotonic()
         holder = InstanceId(report.holder)
         owners = self.owners()
+        digests = []
         for demand in report.engines:
             owner = owners.get(EngineId(demand.engine))
             if owner:
                 take_demand(owner, holder, demand, now)
-        digests = [digest_of(owner, holder, now) for owner in owners.values()]
+                digests.append(digest_of(owner, holder, now))
         return Ok(DemandAnswer(engines=digests))
 
 
--- /dev/null
+++ b/tests/unit/test_demand_reports.py
@@ -0,0 +1,97 @@
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from expression import Ok
+
+from magnoliatrail.clock import ManualClock
+from magnoliatrail.entry.places import EntryPlaces
+from magnoliatrail.generated.permits import DemandAnswer
+from magnoliatrail.ids import AdapterVersion, EngineId, InstanceId
+from magnoliatrail.peers.placement_links import DemandLinks, Neighbours
+from magnoliatrail.routing.permit_search import RoutingState
+from magnoliatrail.wire import CallLimits
+
+LIMITS = CallLimits(timedelta(seconds=1), timedelta(seconds=1))
+MODEL = AdapterVersion("adapter", "1")
+ENGINES = 6
+OWNERS = 3
+
+
+@dataclass
+class Listed:
+    id: str
+
+
+class FleetOfEngines:
+    """Stand in for the view of a fleet whose engines have three owners."""
+
+    def engines(self):
+        return [Listed(f"engine-{number}") for number in range(ENGINES)]
+
+    def owner_of(self, engine):
+        return InstanceId(f"owner-{int(engine[-1]) % OWNERS}")
+
+    def is_live(self, engine):
+        return True
+
+
+@dataclass
+class RecordedPeers:
+    """Stand in for the client of peers, and keep the reports."""
+
+    reports: list[set[str]] = field(default_factory=list)
+
+    async def ask(self, url, report, answer_type, limits):
+        self.reports.append({demand.engine for demand in report.engines})
+        return Ok(DemandAnswer(engines=[]))
+
+
+def new_links(peers):
+    clock = ManualClock()
+    neighbours = Neighbours(
+        instance=InstanceId("one"),
+        live=lambda: [InstanceId("one")],
+        url_of=lambda peer: f"http://{peer}",
+        peers=peers,
+        limits=LIMITS,
+    )
+    return DemandLinks(
+        neighbours=neighbours,
+        clock=clock,
+        fleet=FleetOfEngines(),
+        owners=dict,
+        state=RoutingState(),
+        places=EntryPlaces(clock=clock, queue_limit=lambda caller: 8),
+    )
+
+
+def test_an_instance_without_requests_reports_nothing(run):
+    peers = RecordedPeers()
+    run(new_links(peers).report_due())
+    assert peers.reports == []
+
+
+def test_an_engine_in_use_is_reported_and_once_more_when_idle(run):
+    peers = RecordedPeers()
+    links = new_links(peers)
+    links.state.directory.record_use(EngineId("engine-0"), MODEL)
+    run(links.report_due())
+    assert {"engine-0"} <= set().union(*peers.reports)
+    # One other owner is asked in turn, so that its engines stay known.
+    assert len(peers.reports) == 2
+    peers.reports.clear()
+    run(links.report_due())
+    assert peers.reports == [{"engine-0"}]
+    peers.reports.clear()
+    run(links.report_due())
+    assert peers.reports == []
+
+
+def test_every_owner_comes_in_turn_while_there_are_requests(run):
+    peers = RecordedPeers()
+    links = new_links(peers)
+    for _ in range(OWNERS):
+        links.state.directory.record_use(EngineId("engine-0"), MODEL)
+        run(links.report_due())
+    heard = set().union(*peers.reports)
+    assert len(heard) == ENGINES
