--- a/benchmarks/clairvoyant.py
+++ b/benchmarks/clairvoyant.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 
 from magnoliatrail.ids import AdapterVersion
-from magnoliatrail.routing.rendezvous import ranked
+from magnoliatrail.rendezvous import ranked
 
 NEVER = 1 << 60
 
--- a/benchmarks/slopes/decisions.py
+++ b/benchmarks/slopes/decisions.py
@@ -14,8 +14,8 @@
 from magnoliatrail.generated.permits import PermitGrant
 from magnoliatrail.generated.platform import InstanceList
 from magnoliatrail.ids import AdapterVersion
+from magnoliatrail.rendezvous import ranked
 from magnoliatrail.routing.candidates import CandidateIndex
-from magnoliatrail.routing.rendezvous import ranked
 from magnoliatrail.wire import decode, encode
 
 ENGINES_OF_A_MODEL = (20, 200, 6_200 // BASE_MODELS)
--- a/benchmarks/strategies.py
+++ b/benchmarks/strategies.py
@@ -17,6 +17,7 @@
     urgency,
 )
 from magnoliatrail.placement.popularity import Popularity, PopularitySettings
+from magnoliatrail.rendezvous import ranked
 from magnoliatrail.routing.admission import LoadForecast, shed
 from magnoliatrail.routing.candidates import CandidateIndex
 from magnoliatrail.routing.engine_choice import (
@@ -25,7 +26,6 @@
     Residency,
     choose_engine,
 )
-from magnoliatrail.routing.rendezvous import ranked
 
 CANDIDATES = 12
 SERVICE_TIME = timedelta(seconds=0.3)
--- a/src/magnoliatrail/cli/demo.py
+++ b/src/magnoliatrail/cli/demo.py
@@ -49,7 +49,7 @@
         ("loads", str(result.loads)),
         ("load stall p50", milliseconds(percentile(result.stalls, MEDIAN))),
         ("load stall p95", milliseconds(percentile(result.stalls, TAIL))),
-        ("batch fill, mean", f"{fill:.2f}"),
+        ("batch fill, busy", f"{fill:.2f}"),
         ("repeats refused", str(result.repeats_refused)),
     ]
     for name, value in rows:
--- a/src/magnoliatrail/demo.py
+++ b/src/magnoliatrail/demo.py
@@ -210,7 +210,9 @@
     result = caller.result
     result.loads = sum(engine.loads for engine in world.engines)
     result.stalls = sorted(metrics.timings.get("load_stall", []))
-    result.batch_fill = metrics.gauges.get("batch_fill", [])
+    # An engine without requests says nothing of how well its batch is used.
+    fills = metrics.gauges.get("batch_fill", [])
+    result.batch_fill = [fill for fill in fills if fill]
     executions: Counter[str] = Counter()
     for service in world.services:
         executions.update(service.executions)
--- a/src/magnoliatrail/membership/neighbours.py
+++ b/src/magnoliatrail/membership/neighbours.py
@@ -4,7 +4,7 @@
 
 from magnoliatrail.generated.membership import MemberRecord
 from magnoliatrail.ids import InstanceId
-from magnoliatrail.routing.rendezvous import weight
+from magnoliatrail.rendezvous import weight
 
 LINKS = 3
 RING = "ring"
--- a/src/magnoliatrail/membership/preference.py
+++ b/src/magnoliatrail/membership/preference.py
@@ -3,7 +3,7 @@
 from magnoliatrail.generated.platform import ListedInstance
 from magnoliatrail.ids import EngineId, FailureDomain, InstanceId
 from magnoliatrail.membership.members import Members
-from magnoliatrail.routing.rendezvous import weight
+from magnoliatrail.rendezvous import weight
 
 
 class Preference:
--- a/src/magnoliatrail/operations/parts.py
+++ b/src/magnoliatrail/operations/parts.py
@@ -14,7 +14,7 @@
 from magnoliatrail.operations.sweep import Sweeper, round_interval
 from magnoliatrail.platform.objects import ObjectStore
 from magnoliatrail.platform.table import TableService
-from magnoliatrail.routing.rendezvous import ranked
+from magnoliatrail.rendezvous import ranked
 
 log = EventLog("operations")
 
--- a/src/magnoliatrail/peers/placement_links.py
+++ b/src/magnoliatrail/peers/placement_links.py
@@ -26,8 +26,8 @@
 from magnoliatrail.peers.client import PeerClient
 from magnoliatrail.peers.server import PeerRoute
 from magnoliatrail.placement.load_pace import LoadLimits
+from magnoliatrail.rendezvous import ranked
 from magnoliatrail.routing.permit_search import RoutingState
-from magnoliatrail.routing.rendezvous import ranked
 from magnoliatrail.wire import CallLimits
 
 log = EventLog("placement")
--- a/src/magnoliatrail/routing/candidates.py
+++ b/src/magnoliatrail/routing/candidates.py
@@ -6,7 +6,7 @@
 
 from magnoliatrail.generated.platform import ListedInstance
 from magnoliatrail.ids import EngineId
-from magnoliatrail.routing.rendezvous import weight
+from magnoliatrail.rendezvous import weight
 
 MASK_64_BITS = (1 << 64) - 1
 MIX_MULTIPLIER = 0x9E3779B97F4A7C15
--- a/tests/unit/test_rendezvous.py
+++ b/tests/unit/test_rendezvous.py
@@ -1,7 +1,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from magnoliatrail.routing.rendezvous import ranked
+from magnoliatrail.rendezvous import ranked
 
 members = st.sets(st.text(min_size=1, max_size=8), min_size=2, max_size=12)
 
