--- a/src/magnoliatrail/cli/config.py
+++ b/src/magnoliatrail/cli/config.py
@@ -12,6 +12,7 @@
 
 from magnoliatrail.cli.config_edits import (
     add,
+    change_from,
     import_,
     remove,
     set_,
@@ -24,8 +25,6 @@
 from magnoliatrail.config.in_force import initial_configuration
 from magnoliatrail.generated.configuration import (
     AcceptedEdit,
-    Change,
-    ChangeKind,
     Configuration,
     ConfigurationException,
     ConfigurationExport,
@@ -161,16 +160,7 @@
 @click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
 def check(file: Path) -> None:
     """Check an exported file without importing it."""
-    try:
-        document = msgspec.json.decode(file.read_bytes(), type=ConfigurationExport)
-    except msgspec.DecodeError as error:
-        raise click.UsageError(f"{file}: {error}; give an exported file") from error
-    change = Change(
-        kind=ChangeKind.REPLACE_ALL,
-        defaults=document.configuration.defaults,
-        exceptions=document.configuration.exceptions,
-    )
-    match replace_all(initial_configuration(), change):
+    match replace_all(initial_configuration(), change_from(file)):
         case Result(tag="ok"):
             click.echo(f"{file} can be imported")
         case Result(error=failure):
--- a/src/magnoliatrail/cli/config_edits.py
+++ b/src/magnoliatrail/cli/config_edits.py
@@ -129,22 +129,29 @@
     send(instance, change, **edit)
 
 
-@click.command("import")
-@click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
-@edit_options
-@click.pass_obj
-def import_(instance: Instance, /, file: Path, **edit: Any) -> None:
-    """Replace defaults and exceptions by those of an exported file."""
+def change_from(file: Path) -> Change:
+    """Return the change that an exported file stands for.
+
+    Raises click.UsageError if it is no exported file.
+    """
     try:
         document = msgspec.json.decode(file.read_bytes(), type=ConfigurationExport)
     except msgspec.DecodeError as error:
         raise click.UsageError(f"{file}: {error}; give an exported file") from error
-    change = Change(
+    return Change(
         kind=ChangeKind.REPLACE_ALL,
         defaults=document.configuration.defaults,
         exceptions=document.configuration.exceptions,
     )
-    send(instance, change, **edit)
+
+
+@click.command("import")
+@click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+@edit_options
+@click.pass_obj
+def import_(instance: Instance, /, file: Path, **edit: Any) -> None:
+    """Replace defaults and exceptions by those of an exported file."""
+    send(instance, change_from(file), **edit)
 
 
 @click.command("switch-off")
