Answer a request that no engine can serve within 10 s

Cause: a request was tried again until just before its deadline while no engine of its base model was live or owned, so that a caller with 600 s waited them out. Seen before, with the bound at an hour: given up at 599 s of 600 s. Now after 10 s, longer than a takeover, as not run with a time to come back.

--- a/src/magnoliatrail/entry/dispatch.py
+++ b/src/magnoliatrail/entry/dispatch.py
@@ -29,6 +29,8 @@
     longest=timedelta(seconds=1),
     total=timedelta(hours=1),
 )
+# An engine whose owner is gone has a new one by then; later nobody is to come.
+TAKEOVER_PATIENCE = timedelta(seconds=10)
 RETRY_SHARE = 0.1
 QUEUE_LIMIT = 256
 
@@ -115,6 +117,9 @@
             return False
         if delay >= request.context.time_left(self.clock):
             return False
+        waited = self.clock.monotonic() - request.context.started
+        if failure.kind is ErrorKind.NO_BACKEND_SERVER and waited > TAKEOVER_PATIENCE:
+            return False
         return failure.kind not in ENGINE_AT_FAULT or self.budget.spend()
 
     async def try_once(
