--- a/benchmarks/slopes/messages.py
+++ b/benchmarks/slopes/messages.py
@@ -50,7 +50,7 @@
         waiting=1,
         deadline_seconds=4.2,
         rate=0.05,
-        caller="bookers",
+        caller="caller-1",
     )
 
 
@@ -151,7 +151,7 @@
 def operation_row(answer_bytes: int) -> OperationRow:
     """Return the row of an operation that ran."""
     return OperationRow(
-        caller="bookers",
+        caller="caller-1",
         service="bookings",
         operation="POST bookings/confirm",
         key="shoot-4711-confirm",
--- a/src/magnoliatrail/demo.py
+++ b/src/magnoliatrail/demo.py
@@ -181,7 +181,7 @@
         name="bookings",
         setting="idempotent",
         value="false",
-        reason="a doubled confirmation double-books a model",
+        reason="a confirmation that runs twice books twice",
         author="demo",
         time=SystemClock().now().isoformat(),
     )
--- a/tests/outcomes/bench.py
+++ b/tests/outcomes/bench.py
@@ -199,7 +199,7 @@
         name="bookings",
         setting="idempotent",
         value="false",
-        reason="a doubled confirmation double-books a model",
+        reason="a confirmation that runs twice books twice",
         author="tests",
         time="2026-01-01T00:00:00+00:00",
     )
