--- a/src/magnoliatrail/standins/engine.py
+++ b/src/magnoliatrail/standins/engine.py
@@ -3,11 +3,14 @@
 import asyncio
 import hashlib
 import heapq
+from bisect import bisect_right
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
 from uuid import uuid4
 
+from msgspec.structs import replace
+
 from magnoliatrail.clock import Clock
 from magnoliatrail.generated.engine import (
     CacheEvent,
@@ -33,6 +36,7 @@
     checks_fencing: bool = False
     report_lag: timedelta = timedelta(seconds=0.2)
     cache_event_gap: int = 0
+    cache_event_lag: timedelta = timedelta()
 
 
 @dataclass
@@ -103,6 +107,7 @@
         self.running = 0
         self.highest_fencing_number = 0
         self.cache_events: list[CacheEvent] = []
+        self.cache_event_times: list[timedelta] = []
         self.last_report: tuple[timedelta, LoadReport] | None = None
 
     def check_fencing_number(self, fencing_number: int) -> None:
@@ -225,13 +230,16 @@
             sequence=sequence, kind=CacheEventKind.STORED, prefix_hash=prefix_hash
         )
         self.cache_events.append(event)
+        self.cache_event_times.append(self.clock.monotonic())
 
     def events_after(self, sequence: int) -> CacheEvents:
-        """Return cache events, without those that the gap setting drops."""
+        """Return cache events, late and without those that the gap setting drops."""
         gap = self.limits.cache_event_gap
+        told_until = self.clock.monotonic() - self.limits.cache_event_lag
+        told = bisect_right(self.cache_event_times, told_until)
         events = [
             event
-            for event in self.cache_events[sequence:]
+            for event in self.cache_events[sequence:told]
             if not gap or event.sequence % gap
         ]
         return CacheEvents(boot_id=self.boot_id, events=events)
@@ -268,9 +276,7 @@
 
 def replace_age(report: LoadReport, age: timedelta) -> LoadReport:
     """Return a report with another age."""
-    fields = {name: getattr(report, name) for name in report.__struct_fields__}
-    fields["age_seconds"] = age.total_seconds()
-    return LoadReport(**fields)
+    return replace(report, age_seconds=age.total_seconds())
 
 
 def prompt_of(order: CompletionOrder) -> str:
--- a/tests/unit/test_engine_standin.py
+++ b/tests/unit/test_engine_standin.py
@@ -1,3 +1,8 @@
+from datetime import timedelta
+
+from magnoliatrail.clock import ManualClock
+from magnoliatrail.standins.engine import EngineLimits, FakeEngine
+
 from .entry_rig import HANDLE, running_rig
 
 
@@ -17,3 +22,16 @@
             await rig.until(lambda: rig.idle)
 
     run(scenario())
+
+
+def test_cache_events_are_told_late_and_with_gaps():
+    clock = ManualClock()
+    lag = timedelta(seconds=2)
+    limits = EngineLimits(cache_event_gap=2, cache_event_lag=lag)
+    engine = FakeEngine(clock, limits, fetch=None)
+    for number in range(4):
+        engine.record_cache_event(f"prefix-{number}")
+    assert engine.events_after(0).events == []
+    clock.advance(lag)
+    told = [event.sequence for event in engine.events_after(0).events]
+    assert told == [1, 3]
