Run fewer cases of the outcomes matrix at once

Cause, likely and not proved: its cases run in real time with 2 s deadlines, and so many at once starve each other on a busy machine; two together failed in 2 of some 15 runs. Every case and check is as it was. Not run since the change.

--- a/tests/outcomes/test_matrix.py
+++ b/tests/outcomes/test_matrix.py
@@ -8,7 +8,7 @@
 
 from .bench import Bench, Tally, judge, running_bench, settled_answer
 
-AT_ONCE = 16
+AT_ONCE = 5
 
 LARGE_PADDING = "x" * 40_000
 
