Declare bookings in one place, and drop a value that nobody reads

The outcomes bench declared bookings as the demo does; it now calls the demo's function. ConfigurationInForce.age had no caller.

--- a/src/magnoliatrail/config/in_force.py
+++ b/src/magnoliatrail/config/in_force.py
@@ -40,12 +40,6 @@
         self.configuration = configuration
         return True
 
-    def age(self) -> timedelta | None:
-        """Return the time since the last confirmation, None if there was none."""
-        if self.confirmed_at is None:
-            return None
-        return self.clock.monotonic() - self.confirmed_at
-
     def confirm(self, revision: int) -> None:
         """Note that somebody else knows no newer revision than this instance."""
         if revision == self.revision and self.known:
--- a/src/magnoliatrail/demo.py
+++ b/src/magnoliatrail/demo.py
@@ -185,7 +185,6 @@
         author="demo",
         time=SystemClock().now().isoformat(),
     )
-
     edit = ConfigurationEdit(
         edit_id=new_write_id(),
         author="demo",
--- a/tests/outcomes/bench.py
+++ b/tests/outcomes/bench.py
@@ -12,18 +12,10 @@
 from tornado.httpclient import HTTPRequest
 
 from magnoliatrail.clock import SystemClock
-from magnoliatrail.config.store import ConfigurationStore
 from magnoliatrail.daemon import Daemon
+from magnoliatrail.demo import declare_bookings
 from magnoliatrail.generated.answers import ErrorAnswer, Outcome
-from magnoliatrail.generated.configuration import (
-    Change,
-    ChangeKind,
-    ConfigurationEdit,
-    ConfigurationException,
-    ScopeKind,
-)
 from magnoliatrail.generated.settings import Settings
-from magnoliatrail.ids import new_write_id
 from magnoliatrail.operations.rows import CLAIMS
 from magnoliatrail.standins.world import HOST, World, WorldSize, start_world
 from magnoliatrail.wire import CallFailed, CallLimits, call, new_http_client
@@ -191,35 +183,13 @@
     return Settings(**{**fields, **changes})
 
 
-async def declare(world: World) -> None:
-    """Declare that the operations of bookings are not idempotent."""
-    exception = ConfigurationException(
-        id="bookings-once",
-        scope=ScopeKind.SERVICE,
-        name="bookings",
-        setting="idempotent",
-        value="false",
-        reason="a confirmation that runs twice books twice",
-        author="tests",
-        time="2026-01-01T00:00:00+00:00",
-    )
-    edit = ConfigurationEdit(
-        edit_id=new_write_id(),
-        author="tests",
-        time=exception.time,
-        change=Change(kind=ChangeKind.ADD_EXCEPTION, exception=exception),
-    )
-    result = await ConfigurationStore(world.table, SystemClock()).edit(edit)
-    assert result.is_ok(), result
-
-
 @asynccontextmanager
 async def running_bench(
     instances: int = 2, size: WorldSize = SIZE
 ) -> AsyncIterator[Bench]:
     """Run instances in this process before stand-ins."""
     world = start_world(SystemClock(), size)
-    await declare(world)
+    await declare_bookings(world)
     bench = Bench(world)
     try:
         for number in range(instances):
--- a/tests/outcomes/test_killed_and_paused.py
+++ b/tests/outcomes/test_killed_and_paused.py
@@ -8,10 +8,11 @@
 import pytest
 
 from magnoliatrail.clock import ManualClock, SystemClock
+from magnoliatrail.demo import declare_bookings
 from magnoliatrail.operations.operators import OperatorLedger, Resolution
 from tests.processes.fleet import running_fleet
 
-from .bench import SIZE, Bench, Tally, declare, judge
+from .bench import SIZE, Bench, Tally, judge
 
 pytestmark = pytest.mark.processes
 
@@ -44,7 +45,7 @@
     """Run two instances as processes that know that bookings run once."""
     async with running_fleet(["one", "two"], SIZE) as fleet:
         bench = Bench(fleet.world)
-        await declare(fleet.world)
+        await declare_bookings(fleet.world)
         async with asyncio.timeout(GENEROUS_SECONDS):
             for name in ("one", "two"):
                 while (await fleet.status(name)).configuration_revision < 1:
