Look at a cell's queue once for many changes, and refuse before callers leave

Callers of streams leave after four goals without an event, so that is the time a request may wait for.

--- /dev/null
+++ b/src/magnoliatrail/cells/answers.py
@@ -0,0 +1,21 @@
+"""Answers to questions for a place."""
+
+from magnoliatrail.cells.engine_state import EngineState
+from magnoliatrail.generated.cells import PlaceAnswer, PlaceState
+
+
+def place_answer(
+    state: PlaceState,
+    engine: EngineState | None = None,
+    version: int = 0,
+    reason: str = "",
+) -> PlaceAnswer:
+    """Return an answer to a question for a place."""
+    return PlaceAnswer(
+        state=state,
+        server=engine.server.id if engine else "",
+        born=engine.server.born if engine else 0,
+        version=version,
+        retry_after_ms=0,
+        reason=reason,
+    )
--- a/src/magnoliatrail/cells/engine_state.py
+++ b/src/magnoliatrail/cells/engine_state.py
@@ -74,19 +74,33 @@
     shunned_until: timedelta = timedelta()
     failures: int = 0
     order_turn: asyncio.Lock = field(default_factory=asyncio.Lock)
-    waiting_reported: int = 0
-
-    @property
-    def backlog_tokens(self) -> int:
-        """Return the prompt tokens of requests whose first event has not come."""
-        return sum(
-            grant.prompt_tokens for grant in self.grants.values() if not grant.started
-        )
-
-    @property
-    def cache_tokens(self) -> int:
-        """Return the cache that the granted requests take at most."""
-        return sum(grant.tokens for grant in self.grants.values())
+    # Prompt tokens of granted requests whose first event has not come.
+    backlog_tokens: int = 0
+    # Cache that the granted requests take at most.
+    cache_tokens: int = 0
+
+    def add_grant(self, grant: Grant) -> None:
+        """Give a request a place."""
+        assert grant.request not in self.grants, "a request has one place"
+        self.grants[grant.request] = grant
+        self.cache_tokens += grant.tokens
+        if not grant.started:
+            self.backlog_tokens += grant.prompt_tokens
+
+    def remove_grant(self, request: str) -> Grant | None:
+        """Take a request's place back."""
+        grant = self.grants.pop(request, None)
+        if grant:
+            self.cache_tokens -= grant.tokens
+            if not grant.started:
+                self.backlog_tokens -= grant.prompt_tokens
+        return grant
+
+    def start_grant(self, grant: Grant) -> None:
+        """Note that the first event of a request came."""
+        if not grant.started:
+            grant.started = True
+            self.backlog_tokens -= grant.prompt_tokens
 
     @property
     def free_adapter_places(self) -> int:
--- a/src/magnoliatrail/cells/link.py
+++ b/src/magnoliatrail/cells/link.py
@@ -1,6 +1,7 @@
 """An instance's side of a cell: it reports to the owner and asks it for places."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -64,6 +65,9 @@
         self.instances: list[str] = []
         self.wake = asyncio.Event()
         self.reports = 0
+        # Set while this instance itself is the owner.
+        self.own_place: Callable[[PlaceRequest], Awaitable[PlaceAnswer]] | None = None
+        self.own_report: Callable[[InstanceReport], ReportAnswer] | None = None
 
     @property
     def is_alive(self) -> bool:
@@ -85,6 +89,8 @@
 
     async def place(self, message: PlaceRequest) -> PlaceAnswer | None:
         """Ask for a place; None if the owner cannot be asked."""
+        if self.own_place:
+            return await self.own_place(message)
         if not self.address:
             return None
         address = self.address
@@ -152,6 +158,10 @@
             versions=versions,
             store_reached=store_reached,
         )
+        if self.own_report:
+            answer = self.own_report(message)
+            self.take_answer(answer)
+            return answer
         address = self.address
         url = f"http://{address}{REPORT_PATH}"
         match await self.peers.ask(url, message, ReportAnswer, REPORT_LIMITS):
--- a/src/magnoliatrail/cells/loading.py
+++ b/src/magnoliatrail/cells/loading.py
@@ -1,6 +1,5 @@
 """Loads of base weights and adapters on the engines of a cell."""
 
-import asyncio
 from collections import defaultdict, deque
 from collections.abc import Callable, Collection
 from datetime import timedelta
@@ -13,6 +12,7 @@
 from magnoliatrail.ids import ServerId
 from magnoliatrail.logs import EventLog
 from magnoliatrail.metrics import Metrics
+from magnoliatrail.periodic import PeriodicTasks
 from magnoliatrail.placement.popularity import Popularity, PopularitySettings
 from magnoliatrail.platform.engine_calls import Operation, OrderOutcome
 from magnoliatrail.routing.engine_scores import (
@@ -52,18 +52,18 @@
         clock: Clock,
         metrics: Metrics,
         orders: EngineOrders,
+        tasks: PeriodicTasks,
         on_ready: Callable[[EngineState, list[str]], None],
         on_failed: Callable[[EngineState, list[str]], None],
         engines: Callable[[], Collection[EngineState]],
-        awaited: Callable[[], set[LoadedAdapter]],
     ) -> None:
         self.clock = clock
         self.metrics = metrics
         self.orders = orders
+        self.tasks = tasks
         self.on_ready = on_ready
         self.on_failed = on_failed
         self.engines = engines
-        self.awaited = awaited
         # Requests that have a place and wait for their adapter.
         self.reserved: dict[str, WaitingRequest] = {}
         self.waiters: dict[AwaitKey, list[str]] = defaultdict(list)
@@ -88,8 +88,17 @@
         """Return how long a load from the weight store takes now."""
         return STORE_LOAD * max(1.0, (self.store_loads() + 1) / self.most_store_loads())
 
-    def has_room(self, engine: EngineState, adapter: LoadedAdapter) -> bool:
-        """Return whether an adapter can be ordered to an engine now."""
+    def may_fetch(self, engine: EngineState, adapter: LoadedAdapter) -> bool:
+        """Return whether an adapter may set out for an engine now."""
+        if adapter in engine.holdings:
+            # Its place is being freed; it can come back only after that.
+            return False
+        if adapter in engine.near:
+            return True
+        return self.store_loads() < self.most_store_loads()
+
+    def has_room(self, engine: EngineState, awaited: set[LoadedAdapter]) -> bool:
+        """Return whether one more adapter can be ordered to an engine now."""
         if not engine.reported or engine.busy:
             return False
         arriving = sum(
@@ -98,16 +107,15 @@
         )
         if arriving >= MOST_LOADS_PER_ENGINE:
             return False
-        if adapter not in engine.near and (
-            self.store_loads() >= self.most_store_loads()
-        ):
-            return False
-        return engine.free_adapter_places > 0 or self.victim(engine) is not None
+        if engine.free_adapter_places > 0:
+            return True
+        return self.victim(engine, awaited) is not None
 
-    def victim(self, engine: EngineState) -> LoadedAdapter | None:
+    def victim(
+        self, engine: EngineState, awaited: set[LoadedAdapter]
+    ) -> LoadedAdapter | None:
         """Return the adapter that makes room on an engine."""
         used = engine.used_adapters()
-        awaited = self.awaited()
         now = self.clock.monotonic()
         by_name = {
             str(holding.adapter): holding.adapter
@@ -133,14 +141,18 @@
     # Adapters
 
     def start(
-        self, engine: EngineState, adapter: LoadedAdapter, now: timedelta
+        self,
+        engine: EngineState,
+        adapter: LoadedAdapter,
+        now: timedelta,
+        awaited: set[LoadedAdapter],
     ) -> bool:
         """Begin to bring an adapter; False if there is no room after all."""
-        if not self.has_room(engine, adapter):
+        if not (self.has_room(engine, awaited) and self.may_fetch(engine, adapter)):
             return False
         out = None
         if engine.free_adapter_places <= 0:
-            out = self.victim(engine)
+            out = self.victim(engine, awaited)
             assert out is not None, "has_room found a victim"
             engine.holdings[out].state = HoldingState.LEAVING
         near = adapter in engine.near
@@ -152,7 +164,7 @@
             last_used=now,
             from_store=not near,
         )
-        asyncio.create_task(self.bring(engine, adapter, out, duration))
+        self.tasks.once(lambda: self.bring(engine, adapter, out, duration))
         return True
 
     async def bring(
@@ -182,9 +194,7 @@
             holding.state = HoldingState.READY
         self.on_ready(engine, self.waiters.pop(await_key(engine, adapter), []))
 
-    async def make_room(
-        self, engine: EngineState, out: LoadedAdapter | None
-    ) -> bool:
+    async def make_room(self, engine: EngineState, out: LoadedAdapter | None) -> bool:
         """Order an adapter away, and return whether its place is free."""
         if out is None:
             return True
@@ -233,10 +243,8 @@
         now = self.clock.monotonic()
         late = now - holding.ready_at
         holding.ready_at = now + DENIED_PAUSE
-        log.info(
-            "adapter_denied", engine=engine.server.id, adapter=adapter, after=late
-        )
-        asyncio.create_task(self.look_again(engine, adapter))
+        log.info("adapter_denied", engine=engine.server.id, adapter=adapter, after=late)
+        self.tasks.once(lambda: self.look_again(engine, adapter))
 
     async def look_again(self, engine: EngineState, adapter: LoadedAdapter) -> None:
         """Ask an engine until it has an adapter or surely has not."""
--- a/src/magnoliatrail/cells/member.py
+++ b/src/magnoliatrail/cells/member.py
@@ -8,11 +8,12 @@
 
 from expression import Ok, Result
 
+from magnoliatrail.cells.answers import place_answer
 from magnoliatrail.cells.lease import RENEW_EVERY, CellLease, Identity
 from magnoliatrail.cells.link import PLACE_PATH, REPORT_PATH, OwnerLink
 from magnoliatrail.cells.news import news_since, take_news
 from magnoliatrail.cells.orders import ORDER_TIME, EngineOrders, OrderingRights
-from magnoliatrail.cells.owner import CellOwner, not_owner
+from magnoliatrail.cells.owner import CellOwner
 from magnoliatrail.clock import Clock
 from magnoliatrail.connections import ConnectionPool
 from magnoliatrail.errors import Failure
@@ -20,6 +21,7 @@
     InstanceReport,
     PlaceAnswer,
     PlaceRequest,
+    PlaceState,
     ReportAnswer,
 )
 from magnoliatrail.logs import EventLog
@@ -27,6 +29,7 @@
 from magnoliatrail.metrics import Metrics
 from magnoliatrail.peers.client import PeerClient
 from magnoliatrail.peers.server import PeerRoute
+from magnoliatrail.periodic import PeriodicTasks
 from magnoliatrail.platform.rows import RowStore
 from magnoliatrail.rendezvous import ranked
 
@@ -58,6 +61,7 @@
         peers: PeerClient,
         identity: Identity,
         generator: random.Random,
+        tasks: PeriodicTasks,
         cell: str = "0",
     ) -> None:
         self.clock = clock
@@ -66,9 +70,8 @@
         self.pool = pool
         self.identity = identity
         self.generator = generator
-        self.lease = CellLease(
-            clock=clock, store=store, identity=identity, cell=cell
-        )
+        self.tasks_of_instance = tasks
+        self.lease = CellLease(clock=clock, store=store, identity=identity, cell=cell)
         self.link = OwnerLink(clock=clock, peers=peers, identity=identity)
         self.owner: CellOwner | None = None
         self.stopping = False
@@ -131,6 +134,7 @@
             log.warning("ownership_ended", row_version=self.lease.row_version)
             self.owner.close()
             self.owner = None
+            self.link.own_place = self.link.own_report = None
         row = self.lease.row
         if row and not row.released:
             self.link.point_to(row.owner, row.address)
@@ -154,7 +158,10 @@
             orders=orders,
             may_order=lambda: self.lease.may_order(ORDER_TIME),
             generator=self.generator,
+            tasks=self.tasks_of_instance,
         )
+        self.link.own_place = self.owner.place
+        self.link.own_report = self.report_answer
         log.info("ownership_begun", fencing_number=self.lease.fencing_number)
         self.owner.sync_engines()
 
@@ -184,27 +191,29 @@
     async def answer_report(
         self, message: InstanceReport
     ) -> Result[ReportAnswer, Failure]:
-        """Answer another instance's report, or this instance's own."""
+        """Answer another instance's report."""
+        return Ok(self.report_answer(message))
+
+    def report_answer(self, message: InstanceReport) -> ReportAnswer:
+        """Take a report in and say what is new."""
         count = self.answers.get(message.instance, 0)
         self.answers[message.instance] = count + 1
         owner = self.owner
         if owner:
             owner.take_report(message)
         detailed = owner is not None and count % SUMMARY_EVERY == 0
-        return Ok(
-            ReportAnswer(
-                owner=owner is not None and self.lease.is_held,
-                row_version=self.lease.row_version,
-                news=news_since(self.view, message.versions, self.clock),
-                engines=owner.summary() if owner and detailed else [],
-                instances=sorted(owner.instances) if owner and detailed else [],
-            )
+        return ReportAnswer(
+            owner=owner is not None and self.lease.is_held,
+            row_version=self.lease.row_version,
+            news=news_since(self.view, message.versions, self.clock),
+            engines=owner.summary() if owner and detailed else [],
+            instances=sorted(owner.in_use.instances) if owner and detailed else [],
         )
 
     async def answer_place(self, message: PlaceRequest) -> Result[PlaceAnswer, Failure]:
         """Answer a question for a place."""
         if self.owner is None:
-            return Ok(not_owner())
+            return Ok(place_answer(PlaceState.NOT_OWNER))
         return Ok(await self.owner.place(message))
 
     def peer_routes(self) -> list[PeerRoute[Any]]:
@@ -223,4 +232,4 @@
         while True:
             await asyncio.sleep(0.05)
             if self.owner:
-                self.owner.pump()
+                self.owner.queue.pump()
--- a/src/magnoliatrail/cells/news.py
+++ b/src/magnoliatrail/cells/news.py
@@ -23,9 +23,7 @@
         read = table.since(versions.get(name, 0))
         age = table.age(now).total_seconds() * 1000
         rows = [row_news(row) for row in read.rows]
-        found.append(
-            TableNews(table=name, version=read.version, age_ms=age, rows=rows)
-        )
+        found.append(TableNews(table=name, version=read.version, age_ms=age, rows=rows))
     return found
 
 
--- a/src/magnoliatrail/cells/orders.py
+++ b/src/magnoliatrail/cells/orders.py
@@ -116,9 +116,7 @@
     def take_report(self, engine: EngineState, report: EngineReport) -> bool:
         """Take in what an engine says of itself, unless it is older than our orders."""
         if report.born is not None and report.born != engine.server.born:
-            log.info(
-                "engine_born_again", engine=engine.server.id, born=report.born
-            )
+            log.info("engine_born_again", engine=engine.server.id, born=report.born)
             engine.reported = False
             return False
         if engine.reported and report.orders_accepted < engine.orders_accepted:
@@ -133,7 +131,6 @@
         engine.orders_accepted = report.orders_accepted
         engine.models = {model.name for model in report.models}
         engine.busy = report.busy
-        engine.waiting_reported = report.waiting
         engine.reported = True
         engine.reported_at = self.clock.monotonic()
         self.take_holdings(engine, report)
@@ -148,13 +145,14 @@
             if adapter not in listed and holding.state is not HoldingState.ARRIVING:
                 engine.drop(adapter)
         for adapter in listed:
-            holding = engine.holdings.get(adapter)
-            if holding is None:
-                state = HoldingState.READY if adapter in ready else HoldingState.ARRIVING
+            held = engine.holdings.get(adapter)
+            there = adapter in ready
+            if held is None:
+                state = HoldingState.READY if there else HoldingState.ARRIVING
                 engine.holdings[adapter] = Holding(adapter, state, now, timedelta())
-            elif adapter in ready and holding.state is HoldingState.ARRIVING:
-                holding.state = HoldingState.READY
-                holding.ready_at = min(holding.ready_at, now)
+            elif there and held.state is HoldingState.ARRIVING:
+                held.state = HoldingState.READY
+                held.ready_at = min(held.ready_at, now)
 
 
 SETTLED = {OrderOutcome.STARTED, OrderOutcome.DONE}
--- a/src/magnoliatrail/forwarding/budget.py
+++ b/src/magnoliatrail/forwarding/budget.py
@@ -1,4 +1,4 @@
-"""This instance's part of the repeats that all instances may send together."""
+"""One instance's part of the repeats that all instances may send together."""
 
 from collections import deque
 from collections.abc import Callable
--- a/src/magnoliatrail/forwarding/engine_path.py
+++ b/src/magnoliatrail/forwarding/engine_path.py
@@ -57,6 +57,8 @@
     routed: RoutedRequest
     work: ModelWork
     ends_at: timedelta
+    # The caller leaves if no event came by then.
+    first_event_by: timedelta
     avoid: list[str] = field(default_factory=list)
     tries: int = 0
     asked: int = 0
@@ -102,8 +104,10 @@
             return
         clock, budget = self.parts.clock, self.parts.budget(routed.service)
         budget.note_request(clock.monotonic())
-        ends_at = min(request.deadline, request.received_at + routed.route.time_limit)
-        asking = EngineRequest(routed, work, ends_at)
+        route = routed.route
+        ends_at = min(request.deadline, request.received_at + route.time_limit)
+        first_event_by = min(ends_at, request.received_at + route.first_event_patience)
+        asking = EngineRequest(routed, work, ends_at, first_event_by)
         for number in range(1, MOST_TRIES + 1):
             place = await self.find_place(asking)
             if isinstance(place, NoPlace):
@@ -115,6 +119,9 @@
                 )
                 await request.answer_error(503, place.reason, place.retry_after)
                 return
+            if asking.first_event_by - clock.monotonic() <= LEAST_TIME:
+                self.end(asking, place, RunOutcome.CANCELLED)
+                break
             if number > 1 and not budget.take(clock.monotonic()):
                 self.end(asking, place, RunOutcome.CANCELLED)
                 log.info("repeat_withheld", request=request.id, service=routed.service)
@@ -136,8 +143,10 @@
         clock = self.parts.clock
         goal = asking.routed.request.received_at + asking.routed.route.goal
         patience_until = clock.monotonic() + asking.routed.route.goal * OWNER_PATIENCE
-        while asking.ends_at - clock.monotonic() > LEAST_TIME:
+        while asking.first_event_by - clock.monotonic() > LEAST_TIME:
             answer = await self.ask_owner(asking, goal)
+            if asking.first_event_by - clock.monotonic() <= LEAST_TIME:
+                break
             if answer is not None:
                 found = self.place_of(asking, answer)
                 if found is not None:
@@ -170,7 +179,7 @@
             output_tokens=asking.work.output_tokens,
             priority=asking.routed.route.priority,
             goal_left_ms=(goal - now).total_seconds() * 1000,
-            time_left_ms=(asking.ends_at - now).total_seconds() * 1000,
+            time_left_ms=(asking.first_event_by - now).total_seconds() * 1000,
             tries=asking.tries,
             avoid=asking.avoid,
         )
--- a/src/magnoliatrail/forwarding/plain_path.py
+++ b/src/magnoliatrail/forwarding/plain_path.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from tornado.httputil import HTTPHeaders
+
 from magnoliatrail.backends import BackendServer
 from magnoliatrail.forwarding.context import (
     ForwardingParts,
@@ -20,7 +22,6 @@
 from magnoliatrail.logs import EventLog
 from magnoliatrail.platform.request_headers import for_server
 from magnoliatrail.routes import RouteKind
-from tornado.httputil import HTTPHeaders
 
 log = EventLog("forwarding")
 
@@ -46,7 +47,8 @@
 
     def now(self, now: timedelta) -> float:
         """Return the score, faded."""
-        return self.score * 0.5 ** ((now - self.at) / FAILURE_FADES)
+        faded: float = 0.5 ** ((now - self.at) / FAILURE_FADES)
+        return self.score * faded
 
     def add(self, amount: float, now: timedelta) -> None:
         """Count a failure, or a success with a negative amount."""
@@ -98,19 +100,15 @@
                 log.info("repeat_withheld", request=request.id, service=routed.service)
                 break
             tried.add(server.id)
-            last = await self.attempt(
-                routed, server, self.time_for(routed, left, runs)
-            )
+            last = await self.attempt(routed, server, self.time_for(routed, left, runs))
             log_attempt(routed, last, number)
             if last.outcome is not AttemptOutcome.NOT_RUN:
                 runs += 1
             if not self.may_repeat(routed, last, runs):
                 break
-        await self.answer(routed, last, ends_at)
+        await self.answer(routed, last)
 
-    def time_for(
-        self, routed: RoutedRequest, left: timedelta, runs: int
-    ) -> timedelta:
+    def time_for(self, routed: RoutedRequest, left: timedelta, runs: int) -> timedelta:
         """Return how long an attempt may take: less if another may follow."""
         route = routed.route
         if route.kind is RouteKind.SAFE and runs + 1 < route.attempts:
@@ -177,9 +175,7 @@
             case _:
                 failures.add(1.0, now)
 
-    async def answer(
-        self, routed: RoutedRequest, attempt: Attempt | None, ends_at: timedelta
-    ) -> None:
+    async def answer(self, routed: RoutedRequest, attempt: Attempt | None) -> None:
         """Answer the caller by what the last attempt brought."""
         request = routed.request
         if attempt is None or attempt.outcome is AttemptOutcome.NOT_RUN:
@@ -195,4 +191,3 @@
                 await request.answer_error(504, attempt.reason)
             case _:
                 await request.answer_error(502, attempt.reason)
-        del ends_at
--- a/src/magnoliatrail/forwarding/server_call.py
+++ b/src/magnoliatrail/forwarding/server_call.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
+from http import HTTPStatus
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import (
@@ -114,10 +115,9 @@
         if self.is_stray:
             return None
         self.attempt.status, self.attempt.headers = self.status, headers
-        succeeded = 200 <= self.status < 300
         if not_executed(self.status, headers) or not is_signed(headers):
             return None
-        if not succeeded:
+        if not HTTPStatus.OK <= self.status < HTTPStatus.MULTIPLE_CHOICES:
             return None
         self.passes_on = True
         return self.guard(self.head(self.status, headers))
--- a/src/magnoliatrail/log_output.py
+++ b/src/magnoliatrail/log_output.py
@@ -16,7 +16,7 @@
 MOST_PENDING = 2_000
 
 
-class BoundedOutput(logbook.Handler):
+class BoundedOutput(logbook.Handler):  # type: ignore[misc]
     """Write lines to a file descriptor without ever waiting for it."""
 
     def __init__(self, descriptor: int, level: str) -> None:
--- a/src/magnoliatrail/membership/fleet_view.py
+++ b/src/magnoliatrail/membership/fleet_view.py
@@ -135,9 +135,7 @@
                 # It names no server to use; one that is known by this id stays.
                 log.warning("row_unreadable", key=row.key, reason=failure.message)
 
-    def drop_server(
-        self, id_: ServerId, *, store_was_away: bool, source: str
-    ) -> None:
+    def drop_server(self, id_: ServerId, *, store_was_away: bool, source: str) -> None:
         """Forget a server, later if it may only have lapsed with the store away."""
         server = self.servers.get(id_)
         if server is None:
--- a/src/magnoliatrail/membership/store_reader.py
+++ b/src/magnoliatrail/membership/store_reader.py
@@ -9,7 +9,7 @@
 from magnoliatrail.clock import Clock
 from magnoliatrail.logs import EventLog
 from magnoliatrail.membership.fleet_view import FleetView
-from magnoliatrail.platform.rows import RowStore
+from magnoliatrail.platform.rows import RowsRead, RowStore
 from magnoliatrail.platform.words import OPERATOR_TABLE, SERVERS_TABLE
 
 log = EventLog("membership")
@@ -67,13 +67,15 @@
         if view.fresh_at is None:
             read = await self.store.read(table)
         else:
-            read = await self.store.changes(table, view.version, wait)
-            if read.is_ok() and read.ok is None:
+            changes = await self.store.changes(table, view.version, wait)
+            if changes.is_ok() and changes.ok is None:
                 log.warning("history_gone", table=table, after=view.version)
                 asked_at = self.clock.monotonic()
                 read = await self.store.read(table)
+            else:
+                read = changes.map(known_rows)
         match read:
-            case Result(tag="ok", ok=rows) if rows is not None:
+            case Result(tag="ok", ok=rows):
                 self.note_success(table)
                 # Without news, the store answered only when the wait was over.
                 waited = wait if not (rows.rows or rows.whole) else timedelta()
@@ -95,3 +97,9 @@
             self.failing.add(table)
             age = self.view.tables[table].age(self.clock.monotonic())
             log.warning("store_lost", table=table, reason=reason, age=age)
+
+
+def known_rows(read: RowsRead | None) -> RowsRead:
+    """Return the rows of a read whose history was not gone."""
+    assert read is not None, "a history that is gone is read as a whole table"
+    return read
--- a/src/magnoliatrail/peers/client.py
+++ b/src/magnoliatrail/peers/client.py
@@ -16,9 +16,7 @@
 class PeerClient:
     """Call the peer listeners of other instances."""
 
-    def __init__(
-        self, token: str, connections: KeptConnections | None = None
-    ) -> None:
+    def __init__(self, token: str, connections: KeptConnections | None = None) -> None:
         self.connections = connections or KeptConnections()
         self.headers = {"Authorization": f"Bearer {token}"}
 
--- a/src/magnoliatrail/peers/connections.py
+++ b/src/magnoliatrail/peers/connections.py
@@ -42,4 +42,3 @@
     def close(self) -> None:
         """Close all kept connections."""
         self.pool.close()
-
--- a/src/magnoliatrail/platform/configuration_rows.py
+++ b/src/magnoliatrail/platform/configuration_rows.py
@@ -42,6 +42,7 @@
     priority: int = 0
     attempts: int = 1
     resumable: bool = False
+    gap_target_ms: float = 0
 
 
 class WireModel(msgspec.Struct):
@@ -126,6 +127,7 @@
         priority=route.priority,
         attempts=route.attempts,
         resumable=route.resumable,
+        pause_goal=timedelta(milliseconds=route.gap_target_ms),
     )
 
 
--- a/src/magnoliatrail/platform/engine_calls.py
+++ b/src/magnoliatrail/platform/engine_calls.py
@@ -1,7 +1,6 @@
 """Orders to engines and their reports."""
 
 from dataclasses import dataclass
-from datetime import timedelta
 from enum import Enum
 
 import msgspec
--- a/src/magnoliatrail/platform/request_headers.py
+++ b/src/magnoliatrail/platform/request_headers.py
@@ -91,9 +91,7 @@
 
 def passed_on(headers: HTTPHeaders) -> HTTPHeaders:
     """Return the headers of a request without those of one connection or of ours."""
-    named = {
-        name.strip().lower() for name in headers.get("Connection", "").split(",")
-    }
+    named = {name.strip().lower() for name in headers.get("Connection", "").split(",")}
     kept = HTTPHeaders()
     for name, value in headers.get_all():
         lower = name.lower()
--- a/src/magnoliatrail/platform/rows.py
+++ b/src/magnoliatrail/platform/rows.py
@@ -10,9 +10,9 @@
 from expression import Error, Ok, Result
 from tornado.httputil import HTTPHeaders
 
+from magnoliatrail.connections import ConnectionPool
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.exchange import Exchange, exchange
-from magnoliatrail.connections import ConnectionPool
 from magnoliatrail.wire import JSON_TYPE, CallFailed, CallLimits, encode
 
 HTTP_OK = 200
--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -105,6 +105,7 @@
             peers=PeerClient(self.token, KeptConnections(self.pool)),
             identity=self.identity,
             generator=self.generator,
+            tasks=self.tasks,
         )
         self.reader = StoreReader(
             clock=self.clock,
--- a/src/magnoliatrail/routes.py
+++ b/src/magnoliatrail/routes.py
@@ -5,6 +5,9 @@
 from datetime import timedelta
 from enum import Enum
 
+# Callers wait at least this long for the first event of a stream.
+LEAST_PATIENCE = timedelta(seconds=2)
+
 
 class RouteKind(Enum):
     """What may be repeated of a route's requests."""
@@ -38,6 +41,16 @@
     # Backend servers that may run one request, at most.
     attempts: int
     resumable: bool
+    # Longest pause between two events of a stream that is still on time.
+    pause_goal: timedelta = timedelta()
+
+    @property
+    def first_event_patience(self) -> timedelta:
+        """Return how long callers wait for the first event of a stream.
+
+        The platform states it: two seconds, four goals or eight pauses, the longest.
+        """
+        return max(LEAST_PATIENCE, self.goal * 4, self.pause_goal * 8)
 
     @property
     def idempotent(self) -> bool:
