--- a/src/magnoliatrail/cells/link.py
+++ b/src/magnoliatrail/cells/link.py
@@ -62,7 +62,8 @@
         self.running: dict[str, RunningRequest] = {}
         self.unreported = Unreported()
         self.engines: list[EngineSummary] = []
-        self.instances: list[str] = []
+        # Instances that report to the owner, with their addresses.
+        self.instances: dict[str, str] = {}
         self.wake = asyncio.Event()
         self.reports = 0
         # Set while this instance itself is the owner.
@@ -184,7 +185,7 @@
         if answer.engines:
             self.engines = answer.engines
         if answer.instances:
-            self.instances = answer.instances
+            self.instances = {item.instance: item.address for item in answer.instances}
 
     async def until_due(self) -> None:
         """Wait until there is something to report, or the time has come."""
--- a/src/magnoliatrail/cells/loading.py
+++ b/src/magnoliatrail/cells/loading.py
@@ -262,6 +262,19 @@
                 return
         self.give_up(engine, adapter)
 
+    def settle(self, engine: EngineState) -> None:
+        """Deliver or give up what waits for adapters that the engine has or has not."""
+        for key in [key for key in self.waiters if key[:2] == engine.server.key]:
+            holding = engine.holdings.get(key[2])
+            if holding is None:
+                self.on_failed(engine, self.waiters.pop(key))
+            elif holding.state is HoldingState.READY:
+                self.on_ready(engine, self.waiters.pop(key))
+
+    def is_awaited(self, engine: EngineState) -> bool:
+        """Return whether requests wait for adapters on an engine."""
+        return any(key[:2] == engine.server.key for key in self.waiters)
+
     # Engines
 
     async def attend(
@@ -269,10 +282,11 @@
     ) -> None:
         """Keep an engine's state true and its base weights loaded."""
         while is_current(engine):
-            loading = engine.busy or not engine.models or not engine.reported
             if not engine.order_turn.locked():
                 await self.look_at(engine)
-            await self.clock.sleep(LOADING_PAUSE if loading else REPORT_PAUSE)
+            loading = engine.busy or not engine.models or not engine.reported
+            hurried = loading or self.is_awaited(engine)
+            await self.clock.sleep(LOADING_PAUSE if hurried else REPORT_PAUSE)
 
     async def look_at(self, engine: EngineState) -> None:
         """Read an engine's report and load what it must have."""
@@ -280,6 +294,7 @@
         async with engine.order_turn:
             if not await self.orders.refresh(engine):
                 return
+            self.settle(engine)
             if not engine.models and not engine.busy:
                 await self.load_base(engine)
         if engine.models != had:
--- a/src/magnoliatrail/cells/member.py
+++ b/src/magnoliatrail/cells/member.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 from datetime import timedelta
+from functools import partial
 from typing import Any
 
 from expression import Ok, Result
@@ -19,6 +20,9 @@
 from magnoliatrail.errors import Failure
 from magnoliatrail.generated.cells import (
     InstanceReport,
+    KnownInstance,
+    NoticeAnswer,
+    OwnerNotice,
     PlaceAnswer,
     PlaceRequest,
     PlaceState,
@@ -32,6 +36,7 @@
 from magnoliatrail.periodic import PeriodicTasks
 from magnoliatrail.platform.rows import RowStore
 from magnoliatrail.rendezvous import ranked
+from magnoliatrail.wire import CallLimits
 
 log = EventLog("cells")
 
@@ -45,6 +50,10 @@
 NEWS_LATE = timedelta(milliseconds=1000)
 # Every so many reports are answered with the state of the engines.
 SUMMARY_EVERY = 4
+NOTICE_PATH = "/cell/owner"
+NOTICE_LIMITS = CallLimits(timedelta(milliseconds=300), timedelta(milliseconds=600))
+NOTICE_PAUSE = timedelta(milliseconds=400)
+MOST_NOTICES = 8
 
 
 class CellMember:
@@ -72,6 +81,8 @@
         self.generator = generator
         self.tasks_of_instance = tasks
         self.lease = CellLease(clock=clock, store=store, identity=identity, cell=cell)
+        self.peers = peers
+        self.previous_address = ""
         self.link = OwnerLink(clock=clock, peers=peers, identity=identity)
         self.owner: CellOwner | None = None
         self.stopping = False
@@ -128,6 +139,9 @@
 
     def follow_lease(self) -> None:
         """Become or cease to be the owner as the row says, and use its owner."""
+        row = self.lease.row
+        if row and not row.released and row.address != self.link.address:
+            self.previous_address = self.link.address
         if self.lease.is_mine:
             self.become_owner()
         elif self.owner:
@@ -135,7 +149,6 @@
             self.owner.close()
             self.owner = None
             self.link.own_place = self.link.own_report = None
-        row = self.lease.row
         if row and not row.released:
             self.link.point_to(row.owner, row.address)
 
@@ -157,6 +170,7 @@
             view=self.view,
             orders=orders,
             may_order=lambda: self.lease.may_order(ORDER_TIME),
+            expected=set(self.link.instances) - {self.link.owner},
             generator=self.generator,
             tasks=self.tasks_of_instance,
         )
@@ -164,6 +178,39 @@
         self.link.own_report = self.report_answer
         log.info("ownership_begun", fencing_number=self.lease.fencing_number)
         self.owner.sync_engines()
+        self.tasks_of_instance.once(self.give_notice)
+
+    async def give_notice(self) -> None:
+        """Tell the instances that are known, the last owner too, who owns the cell."""
+        row, version = self.lease.row, self.lease.row_version
+        assert row is not None, "an owner has a row"
+        notice = OwnerNotice(row=row, row_version=version)
+        addresses = {*self.link.instances.values(), self.previous_address}
+        for address in addresses - {"", self.identity.address}:
+            self.tasks_of_instance.once(partial(self.notify, address, notice))
+
+    async def notify(self, address: str, notice: OwnerNotice) -> None:
+        """Tell one instance who owns the cell, until it says that it knows."""
+        url = f"http://{address}{NOTICE_PATH}"
+        for _ in range(MOST_NOTICES):
+            if not self.lease.is_mine:
+                return
+            match await self.peers.ask(url, notice, NoticeAnswer, NOTICE_LIMITS):
+                case Result(tag="ok", ok=answer):
+                    if answer.row_version >= notice.row_version:
+                        return
+                case Result(error=failure):
+                    log.info("notice_failed", address=address, reason=failure.message)
+            await self.clock.sleep(NOTICE_PAUSE)
+
+    async def answer_notice(
+        self, message: OwnerNotice
+    ) -> Result[NoticeAnswer, Failure]:
+        """Take in who owns the cell now."""
+        if message.row_version > self.lease.row_version:
+            self.lease.note(message.row, message.row_version)
+            self.follow_lease()
+        return Ok(NoticeAnswer(row_version=self.lease.row_version))
 
     async def leave(self) -> None:
         """Release the lease; requests that wait are sent to the next owner."""
@@ -207,7 +254,7 @@
             row_version=self.lease.row_version,
             news=news_since(self.view, message.versions, self.clock),
             engines=owner.summary() if owner and detailed else [],
-            instances=sorted(owner.in_use.instances) if owner and detailed else [],
+            instances=known_instances(owner) if owner and detailed else [],
         )
 
     async def answer_place(self, message: PlaceRequest) -> Result[PlaceAnswer, Failure]:
@@ -221,6 +268,7 @@
         return [
             PeerRoute(PLACE_PATH, PlaceRequest, self.answer_place),
             PeerRoute(REPORT_PATH, InstanceReport, self.answer_report),
+            PeerRoute(NOTICE_PATH, OwnerNotice, self.answer_notice),
         ]
 
     def tasks(self) -> list[Callable[[], Any]]:
@@ -233,3 +281,11 @@
             await asyncio.sleep(0.05)
             if self.owner:
                 self.owner.queue.pump()
+
+
+def known_instances(owner: CellOwner) -> list[KnownInstance]:
+    """Return the instances that report to an owner."""
+    return [
+        KnownInstance(instance=name, address=address)
+        for name, address in sorted(owner.in_use.addresses.items())
+    ]
--- a/src/magnoliatrail/cells/owner.py
+++ b/src/magnoliatrail/cells/owner.py
@@ -38,6 +38,9 @@
 # The owner holds a question for a place open for this long, then it is asked again.
 HOLD_QUESTION = timedelta(milliseconds=700)
 
+# A new owner orders nothing until the instances told what they run, or this long.
+TELL_WITHIN = timedelta(milliseconds=800)
+
 
 class CellOwner:
     """Hold the queue of a cell and the state of its engines."""
@@ -50,6 +53,7 @@
         view: FleetView,
         orders: EngineOrders,
         may_order: Callable[[], bool],
+        expected: set[str],
         generator: random.Random,
         tasks: PeriodicTasks,
     ) -> None:
@@ -73,7 +77,7 @@
             metrics=metrics,
             loads=self.loads,
             engines=self.engines.values,
-            may_order=may_order,
+            may_order=lambda: may_order() and self.knows_what_runs(),
             grant=self.grant,
             required=self.required,
             generator=generator,
@@ -85,6 +89,9 @@
             forget=self.queue.remove,
         )
         self.closed = False
+        self.began_at = clock.monotonic()
+        # Instances that are to tell what they run before anything is evicted.
+        self.expected = expected
 
     # Engines
 
@@ -130,6 +137,12 @@
         )
         self.tasks.once(lambda: self.loads.attend(engine, self.is_current))
 
+    def knows_what_runs(self) -> bool:
+        """Return whether the instances had time to tell what they run."""
+        if self.expected <= self.in_use.told_all:
+            return True
+        return self.clock.monotonic() - self.began_at > TELL_WITHIN
+
     def is_current(self, engine: EngineState) -> bool:
         """Return whether this owner still looks after an engine."""
         return not self.closed and self.engines.get(engine.server.key) is engine
--- a/src/magnoliatrail/cells/places_in_use.py
+++ b/src/magnoliatrail/cells/places_in_use.py
@@ -49,18 +49,24 @@
         # Takes a request that needs no place any more.
         self.forget = forget
         self.placed: dict[str, tuple[EngineState, PlaceAnswer]] = {}
+        # When each instance last reported, and the address of its peer listener.
         self.instances: dict[str, timedelta] = {}
+        self.addresses: dict[str, str] = {}
+        # Instances that told all that they run.
+        self.told_all: set[str] = set()
         self.forgotten_at = timedelta()
 
     def take_report(self, report: InstanceReport) -> None:
         """Take in what an instance says of its requests."""
         now = self.clock.monotonic()
         self.instances[report.instance] = now
+        self.addresses[report.instance] = report.address
         for request in report.started:
             self.note_started(request)
         for ended in report.ended:
             self.note_ended(ended)
         if report.full:
+            self.told_all.add(report.instance)
             self.take_running(report, now)
         if now - self.forgotten_at > FORGET_EVERY:
             self.forgotten_at = now
@@ -172,6 +178,7 @@
         ]
         for name in gone:
             del self.instances[name]
+            self.addresses.pop(name, None)
             log.info("instance_silent", instance=name)
         for engine in self.engines():
             for grant in list(engine.grants.values()):
--- a/src/magnoliatrail/forwarding/handler.py
+++ b/src/magnoliatrail/forwarding/handler.py
@@ -12,6 +12,7 @@
 
 RETRY_STARTING = timedelta(milliseconds=500)
 RETRY_STOPPING = timedelta(milliseconds=100)
+ENDING = "the instance ends"
 
 
 class ForwardingHandler:
@@ -23,8 +24,9 @@
         self.parts = parts
         self.engines = engines
         self.plain = plain
-        # New requests are refused, because the process ends soon.
-        self.refusing = False
+        # New streams, or all new requests, are refused because the process ends soon.
+        self.refuses_streams = False
+        self.refuses_all = False
 
     async def handle(self, request: CallerRequest) -> None:
         """Answer one request."""
@@ -34,8 +36,8 @@
             await request.answer_error(
                 503, "no configuration is known yet", RETRY_STARTING
             )
-        elif self.refusing:
-            await request.answer_error(503, "the instance ends", RETRY_STOPPING)
+        elif self.refuses_all:
+            await request.answer_error(503, ENDING, RETRY_STOPPING)
         else:
             route = routes.match(request.host, request.path)
             if route is None:
@@ -44,8 +46,12 @@
                 service = route.service_for(self.parts.generator.random())
                 routed = RoutedRequest(request, route, service)
                 spec = routes.services.get(service)
-                path = self.engines if spec and spec.engine else self.plain
-                await path.serve(routed)
+                if not (spec and spec.engine):
+                    await self.plain.serve(routed)
+                elif self.refuses_streams:
+                    await request.answer_error(503, ENDING, RETRY_STOPPING)
+                else:
+                    await self.engines.serve(routed)
         took = self.parts.clock.monotonic() - started
         self.parts.metrics.count(f"answers.{request.status}")
         self.parts.metrics.timing("answer.time", took)
--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -40,9 +40,11 @@
 MAX_BODY_BYTES = 8 * 1024 * 1024
 # The balancer asks once a second and takes an instance out after two misses.
 OUT_OF_ROTATION = timedelta(seconds=2.6)
-# New requests are refused this long before the process would be killed, as they could
-# not end in time.
-LAST_REQUESTS = timedelta(seconds=3)
+# After SIGTERM, streams are taken on for this long, as later ones could not end in
+# time; other requests until so long before the process would be killed.
+LAST_STREAMS = timedelta(seconds=3)
+LAST_REQUESTS_BEFORE = timedelta(seconds=2)
+CLOSING_SECONDS = 0.3
 END_MARGIN = timedelta(seconds=0.7)
 
 
@@ -207,12 +209,13 @@
         await self.member.leave()
         while self.clock.monotonic() - began < grace - END_MARGIN:
             waited = self.clock.monotonic() - began
-            self.handler.refusing = waited > LAST_REQUESTS
+            self.handler.refuses_streams = waited > LAST_STREAMS
+            self.handler.refuses_all = waited > grace - LAST_REQUESTS_BEFORE
             if waited > OUT_OF_ROTATION and not self.server.tasks:
                 break
             await asyncio.sleep(0.05)
         log.info("stopped", in_flight=len(self.server.tasks))
+        closing = [asyncio.create_task(item.close()) for item in self.listeners]
+        await asyncio.wait(closing, timeout=CLOSING_SECONDS)
         await self.tasks.cancel()
-        for listener in self.listeners:
-            listener.server.stop()
         self.pool.close()
