Pace prompts to engines so that no stream pauses longer than its goal

Cause: half of the streams were late though their first event came within 100 to 300 ms: engines read prompts in pieces between the steps of running streams, four steps make an event, and four full pieces are 372 ms where 300 ms are allowed. Ruled out: waiting for places and adapters (95 of 100 waited under 350 ms), silent engines. An engine now gets no more prompt tokens within one pause than fit into it; the rest waits in the cell's queue, most urgent first.

--- a/src/magnoliatrail/cells/engine_state.py
+++ b/src/magnoliatrail/cells/engine_state.py
@@ -1,7 +1,7 @@
 """What the owner of a cell knows of one engine."""
 
 import asyncio
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
@@ -76,6 +76,9 @@
     order_turn: asyncio.Lock = field(default_factory=asyncio.Lock)
     # Prompt tokens of granted requests whose first event has not come.
     backlog_tokens: int = 0
+    # Prompts given to the engine of late, by when, and those of reserved places.
+    prompts: deque[tuple[timedelta, int]] = field(default_factory=deque)
+    reserved_tokens: int = 0
     # Cache that the granted requests take at most.
     cache_tokens: int = 0
 
@@ -96,6 +99,16 @@
                 self.backlog_tokens -= grant.prompt_tokens
         return grant
 
+    def note_prompt(self, tokens: int, now: timedelta) -> None:
+        """Note that the engine gets a prompt to read."""
+        self.prompts.append((now, tokens))
+
+    def pause_tokens(self, now: timedelta, pause: timedelta) -> int:
+        """Return the prompt tokens that the engine got within one pause."""
+        while self.prompts and self.prompts[0][0] <= now - pause:
+            self.prompts.popleft()
+        return sum(tokens for _, tokens in self.prompts) + self.reserved_tokens
+
     def start_grant(self, grant: Grant) -> None:
         """Note that the first event of a request came."""
         if not grant.started:
--- a/src/magnoliatrail/cells/member.py
+++ b/src/magnoliatrail/cells/member.py
@@ -50,6 +50,8 @@
 NEWS_LATE = timedelta(milliseconds=1000)
 # Every so many reports are answered with the state of the engines.
 SUMMARY_EVERY = 4
+# A queue moves with time too, as engines read the prompts that they got.
+PUMP_EVERY_SECONDS = 0.02
 NOTICE_PATH = "/cell/owner"
 NOTICE_LIMITS = CallLimits(timedelta(milliseconds=300), timedelta(milliseconds=600))
 NOTICE_PAUSE = timedelta(milliseconds=400)
@@ -278,7 +280,7 @@
     async def keep_pumping(self) -> None:
         """Look at the queue also when nothing happens, for what waits too long."""
         while True:
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(PUMP_EVERY_SECONDS)
             if self.owner:
                 self.owner.queue.pump()
 
--- a/src/magnoliatrail/cells/owner.py
+++ b/src/magnoliatrail/cells/owner.py
@@ -80,6 +80,7 @@
             may_order=lambda: may_order() and self.knows_what_runs(),
             grant=self.grant,
             required=self.required,
+            pause_goal=self.pause_goal,
             generator=generator,
         )
         self.in_use = PlacesInUse(
@@ -175,6 +176,14 @@
         )
         return request.answer.result() if done else place_answer(PlaceState.WAITING)
 
+    def pause_goal(self) -> timedelta:
+        """Return the shortest pause that any stream of the engines may make."""
+        routes = self.view.routes
+        if routes is None:
+            return timedelta.max
+        goals = [routes.pause_goal(name) for name in self.view.engine_services()]
+        return min(goals, default=timedelta.max)
+
     def required(self, adapter: LoadedAdapter) -> LoadedAdapter:
         """Return an adapter in the newest version that is named for it."""
         if not adapter.adapter:
@@ -206,6 +215,7 @@
         engine.add_grant(grant)
         self.queue.remove(message.request)
         self.loads.reserved[message.request] = request
+        engine.reserved_tokens += message.prompt_tokens
         if residency is Residency.READY:
             self.deliver(engine, grant, residency.value)
         else:
@@ -214,10 +224,12 @@
     def deliver(self, engine: EngineState, grant: Grant, reason: str) -> None:
         """Tell an instance that its request has a place."""
         request = self.loads.reserved.pop(grant.request, None)
+        engine.reserved_tokens -= grant.prompt_tokens
         if request is None:
             engine.remove_grant(grant.request)
             return
         now = self.clock.monotonic()
+        engine.note_prompt(grant.prompt_tokens, now)
         grant.confirmed_at = now
         answer = place_answer(PlaceState.GRANTED, engine, grant.adapter.version, reason)
         self.in_use.placed[grant.request] = (engine, answer)
@@ -256,6 +268,7 @@
             engine.remove_grant(grant.request)
             request = self.loads.reserved.pop(grant.request, None)
             if request:
+                engine.reserved_tokens -= grant.prompt_tokens
                 self.queue.waiting[grant.request] = request
         self.queue.schedule()
 
--- a/src/magnoliatrail/cells/queue.py
+++ b/src/magnoliatrail/cells/queue.py
@@ -28,6 +28,7 @@
     EngineOption,
     Residency,
     best_engine,
+    most_pause_tokens,
 )
 
 log = EventLog("cells")
@@ -68,6 +69,7 @@
         may_order: Callable[[], bool],
         grant: Grantor,
         required: Callable[[LoadedAdapter], LoadedAdapter],
+        pause_goal: Callable[[], timedelta],
         generator: random.Random,
     ) -> None:
         self.clock = clock
@@ -77,6 +79,7 @@
         self.may_order = may_order
         self.grant = grant
         self.required = required
+        self.pause_goal = pause_goal
         self.generator = generator
         self.waiting: dict[str, WaitingRequest] = {}
         self.pace = QueuePace()
@@ -222,6 +225,7 @@
         """Describe the engines as options for a request for an adapter."""
         found = []
         ranks: dict[ServerId, int] = {}
+        pause = self.pause_goal()
         for engine in engines:
             residency, ready_in = residency_of(engine, adapter, round_.now)
             if residency is Residency.ABSENT and not ranks:
@@ -233,6 +237,10 @@
                     residency=residency,
                     ready_in=ready_in,
                     backlog_tokens=engine.backlog_tokens,
+                    pause_tokens=engine.pause_tokens(round_.now, pause),
+                    most_pause_tokens=most_pause_tokens(
+                        pause, engine.spec.event_tokens
+                    ),
                     running=len(engine.grants),
                     places=engine.spec.places,
                     cache_tokens_free=engine.spec.cache_tokens * CACHE_SHARE
@@ -260,7 +268,7 @@
             elif residency in MISSING:
                 reasons["no_fetch"] += 1
             else:
-                reasons["backlog"] += 1
+                reasons["prompts"] += 1
         told = ",".join(f"{name}:{count}" for name, count in sorted(reasons.items()))
         return f"no place within the longest wait ({told or 'no engine'})"
 
--- a/src/magnoliatrail/platform/configuration_rows.py
+++ b/src/magnoliatrail/platform/configuration_rows.py
@@ -55,7 +55,7 @@
 
 
 class WireEngine(msgspec.Struct):
-    """What an engine holds: here `weights_mb` is the room for weights."""
+    """What an engine holds: `weights_mb` is its room, `stride` tokens an event."""
 
     models: list[WireModel]
     weights_mb: float
@@ -63,6 +63,7 @@
     kv_cache_tokens: int = 0
     adapter_slots: int = 0
     loads_per_s: float = 1
+    stride: int = 1
 
 
 class WireService(msgspec.Struct):
@@ -159,6 +160,7 @@
         adapter_places=engine.adapter_slots,
         weights_mb=engine.weights_mb,
         loads_per_second=engine.loads_per_s,
+        event_tokens=engine.stride,
         models=models,
     )
 
--- a/src/magnoliatrail/routes.py
+++ b/src/magnoliatrail/routes.py
@@ -86,6 +86,8 @@
     adapter_places: int
     weights_mb: float
     loads_per_second: float
+    # Tokens that one event of a stream holds.
+    event_tokens: int
     models: Mapping[str, ModelSpec]
 
 
@@ -119,6 +121,16 @@
             routes.sort(key=lambda route: len(route.prefix), reverse=True)
         object.__setattr__(self, "by_host", index)
 
+    def pause_goal(self, service: str) -> timedelta:
+        """Return the shortest pause that any stream of a service may make."""
+        pauses = [
+            route.pause_goal
+            for route in self.routes
+            if route.pause_goal
+            and any(share.service == service for share in route.shares)
+        ]
+        return min(pauses, default=timedelta.max)
+
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins the path."""
         name = host.partition(":")[0].lower()
--- a/src/magnoliatrail/routing/engine_scores.py
+++ b/src/magnoliatrail/routing/engine_scores.py
@@ -1,5 +1,6 @@
 """Which engine serves a request, and which adapter makes room for it."""
 
+import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
@@ -17,6 +18,10 @@
 # already has the adapter may be this much slower.
 STORE_LOAD_PENALTY = timedelta(milliseconds=500)
 NEAR_LOAD_PENALTY = timedelta(milliseconds=20)
+# Time of one step of a batch without prompts, for a batch of some thirty.
+STEP = timedelta(milliseconds=9)
+# Part of the longest pause that may be used up, as steps vary.
+PAUSE_SHARE = 0.93
 # Prompts that wait before an engine beyond this serve nobody sooner.
 MAX_BACKLOG = timedelta(milliseconds=900)
 # Part of the engine's cache that requests may be expected to fill.
@@ -41,6 +46,9 @@
     # Until the adapter can be used there, if it is arriving.
     ready_in: timedelta
     backlog_tokens: int
+    # Prompt tokens that the engine got within one pause, and may get at most.
+    pause_tokens: int
+    most_pause_tokens: float
     running: int
     places: int
     cache_tokens_free: float
@@ -63,6 +71,18 @@
     return timedelta(milliseconds=tokens / PREFILL_TOKENS_PER_MS)
 
 
+def most_pause_tokens(pause_goal: timedelta, event_tokens: int) -> float:
+    """Return how many prompt tokens an engine may read between two events.
+
+    Prompts are read between the steps of the running streams, so that each step is
+    longer; an event comes after some steps, and must come within the pause.
+    """
+    if pause_goal == timedelta.max:
+        return math.inf
+    free = pause_goal * PAUSE_SHARE - STEP * event_tokens
+    return max(0.0, free / timedelta(milliseconds=1)) * PREFILL_TOKENS_PER_MS
+
+
 def fits(option: EngineOption, need: EngineNeed) -> bool:
     """Return whether an engine can take a request now."""
     if option.running >= option.places:
@@ -73,6 +93,9 @@
         return False
     if backlog_time(option.backlog_tokens) > MAX_BACKLOG:
         return False
+    within_pause = option.pause_tokens + need.prompt_tokens <= option.most_pause_tokens
+    if option.pause_tokens and not within_pause:
+        return False
     in_place = option.residency in (Residency.READY, Residency.ARRIVING)
     return in_place or option.has_room
 
