--- a/src/magnoliatrail/cells/loading.py
+++ b/src/magnoliatrail/cells/loading.py
@@ -138,6 +138,10 @@
         """Count a use of an adapter."""
         self.popularity.record(str(adapter), now)
 
+    def use_rate(self, adapter: LoadedAdapter, now: timedelta) -> float:
+        """Return the uses a second of an adapter."""
+        return self.popularity.rate(str(adapter), now)
+
     # Adapters
 
     def start(
--- a/src/magnoliatrail/cells/queue.py
+++ b/src/magnoliatrail/cells/queue.py
@@ -181,6 +181,10 @@
         best = best_engine(options, need, self.loads.store_load())
         if best is None:
             return False
+        if best.residency is Residency.ABSENT and self.awaits_copy(
+            request, options, round_.now
+        ):
+            return False
         engine = candidates[ServerId(best.engine)]
         if best.residency in MISSING:
             round_.room.pop(engine.server.id, None)
@@ -195,6 +199,14 @@
         self.grant(request, engine, best.residency)
         return True
 
+    def awaits_copy(
+        self, request: WaitingRequest, options: list[EngineOption], now: timedelta
+    ) -> bool:
+        """Return whether to wait for an engine that has the adapter, or had it."""
+        if all(option.residency is Residency.ABSENT for option in options):
+            return False
+        return request.awaits_copy(now, self.loads.use_rate(request.adapter, now))
+
     def candidates(
         self, request: WaitingRequest, round_: Round
     ) -> Iterable[EngineState]:
--- a/src/magnoliatrail/cells/waiting.py
+++ b/src/magnoliatrail/cells/waiting.py
@@ -9,7 +9,13 @@
 from magnoliatrail.generated.cells import PlaceAnswer, PlaceRequest, PlaceState
 
 # A request waits for a place at most this share of the time that its caller has.
-LONGEST_WAIT_SHARE = 0.35
+LONGEST_WAIT_SHARE = 0.7
+# For an engine that has its adapter a request waits this share of its longest wait
+# before a second copy is brought from the weight store, less if the adapter is used
+# often, so that one engine may be too few.
+COPY_WAIT_SHARE = 0.3
+COPY_WAIT_SHARE_OFTEN = 0.05
+OFTEN_USES_PER_SECOND = 1.5
 # Head start in the queue of each step in priority.
 PRIORITY_STEP = timedelta(milliseconds=150)
 # Grants of this long tell how fast the queue moves.
@@ -29,12 +35,18 @@
     adapter: LoadedAdapter
     asked_at: timedelta
     goal_at: timedelta
+    # The caller gives up without a first event by then, and with one at the latter.
     deadline: timedelta
+    caller_until: timedelta
     answer: asyncio.Future[PlaceAnswer] = field(
         default_factory=lambda: asyncio.get_running_loop().create_future()
     )
-    # Whether a place is reserved on an engine to which its adapter is on its way.
-    reserved: bool = False
+
+    def awaits_copy(self, now: timedelta, uses_per_second: float) -> bool:
+        """Return whether to wait for an engine that has the adapter, or had it."""
+        often = uses_per_second >= OFTEN_USES_PER_SECOND
+        share = COPY_WAIT_SHARE_OFTEN if often else COPY_WAIT_SHARE
+        return now - self.asked_at < self.longest_wait * share
 
     @property
     def longest_wait(self) -> timedelta:
@@ -50,6 +62,7 @@
         asked_at=now,
         goal_at=now + timedelta(milliseconds=message.goal_left_ms),
         deadline=now + timedelta(milliseconds=message.time_left_ms),
+        caller_until=now + timedelta(milliseconds=message.deadline_left_ms),
     )
 
 
@@ -95,7 +108,7 @@
 
     `point` of 0 to 1 spreads those who are refused together.
     """
-    left = request.deadline - now
+    left = request.caller_until - now
     longest = max(LEAST_RETRY_AFTER, left * RETRY_SHARE)
     back = min(longest, max(LEAST_RETRY_AFTER, wait * (0.75 + 0.5 * point)))
     return PlaceAnswer(
--- a/src/magnoliatrail/forwarding/engine_path.py
+++ b/src/magnoliatrail/forwarding/engine_path.py
@@ -180,6 +180,7 @@
             priority=asking.routed.route.priority,
             goal_left_ms=(goal - now).total_seconds() * 1000,
             time_left_ms=(asking.first_event_by - now).total_seconds() * 1000,
+            deadline_left_ms=(asking.ends_at - now).total_seconds() * 1000,
             tries=asking.tries,
             avoid=asking.avoid,
         )
