Divide the engines into cells with an owner each

Cells are sized by engines, fixed by one row of the store; adapters are shared out by weighted rendezvous, busy ones over several cells. Instances report less often the more they are, and only rows that changed in substance are passed on.

--- /dev/null
+++ b/src/magnoliatrail/cells/fleet_cells.py
@@ -0,0 +1,216 @@
+"""All cells of the fleet, as one instance takes part in them."""
+
+import random
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+import msgspec
+from expression import Ok, Result
+
+from magnoliatrail.cells.answers import place_answer
+from magnoliatrail.cells.layout import cell_count, cell_ids, cell_order, cell_sizes
+from magnoliatrail.cells.link import PLACE_PATH, REPORT_PATH, OwnerLink
+from magnoliatrail.cells.member import NEWS_CELL, NOTICE_PATH, CellMember
+from magnoliatrail.clock import Clock
+from magnoliatrail.errors import ErrorKind, Failure
+from magnoliatrail.generated.cells import (
+    InstanceReport,
+    LayoutRow,
+    NoticeAnswer,
+    OwnerNotice,
+    PlaceAnswer,
+    PlaceRequest,
+    PlaceState,
+    ReportAnswer,
+)
+from magnoliatrail.ids import CellId
+from magnoliatrail.logs import EventLog
+from magnoliatrail.membership.fleet_view import FleetView
+from magnoliatrail.peers.server import PeerRoute
+from magnoliatrail.platform.rows import RowStore, RowWrite
+from magnoliatrail.platform.words import CELLS_TABLE
+from magnoliatrail.wire import encode
+
+log = EventLog("cells")
+
+LAYOUT_KEY = "layout"
+LOOK_EVERY = timedelta(milliseconds=300)
+# Engines that started with this instance are listed within this time.
+LISTED_WITHIN = timedelta(seconds=1.5)
+# News of the store older than this is read again by each instance itself; with many
+# instances, reports come less often.
+NEWS_LATE = timedelta(milliseconds=1000)
+NEWS_LATE_REPORTS = 2.0
+# An instance that owns a cell leaves the next to others for this long.
+OWNER_HANDICAP = timedelta(milliseconds=700)
+
+NewMember = Callable[[CellId, int], CellMember]
+
+
+class FleetCells:
+    """Hold this instance's part in every cell."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        store: RowStore,
+        view: FleetView,
+        generator: random.Random,
+        new_member: NewMember,
+    ) -> None:
+        self.clock = clock
+        self.store = store
+        self.view = view
+        self.generator = generator
+        self.new_member = new_member
+        self.members: dict[CellId, CellMember] = {}
+
+    # The layout
+
+    async def find_layout(self) -> None:
+        """Learn into how many cells the engines are divided, or decide it."""
+        engines_seen_at: timedelta | None = None
+        while not self.members:
+            row = await self.read_layout()
+            if row:
+                self.divide(row.cells)
+                return
+            now = self.clock.monotonic()
+            engines = self.engine_count()
+            if engines and engines_seen_at is None:
+                engines_seen_at = now
+            if engines_seen_at is not None and now - engines_seen_at > LISTED_WITHIN:
+                await self.write_layout(cell_count(engines))
+            else:
+                await self.clock.sleep(LOOK_EVERY)
+
+    def engine_count(self) -> int:
+        """Return how many engines are listed."""
+        services = self.view.engine_services()
+        return sum(len(self.view.usable(service)) for service in services)
+
+    async def read_layout(self) -> LayoutRow | None:
+        """Read the layout; None if there is none, or the store does not answer."""
+        match await self.store.read(CELLS_TABLE):
+            case Result(tag="ok", ok=read):
+                for row in read.rows:
+                    if row.key == LAYOUT_KEY and row.value is not None:
+                        return msgspec.json.decode(row.value, type=LayoutRow)
+            case Result(error=failure):
+                log.warning("layout_unread", reason=failure.message)
+                await self.clock.sleep(LOOK_EVERY)
+        return None
+
+    async def write_layout(self, cells: int) -> None:
+        """Decide the layout, unless another instance did."""
+        write = RowWrite(CELLS_TABLE, LAYOUT_KEY, encode(LayoutRow(cells=cells)), 0)
+        match await self.store.commit([write]):
+            case Result(tag="ok", ok=version):
+                log.info("layout_decided", cells=cells, row_version=version)
+            case Result(error=failure):
+                log.info("layout_not_written", reason=failure.message)
+
+    def divide(self, cells: int) -> None:
+        """Take part in so many cells."""
+        log.info("layout_known", cells=cells)
+        for cell in cell_ids(cells):
+            member = self.new_member(cell, cells)
+            self.members[cell] = member
+            member.start()
+
+    # Reads of the store
+
+    def reads_store(self, age: timedelta) -> bool:
+        """Return whether this instance reads the store: for all, or as news is late."""
+        reader = self.members.get(NEWS_CELL)
+        if reader is None or reader.owner:
+            return True
+        return age > max(NEWS_LATE, reader.link.report_every * NEWS_LATE_REPORTS)
+
+    # Use
+
+    @property
+    def owns_any(self) -> bool:
+        """Return whether this instance owns a cell."""
+        return any(member.owner for member in self.members.values())
+
+    @property
+    def instances(self) -> int:
+        """Return how many instances are known to take part."""
+        known = [len(member.link.instances) for member in self.members.values()]
+        return max(known, default=1) or 1
+
+    def links_for(self, adapter: str) -> list[OwnerLink]:
+        """Return the links to the cells that may serve an adapter, the best first.
+
+        Requests for a busy adapter are spread over several cells.
+        """
+        if len(self.members) <= 1:
+            return [member.link for member in self.members.values()]
+        order = self.order_for(adapter)
+        spread = self.members[order[0]].link.spread.get(adapter, 1)
+        if not adapter.partition("/")[2]:
+            spread = len(order)
+        first = self.generator.randrange(min(spread, len(order)))
+        ids = [order[first], *order[:first], *order[first + 1 :]]
+        return [self.members[cell].link for cell in ids]
+
+    def order_for(self, adapter: str) -> list[CellId]:
+        """Return the cells in the order in which they serve an adapter."""
+        servers = [
+            server.id
+            for service in self.view.engine_services()
+            for server in self.view.usable(service)
+        ]
+        return cell_order(adapter, cell_sizes(servers, len(self.members)))
+
+    def handicap(self) -> timedelta:
+        """Return how much later this instance claims a lease, if it owns one."""
+        return OWNER_HANDICAP if self.owns_any else timedelta()
+
+    async def leave(self) -> None:
+        """Release all leases."""
+        for member in self.members.values():
+            await member.leave()
+
+    # Messages
+
+    async def answer_place(self, message: PlaceRequest) -> Result[PlaceAnswer, Failure]:
+        """Answer a question for a place."""
+        member = self.members.get(CellId(message.cell))
+        if member is None or member.owner is None:
+            return Ok(place_answer(PlaceState.NOT_OWNER))
+        return Ok(await member.owner.place(message))
+
+    async def answer_report(
+        self, message: InstanceReport
+    ) -> Result[ReportAnswer, Failure]:
+        """Answer another instance's report."""
+        member = self.members.get(CellId(message.cell))
+        if member is None:
+            return Result.Error(unknown_cell(message.cell))
+        return Ok(member.report_answer(message))
+
+    async def answer_notice(
+        self, message: OwnerNotice
+    ) -> Result[NoticeAnswer, Failure]:
+        """Take in who owns a cell now."""
+        member = self.members.get(CellId(message.cell))
+        if member is None:
+            return Result.Error(unknown_cell(message.cell))
+        return Ok(member.take_notice(message))
+
+    def peer_routes(self) -> list[PeerRoute[Any]]:
+        """Return the messages that this instance takes."""
+        return [
+            PeerRoute(PLACE_PATH, PlaceRequest, self.answer_place),
+            PeerRoute(REPORT_PATH, InstanceReport, self.answer_report),
+            PeerRoute(NOTICE_PATH, OwnerNotice, self.answer_notice),
+        ]
+
+
+def unknown_cell(cell: str) -> Failure:
+    """Return the failure for a message about a cell that is not known here."""
+    return Failure(ErrorKind.STARTING, f"cell {cell} is not known here yet")
--- /dev/null
+++ b/src/magnoliatrail/cells/layout.py
@@ -0,0 +1,51 @@
+"""Which cell an engine belongs to, and which cells serve an adapter."""
+
+import hashlib
+import math
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from functools import lru_cache
+
+from magnoliatrail.ids import CellId, ServerId
+from magnoliatrail.rendezvous import weight
+
+# Engines that one owner looks after, so that its processor is used to a third at most.
+ENGINES_PER_CELL = 16
+MOST_CELLS = 400
+KNOWN_PLACES = 1 << 17
+
+
+def cell_count(engines: int) -> int:
+    """Return how many cells a fleet of engines is divided into."""
+    return max(1, min(MOST_CELLS, round(engines / ENGINES_PER_CELL)))
+
+
+def cell_ids(count: int) -> list[CellId]:
+    """Return the names of the cells."""
+    return [CellId(str(number)) for number in range(count)]
+
+
+@lru_cache(maxsize=KNOWN_PLACES)
+def cell_of(server: ServerId, count: int) -> CellId:
+    """Return the cell of an engine; it stays, whatever other engines come or go."""
+    return max(cell_ids(count), key=lambda cell: weight(cell, server))
+
+
+def cell_sizes(servers: Iterable[ServerId], count: int) -> dict[CellId, int]:
+    """Return how many engines each cell has."""
+    found = Counter(cell_of(server, count) for server in servers)
+    return {cell: found[cell] for cell in cell_ids(count)}
+
+
+def cell_order(adapter: str, sizes: Mapping[CellId, int]) -> list[CellId]:
+    """Return the cells in the order in which they serve an adapter.
+
+    A cell is first for a share of the adapters in proportion to its engines.
+    """
+
+    def rank(cell: CellId) -> float:
+        digest = hashlib.blake2b(f"{cell}\0{adapter}".encode(), digest_size=8).digest()
+        point = (int.from_bytes(digest, "big") + 1) / 2.0**64
+        return -math.log(point) / max(0.01, sizes[cell])
+
+    return sorted(sizes, key=rank)
--- a/src/magnoliatrail/cells/lease.py
+++ b/src/magnoliatrail/cells/lease.py
@@ -9,7 +9,7 @@
 from magnoliatrail.clock import Clock
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.generated.cells import OwnerRow
-from magnoliatrail.ids import FencingNumber, Incarnation, InstanceId
+from magnoliatrail.ids import CellId, FencingNumber, Incarnation, InstanceId
 from magnoliatrail.logs import EventLog
 from magnoliatrail.platform.rows import RowStore, RowWrite
 from magnoliatrail.platform.words import CELLS_TABLE
@@ -37,7 +37,7 @@
     """Hold, renew, claim and release the lease on one cell."""
 
     def __init__(
-        self, *, clock: Clock, store: RowStore, identity: Identity, cell: str
+        self, *, clock: Clock, store: RowStore, identity: Identity, cell: CellId
     ) -> None:
         self.clock = clock
         self.store = store
--- a/src/magnoliatrail/cells/link.py
+++ b/src/magnoliatrail/cells/link.py
@@ -19,6 +19,7 @@
     ReportAnswer,
     RunningRequest,
 )
+from magnoliatrail.ids import CellId
 from magnoliatrail.logs import EventLog
 from magnoliatrail.peers.client import PeerClient
 from magnoliatrail.wire import CallLimits
@@ -32,11 +33,16 @@
 REPORT_LIMITS = CallLimits(timedelta(milliseconds=300), timedelta(milliseconds=700))
 # Reports come at least this often, and at most.
 REPORT_EVERY = timedelta(milliseconds=250)
+REPORT_EVERY_AT_MOST = timedelta(milliseconds=700)
 REPORT_GAP = timedelta(milliseconds=25)
+# With many instances each reports less often, so that the owner's work stays bounded.
+REPORT_EVERY_PER_INSTANCE = timedelta(milliseconds=8)
+REPORT_GAP_PER_INSTANCE = timedelta(milliseconds=1.2)
 # Each of these many reports lists all running requests.
 FULL_EVERY = 4
 # An owner that did not answer for this long is taken for gone.
 SUSPECT_AFTER = timedelta(milliseconds=700)
+SUSPECT_REPORTS = 2.2
 
 
 @dataclass
@@ -50,10 +56,13 @@
 class OwnerLink:
     """Talk to the owner of one cell."""
 
-    def __init__(self, *, clock: Clock, peers: PeerClient, identity: Identity) -> None:
+    def __init__(
+        self, *, clock: Clock, peers: PeerClient, identity: Identity, cell: CellId
+    ) -> None:
         self.clock = clock
         self.peers = peers
         self.identity = identity
+        self.cell = cell
         self.owner = ""
         self.address = ""
         self.answered_at: timedelta | None = None
@@ -62,6 +71,8 @@
         self.running: dict[str, RunningRequest] = {}
         self.unreported = Unreported()
         self.engines: list[EngineSummary] = []
+        # Adapters that are too busy for this cell alone, and the cells that they need.
+        self.spread: dict[str, int] = {}
         # Instances that report to the owner, with their addresses.
         self.instances: dict[str, str] = {}
         self.wake = asyncio.Event()
@@ -75,7 +86,19 @@
         """Return whether the owner answered of late."""
         if self.answered_at is None or not self.address:
             return False
-        return self.clock.monotonic() - self.answered_at < SUSPECT_AFTER
+        patience = max(SUSPECT_AFTER, self.report_every * SUSPECT_REPORTS)
+        return self.clock.monotonic() - self.answered_at < patience
+
+    @property
+    def report_every(self) -> timedelta:
+        """Return the longest time between two reports."""
+        wanted = REPORT_EVERY_PER_INSTANCE * len(self.instances)
+        return min(REPORT_EVERY_AT_MOST, max(REPORT_EVERY, wanted))
+
+    @property
+    def report_gap(self) -> timedelta:
+        """Return the shortest time between two reports."""
+        return max(REPORT_GAP, REPORT_GAP_PER_INSTANCE * len(self.instances))
 
     def point_to(self, owner: str, address: str) -> None:
         """Use another owner from now on."""
@@ -103,6 +126,9 @@
                     return None
                 return answer
             case Result(error=failure):
+                if address == self.address:
+                    # Not asked again before it has answered a report.
+                    self.answered_at = None
                 log.warning(
                     "owner_silent",
                     request=message.request,
@@ -149,6 +175,7 @@
         full = self.reports % FULL_EVERY == 0
         self.reports += 1
         message = InstanceReport(
+            cell=self.cell,
             instance=self.identity.instance,
             incarnation=self.identity.incarnation,
             address=self.identity.address,
@@ -184,15 +211,16 @@
         self.lapsed = not answer.owner
         if answer.engines:
             self.engines = answer.engines
+            self.spread = {item.adapter: item.cells for item in answer.spread}
         if answer.instances:
             self.instances = {item.instance: item.address for item in answer.instances}
 
     async def until_due(self) -> None:
         """Wait until there is something to report, or the time has come."""
         try:
-            async with asyncio.timeout(REPORT_EVERY.total_seconds()):
+            async with asyncio.timeout(self.report_every.total_seconds()):
                 await self.wake.wait()
-            await self.clock.sleep(REPORT_GAP)
+            await self.clock.sleep(self.report_gap)
         except TimeoutError:
             pass
         self.wake.clear()
--- a/src/magnoliatrail/cells/loading.py
+++ b/src/magnoliatrail/cells/loading.py
@@ -1,5 +1,6 @@
 """Loads of base weights and adapters on the engines of a cell."""
 
+import math
 from collections import defaultdict, deque
 from collections.abc import Callable, Collection
 from datetime import timedelta
@@ -68,6 +69,8 @@
         self.reserved: dict[str, WaitingRequest] = {}
         self.waiters: dict[AwaitKey, list[str]] = defaultdict(list)
         self.popularity: Popularity[str] = Popularity(POPULARITY)
+        # Cells over which the requests for busy adapters are spread.
+        self.spread: dict[str, int] = {}
         self.weight_loads: deque[timedelta] = deque()
 
     # Room
@@ -138,6 +141,26 @@
         """Count a use of an adapter."""
         self.popularity.record(str(adapter), now)
 
+    def busy_adapters(self, cells: int, share: float) -> dict[str, int]:
+        """Return the adapters with more than a share of all uses, and their cells.
+
+        An adapter whose requests go to some cells already counts that many times.
+        """
+        now = self.clock.monotonic()
+        rates = {
+            name: self.popularity.rate(name, now) for name in self.popularity.counts
+        }
+        total = sum(rates.values())
+        found: dict[str, int] = {}
+        for name, rate in rates.items():
+            key = name.partition("@")[0]
+            all_uses = rate * self.spread.get(key, 1)
+            needed = math.ceil(all_uses / (share * total)) if total else 1
+            if needed > 1:
+                found[key] = min(cells, needed)
+        self.spread = found
+        return found
+
     def use_rate(self, adapter: LoadedAdapter, now: timedelta) -> float:
         """Return the uses a second of an adapter."""
         return self.popularity.rate(str(adapter), now)
--- a/src/magnoliatrail/cells/member.py
+++ b/src/magnoliatrail/cells/member.py
@@ -5,34 +5,30 @@
 from collections.abc import Callable
 from datetime import timedelta
 from functools import partial
-from typing import Any
 
-from expression import Ok, Result
+from expression import Result
 
-from magnoliatrail.cells.answers import place_answer
+from magnoliatrail.cells.layout import cell_of
 from magnoliatrail.cells.lease import RENEW_EVERY, CellLease, Identity
-from magnoliatrail.cells.link import PLACE_PATH, REPORT_PATH, OwnerLink
+from magnoliatrail.cells.link import OwnerLink
 from magnoliatrail.cells.news import news_since, take_news
 from magnoliatrail.cells.orders import ORDER_TIME, EngineOrders, OrderingRights
 from magnoliatrail.cells.owner import CellOwner
 from magnoliatrail.clock import Clock
 from magnoliatrail.connections import ConnectionPool
-from magnoliatrail.errors import Failure
 from magnoliatrail.generated.cells import (
+    AdapterSpread,
     InstanceReport,
     KnownInstance,
     NoticeAnswer,
     OwnerNotice,
-    PlaceAnswer,
-    PlaceRequest,
-    PlaceState,
     ReportAnswer,
 )
+from magnoliatrail.ids import CellId
 from magnoliatrail.logs import EventLog
 from magnoliatrail.membership.fleet_view import FleetView
 from magnoliatrail.metrics import Metrics
 from magnoliatrail.peers.client import PeerClient
-from magnoliatrail.peers.server import PeerRoute
 from magnoliatrail.periodic import PeriodicTasks
 from magnoliatrail.platform.rows import RowStore
 from magnoliatrail.rendezvous import ranked
@@ -46,13 +42,15 @@
 # Candidates for a free lease try one after the other, this far apart.
 CLAIM_STEP = timedelta(milliseconds=120)
 MOST_CLAIM_STEPS = 6
-# News of the store older than this is read again by each instance itself.
-NEWS_LATE = timedelta(milliseconds=1000)
 # Every so many reports are answered with the state of the engines.
 SUMMARY_EVERY = 4
 # A queue moves with time too, as engines read the prompts that they got.
 PUMP_EVERY_SECONDS = 0.02
 NOTICE_PATH = "/cell/owner"
+# The owner of this cell reads the store for all instances.
+NEWS_CELL = CellId("0")
+# An adapter with more than this share of a cell's requests needs more cells.
+BUSY_SHARE = 0.35
 NOTICE_LIMITS = CallLimits(timedelta(milliseconds=300), timedelta(milliseconds=600))
 NOTICE_PAUSE = timedelta(milliseconds=400)
 MOST_NOTICES = 8
@@ -73,7 +71,9 @@
         identity: Identity,
         generator: random.Random,
         tasks: PeriodicTasks,
-        cell: str = "0",
+        cell: CellId,
+        cells: int,
+        handicap: Callable[[], timedelta],
     ) -> None:
         self.clock = clock
         self.metrics = metrics
@@ -82,20 +82,23 @@
         self.identity = identity
         self.generator = generator
         self.tasks_of_instance = tasks
+        self.cell = cell
+        self.cells = cells
+        # How much later than others this instance claims a free lease.
+        self.handicap = handicap
         self.lease = CellLease(clock=clock, store=store, identity=identity, cell=cell)
         self.peers = peers
         self.previous_address = ""
-        self.link = OwnerLink(clock=clock, peers=peers, identity=identity)
+        self.link = OwnerLink(clock=clock, peers=peers, identity=identity, cell=cell)
         self.owner: CellOwner | None = None
         self.stopping = False
         self.answers: dict[str, int] = {}
         self.view.on_change.append(self.view_changed)
 
-    # Reads of the store
-
-    def reads_store(self, age: timedelta) -> bool:
-        """Return whether this instance reads the store now: as owner, or late."""
-        return self.owner is not None or age > NEWS_LATE
+    @property
+    def gives_news(self) -> bool:
+        """Return whether the owner of this cell passes the store's news on."""
+        return self.cell == NEWS_CELL
 
     def view_changed(self) -> None:
         """Let the owner see what is new about engines."""
@@ -136,8 +139,9 @@
         if self.identity.instance in names:
             order = ranked(f"{self.lease.key}/{self.lease.row_version}", names)
             step = order.index(self.identity.instance)
-            return CLAIM_STEP * min(step, MOST_CLAIM_STEPS)
-        return CLAIM_STEP * self.generator.uniform(0, MOST_CLAIM_STEPS / 2)
+            return CLAIM_STEP * min(step, MOST_CLAIM_STEPS) + self.handicap()
+        point = self.generator.uniform(0, MOST_CLAIM_STEPS / 2)
+        return CLAIM_STEP * point + self.handicap()
 
     def follow_lease(self) -> None:
         """Become or cease to be the owner as the row says, and use its owner."""
@@ -170,6 +174,7 @@
             clock=self.clock,
             metrics=self.metrics,
             view=self.view,
+            in_cell=lambda server: cell_of(server, self.cells) == self.cell,
             orders=orders,
             may_order=lambda: self.lease.may_order(ORDER_TIME),
             expected=set(self.link.instances) - {self.link.owner},
@@ -186,7 +191,7 @@
         """Tell the instances that are known, the last owner too, who owns the cell."""
         row, version = self.lease.row, self.lease.row_version
         assert row is not None, "an owner has a row"
-        notice = OwnerNotice(row=row, row_version=version)
+        notice = OwnerNotice(cell=self.cell, row=row, row_version=version)
         addresses = {*self.link.instances.values(), self.previous_address}
         for address in addresses - {"", self.identity.address}:
             self.tasks_of_instance.once(partial(self.notify, address, notice))
@@ -205,14 +210,12 @@
                     log.info("notice_failed", address=address, reason=failure.message)
             await self.clock.sleep(NOTICE_PAUSE)
 
-    async def answer_notice(
-        self, message: OwnerNotice
-    ) -> Result[NoticeAnswer, Failure]:
+    def take_notice(self, message: OwnerNotice) -> NoticeAnswer:
         """Take in who owns the cell now."""
         if message.row_version > self.lease.row_version:
             self.lease.note(message.row, message.row_version)
             self.follow_lease()
-        return Ok(NoticeAnswer(row_version=self.lease.row_version))
+        return NoticeAnswer(row_version=self.lease.row_version)
 
     async def leave(self) -> None:
         """Release the lease; requests that wait are sent to the next owner."""
@@ -237,12 +240,6 @@
             if answer.owner and answer.row_version > self.lease.row_version:
                 self.lease.note(self.lease.row, answer.row_version)
 
-    async def answer_report(
-        self, message: InstanceReport
-    ) -> Result[ReportAnswer, Failure]:
-        """Answer another instance's report."""
-        return Ok(self.report_answer(message))
-
     def report_answer(self, message: InstanceReport) -> ReportAnswer:
         """Take a report in and say what is new."""
         count = self.answers.get(message.instance, 0)
@@ -254,28 +251,18 @@
         return ReportAnswer(
             owner=owner is not None and self.lease.is_held,
             row_version=self.lease.row_version,
-            news=news_since(self.view, message.versions, self.clock),
+            news=news_since(self.view, message.versions, self.clock)
+            if self.gives_news
+            else [],
             engines=owner.summary() if owner and detailed else [],
             instances=known_instances(owner) if owner and detailed else [],
+            spread=busy_adapters(owner, self.cells) if owner and detailed else [],
         )
 
-    async def answer_place(self, message: PlaceRequest) -> Result[PlaceAnswer, Failure]:
-        """Answer a question for a place."""
-        if self.owner is None:
-            return Ok(place_answer(PlaceState.NOT_OWNER))
-        return Ok(await self.owner.place(message))
-
-    def peer_routes(self) -> list[PeerRoute[Any]]:
-        """Return the messages that this instance takes."""
-        return [
-            PeerRoute(PLACE_PATH, PlaceRequest, self.answer_place),
-            PeerRoute(REPORT_PATH, InstanceReport, self.answer_report),
-            PeerRoute(NOTICE_PATH, OwnerNotice, self.answer_notice),
-        ]
-
-    def tasks(self) -> list[Callable[[], Any]]:
-        """Return the work that goes on while the instance runs."""
-        return [self.keep_lease, self.keep_reporting, self.keep_pumping]
+    def start(self) -> None:
+        """Start the work that goes on while the instance runs."""
+        for work in (self.keep_lease, self.keep_reporting, self.keep_pumping):
+            self.tasks_of_instance.forever(work)
 
     async def keep_pumping(self) -> None:
         """Look at the queue also when nothing happens, for what waits too long."""
@@ -291,3 +278,12 @@
         KnownInstance(instance=name, address=address)
         for name, address in sorted(owner.in_use.addresses.items())
     ]
+
+
+def busy_adapters(owner: CellOwner, cells: int) -> list[AdapterSpread]:
+    """Return the adapters that are too busy for one cell."""
+    found = owner.loads.busy_adapters(cells, BUSY_SHARE) if cells > 1 else {}
+    return [
+        AdapterSpread(adapter=adapter, cells=count)
+        for adapter, count in sorted(found.items())
+    ]
--- a/src/magnoliatrail/cells/owner.py
+++ b/src/magnoliatrail/cells/owner.py
@@ -51,6 +51,7 @@
         clock: Clock,
         metrics: Metrics,
         view: FleetView,
+        in_cell: Callable[[ServerId], bool],
         orders: EngineOrders,
         may_order: Callable[[], bool],
         expected: set[str],
@@ -60,6 +61,7 @@
         self.clock = clock
         self.metrics = metrics
         self.view = view
+        self.in_cell = in_cell
         self.orders = orders
         self.tasks = tasks
         self.engines: dict[tuple[ServerId, int], EngineState] = {}
@@ -101,7 +103,8 @@
         listed: dict[tuple[ServerId, int], BackendServer] = {}
         for service in self.view.engine_services():
             for server in self.view.usable(service):
-                listed[server.key] = server
+                if self.in_cell(server.id):
+                    listed[server.key] = server
         for key, server in listed.items():
             known = self.engines.get(key)
             if known is None:
--- a/src/magnoliatrail/cells/places_in_use.py
+++ b/src/magnoliatrail/cells/places_in_use.py
@@ -137,6 +137,8 @@
         """Note that a request runs, also one that an owner before had placed."""
         grant = engine.grants.get(running.request)
         if grant is None:
+            # It may have asked again, as the first answer was lost.
+            self.forget(running.request)
             adapter = LoadedAdapter(running.model, running.adapter, running.version)
             grant = Grant(
                 request=running.request,
--- a/src/magnoliatrail/forwarding/engine_path.py
+++ b/src/magnoliatrail/forwarding/engine_path.py
@@ -7,6 +7,8 @@
 from tornado.httputil import HTTPHeaders
 
 from magnoliatrail.backends import BackendServer, LoadedAdapter
+from magnoliatrail.cells.fleet_cells import FleetCells
+from magnoliatrail.cells.lease import Identity
 from magnoliatrail.cells.link import OwnerLink
 from magnoliatrail.forwarding.context import (
     ForwardingParts,
@@ -61,7 +63,8 @@
     first_event_by: timedelta
     avoid: list[str] = field(default_factory=list)
     tries: int = 0
-    asked: int = 0
+    # The cell that was asked last.
+    link: OwnerLink | None = None
 
     @property
     def key(self) -> str:
@@ -89,10 +92,12 @@
 class EnginePath:
     """Send requests to engines under places of the cell's owner."""
 
-    def __init__(self, parts: ForwardingParts, link: OwnerLink, instance: str) -> None:
+    def __init__(
+        self, parts: ForwardingParts, cells: FleetCells, identity: Identity
+    ) -> None:
         self.parts = parts
-        self.link = link
-        self.instance = instance
+        self.cells = cells
+        self.identity = identity
         self.in_flight: Counter[ServerId] = Counter()
 
     async def serve(self, routed: RoutedRequest) -> None:
@@ -144,7 +149,8 @@
         goal = asking.routed.request.received_at + asking.routed.route.goal
         patience_until = clock.monotonic() + asking.routed.route.goal * OWNER_PATIENCE
         while asking.first_event_by - clock.monotonic() > LEAST_TIME:
-            answer = await self.ask_owner(asking, goal)
+            asking.link = self.best_link(asking)
+            answer = await self.ask_owner(asking, goal) if asking.link else None
             if asking.first_event_by - clock.monotonic() <= LEAST_TIME:
                 break
             if answer is not None:
@@ -152,7 +158,7 @@
                 if found is not None:
                     return found
                 continue
-            if not self.link.is_alive:
+            if asking.link is None or not asking.link.is_alive:
                 place = self.choose_alone(asking)
                 if place:
                     return place
@@ -161,15 +167,26 @@
             await clock.sleep(ASK_AGAIN)
         return NoPlace("no place in the time that was left", RETRY_AFTER)
 
+    def best_link(self, asking: EngineRequest) -> OwnerLink | None:
+        """Return the first cell for the adapter whose owner answers, else the first."""
+        if asking.link and asking.link.is_alive:
+            return asking.link
+        named = asking.work.adapter
+        links = self.cells.links_for(f"{named.model}/{named.adapter}")
+        alive = (link for link in links if link.is_alive)
+        return next(alive, links[0] if links else None)
+
     async def ask_owner(
         self, asking: EngineRequest, goal: timedelta
     ) -> PlaceAnswer | None:
         """Ask the owner once."""
+        assert asking.link is not None, "a cell is chosen first"
         now = self.parts.clock.monotonic()
         adapter = self.required(asking)
         message = PlaceRequest(
-            instance=self.instance,
-            incarnation=self.link.identity.incarnation,
+            cell=asking.link.cell,
+            instance=self.identity.instance,
+            incarnation=self.identity.incarnation,
             request=asking.key,
             service=asking.routed.service,
             model=adapter.model,
@@ -185,17 +202,10 @@
             avoid=asking.avoid,
         )
         try:
-            return await self.link.place(message)
+            return await asking.link.place(message)
         except BaseException:
             # The caller left while its request waited.
-            self.link.note_ended(
-                EndedRun(
-                    request=asking.key,
-                    server="",
-                    outcome=RunOutcome.CANCELLED,
-                    first_event_ms=0,
-                )
-            )
+            self.end_key(asking, "", RunOutcome.CANCELLED)
             raise
 
     def required(self, asking: EngineRequest) -> LoadedAdapter:
@@ -219,12 +229,12 @@
         if server is None or server.born != answer.born:
             # This instance does not know the engine yet, or knows that it has left.
             log.info("place_unknown", request=asking.key, engine=answer.server)
-            self.end_key(asking.key, answer.server, RunOutcome.CANCELLED)
+            self.end_key(asking, answer.server, RunOutcome.CANCELLED)
             asking.avoid.append(answer.server)
             asking.tries += 1
             return None
         if answer.version < self.required(asking).version:
-            self.end_key(asking.key, answer.server, RunOutcome.CANCELLED)
+            self.end_key(asking, answer.server, RunOutcome.CANCELLED)
             asking.tries += 1
             return None
         return Place(server, adapter, by_owner=True)
@@ -232,7 +242,11 @@
     def choose_alone(self, asking: EngineRequest) -> Place | None:
         """Choose an engine that has the adapter, as far as this instance knows."""
         adapter = self.required(asking)
-        known = {engine.server: engine for engine in self.link.engines}
+        known = {
+            engine.server: engine
+            for member in self.cells.members.values()
+            for engine in member.link.engines
+        }
         candidates = []
         for server in self.parts.view.usable(asking.routed.service):
             held = {str(item) for model in server.models for item in model.adapters}
@@ -259,7 +273,6 @@
         clock = self.parts.clock
         sent_at = clock.monotonic()
         left = asking.ends_at - sent_at
-        key = asking.key
         first_event: list[timedelta] = []
 
         async def head(status: int, headers: HTTPHeaders) -> None:
@@ -268,7 +281,8 @@
         async def body(chunk: bytes) -> None:
             if not first_event:
                 first_event.append(clock.monotonic())
-                self.link.note_started(key)
+                if asking.link:
+                    asking.link.note_started(asking.key)
             await request.write(chunk)
 
         forwarded = Forwarded(
@@ -310,7 +324,9 @@
 
     def note_running(self, asking: EngineRequest, place: Place) -> None:
         """Tell the owner that a request holds its place."""
-        self.link.note_running(
+        if asking.link is None:
+            return
+        asking.link.note_running(
             RunningRequest(
                 request=asking.key,
                 server=place.server.id,
@@ -331,19 +347,21 @@
         waited: timedelta = timedelta(),
     ) -> None:
         """Tell the owner that a place is free again."""
-        self.end_key(asking.key, place.server.id, outcome, waited)
+        self.end_key(asking, place.server.id, outcome, waited)
 
     def end_key(
         self,
-        key: str,
+        asking: EngineRequest,
         server: str,
         outcome: RunOutcome,
         waited: timedelta = timedelta(),
     ) -> None:
         """Tell the owner that the place of one try is free again."""
-        self.link.note_ended(
+        if asking.link is None:
+            return
+        asking.link.note_ended(
             EndedRun(
-                request=key,
+                request=asking.key,
                 server=server,
                 outcome=outcome,
                 first_event_ms=waited.total_seconds() * 1000,
--- a/src/magnoliatrail/membership/fleet_view.py
+++ b/src/magnoliatrail/membership/fleet_view.py
@@ -119,6 +119,8 @@
     ) -> None:
         """Take a server's description in, or that it is no longer listed."""
         id_ = ServerId(row.key)
+        if row.value is None:
+            self.tables[SERVERS_TABLE].changed_at[row.key] = row.version
         known = self.servers.get(id_)
         if row.value is None:
             self.drop_server(id_, store_was_away=store_was_away, source=source)
@@ -127,6 +129,8 @@
             case Result(tag="ok", ok=server):
                 self.lapsed.pop(id_, None)
                 self.servers[id_] = server
+                if known is None or essence(known) != essence(server):
+                    self.tables[SERVERS_TABLE].changed_at[row.key] = row.version
                 if known is None or known.born != server.born:
                     self.log_server("server_listed", server, source)
                 elif known.state is not server.state:
@@ -187,3 +191,16 @@
         if self.routes is None:
             return []
         return [item.name for item in self.routes.services.values() if item.engine]
+
+
+def essence(server: BackendServer) -> tuple[object, ...]:
+    """Return what instances other than an engine's owner must know of a server."""
+    models = tuple(model.name for model in server.models)
+    return (
+        server.key,
+        server.service,
+        server.address,
+        server.state,
+        server.gone_in,
+        models,
+    )
--- a/src/magnoliatrail/membership/table_view.py
+++ b/src/magnoliatrail/membership/table_view.py
@@ -13,6 +13,8 @@
         self.rows: dict[str, StoredRow] = {}
         # Everything up to this version of the store is known.
         self.version = 0
+        # Version at which a row last changed in what others must know, if it is told.
+        self.changed_at: dict[str, int] = {}
         # When what is known was surely all there was; None before the first read.
         self.fresh_at: timedelta | None = None
 
@@ -45,6 +47,14 @@
                 yield StoredRow(key, version, None)
 
     def since(self, version: int) -> RowsRead:
-        """Return what changed after a version, for a peer that knows up to there."""
-        rows = [row for row in self.rows.values() if row.version > version]
+        """Return what changed after a version, for a peer that knows up to there.
+
+        Rows of which only their writer's counters changed are left out.
+        """
+        rows = [
+            row
+            for row in self.rows.values()
+            if row.version > version
+            and self.changed_at.get(row.key, row.version) > version
+        ]
         return RowsRead(tuple(rows), self.version, whole=False)
--- a/src/magnoliatrail/periodic.py
+++ b/src/magnoliatrail/periodic.py
@@ -10,6 +10,9 @@
 
 log = EventLog("tasks")
 
+# Endless work that ended by an error begins again after this time.
+AFTER_ERROR = timedelta(milliseconds=200)
+
 Work = Callable[[], Awaitable[None]]
 
 
@@ -29,6 +32,16 @@
         """Start a task that does some work one time."""
         self.keep(asyncio.create_task(self.attempt(work)))
 
+    def forever(self, work: Work) -> None:
+        """Start a task of endless work that begins again after an error."""
+
+        async def keep_on() -> None:
+            while True:
+                await self.attempt(work)
+                await self.clock.sleep(AFTER_ERROR)
+
+        self.keep(asyncio.create_task(keep_on()))
+
     def keep(self, task: asyncio.Task[None]) -> None:
         """Hold a task until it ends."""
         self.tasks.add(task)
--- a/src/magnoliatrail/platform/settings_file.py
+++ b/src/magnoliatrail/platform/settings_file.py
@@ -43,6 +43,9 @@
     store_address: str
     heartbeat: timedelta
     file_descriptors: int
+    # Processor that the instance gets, in cores, and its link.
+    cores: float
+    link_mbps: float
     first_start: bool
     bounds: Bounds
 
@@ -69,6 +72,7 @@
     """Translate the fields of a settings file."""
     listen = fields["listen"]
     ports = fields["internal_ports"]
+    limits = fields.get("limits", {})
     return InstanceSettings(
         instance=InstanceId(str(fields["node"])),
         failure_domain=FailureDomain(str(fields["zone"])),
@@ -78,7 +82,9 @@
         peer_ports=(int(ports[0]), int(ports[-1])),
         store_address=str(fields["platform"]["address"]),
         heartbeat=milliseconds(fields.get("heartbeat_ms", 1200)),
-        file_descriptors=int(fields.get("limits", {}).get("file_descriptors", 4096)),
+        file_descriptors=int(limits.get("file_descriptors", 4096)),
+        cores=float(limits.get("cpu_share", 1)) * float(limits.get("cores", 1)),
+        link_mbps=float(limits.get("link_mbps", 1000)),
         first_start=bool(fields.get("bootstrap", False)),
         bounds=bounds_of(fields["bounds"]),
     )
--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -3,11 +3,12 @@
 import asyncio
 import random
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from datetime import timedelta
 
 from tornado.web import Application, RequestHandler
 
+from magnoliatrail.cells.fleet_cells import FleetCells
 from magnoliatrail.cells.lease import Identity
 from magnoliatrail.cells.member import CellMember
 from magnoliatrail.clock import Clock, SystemClock
@@ -17,7 +18,7 @@
 from magnoliatrail.forwarding.handler import ForwardingHandler
 from magnoliatrail.forwarding.plain_path import PlainPath
 from magnoliatrail.forwarding.server import ForwardingServer
-from magnoliatrail.ids import new_incarnation
+from magnoliatrail.ids import CellId, new_incarnation
 from magnoliatrail.listeners import Listener, listen
 from magnoliatrail.logs import EventLog
 from magnoliatrail.membership.fleet_view import FleetView
@@ -48,6 +49,19 @@
 END_MARGIN = timedelta(seconds=0.7)
 
 
+# Processor and link that an owner should have; weaker instances claim later.
+OWNER_CORES = 1.0
+OWNER_LINK_MBPS = 50.0
+WEAK_HANDICAP = timedelta(milliseconds=400)
+
+
+def weakness(settings: InstanceSettings) -> timedelta:
+    """Return how much later an instance claims a lease for lack of means."""
+    cores = max(0.0, 1 - settings.cores / OWNER_CORES)
+    link = max(0.0, 1 - settings.link_mbps / OWNER_LINK_MBPS)
+    return WEAK_HANDICAP * (cores + link)
+
+
 class BootClock(SystemClock):
     """Tell a steady time that goes on while the machine is suspended."""
 
@@ -98,22 +112,19 @@
             new_incarnation(),
             f"{settings.ip}:{settings.peer_ports[0]}",
         )
-        self.member = CellMember(
+        self.peers = PeerClient(self.token, KeptConnections(self.pool))
+        self.cells = FleetCells(
             clock=self.clock,
-            metrics=self.metrics,
             store=self.store,
             view=self.view,
-            pool=self.pool,
-            peers=PeerClient(self.token, KeptConnections(self.pool)),
-            identity=self.identity,
             generator=self.generator,
-            tasks=self.tasks,
+            new_member=self.new_member,
         )
         self.reader = StoreReader(
             clock=self.clock,
             store=self.store,
             view=self.view,
-            on_duty=self.member.reads_store,
+            on_duty=self.cells.reads_store,
         )
         self.parts = ForwardingParts(
             clock=self.clock,
@@ -123,26 +134,44 @@
             bounds=settings.bounds,
             generator=self.generator,
         )
-        engines = EnginePath(self.parts, self.member.link, settings.instance)
+        engines = EnginePath(self.parts, self.cells, self.identity)
         self.handler = ForwardingHandler(self.parts, engines, PlainPath(self.parts))
         self.server = ForwardingServer(self.clock, self.handler.handle)
         self.listeners: list[Listener] = []
         self.stopping = False
 
+    def new_member(self, cell: CellId, cells: int) -> CellMember:
+        """Return this instance's part in one cell."""
+        return CellMember(
+            clock=self.clock,
+            metrics=self.metrics,
+            store=self.store,
+            view=self.view,
+            pool=self.pool,
+            peers=self.peers,
+            identity=self.identity,
+            generator=self.generator,
+            tasks=self.tasks,
+            cell=cell,
+            cells=cells,
+            handicap=lambda: self.cells.handicap() + weakness(self.settings),
+        )
+
     async def start(self) -> None:
         """Open the listeners and start the tasks; raises OSError."""
         settings = self.settings
         self.listen_at(
             self.identity.address,
-            peer_application(self.member.peer_routes(), self.token),
+            peer_application(self.cells.peer_routes(), self.token),
         )
         self.listen_at(
             settings.ready_address, text_application(READY_PATH, self.readiness)
         )
         metrics = text_application(METRICS_PATH, lambda: (200, self.metrics.text()))
         self.listen_at(f"{settings.ip}:{METRICS_PORT}", metrics)
-        for work in (self.reader.run, *self.member.tasks(), self.watch_instances):
-            self.tasks.once(self.restarted(work))
+        for work in (self.reader.run, self.watch_instances):
+            self.tasks.forever(work)
+        self.tasks.once(self.cells.find_layout)
         self.listen_at(settings.callers_address, self.server)
         log.info(
             "started",
@@ -163,22 +192,10 @@
         )
         self.listeners.append(listener)
 
-    def restarted(
-        self, work: Callable[[], Awaitable[None]]
-    ) -> Callable[[], Awaitable[None]]:
-        """Return endless work that begins again after an error."""
-
-        async def keep() -> None:
-            while True:
-                await self.tasks.attempt(work)
-                await self.clock.sleep(timedelta(milliseconds=200))
-
-        return keep
-
     async def watch_instances(self) -> None:
         """Share the budgets out among the instances that are known."""
         while True:
-            self.parts.instances = max(1, len(self.member.link.instances))
+            self.parts.instances = self.cells.instances
             await self.clock.sleep(timedelta(seconds=1))
 
     def readiness(self) -> tuple[int, bytes]:
@@ -206,7 +223,7 @@
         self.stopping = True
         self.server.closing = True
         log.info("stopping", in_flight=len(self.server.tasks))
-        await self.member.leave()
+        await self.cells.leave()
         while self.clock.monotonic() - began < grace - END_MARGIN:
             waited = self.clock.monotonic() - began
             self.handler.refuses_streams = waited > LAST_STREAMS
