--- a/src/magnoliatrail/cells/fleet_cells.py
+++ b/src/magnoliatrail/cells/fleet_cells.py
@@ -10,6 +10,7 @@
 
 from magnoliatrail.cells.answers import place_answer
 from magnoliatrail.cells.layout import cell_count, cell_ids, cell_order, cell_sizes
+from magnoliatrail.cells.lease import owner_row
 from magnoliatrail.cells.link import PLACE_PATH, REPORT_PATH, OwnerLink
 from magnoliatrail.cells.member import NEWS_CELL, NOTICE_PATH, CellMember
 from magnoliatrail.clock import Clock
@@ -28,14 +29,18 @@
 from magnoliatrail.logs import EventLog
 from magnoliatrail.membership.fleet_view import FleetView
 from magnoliatrail.peers.server import PeerRoute
-from magnoliatrail.platform.rows import RowStore, RowWrite
+from magnoliatrail.platform.rows import RowsRead, RowStore, RowWrite
 from magnoliatrail.platform.words import CELLS_TABLE
 from magnoliatrail.wire import encode
 
 log = EventLog("cells")
 
 LAYOUT_KEY = "layout"
-LOOK_EVERY = timedelta(milliseconds=300)
+# Pause between two reads of the rows while an owner is missing, and before there is
+# any.
+LOOK_EVERY = timedelta(milliseconds=400)
+LOOK_EVERY_AT_START = timedelta(milliseconds=900)
+IDLE_PAUSE = timedelta(milliseconds=50)
 # Engines that started with this instance are listed within this time.
 LISTED_WITHIN = timedelta(seconds=1.5)
 # News of the store older than this is read again by each instance itself; with many
@@ -66,43 +71,52 @@
         self.generator = generator
         self.new_member = new_member
         self.members: dict[CellId, CellMember] = {}
+        self.engines_seen_at: timedelta | None = None
+
+    # Rows of the store
+
+    async def watch_rows(self) -> None:
+        """Read the layout and the owners while one of them is not known."""
+        while True:
+            started = bool(self.members)
+            if not started or any(item.needs_row for item in self.members.values()):
+                await self.read_rows()
+                wait = LOOK_EVERY if started else LOOK_EVERY_AT_START
+                await self.clock.sleep(wait * self.generator.uniform(0.7, 1.3))
+            else:
+                await self.clock.sleep(IDLE_PAUSE)
 
-    # The layout
-
-    async def find_layout(self) -> None:
-        """Learn into how many cells the engines are divided, or decide it."""
-        engines_seen_at: timedelta | None = None
-        while not self.members:
-            row = await self.read_layout()
-            if row:
-                self.divide(row.cells)
+    async def read_rows(self) -> None:
+        """Read all rows once, for all cells."""
+        match await self.store.read(CELLS_TABLE):
+            case Result(tag="ok", ok=read):
+                await self.take_layout(read)
+                for member in self.members.values():
+                    member.take_row(*owner_row(read, member.lease.key))
+            case Result(error=failure):
+                log.warning("owners_unread", reason=failure.message)
+
+    async def take_layout(self, read: RowsRead) -> None:
+        """Divide the engines as the store says, or decide it."""
+        if self.members:
+            return
+        for row in read.rows:
+            if row.key == LAYOUT_KEY and row.value is not None:
+                self.divide(msgspec.json.decode(row.value, type=LayoutRow).cells)
                 return
-            now = self.clock.monotonic()
-            engines = self.engine_count()
-            if engines and engines_seen_at is None:
-                engines_seen_at = now
-            if engines_seen_at is not None and now - engines_seen_at > LISTED_WITHIN:
-                await self.write_layout(cell_count(engines))
-            else:
-                await self.clock.sleep(LOOK_EVERY)
+        now = self.clock.monotonic()
+        engines = self.engine_count()
+        if engines and self.engines_seen_at is None:
+            self.engines_seen_at = now
+        seen = self.engines_seen_at
+        if seen is not None and now - seen > LISTED_WITHIN:
+            await self.write_layout(cell_count(engines))
 
     def engine_count(self) -> int:
         """Return how many engines are listed."""
         services = self.view.engine_services()
         return sum(len(self.view.usable(service)) for service in services)
 
-    async def read_layout(self) -> LayoutRow | None:
-        """Read the layout; None if there is none, or the store does not answer."""
-        match await self.store.read(CELLS_TABLE):
-            case Result(tag="ok", ok=read):
-                for row in read.rows:
-                    if row.key == LAYOUT_KEY and row.value is not None:
-                        return msgspec.json.decode(row.value, type=LayoutRow)
-            case Result(error=failure):
-                log.warning("layout_unread", reason=failure.message)
-                await self.clock.sleep(LOOK_EVERY)
-        return None
-
     async def write_layout(self, cells: int) -> None:
         """Decide the layout, unless another instance did."""
         write = RowWrite(CELLS_TABLE, LAYOUT_KEY, encode(LayoutRow(cells=cells)), 0)
@@ -125,7 +139,9 @@
     def reads_store(self, age: timedelta) -> bool:
         """Return whether this instance reads the store: for all, or as news is late."""
         reader = self.members.get(NEWS_CELL)
-        if reader is None or reader.owner:
+        if reader is None:
+            return age > LISTED_WITHIN
+        if reader.owner:
             return True
         return age > max(NEWS_LATE, reader.link.report_every * NEWS_LATE_REPORTS)
 
--- a/src/magnoliatrail/cells/lease.py
+++ b/src/magnoliatrail/cells/lease.py
@@ -11,7 +11,7 @@
 from magnoliatrail.generated.cells import OwnerRow
 from magnoliatrail.ids import CellId, FencingNumber, Incarnation, InstanceId
 from magnoliatrail.logs import EventLog
-from magnoliatrail.platform.rows import RowStore, RowWrite
+from magnoliatrail.platform.rows import RowsRead, RowStore, RowWrite
 from magnoliatrail.platform.words import CELLS_TABLE
 from magnoliatrail.wire import encode
 
@@ -96,12 +96,7 @@
         """Read the row."""
         match await self.store.read(CELLS_TABLE):
             case Result(tag="ok", ok=read):
-                found = next((row for row in read.rows if row.key == self.key), None)
-                if found is None or found.value is None:
-                    self.note(None, 0)
-                else:
-                    row = msgspec.json.decode(found.value, type=OwnerRow)
-                    self.note(row, found.version)
+                self.note(*owner_row(read, self.key))
                 return Result.Ok(None)
             case Result(error=failure):
                 return Result.Error(failure)
@@ -187,3 +182,11 @@
         self.row = row
         self.row_version = version
         self.known_since = self.clock.monotonic()
+
+
+def owner_row(read: RowsRead, key: str) -> tuple[OwnerRow | None, int]:
+    """Return a cell's row and its version from a read of the whole table."""
+    found = next((row for row in read.rows if row.key == key), None)
+    if found is None or found.value is None:
+        return None, 0
+    return msgspec.json.decode(found.value, type=OwnerRow), found.version
--- a/src/magnoliatrail/cells/loading.py
+++ b/src/magnoliatrail/cells/loading.py
@@ -39,6 +39,11 @@
 # Part of the weight store's rate that this owner uses.
 WEIGHT_RATE_SHARE = 0.8
 WEIGHT_WINDOW = timedelta(seconds=5)
+# A load that was denied right when it should have been there makes the next ones
+# count as this much longer.
+STORE_LOAD_STEP = timedelta(milliseconds=8)
+LONGEST_STORE_LOAD = timedelta(seconds=1)
+SPREAD_EVERY = timedelta(seconds=1)
 POPULARITY = PopularitySettings(memory=timedelta(seconds=20))
 
 AwaitKey = tuple[ServerId, int, LoadedAdapter]
@@ -71,6 +76,9 @@
         self.popularity: Popularity[str] = Popularity(POPULARITY)
         # Cells over which the requests for busy adapters are spread.
         self.spread: dict[str, int] = {}
+        self.spread_at = timedelta()
+        # Time of a load at full speed, learned from loads that were denied at first.
+        self.usual_store_load = STORE_LOAD
         self.weight_loads: deque[timedelta] = deque()
 
     # Room
@@ -89,7 +97,8 @@
 
     def store_load(self) -> timedelta:
         """Return how long a load from the weight store takes now."""
-        return STORE_LOAD * max(1.0, (self.store_loads() + 1) / self.most_store_loads())
+        crowd = (self.store_loads() + 1) / self.most_store_loads()
+        return self.usual_store_load * max(1.0, crowd)
 
     def may_fetch(self, engine: EngineState, adapter: LoadedAdapter) -> bool:
         """Return whether an adapter may set out for an engine now."""
@@ -147,6 +156,9 @@
         An adapter whose requests go to some cells already counts that many times.
         """
         now = self.clock.monotonic()
+        if now - self.spread_at < SPREAD_EVERY:
+            return self.spread
+        self.spread_at = now
         rates = {
             name: self.popularity.rate(name, now) for name in self.popularity.counts
         }
@@ -269,6 +281,9 @@
         holding.state = HoldingState.ARRIVING
         now = self.clock.monotonic()
         late = now - holding.ready_at
+        if holding.from_store and late < DENIED_PAUSE:
+            longer = self.usual_store_load + STORE_LOAD_STEP
+            self.usual_store_load = min(LONGEST_STORE_LOAD, longer)
         holding.ready_at = now + DENIED_PAUSE
         log.info("adapter_denied", engine=engine.server.id, adapter=adapter, after=late)
         self.tasks.once(lambda: self.look_again(engine, adapter))
--- a/src/magnoliatrail/cells/member.py
+++ b/src/magnoliatrail/cells/member.py
@@ -22,6 +22,7 @@
     KnownInstance,
     NoticeAnswer,
     OwnerNotice,
+    OwnerRow,
     ReportAnswer,
 )
 from magnoliatrail.ids import CellId
@@ -36,8 +37,6 @@
 
 log = EventLog("cells")
 
-# Pause between two looks at a lease that another instance holds or lets lapse.
-LOOK_EVERY = timedelta(milliseconds=400)
 IDLE_PAUSE = timedelta(milliseconds=50)
 # Candidates for a free lease try one after the other, this far apart.
 CLAIM_STEP = timedelta(milliseconds=120)
@@ -107,6 +106,17 @@
 
     # The lease
 
+    @property
+    def needs_row(self) -> bool:
+        """Return whether the owner's row should be read: no owner answers."""
+        settled = self.link.is_alive and not self.link.lapsed
+        return not (self.lease.is_mine or settled)
+
+    def take_row(self, row: OwnerRow | None, version: int) -> None:
+        """Take in the owner's row as it was read."""
+        self.lease.note(row, version)
+        self.follow_lease()
+
     async def keep_lease(self) -> None:
         """Renew the lease, or claim it when it is free."""
         while True:
@@ -114,24 +124,18 @@
                 await self.lease.renew()
                 self.follow_lease()
                 await self.clock.sleep(RENEW_EVERY)
-            elif self.link.is_alive and not self.link.lapsed:
-                await self.clock.sleep(IDLE_PAUSE)
-            else:
-                await self.look_for_owner()
-                await self.clock.sleep(LOOK_EVERY)
+                continue
+            if self.may_claim():
+                version = self.lease.row_version
+                await self.clock.sleep(self.claim_delay())
+                if self.may_claim() and self.lease.row_version == version:
+                    await self.lease.claim()
+                    self.follow_lease()
+            await self.clock.sleep(IDLE_PAUSE)
 
-    async def look_for_owner(self) -> None:
-        """Read who owns the cell, and claim it if nobody does."""
-        await self.lease.read()
-        self.follow_lease()
-        if self.stopping or not self.lease.is_free():
-            return
-        version = self.lease.row_version
-        await self.clock.sleep(self.claim_delay())
-        await self.lease.read()
-        if self.lease.row_version == version and self.lease.is_free():
-            await self.lease.claim()
-        self.follow_lease()
+    def may_claim(self) -> bool:
+        """Return whether this instance should claim the lease."""
+        return self.needs_row and self.lease.is_free() and not self.stopping
 
     def claim_delay(self) -> timedelta:
         """Return how long this instance lets others claim first."""
--- a/src/magnoliatrail/forwarding/context.py
+++ b/src/magnoliatrail/forwarding/context.py
@@ -2,6 +2,7 @@
 
 import random
 from dataclasses import dataclass, field
+from datetime import timedelta
 
 from magnoliatrail.backends import BackendServer
 from magnoliatrail.clock import Clock
@@ -17,6 +18,9 @@
 
 log = EventLog("forwarding")
 
+ENDING = "the instance ends"
+RETRY_STOPPING = timedelta(milliseconds=100)
+
 
 @dataclass
 class ForwardingParts:
@@ -30,6 +34,8 @@
     generator: random.Random
     # Instances that share the budget for repeats.
     instances: int = 1
+    # Streams that have no place yet are refused, as the process ends soon.
+    refuses_streams: bool = False
     budgets: dict[str, RepeatBudget] = field(default_factory=dict)
 
     def budget(self, service: str) -> RepeatBudget:
--- a/src/magnoliatrail/forwarding/engine_path.py
+++ b/src/magnoliatrail/forwarding/engine_path.py
@@ -11,6 +11,8 @@
 from magnoliatrail.cells.lease import Identity
 from magnoliatrail.cells.link import OwnerLink
 from magnoliatrail.forwarding.context import (
+    ENDING,
+    RETRY_STOPPING,
     ForwardingParts,
     RoutedRequest,
     log_attempt,
@@ -149,6 +151,8 @@
         goal = asking.routed.request.received_at + asking.routed.route.goal
         patience_until = clock.monotonic() + asking.routed.route.goal * OWNER_PATIENCE
         while asking.first_event_by - clock.monotonic() > LEAST_TIME:
+            if self.parts.refuses_streams:
+                return NoPlace(ENDING, RETRY_STOPPING)
             asking.link = self.best_link(asking)
             answer = await self.ask_owner(asking, goal) if asking.link else None
             if asking.first_event_by - clock.monotonic() <= LEAST_TIME:
--- a/src/magnoliatrail/forwarding/handler.py
+++ b/src/magnoliatrail/forwarding/handler.py
@@ -2,7 +2,12 @@
 
 from datetime import timedelta
 
-from magnoliatrail.forwarding.context import ForwardingParts, RoutedRequest
+from magnoliatrail.forwarding.context import (
+    ENDING,
+    RETRY_STOPPING,
+    ForwardingParts,
+    RoutedRequest,
+)
 from magnoliatrail.forwarding.engine_path import EnginePath
 from magnoliatrail.forwarding.plain_path import PlainPath
 from magnoliatrail.forwarding.request import CallerRequest
@@ -11,8 +16,6 @@
 log = EventLog("forwarding")
 
 RETRY_STARTING = timedelta(milliseconds=500)
-RETRY_STOPPING = timedelta(milliseconds=100)
-ENDING = "the instance ends"
 
 
 class ForwardingHandler:
@@ -24,8 +27,7 @@
         self.parts = parts
         self.engines = engines
         self.plain = plain
-        # New streams, or all new requests, are refused because the process ends soon.
-        self.refuses_streams = False
+        # All new requests are refused because the process ends soon.
         self.refuses_all = False
 
     async def handle(self, request: CallerRequest) -> None:
@@ -48,8 +50,6 @@
                 spec = routes.services.get(service)
                 if not (spec and spec.engine):
                     await self.plain.serve(routed)
-                elif self.refuses_streams:
-                    await request.answer_error(503, ENDING, RETRY_STOPPING)
                 else:
                     await self.engines.serve(routed)
         took = self.parts.clock.monotonic() - started
--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -43,7 +43,7 @@
 OUT_OF_ROTATION = timedelta(seconds=2.6)
 # After SIGTERM, streams are taken on for this long, as later ones could not end in
 # time; other requests until so long before the process would be killed.
-LAST_STREAMS = timedelta(seconds=3)
+LAST_STREAMS = timedelta(seconds=2.4)
 LAST_REQUESTS_BEFORE = timedelta(seconds=2)
 CLOSING_SECONDS = 0.3
 END_MARGIN = timedelta(seconds=0.7)
@@ -169,9 +169,8 @@
         )
         metrics = text_application(METRICS_PATH, lambda: (200, self.metrics.text()))
         self.listen_at(f"{settings.ip}:{METRICS_PORT}", metrics)
-        for work in (self.reader.run, self.watch_instances):
+        for work in (self.reader.run, self.cells.watch_rows, self.watch_instances):
             self.tasks.forever(work)
-        self.tasks.once(self.cells.find_layout)
         self.listen_at(settings.callers_address, self.server)
         log.info(
             "started",
@@ -226,7 +225,7 @@
         await self.cells.leave()
         while self.clock.monotonic() - began < grace - END_MARGIN:
             waited = self.clock.monotonic() - began
-            self.handler.refuses_streams = waited > LAST_STREAMS
+            self.parts.refuses_streams = waited > LAST_STREAMS
             self.handler.refuses_all = waited > grace - LAST_REQUESTS_BEFORE
             if waited > OUT_OF_ROTATION and not self.server.tasks:
                 break
