--- a/src/magnoliatrail/standins/ordered_engine.py
+++ b/src/magnoliatrail/standins/ordered_engine.py
@@ -7,6 +7,8 @@
 
 from tornado.web import Application, RequestHandler
 
+from magnoliatrail.standins.row_store import drop_connection
+
 NOT_EXECUTED = "Magnoliatrail-Not-Executed"
 
 
@@ -170,7 +172,7 @@
                 self.state.abandoned.append(request)
                 return
             if self.state.breaks_after == number - 1:
-                self.request.connection.stream.close()  # type: ignore[attr-defined]
+                drop_connection(self.request)
                 return
             self.write(f"id: {number}\ndata: {self.request.body.decode()}\n\n")
             await self.flush()
--- a/src/magnoliatrail/standins/row_store.py
+++ b/src/magnoliatrail/standins/row_store.py
@@ -4,8 +4,10 @@
 import base64
 import json
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, cast
 
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import HTTPServerRequest
 from tornado.web import Application, RequestHandler
 
 OPERATOR_TABLES = {"op", "servers"}
@@ -132,13 +134,19 @@
         """Answer `rows-tx`."""
         done = self.state.commit(json.loads(self.request.body))
         if self.state.loses_answers:
-            self.request.connection.stream.close()  # type: ignore[attr-defined]
+            drop_connection(self.request)
             return
         if not done:
             self.set_status(412)
         self.answer([])
 
 
+def drop_connection(request: HTTPServerRequest) -> None:
+    """Close a caller's connection without an answer, or in the middle of it."""
+    connection = cast(HTTP1Connection, request.connection)
+    connection.close()
+
+
 def row_store_application(state: RowStoreState) -> Application:
     """Return the store as an HTTP application."""
     shared = {"state": state}
--- a/tests/platform/test_server_call.py
+++ b/tests/platform/test_server_call.py
@@ -243,20 +243,20 @@
 
 
 def test_an_error_of_the_callers_side_ends_the_run_and_is_raised(run):
-    class Gone(Exception):
+    class GoneError(Exception):
         pass
 
     async def scenario():
         async with serving(GOOD) as (target, pool, _):
 
             async def head(status, headers):
-                raise Gone
+                raise GoneError
 
             async def body(chunk):
                 raise AssertionError("nothing follows a head that failed")
 
             request = Forwarded("r1", "POST", "/x", HTTPHeaders({"Host": "h"}), b"")
-            with pytest.raises(Gone):
+            with pytest.raises(GoneError):
                 await attempt_at(
                     pool,
                     target,
--- a/tests/unit/entry_rig.py
+++ b/tests/unit/entry_rig.py
@@ -1,6 +1,7 @@
 """One entry before engine stand-ins, in this process and over loopback."""
 
 import asyncio
+import socket
 from contextlib import asynccontextmanager
 from datetime import timedelta
 
@@ -32,6 +33,7 @@
 ENTRY = CatalogueEntry(adapter=MODEL.adapter, version=MODEL.version, base_model="base")
 HANDLE = "adapter@1~1"
 LIMITS = CallLimits(timedelta(seconds=5), timedelta(seconds=60))
+RECEIVE_BUFFER_BYTES = 16 * 1024
 GENEROUS_SECONDS = 30.0
 TOKENS = 8
 
@@ -129,10 +131,14 @@
         content = encode(body)
         head = "POST /v1/completions HTTP/1.1\r\nHost: entry\r\n"
         length = f"Content-Length: {len(content)}\r\n\r\n"
-        # A small buffer makes a caller that reads nothing felt early.
-        reader, writer = await asyncio.open_connection(
-            self.entry.host, self.entry.port, limit=1024
-        )
+        # Small buffers make a caller that reads nothing felt early: the kernel would
+        # let its own grow to tens of megabytes.
+        caller = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        caller.setblocking(False)
+        address = (self.entry.host, self.entry.port)
+        await asyncio.get_running_loop().sock_connect(caller, address)
+        reader, writer = await asyncio.open_connection(sock=caller, limit=1024)
         writer.write((head + length).encode() + content)
         return reader, writer
 
