--- a/src/magnoliatrail/cells/fleet_cells.py
+++ b/src/magnoliatrail/cells/fleet_cells.py
@@ -43,10 +43,9 @@
 IDLE_PAUSE = timedelta(milliseconds=50)
 # Engines that started with this instance are listed within this time.
 LISTED_WITHIN = timedelta(seconds=1.5)
-# News of the store older than this is read again by each instance itself; with many
-# instances, reports come less often.
-NEWS_LATE = timedelta(milliseconds=1000)
-NEWS_LATE_REPORTS = 2.0
+# Share of the bound on news after which an instance reads the store itself; the rest
+# is for the read and for requests that are on their way.
+NEWS_LATE_SHARE = 0.6
 # An instance that owns a cell leaves the next to others for this long.
 OWNER_HANDICAP = timedelta(milliseconds=700)
 
@@ -64,12 +63,15 @@
         view: FleetView,
         generator: random.Random,
         new_member: NewMember,
+        news_bound: timedelta,
     ) -> None:
         self.clock = clock
         self.store = store
         self.view = view
         self.generator = generator
         self.new_member = new_member
+        # News of the store older than this is read again by this instance itself.
+        self.news_late = news_bound * NEWS_LATE_SHARE
         self.members: dict[CellId, CellMember] = {}
         self.engines_seen_at: timedelta | None = None
 
@@ -143,7 +145,7 @@
             return age > LISTED_WITHIN
         if reader.owner:
             return True
-        return age > max(NEWS_LATE, reader.link.report_every * NEWS_LATE_REPORTS)
+        return age > self.news_late
 
     # Use
 
--- a/src/magnoliatrail/forwarding/engine_path.py
+++ b/src/magnoliatrail/forwarding/engine_path.py
@@ -6,7 +6,7 @@
 
 from tornado.httputil import HTTPHeaders
 
-from magnoliatrail.backends import BackendServer, LoadedAdapter
+from magnoliatrail.backends import BackendServer, LoadedAdapter, ServerState
 from magnoliatrail.cells.fleet_cells import FleetCells
 from magnoliatrail.cells.lease import Identity
 from magnoliatrail.cells.link import OwnerLink
@@ -230,9 +230,19 @@
         server = self.parts.view.servers.get(ServerId(answer.server))
         named = asking.work.adapter
         adapter = LoadedAdapter(named.model, named.adapter, answer.version)
-        if server is None or server.born != answer.born:
-            # This instance does not know the engine yet, or knows that it has left.
-            log.info("place_unknown", request=asking.key, engine=answer.server)
+        if (
+            server is None
+            or server.born != answer.born
+            or server.state is not ServerState.READY
+        ):
+            # This instance does not know the engine yet, or knows that it leaves: an
+            # owner that is cut off from the store may not.
+            log.info(
+                "place_unknown",
+                request=asking.key,
+                engine=answer.server,
+                state=server.state if server else "",
+            )
             self.end_key(asking, answer.server, RunOutcome.CANCELLED)
             asking.avoid.append(answer.server)
             asking.tries += 1
--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -118,6 +118,7 @@
             view=self.view,
             generator=self.generator,
             new_member=self.new_member,
+            news_bound=min(settings.bounds.propagation, settings.bounds.drain),
         )
         self.reader = StoreReader(
             clock=self.clock,
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -1,5 +1,7 @@
 import asyncio
+from dataclasses import replace
 
+from magnoliatrail.backends import ServerState
 from tests.platform.rig import configuration, model, route, running
 
 
@@ -173,3 +175,29 @@
             assert "Retry-After" in answer.headers
 
     run(scenario())
+
+
+def test_a_place_on_an_engine_that_leaves_is_not_used(run):
+    """The owner is cut off from the store and does not know; the instance does."""
+
+    async def scenario():
+        async with running(instances=2, engines=2) as rig:
+            owner = next(item for item in rig.daemons if item.cells.owns_any)
+            other = next(item for item in rig.daemons if item is not owner)
+            leaving = rig.engines[0]
+            server = other.view.servers[leaving.id]
+            other.view.servers[leaving.id] = replace(server, state=ServerState.LEAVING)
+            answers = [
+                await rig.send(
+                    other,
+                    "/stream/x",
+                    request=f"r{number}",
+                    headers=model(f"a{number}"),
+                )
+                for number in range(8)
+            ]
+            assert [answer.status for answer in answers] == [200] * 8
+            assert not leaving.ran
+            assert len(rig.engines[1].ran) == 8
+
+    run(scenario())
