--- a/src/magnoliatrail/cli/main.py
+++ b/src/magnoliatrail/cli/main.py
@@ -5,6 +5,7 @@
 from magnoliatrail import __version__
 from magnoliatrail.cli.config import config
 from magnoliatrail.cli.demo import demo
+from magnoliatrail.cli.explain import explain
 from magnoliatrail.cli.forward import forward
 from magnoliatrail.cli.operations import operations
 from magnoliatrail.cli.serve import serve
@@ -33,6 +34,7 @@
 
 main.add_command(serve)
 main.add_command(forward)
+main.add_command(explain)
 main.add_command(demo)
 main.add_command(standin)
 main.add_command(status)
--- a/src/magnoliatrail/forwarding/handler.py
+++ b/src/magnoliatrail/forwarding/handler.py
@@ -59,6 +59,7 @@
             "answered",
             request=request.id,
             status=request.status,
+            whole=request.answer_finished,
             took=took,
             configuration=routes.version if routes else 0,
         )
--- a/src/magnoliatrail/forwarding/request.py
+++ b/src/magnoliatrail/forwarding/request.py
@@ -40,6 +40,7 @@
     closes: bool = False
     gone: asyncio.Event = field(default_factory=asyncio.Event)
     answer_started: bool = False
+    answer_finished: bool = False
     status: int = 0
 
     @property
@@ -95,6 +96,7 @@
 
     def finish(self) -> None:
         """End a whole answer."""
+        self.answer_finished = True
         self.connection.finish()
 
     def abort(self) -> None:
--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -15,6 +15,7 @@
 from magnoliatrail.connections import ConnectionPool
 from magnoliatrail.forwarding.context import ForwardingParts
 from magnoliatrail.forwarding.engine_path import EnginePath
+from magnoliatrail.forwarding.engine_places import EnginePlaces
 from magnoliatrail.forwarding.handler import ForwardingHandler
 from magnoliatrail.forwarding.plain_path import PlainPath
 from magnoliatrail.forwarding.server import ForwardingServer
@@ -134,7 +135,8 @@
             bounds=settings.bounds,
             generator=self.generator,
         )
-        engines = EnginePath(self.parts, self.cells, self.identity)
+        places = EnginePlaces(self.parts, self.cells, self.identity)
+        engines = EnginePath(self.parts, places)
         self.handler = ForwardingHandler(self.parts, engines, PlainPath(self.parts))
         self.server = ForwardingServer(self.clock, self.handler.handle)
         self.listeners: list[Listener] = []
