Take out what nobody reads, log orders by their event, and keep one list of hop-by-hop headers

Found while reading the change as a newcomer: two fields of messages that were never set or read, a counter without a reader, the event order missing on the operators' page as it was logged through a variable, the list of hop-by-hop headers written twice. Behaviour is as before.

--- a/src/magnoliatrail/cells/link.py
+++ b/src/magnoliatrail/cells/link.py
@@ -165,9 +165,7 @@
         self.unreported.ended.append(ended)
         self.wake.set()
 
-    async def report(
-        self, versions: dict[str, int], *, store_reached: bool
-    ) -> ReportAnswer | None:
+    async def report(self, versions: dict[str, int]) -> ReportAnswer | None:
         """Tell the owner what changed; None if it does not answer."""
         if not self.address:
             return None
@@ -184,7 +182,6 @@
             running=list(self.running.values()) if full else [],
             full=full,
             versions=versions,
-            store_reached=store_reached,
         )
         if self.own_report:
             answer = self.own_report(message)
--- a/src/magnoliatrail/cells/member.py
+++ b/src/magnoliatrail/cells/member.py
@@ -80,7 +80,7 @@
         self.pool = pool
         self.identity = identity
         self.generator = generator
-        self.tasks_of_instance = tasks
+        self.tasks = tasks
         self.cell = cell
         self.cells = cells
         # How much later than others this instance claims a free lease.
@@ -183,13 +183,13 @@
             may_order=lambda: self.lease.may_order(ORDER_TIME),
             expected=set(self.link.instances) - {self.link.owner},
             generator=self.generator,
-            tasks=self.tasks_of_instance,
+            tasks=self.tasks,
         )
         self.link.own_place = self.owner.place
         self.link.own_report = self.report_answer
         log.info("ownership_begun", fencing_number=self.lease.fencing_number)
         self.owner.sync_engines()
-        self.tasks_of_instance.once(self.give_notice)
+        self.tasks.once(self.give_notice)
 
     async def give_notice(self) -> None:
         """Tell the instances that are known, the last owner too, who owns the cell."""
@@ -198,7 +198,7 @@
         notice = OwnerNotice(cell=self.cell, row=row, row_version=version)
         addresses = {*self.link.instances.values(), self.previous_address}
         for address in addresses - {"", self.identity.address}:
-            self.tasks_of_instance.once(partial(self.notify, address, notice))
+            self.tasks.once(partial(self.notify, address, notice))
 
     async def notify(self, address: str, notice: OwnerNotice) -> None:
         """Tell one instance who owns the cell, until it says that it knows."""
@@ -236,7 +236,7 @@
             await self.link.until_due()
             asked_at = self.clock.monotonic()
             versions = {name: table.version for name, table in self.view.tables.items()}
-            answer = await self.link.report(versions, store_reached=False)
+            answer = await self.link.report(versions)
             if answer is None:
                 await self.clock.sleep(IDLE_PAUSE)
                 continue
@@ -266,7 +266,7 @@
     def start(self) -> None:
         """Start the work that goes on while the instance runs."""
         for work in (self.keep_lease, self.keep_reporting, self.keep_pumping):
-            self.tasks_of_instance.forever(work)
+            self.tasks.forever(work)
 
     async def keep_pumping(self) -> None:
         """Look at the queue also when nothing happens, for what waits too long."""
--- a/src/magnoliatrail/cells/orders.py
+++ b/src/magnoliatrail/cells/orders.py
@@ -29,6 +29,8 @@
 REPORT_LIMITS = CallLimits(timedelta(milliseconds=300), timedelta(milliseconds=600))
 # An order may be on its way to an engine for this long.
 ORDER_TIME = ORDER_LIMITS.connect + ORDER_LIMITS.total
+# Outcomes after which the count of the engine's orders is known.
+SETTLED = {OrderOutcome.STARTED, OrderOutcome.DONE}
 # An engine that does not report gets no requests for this long.
 SHUN_SILENT = timedelta(seconds=1.5)
 
@@ -81,23 +83,31 @@
             self.pool, engine.server, order, ORDER_LIMITS
         )
         self.metrics.count(f"orders.{outcome.value}")
-        if outcome in (OrderOutcome.STARTED, OrderOutcome.DONE):
+        if outcome in SETTLED:
             engine.orders_accepted = expected + 1
-        level = log.info if outcome in SETTLED else log.warning
-        level(
-            "order",
-            engine=engine.server.id,
-            operation=operation,
-            adapter=target,
-            fencing_number=order.fencing_number,
-            expected_orders=expected,
-            outcome=outcome,
-            reason=reason,
-        )
-        if outcome not in SETTLED:
+        else:
             engine.reported = False
+        self.log_order(engine, order, outcome, reason)
         return outcome
 
+    def log_order(
+        self, engine: EngineState, order: Order, outcome: OrderOutcome, reason: str
+    ) -> None:
+        """Log what became of an order, as a warning unless it was carried out."""
+        told = {
+            "engine": engine.server.id,
+            "operation": order.operation,
+            "adapter": LoadedAdapter(order.model, order.adapter, order.version),
+            "fencing_number": order.fencing_number,
+            "expected_orders": order.expected_orders,
+            "outcome": outcome,
+            "reason": reason,
+        }
+        if outcome in SETTLED:
+            log.info("order", **told)
+        else:
+            log.warning("order", **told)
+
     async def refresh(self, engine: EngineState) -> bool:
         """Read what an engine holds; False if it did not say or orders run."""
         before = engine.orders_accepted
@@ -153,6 +163,3 @@
             elif there and held.state is HoldingState.ARRIVING:
                 held.state = HoldingState.READY
                 held.ready_at = min(held.ready_at, now)
-
-
-SETTLED = {OrderOutcome.STARTED, OrderOutcome.DONE}
--- a/src/magnoliatrail/connections.py
+++ b/src/magnoliatrail/connections.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
-from http import HTTPStatus
 
 from tornado.http1connection import HTTP1ConnectionParameters
 from tornado.httputil import HTTPHeaders
@@ -22,7 +21,6 @@
 # Connections are given up this long before the server would close them.
 KEEP_MARGIN = timedelta(seconds=1)
 MAX_BODY_BYTES = 64 * 1024 * 1024
-NO_BODY_STATUS = {HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED}
 
 PARAMETERS = HTTP1ConnectionParameters(
     max_body_size=MAX_BODY_BYTES, max_header_size=256 * 1024
--- a/src/magnoliatrail/entry/forwarding.py
+++ b/src/magnoliatrail/entry/forwarding.py
@@ -2,29 +2,12 @@
 
 from tornado.httputil import HTTPHeaders
 
-# Headers that speak of one connection only, by RFC 9110 section 7.6.1.
-HOP_BY_HOP = {
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-}
+from magnoliatrail.wire import HOP_BY_HOP, named_by_connection
+
 # What the HTTP client or server sets by itself for each message.
 SET_AGAIN = {"host", "content-length", "expect"}
 
 
-def named_by_connection(headers: HTTPHeaders) -> set[str]:
-    """Return the headers that the header Connection declares hop-by-hop."""
-    values = headers.get_list("Connection")
-    names = [name.strip().lower() for value in values for name in value.split(",")]
-    return {name for name in names if name}
-
-
 def end_to_end(headers: HTTPHeaders) -> list[tuple[str, str]]:
     """Return the headers that are passed on, repeated ones each by itself."""
     dropped = HOP_BY_HOP | SET_AGAIN | named_by_connection(headers)
--- a/src/magnoliatrail/forwarding/engine_places.py
+++ b/src/magnoliatrail/forwarding/engine_places.py
@@ -140,7 +140,6 @@
             goal_left_ms=(goal - now).total_seconds() * 1000,
             time_left_ms=(asking.first_event_by - now).total_seconds() * 1000,
             deadline_left_ms=(asking.ends_at - now).total_seconds() * 1000,
-            tries=asking.tries,
             avoid=asking.avoid,
         )
         try:
--- a/src/magnoliatrail/platform/request_headers.py
+++ b/src/magnoliatrail/platform/request_headers.py
@@ -9,22 +9,10 @@
 
 from magnoliatrail.backends import BackendServer, LoadedAdapter
 from magnoliatrail.platform import words
+from magnoliatrail.wire import HOP_BY_HOP, named_by_connection
 
-HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-        "expect",
-    }
-)
+# Headers of one connection, and those that are made anew for each message.
+NOT_PASSED_ON = HOP_BY_HOP | {"content-length", "expect"}
 DEFAULT_DEADLINE = timedelta(seconds=30)
 HTTP_MISDIRECTED = 421
 
@@ -95,11 +83,11 @@
 
 def passed_on(headers: HTTPHeaders) -> HTTPHeaders:
     """Return the headers of a request without those of one connection or of ours."""
-    named = {name.strip().lower() for name in headers.get("Connection", "").split(",")}
+    named = named_by_connection(headers)
     kept = HTTPHeaders()
     for name, value in headers.get_all():
         lower = name.lower()
-        if lower in HOP_BY_HOP or lower in words.SET_BY_THE_SYSTEM:
+        if lower in NOT_PASSED_ON or lower in words.SET_BY_THE_SYSTEM:
             continue
         if lower in named and not lower.startswith(words.PROTECTED_PREFIX):
             continue
@@ -148,7 +136,7 @@
     """Return the headers of a server's answer that the caller gets."""
     kept = HTTPHeaders()
     for name, value in headers.get_all():
-        if name.lower() not in HOP_BY_HOP:
+        if name.lower() not in NOT_PASSED_ON:
             kept.add(name, value)
     length = headers.get("Content-Length")
     if length is not None and "Transfer-Encoding" not in headers:
--- a/src/magnoliatrail/platform/rows.py
+++ b/src/magnoliatrail/platform/rows.py
@@ -76,7 +76,6 @@
         self.pool = pool
         self.address = address
         self.limits = limits
-        self.calls = 0
 
     async def read(self, table: str) -> Result[RowsRead, Failure]:
         """Read a whole table."""
@@ -165,7 +164,6 @@
         body: bytes = b"",
     ) -> Result[tuple[int, WireRows], Failure]:
         """Make one call on a kept connection and decode the answer."""
-        self.calls += 1
         target = f"{path}?{urlencode(query)}" if query else path
         headers = HTTPHeaders({"Content-Type": JSON_TYPE} if body else {})
         call = Exchange(method, target, headers, body)
--- a/src/magnoliatrail/wire.py
+++ b/src/magnoliatrail/wire.py
@@ -12,6 +12,7 @@
     HTTPRequest,
     HTTPResponse,
 )
+from tornado.httputil import HTTPHeaders
 from tornado.simple_httpclient import HTTPTimeoutError, SimpleAsyncHTTPClient
 
 from magnoliatrail.errors import ErrorKind, Failure
@@ -22,6 +23,19 @@
 MAX_CONNECTIONS = 20_000
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 
+# Headers that speak of one connection only, by RFC 9110 section 7.6.1.
+HOP_BY_HOP = {
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+}
+
 
 @dataclass(frozen=True, slots=True)
 class CallLimits:
@@ -83,3 +97,10 @@
         raise CallFailed(str(error), sent=False) from error
     except (HTTPClientError, OSError, ValueError) as error:
         raise CallFailed(str(error), sent=True) from error
+
+
+def named_by_connection(headers: HTTPHeaders) -> set[str]:
+    """Return the headers that the header Connection declares hop-by-hop."""
+    values = headers.get_list("Connection")
+    names = [name.strip().lower() for value in values for name in value.split(",")]
+    return {name for name in names if name}
--- a/tests/load/test_patterns.py
+++ b/tests/load/test_patterns.py
@@ -129,7 +129,6 @@
             goal_left_ms=goal,
             time_left_ms=3200.0,
             deadline_left_ms=12000.0,
-            tries=0,
             avoid=[],
         )
         return asyncio.ensure_future(self.owner.place(message))
@@ -255,7 +254,6 @@
             running=[],
             full=False,
             versions={},
-            store_reached=False,
         )
     )
 
@@ -363,7 +361,6 @@
             running=[running],
             full=True,
             versions={},
-            store_reached=False,
         )
         cell.owner.take_report(report)
         engine.models.add(MODEL)
--- a/tests/platform/test_small_parts.py
+++ b/tests/platform/test_small_parts.py
@@ -83,7 +83,6 @@
         "goal_left_ms": 800.0,
         "time_left_ms": 3200.0,
         "deadline_left_ms": 12000.0,
-        "tries": 0,
         "avoid": [],
     }
     return PlaceRequest(**{**fields, **more})
