Take out a parameter and two fields that nobody reads

Found on the last reading of the whole change: the event to resume after, which no caller of for_server gives; the time of an engine's last report; the event of a caller that left, as its task is cancelled instead. Behaviour is as before.

--- a/src/magnoliatrail/cells/engine_state.py
+++ b/src/magnoliatrail/cells/engine_state.py
@@ -68,7 +68,6 @@
     orders_accepted: int = 0
     # Whether the engine itself said what it holds.
     reported: bool = False
-    reported_at: timedelta = timedelta()
     busy: bool = False
     # No new requests before then, after failures.
     shunned_until: timedelta = timedelta()
--- a/src/magnoliatrail/cells/orders.py
+++ b/src/magnoliatrail/cells/orders.py
@@ -142,7 +142,6 @@
         engine.models = {model.name for model in report.models}
         engine.busy = report.busy
         engine.reported = True
-        engine.reported_at = self.clock.monotonic()
         self.take_holdings(engine, report)
         return True
 
--- a/src/magnoliatrail/forwarding/request.py
+++ b/src/magnoliatrail/forwarding/request.py
@@ -1,7 +1,7 @@
 """One caller's request, and the answer on its way back."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from datetime import timedelta
 from http import HTTPStatus
 
@@ -38,7 +38,6 @@
     body: bytes = b""
     # The connection is closed after the answer.
     closes: bool = False
-    gone: asyncio.Event = field(default_factory=asyncio.Event)
     answer_started: bool = False
     answer_finished: bool = False
     status: int = 0
--- a/src/magnoliatrail/forwarding/server.py
+++ b/src/magnoliatrail/forwarding/server.py
@@ -98,7 +98,5 @@
 
     def on_connection_close(self) -> None:
         """Stop all work for a caller that left."""
-        if self.request:
-            self.request.gone.set()
         if self.task and not self.task.done():
             self.task.cancel()
--- a/src/magnoliatrail/platform/request_headers.py
+++ b/src/magnoliatrail/platform/request_headers.py
@@ -102,7 +102,6 @@
     *,
     adapter_version: int = 0,
     priority: int | None = None,
-    last_event: str | None = None,
 ) -> HTTPHeaders:
     """Return the headers with which one server gets a request."""
     fields = passed_on(headers)
@@ -112,8 +111,6 @@
         fields[words.EXPECT_VERSION] = str(adapter_version)
     if priority is not None:
         fields[words.PRIORITY] = str(min(9, max(0, priority)))
-    if last_event is not None:
-        fields[words.LAST_EVENT_ID] = last_event
     return fields
 
 
--- a/src/magnoliatrail/platform/words.py
+++ b/src/magnoliatrail/platform/words.py
@@ -14,7 +14,6 @@
 PROMPT_PREFIX = "Magnoliatrail-Prompt-Prefix"
 LENGTH_HINT = "Magnoliatrail-Length-Hint"
 PRIORITY = "Magnoliatrail-Request-Priority"
-LAST_EVENT_ID = "Last-Event-Id"
 
 # Headers that only the system sets towards a backend server.
 SET_BY_THE_SYSTEM = frozenset(
