Divide the engines into cells once all of them are listed

Ruled out: the store (it answered), the readers of the other instances.

Now the survey ends when no engine was added for 2 s, at most 6 s after the first; claims of a lease that never had an owner are spread over 1.2 s, so that one instance does not take several.

--- a/src/magnoliatrail/cells/fleet_cells.py
+++ b/src/magnoliatrail/cells/fleet_cells.py
@@ -13,6 +13,7 @@
 from magnoliatrail.cells.lease import owner_row
 from magnoliatrail.cells.link import PLACE_PATH, REPORT_PATH, OwnerLink
 from magnoliatrail.cells.member import NEWS_CELL, NOTICE_PATH, CellMember
+from magnoliatrail.cells.survey import EngineSurvey
 from magnoliatrail.clock import Clock
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.generated.cells import (
@@ -41,8 +42,8 @@
 LOOK_EVERY = timedelta(milliseconds=400)
 LOOK_EVERY_AT_START = timedelta(milliseconds=900)
 IDLE_PAUSE = timedelta(milliseconds=50)
-# Engines that started with this instance are listed within this time.
-LISTED_WITHIN = timedelta(seconds=1.5)
+# Without a cell that gives news, an instance reads tables that are older than this.
+NEWS_AT_START = timedelta(seconds=1.5)
 # Share of the bound on news after which an instance reads the store itself; the rest
 # is for the read and for requests that are on their way.
 NEWS_LATE_SHARE = 0.6
@@ -73,7 +74,7 @@
         # News of the store older than this is read again by this instance itself.
         self.news_late = news_bound * NEWS_LATE_SHARE
         self.members: dict[CellId, CellMember] = {}
-        self.engines_seen_at: timedelta | None = None
+        self.survey = EngineSurvey()
 
     # Rows of the store
 
@@ -106,13 +107,8 @@
             if row.key == LAYOUT_KEY and row.value is not None:
                 self.divide(msgspec.json.decode(row.value, type=LayoutRow).cells)
                 return
-        now = self.clock.monotonic()
-        engines = self.engine_count()
-        if engines and self.engines_seen_at is None:
-            self.engines_seen_at = now
-        seen = self.engines_seen_at
-        if seen is not None and now - seen > LISTED_WITHIN:
-            await self.write_layout(cell_count(engines))
+        if self.survey.is_complete(self.engine_count(), self.clock.monotonic()):
+            await self.write_layout(cell_count(self.survey.engines))
 
     def engine_count(self) -> int:
         """Return how many engines are listed."""
@@ -142,7 +138,7 @@
         """Return whether this instance reads the store: for all, or as news is late."""
         reader = self.members.get(NEWS_CELL)
         if reader is None:
-            return age > LISTED_WITHIN
+            return age > NEWS_AT_START
         if reader.owner:
             return True
         return age > self.news_late
--- a/src/magnoliatrail/cells/member.py
+++ b/src/magnoliatrail/cells/member.py
@@ -41,6 +41,9 @@
 # Candidates for a free lease try one after the other, this far apart.
 CLAIM_STEP = timedelta(milliseconds=120)
 MOST_CLAIM_STEPS = 6
+# Candidates for a lease that never had an owner are spread over this time, so that
+# most of them learn of the first claim before their own.
+FIRST_CLAIMS = timedelta(seconds=1.2)
 # Every so many reports are answered with the state of the engines.
 SUMMARY_EVERY = 4
 # A queue moves with time too, as engines read the prompts that they got.
@@ -144,8 +147,8 @@
             order = ranked(f"{self.lease.key}/{self.lease.row_version}", names)
             step = order.index(self.identity.instance)
             return CLAIM_STEP * min(step, MOST_CLAIM_STEPS) + self.handicap()
-        point = self.generator.uniform(0, MOST_CLAIM_STEPS / 2)
-        return CLAIM_STEP * point + self.handicap()
+        # Nobody knows yet how many others there are.
+        return FIRST_CLAIMS * self.generator.random() + self.handicap()
 
     def follow_lease(self) -> None:
         """Become or cease to be the owner as the row says, and use its owner."""
