Look at a cell's engines once for all requests that wait

Cause: each look at the queue described every engine afresh to every request: with 16 engines and 168 requests a look took 57 ms of processor time, and one is due every 20 ms and after each report. An owner with a queue had no time left for its messages.

Now a round keeps what requests share: the load of each engine, which engines can take anything at all, whether one more adapter may come from the weight store, and which adapters nobody can take.

The test counts the engines that are described, not time. The cell on a virtual clock that the load tests share is a module of its own.

--- a/src/magnoliatrail/cells/loading.py
+++ b/src/magnoliatrail/cells/loading.py
@@ -100,13 +100,8 @@
         crowd = (self.store_loads() + 1) / self.most_store_loads()
         return self.usual_store_load * max(1.0, crowd)
 
-    def may_fetch(self, engine: EngineState, adapter: LoadedAdapter) -> bool:
-        """Return whether an adapter may set out for an engine now."""
-        if adapter in engine.holdings:
-            # Its place is being freed; it can come back only after that.
-            return False
-        if adapter in engine.near:
-            return True
+    def may_fetch_from_store(self) -> bool:
+        """Return whether one more adapter may set out from the weight store now."""
         return self.store_loads() < self.most_store_loads()
 
     def has_room(self, engine: EngineState, awaited: set[LoadedAdapter]) -> bool:
@@ -187,7 +182,7 @@
         awaited: set[LoadedAdapter],
     ) -> bool:
         """Begin to bring an adapter; False if there is no room after all."""
-        if not (self.has_room(engine, awaited) and self.may_fetch(engine, adapter)):
+        if not self.has_room(engine, awaited):
             return False
         out = None
         if engine.free_adapter_places <= 0:
--- a/src/magnoliatrail/routing/engine_scores.py
+++ b/src/magnoliatrail/routing/engine_scores.py
@@ -38,13 +38,17 @@
 
 
 @dataclass(frozen=True, slots=True)
-class EngineOption:
-    """What decides whether one engine serves one request."""
+class EngineNeed:
+    """What a request takes of an engine."""
+
+    prompt_tokens: int
+    output_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class EngineLoad:
+    """What an engine has to do, and what it may take."""
 
-    engine: str
-    residency: Residency
-    # Until the adapter can be used there, if it is arriving.
-    ready_in: timedelta
     backlog_tokens: int
     # Prompt tokens that the engine got within one pause, and may get at most.
     pause_tokens: int
@@ -52,18 +56,35 @@
     running: int
     places: int
     cache_tokens_free: float
-    # Whether a place for the adapter is free or can be made free at once.
-    has_room: bool
-    # The engine is the one at which the adapter is at home, 0, or further down.
-    home_rank: int
+
+    def takes(self, need: EngineNeed) -> bool:
+        """Return whether the engine can take a request, adapters aside."""
+        if self.running >= self.places:
+            return False
+        # A request larger than the rest of the cache waits, but not for an empty
+        # engine.
+        tokens = need.prompt_tokens + need.output_tokens
+        if self.running and tokens > self.cache_tokens_free:
+            return False
+        if backlog_time(self.backlog_tokens) > MAX_BACKLOG:
+            return False
+        within_pause = self.pause_tokens + need.prompt_tokens <= self.most_pause_tokens
+        return within_pause or not self.pause_tokens
 
 
 @dataclass(frozen=True, slots=True)
-class EngineNeed:
-    """What a request takes of an engine."""
+class EngineOption:
+    """What decides whether one engine serves one request."""
 
-    prompt_tokens: int
-    output_tokens: int
+    engine: str
+    load: EngineLoad
+    residency: Residency
+    # Until the adapter can be used there, if it is arriving.
+    ready_in: timedelta
+    # Whether a place for the adapter is free or can be made free at once.
+    has_room: bool
+    # The engine is the one at which the adapter is at home, 0, or further down.
+    home_rank: int
 
 
 def backlog_time(tokens: int) -> timedelta:
@@ -85,27 +106,17 @@
 
 def fits(option: EngineOption, need: EngineNeed) -> bool:
     """Return whether an engine can take a request now."""
-    if option.running >= option.places:
-        return False
-    # A request larger than the rest of the cache waits, but not for an empty engine.
-    tokens = need.prompt_tokens + need.output_tokens
-    if option.running and tokens > option.cache_tokens_free:
-        return False
-    if backlog_time(option.backlog_tokens) > MAX_BACKLOG:
-        return False
-    within_pause = option.pause_tokens + need.prompt_tokens <= option.most_pause_tokens
-    if option.pause_tokens and not within_pause:
-        return False
     in_place = option.residency in (Residency.READY, Residency.ARRIVING)
-    return in_place or option.has_room
+    return (in_place or option.has_room) and option.load.takes(need)
 
 
 def cost(
     option: EngineOption, need: EngineNeed, store_load: timedelta = STORE_LOAD
 ) -> timedelta:
     """Return the time to the first token, and what a load costs the others."""
-    tokens = option.backlog_tokens + need.prompt_tokens
-    total = backlog_time(tokens) + timedelta(milliseconds=RUNNING_MS * option.running)
+    tokens = option.load.backlog_tokens + need.prompt_tokens
+    batch = timedelta(milliseconds=RUNNING_MS * option.load.running)
+    total = backlog_time(tokens) + batch
     match option.residency:
         case Residency.READY:
             return total
--- /dev/null
+++ b/tests/load/cell.py
@@ -0,0 +1,163 @@
+"""An owner of a cell on a virtual clock, with the figures of the users' sheets."""
+
+import asyncio
+import random
+from datetime import timedelta
+
+from magnoliatrail.backends import BackendServer, LoadedAdapter, ServerState
+from magnoliatrail.cells.engine_state import EngineState, Holding, HoldingState
+from magnoliatrail.cells.owner import CellOwner
+from magnoliatrail.clock import ManualClock
+from magnoliatrail.generated.cells import (
+    EndedRun,
+    InstanceReport,
+    PlaceRequest,
+    RunOutcome,
+)
+from magnoliatrail.membership.fleet_view import FleetView
+from magnoliatrail.metrics import NoMetrics
+from magnoliatrail.periodic import PeriodicTasks
+from magnoliatrail.platform.engine_calls import Operation, OrderOutcome
+from magnoliatrail.routes import EngineSpec, ModelSpec
+
+# The sheet of Nassar's engines: step and prompt speed, event size, longest pause.
+STEP_MS, PREFILL_PER_MS, EVENT_TOKENS, PAUSE_MS = 6.8, 22.1, 4, 300
+CHUNK_TOKENS = 2048
+BRIEF_TOKENS = 1460
+MODEL = "base"
+SPEC = EngineSpec(
+    places=64,
+    cache_tokens=129_004,
+    adapter_places=16,
+    weights_mb=66_600,
+    loads_per_second=3,
+    event_tokens=EVENT_TOKENS,
+    models={MODEL: ModelSpec(MODEL, 65_100, timedelta(seconds=1.9), 12)},
+)
+
+
+class ObedientEngines:
+    """Carry out every order at once, as long as it keeps to the engine's places."""
+
+    def __init__(self):
+        self.loaded = {}
+
+    async def give(self, engine, operation, target):
+        held = self.loaded.setdefault(engine.server.id, set())
+        if operation is Operation.UNLOAD:
+            held.discard(target)
+            return OrderOutcome.DONE
+        assert len(held) < SPEC.adapter_places, "an order passed the engine's places"
+        held.add(target)
+        return OrderOutcome.STARTED
+
+    async def refresh(self, engine):
+        return False
+
+
+class Cell:
+    """An owner on a virtual clock, with engines that read prompts as the sheet says."""
+
+    def __init__(self, engines):
+        self.clock = ManualClock()
+        self.orders = ObedientEngines()
+        self.tasks = PeriodicTasks(self.clock)
+        self.owner = CellOwner(
+            clock=self.clock,
+            metrics=NoMetrics(),
+            view=FleetView(self.clock),
+            in_cell=lambda server: True,
+            orders=self.orders,
+            may_order=lambda: True,
+            expected=set(),
+            generator=random.Random(1),
+            tasks=self.tasks,
+        )
+        self.owner.queue.pause_goal = lambda: timedelta(milliseconds=PAUSE_MS)
+        for number in range(engines):
+            self.add_engine(f"e{number}")
+
+    def add_engine(self, name):
+        server = BackendServer(
+            id=name,
+            born=1,
+            service="models",
+            address="10.0.0.1:1",
+            failure_domain="z",
+            places=64,
+            state=ServerState.READY,
+            models=(),
+            orders_accepted=0,
+        )
+        engine = EngineState(server, SPEC, models={MODEL}, reported=True)
+        self.owner.engines[server.key] = engine
+        return engine
+
+    def hold(self, name, adapter):
+        """Let an engine have an adapter."""
+        engine = self.owner.engines[name, 1]
+        loaded = LoadedAdapter(MODEL, adapter, 1)
+        engine.holdings[loaded] = Holding(
+            loaded, HoldingState.READY, timedelta(), timedelta()
+        )
+        self.orders.loaded.setdefault(name, set()).add(loaded)
+
+    def ask(self, request, adapter, tokens=BRIEF_TOKENS, priority=1, goal=800):
+        message = PlaceRequest(
+            cell="0",
+            instance="i",
+            incarnation="i-1",
+            request=request,
+            service="models",
+            model=MODEL,
+            adapter=adapter,
+            version=1,
+            prompt_tokens=tokens,
+            output_tokens=172,
+            priority=priority,
+            goal_left_ms=goal,
+            time_left_ms=3200.0,
+            deadline_left_ms=12000.0,
+            avoid=[],
+        )
+        return asyncio.ensure_future(self.owner.place(message))
+
+    async def pass_time(self, milliseconds):
+        """Move the clock, with a look at the queue every 10 ms."""
+        for _ in range(milliseconds // 10):
+            await settle()
+            self.clock.advance(timedelta(milliseconds=10))
+            self.owner.queue.pump()
+        await settle()
+
+    def granted(self):
+        """Return the engine of every request that got its place."""
+        placed = self.owner.in_use.placed.items()
+        return {request: engine.server.id for request, (engine, _) in placed}
+
+
+async def settle():
+    """Let all tasks run that can."""
+    for _ in range(20):
+        await asyncio.sleep(0)
+
+
+def end(cell, request, server, outcome=RunOutcome.SERVED):
+    """Report that a request ended."""
+    cell.owner.take_report(
+        InstanceReport(
+            cell="0",
+            instance="i",
+            incarnation="i-1",
+            address="10.0.0.2:1",
+            started=[],
+            ended=[
+                EndedRun(
+                    request=request, server=server, outcome=outcome, first_event_ms=0
+                )
+            ],
+            running=[],
+            full=False,
+            versions={},
+        )
+    )
--- /dev/null
+++ b/tests/load/test_deep_queue.py
@@ -0,0 +1,96 @@
+"""Many requests wait while every engine is full: looks at the queue stay cheap."""
+
+import random
+from datetime import timedelta
+
+from magnoliatrail.backends import LoadedAdapter
+from magnoliatrail.cells.placement_round import PlacementRound
+from tests.load.cell import MODEL, Cell, settle
+
+ENGINES, WAITING, ADAPTERS = 16, 200, 3000
+
+
+def full_cell():
+    """Return a cell whose engines have all the prompts that they may get now."""
+    cell = Cell(engines=ENGINES)
+    for engine in cell.owner.engines.values():
+        engine.note_prompt(9000, cell.clock.monotonic())
+    return cell
+
+
+def count_looks(monkeypatch):
+    """Return a list that gets an item for each engine described to a request."""
+    looks = []
+    describe = PlacementRound.options
+
+    def counting(self, engines, adapter):
+        looks.extend(engines)
+        return describe(self, engines, adapter)
+
+    monkeypatch.setattr(PlacementRound, "options", counting)
+    return looks
+
+
+def test_full_engines_are_not_described_to_each_request_that_waits(run, monkeypatch):
+    async def scenario():
+        cell = full_cell()
+        numbers = random.Random(1)
+        for number in range(WAITING):
+            cell.ask(f"r{number}", f"a{numbers.randrange(ADAPTERS)}", goal=5000)
+        await settle()
+        looks = count_looks(monkeypatch)
+        cell.owner.queue.pump()
+        assert len(cell.owner.queue.waiting) == WAITING
+        assert not looks
+
+    run(scenario())
+
+
+def test_one_free_engine_is_all_that_is_looked_at(run, monkeypatch):
+    async def scenario():
+        cell = full_cell()
+        for number in range(WAITING):
+            cell.ask(f"r{number}", "a1", goal=5000)
+        cell.hold("e0", "a1")
+        await settle()
+        cell.owner.engines["e0", 1].prompts.clear()
+        looks = count_looks(monkeypatch)
+        cell.owner.queue.pump()
+        assert set(cell.granted().values()) == {"e0"}
+        assert len(looks) <= len(cell.granted()) + 1
+
+    run(scenario())
+
+
+def test_a_larger_request_is_placed_after_a_load_began_for_a_smaller_one(run):
+    """That no engine could take it before the load says nothing about after it."""
+
+    async def scenario():
+        cell = Cell(engines=1)
+        cell.owner.queue.schedule = lambda: None
+        engine = cell.owner.engines["e0", 1]
+        adapter = LoadedAdapter(MODEL, "a1", 1)
+        round_ = cell.owner.queue.new_round(cell.clock.monotonic())
+        need = round_.least
+        round_.note_hopeless("models", adapter, need)
+        assert round_.is_hopeless("models", adapter, need)
+        assert not round_.is_hopeless("others", adapter, need)
+        round_.note_fetch(engine, adapter)
+        assert not round_.is_hopeless("models", adapter, need)
+
+    run(scenario())
+
+
+def test_requests_that_found_nothing_are_looked_at_again_when_engines_read_on(run):
+    async def scenario():
+        cell = full_cell()
+        cell.hold("e0", "a1")
+        for number in range(10):
+            cell.ask(f"r{number}", "a1", goal=5000)
+        await settle()
+        assert not cell.granted()
+        cell.clock.advance(timedelta(milliseconds=400))
+        cell.owner.queue.pump()
+        assert cell.granted()
+
+    run(scenario())
