Read the store before a request is decided on news that is nearly too old

Its reader reads in time by the clock, but runs after the requests that wait in the same loop.

Ruled out: peers' news (its age is counted from before the question), the views (they never go back).

Now a request waits for one shared read, 0.3 s at most, if configuration or servers are known as of longer ago than 0.85 of the shorter bound; not while the store does not answer.

--- a/src/magnoliatrail/forwarding/context.py
+++ b/src/magnoliatrail/forwarding/context.py
@@ -1,6 +1,7 @@
 """What every forwarded request needs."""
 
 import random
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -32,6 +33,9 @@
     pool: ConnectionPool
     bounds: Bounds
     generator: random.Random
+    # Returns once configuration and servers are known as the bounds want it, if the
+    # store answers.
+    ensure_fresh: Callable[[], Awaitable[None]]
     # Instances that share the budget for repeats.
     instances: int = 1
     # Streams that have no place yet are refused, as the process ends soon.
--- a/src/magnoliatrail/forwarding/engine_places.py
+++ b/src/magnoliatrail/forwarding/engine_places.py
@@ -93,6 +93,7 @@
                 return NoPlace(ENDING, RETRY_STOPPING)
             asking.link = self.best_link(asking)
             answer = await self.ask_owner(asking, goal) if asking.link else None
+            await self.parts.ensure_fresh()
             if asking.first_event_by - clock.monotonic() <= LEAST_TIME:
                 break
             if answer is not None:
--- a/src/magnoliatrail/forwarding/handler.py
+++ b/src/magnoliatrail/forwarding/handler.py
@@ -33,6 +33,7 @@
     async def handle(self, request: CallerRequest) -> None:
         """Answer one request."""
         started = request.received_at
+        await self.parts.ensure_fresh()
         routes = self.parts.view.routes
         if routes is None:
             await request.answer_error(
--- a/src/magnoliatrail/membership/store_reader.py
+++ b/src/magnoliatrail/membership/store_reader.py
@@ -20,6 +20,8 @@
 SERVERS_PAUSE = timedelta(seconds=0.7)
 # Pause after a read that failed.
 FAILED_PAUSE = timedelta(seconds=0.3)
+# Longest wait for news before a request is decided on what is known.
+NEWS_PATIENCE = timedelta(milliseconds=300)
 # Pause before a reader without duty looks again whether its news is late.
 IDLE_PAUSE = timedelta(seconds=0.1)
 
@@ -41,6 +43,8 @@
         # Whether to read now, given the age of what is known of a table.
         self.on_duty = on_duty
         self.failing: set[str] = set()
+        # Reads under way that requests wait for.
+        self.hurried: dict[str, asyncio.Task[bool]] = {}
 
     async def run(self) -> None:
         """Follow both tables for ever."""
@@ -85,6 +89,38 @@
                 self.note_failure(table, failure.message)
         return False
 
+    async def ensure_fresh(self, oldest: timedelta) -> None:
+        """Read the tables that are older, unless the store is known not to answer.
+
+        News is passed on in time; only an instance that was held up, or the one that
+        passes the news on, finds it too old when it is about to use it.
+        """
+        now = self.clock.monotonic()
+        late = [
+            name
+            for name, table in self.view.tables.items()
+            if table.age(now) > oldest and name not in self.failing
+        ]
+        if not late:
+            return
+        reads = [self.hurry(name) for name in late]
+        _, pending = await asyncio.wait(reads, timeout=NEWS_PATIENCE.total_seconds())
+        log.info(
+            "news_hurried",
+            tables=sorted(late),
+            age=max(self.view.tables[name].age(now) for name in late),
+            waited=self.clock.monotonic() - now,
+            in_time=not pending,
+        )
+
+    def hurry(self, table: str) -> asyncio.Task[bool]:
+        """Return the read of a table that is under way, or begin one."""
+        task = self.hurried.get(table)
+        if task is None or task.done():
+            task = asyncio.create_task(self.read_once(table, timedelta()))
+            self.hurried[table] = task
+        return task
+
     def note_success(self, table: str) -> None:
         """Log that the store can be read again."""
         if table in self.failing:
--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Callable
 from datetime import timedelta
+from functools import partial
 
 from tornado.web import Application, RequestHandler
 
@@ -49,6 +50,9 @@
 END_MARGIN = timedelta(seconds=0.7)
 
 
+# Share of the bounds on news up to which a request is decided on it; the rest is for
+# the way to the server.
+OLDEST_NEWS_SHARE = 0.85
 # Processor and link that an owner should have; weaker instances claim later.
 OWNER_CORES = 1.0
 OWNER_LINK_MBPS = 50.0
@@ -62,6 +66,12 @@
     return WEAK_HANDICAP * (cores + link)
 
 
+def oldest_news(settings: InstanceSettings) -> timedelta:
+    """Return how old news may be when a request is decided on it."""
+    bounds = settings.bounds
+    return min(bounds.propagation, bounds.drain) * OLDEST_NEWS_SHARE
+
+
 class BootClock(SystemClock):
     """Tell a steady time that goes on while the machine is suspended."""
 
@@ -134,6 +144,7 @@
             pool=self.pool,
             bounds=settings.bounds,
             generator=self.generator,
+            ensure_fresh=partial(self.reader.ensure_fresh, oldest_news(settings)),
         )
         places = EnginePlaces(self.parts, self.cells, self.identity)
         engines = EnginePath(self.parts, places)
