--- a/src/magnoliatrail/cells/queue.py
+++ b/src/magnoliatrail/cells/queue.py
@@ -153,7 +153,7 @@
             return False
         adapter = request.adapter = self.required(request.adapter)
         message = request.message
-        need = EngineNeed(message.prompt_tokens, message.output_tokens)
+        need = need_of(request)
         if round_.is_hopeless(message.service, adapter, need):
             return False
         candidates = {
@@ -189,22 +189,31 @@
     def why_not(self, request: WaitingRequest, round_: PlacementRound) -> str:
         """Say what keeps the engines from a request that waited too long."""
         reasons: dict[str, int] = defaultdict(int)
+        need = need_of(request)
         for engine in round_.engines:
             residency, _ = residency_of(engine, request.adapter, round_.now)
             if not may_serve(engine, request):
                 reasons["unfit"] += 1
             elif len(engine.grants) >= engine.spec.places:
                 reasons["no_place"] += 1
+            elif not round_.load_of(engine).takes(need):
+                reasons["prompts"] += 1
             elif residency in MISSING and not round_.room(engine):
                 reasons["no_room"] += 1
-            elif residency in MISSING:
-                reasons["no_fetch"] += 1
+            elif residency is Residency.ABSENT and not round_.may_fetch_from_store:
+                reasons["store_busy"] += 1
             else:
-                reasons["prompts"] += 1
+                reasons["more_urgent"] += 1
         told = ",".join(f"{name}:{count}" for name, count in sorted(reasons.items()))
         return f"no place within the longest wait ({told or 'no engine'})"
 
 
+def need_of(request: WaitingRequest) -> EngineNeed:
+    """Return what a request takes of an engine."""
+    message = request.message
+    return EngineNeed(message.prompt_tokens, message.output_tokens)
+
+
 def may_serve(engine: EngineState, request: WaitingRequest) -> bool:
     """Return whether an engine may be given a request at all."""
     message = request.message
