--- a/src/magnoliatrail/forwarding/context.py
+++ b/src/magnoliatrail/forwarding/context.py
@@ -71,5 +71,7 @@
         status=attempt.status,
         started=attempt.started,
         reused=attempt.reused,
+        first_event=attempt.first_event or "",
+        longest_pause=attempt.longest_pause,
         reason=attempt.reason,
     )
--- a/src/magnoliatrail/forwarding/engine_path.py
+++ b/src/magnoliatrail/forwarding/engine_path.py
@@ -43,6 +43,25 @@
 }
 
 
+class EventTimes:
+    """Note when the events of a stream come."""
+
+    def __init__(self, sent_at: timedelta) -> None:
+        self.sent_at = sent_at
+        self.last_at: timedelta | None = None
+        # Time from the request to its first event.
+        self.first: timedelta | None = None
+        self.longest_pause = timedelta()
+
+    def note(self, now: timedelta) -> None:
+        """Note that events came."""
+        if self.last_at is None:
+            self.first = now - self.sent_at
+        else:
+            self.longest_pause = max(self.longest_pause, now - self.last_at)
+        self.last_at = now
+
+
 class EnginePath:
     """Send requests to engines under places of the cell's owner."""
 
@@ -97,16 +116,15 @@
         clock = self.parts.clock
         sent_at = clock.monotonic()
         left = asking.ends_at - sent_at
-        first_event: list[timedelta] = []
+        events = EventTimes(sent_at)
 
         async def head(status: int, headers: HTTPHeaders) -> None:
             await request.start(status, headers)
 
         async def body(chunk: bytes) -> None:
-            if not first_event:
-                first_event.append(clock.monotonic())
-                if asking.link:
-                    asking.link.note_started(asking.key)
+            if events.first is None and asking.link:
+                asking.link.note_started(asking.key)
+            events.note(clock.monotonic())
             await request.write(chunk)
 
         forwarded = Forwarded(
@@ -138,11 +156,11 @@
             outcome = RUN_OUTCOMES[attempt.outcome]
         finally:
             self.places.in_flight[place.server.id] -= 1
-            waited = first_event[0] - sent_at if first_event else timedelta()
-            self.places.end(asking, place, outcome, waited)
-        if first_event:
+            self.places.end(asking, place, outcome, events.first or timedelta())
+        attempt.first_event, attempt.longest_pause = events.first, events.longest_pause
+        if events.first is not None:
             self.parts.metrics.timing(
-                "answer.first_event", first_event[0] - request.received_at
+                "answer.first_event", sent_at + events.first - request.received_at
             )
         return attempt
 
--- a/src/magnoliatrail/forwarding/server_call.py
+++ b/src/magnoliatrail/forwarding/server_call.py
@@ -62,6 +62,9 @@
     sent: bool = False
     started: bool = False
     reused: bool = False
+    # Of a stream: the time to its first event, and the longest between two.
+    first_event: timedelta | None = None
+    longest_pause: timedelta = timedelta()
 
 
 @dataclass(frozen=True, slots=True)
