Learn from the pauses of its streams how many prompts an engine bears

Cause: engines got prompts for 22 tokens a millisecond everywhere.

Now each ended stream tells its longest pause; the engine's share of the usual prompts rises while pauses have room and falls when one nears the goal.

--- a/src/magnoliatrail/cells/owner.py
+++ b/src/magnoliatrail/cells/owner.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 from datetime import timedelta
+from statistics import median
 
 from magnoliatrail.backends import BackendServer, LoadedAdapter
 from magnoliatrail.cells.answers import place_answer
@@ -32,6 +33,7 @@
 from magnoliatrail.metrics import Metrics
 from magnoliatrail.periodic import PeriodicTasks
 from magnoliatrail.routing.engine_scores import Residency
+from magnoliatrail.routing.prompt_pace import PromptPace
 
 log = EventLog("cells")
 
@@ -90,6 +92,7 @@
             loads=self.loads,
             engines=self.engines.values,
             forget=self.queue.remove,
+            pause_goal=self.pause_goal,
         )
         self.closed = False
         self.began_at = clock.monotonic()
@@ -125,6 +128,7 @@
         assert spec is not None, "only services with engines have a cell"
         now = self.clock.monotonic()
         engine = EngineState(server, spec, orders_accepted=server.orders_accepted)
+        engine.pace = PromptPace(self.usual_pace(server.service))
         for model in server.models:
             engine.models.add(model.name)
             for adapter in model.adapters:
@@ -141,6 +145,15 @@
         )
         self.tasks.once(lambda: self.loads.attend(engine, self.is_current))
 
+    def usual_pace(self, service: str) -> float:
+        """Return the pace of the service's engines so far, for one that is new."""
+        shares = [
+            engine.pace.share
+            for engine in self.engines.values()
+            if engine.server.service == service
+        ]
+        return median(shares) if shares else 1.0
+
     def knows_what_runs(self) -> bool:
         """Return whether the instances had time to tell what they run."""
         if self.expected <= self.in_use.told_all:
@@ -248,6 +261,7 @@
             running=len(engine.grants),
             backlog_tokens=engine.backlog_tokens,
             queue=len(self.queue.waiting),
+            pace=round(engine.pace.share, 2),
         )
         if not request.answer.done():
             request.answer.set_result(answer)
--- a/src/magnoliatrail/cells/placement_round.py
+++ b/src/magnoliatrail/cells/placement_round.py
@@ -77,7 +77,8 @@
             found = self.known_loads[engine.server.id] = EngineLoad(
                 backlog_tokens=engine.backlog_tokens,
                 pause_tokens=engine.pause_tokens(self.now, self.pause),
-                most_pause_tokens=most_pause_tokens(self.pause, spec.event_tokens),
+                most_pause_tokens=most_pause_tokens(self.pause, spec.event_tokens)
+                * engine.pace.share,
                 running=len(engine.grants),
                 places=spec.places,
                 cache_tokens_free=cache_free,
--- a/src/magnoliatrail/cells/places_in_use.py
+++ b/src/magnoliatrail/cells/places_in_use.py
@@ -42,12 +42,14 @@
         loads: AdapterLoads,
         engines: Callable[[], Collection[EngineState]],
         forget: Callable[[str], None],
+        pause_goal: Callable[[], timedelta],
     ) -> None:
         self.clock = clock
         self.loads = loads
         self.engines = engines
         # Takes a request that needs no place any more.
         self.forget = forget
+        self.pause_goal = pause_goal
         self.placed: dict[str, tuple[EngineState, PlaceAnswer]] = {}
         # When each instance last reported, and the address of its peer listener.
         self.instances: dict[str, timedelta] = {}
@@ -92,6 +94,8 @@
         match ended.outcome:
             case RunOutcome.SERVED:
                 engine.failures = 0
+                pause = timedelta(milliseconds=ended.longest_pause_ms)
+                engine.pace.note(pause, self.pause_goal(), now)
             case RunOutcome.NOT_RUN if grant:
                 self.loads.note_refused(engine, grant.adapter)
             case RunOutcome.SILENT | RunOutcome.FAILED:
--- a/src/magnoliatrail/forwarding/engine_path.py
+++ b/src/magnoliatrail/forwarding/engine_path.py
@@ -1,7 +1,5 @@
 """Requests to engines: a place from the owner, then the stream as it comes."""
 
-from datetime import timedelta
-
 from tornado.httputil import HTTPHeaders
 
 from magnoliatrail.forwarding.context import (
@@ -17,6 +15,7 @@
     NoPlace,
     Place,
 )
+from magnoliatrail.forwarding.event_times import EventTimes
 from magnoliatrail.forwarding.server_call import (
     Attempt,
     AttemptOutcome,
@@ -43,25 +42,6 @@
 }
 
 
-class EventTimes:
-    """Note when the events of a stream come."""
-
-    def __init__(self, sent_at: timedelta) -> None:
-        self.sent_at = sent_at
-        self.last_at: timedelta | None = None
-        # Time from the request to its first event.
-        self.first: timedelta | None = None
-        self.longest_pause = timedelta()
-
-    def note(self, now: timedelta) -> None:
-        """Note that events came."""
-        if self.last_at is None:
-            self.first = now - self.sent_at
-        else:
-            self.longest_pause = max(self.longest_pause, now - self.last_at)
-        self.last_at = now
-
-
 class EnginePath:
     """Send requests to engines under places of the cell's owner."""
 
@@ -156,7 +136,7 @@
             outcome = RUN_OUTCOMES[attempt.outcome]
         finally:
             self.places.in_flight[place.server.id] -= 1
-            self.places.end(asking, place, outcome, events.first or timedelta())
+            self.places.end(asking, place, outcome, events)
         attempt.first_event, attempt.longest_pause = events.first, events.longest_pause
         if events.first is not None:
             self.parts.metrics.timing(
--- a/src/magnoliatrail/forwarding/engine_places.py
+++ b/src/magnoliatrail/forwarding/engine_places.py
@@ -14,6 +14,7 @@
     ForwardingParts,
     RoutedRequest,
 )
+from magnoliatrail.forwarding.event_times import EventTimes
 from magnoliatrail.generated.cells import (
     EndedRun,
     PlaceAnswer,
@@ -239,26 +240,29 @@
         asking: EngineRequest,
         place: Place,
         outcome: RunOutcome,
-        waited: timedelta = timedelta(),
+        events: EventTimes | None = None,
     ) -> None:
         """Tell the owner that a place is free again."""
-        self.end_key(asking, place.server.id, outcome, waited)
+        self.end_key(asking, place.server.id, outcome, events)
 
     def end_key(
         self,
         asking: EngineRequest,
         server: str,
         outcome: RunOutcome,
-        waited: timedelta = timedelta(),
+        events: EventTimes | None = None,
     ) -> None:
         """Tell the owner that the place of one try is free again."""
         if asking.link is None:
             return
+        first = events.first if events and events.first else timedelta()
+        pause = events.longest_pause if events else timedelta()
         asking.link.note_ended(
             EndedRun(
                 request=asking.key,
                 server=server,
                 outcome=outcome,
-                first_event_ms=waited.total_seconds() * 1000,
+                first_event_ms=first.total_seconds() * 1000,
+                longest_pause_ms=pause.total_seconds() * 1000,
             )
         )
--- /dev/null
+++ b/src/magnoliatrail/forwarding/event_times.py
@@ -0,0 +1,22 @@
+"""When the events of a stream come."""
+
+from datetime import timedelta
+
+
+class EventTimes:
+    """Note when the events of a stream come."""
+
+    def __init__(self, sent_at: timedelta) -> None:
+        self.sent_at = sent_at
+        self.last_at: timedelta | None = None
+        # Time from the request to its first event.
+        self.first: timedelta | None = None
+        self.longest_pause = timedelta()
+
+    def note(self, now: timedelta) -> None:
+        """Note that events came."""
+        if self.last_at is None:
+            self.first = now - self.sent_at
+        else:
+            self.longest_pause = max(self.longest_pause, now - self.last_at)
+        self.last_at = now
--- a/tests/load/cell.py
+++ b/tests/load/cell.py
@@ -74,6 +74,7 @@
             tasks=self.tasks,
         )
         self.owner.queue.pause_goal = lambda: timedelta(milliseconds=PAUSE_MS)
+        self.owner.in_use.pause_goal = self.owner.queue.pause_goal
         for number in range(engines):
             self.add_engine(f"e{number}")
 
@@ -142,7 +143,7 @@
         await asyncio.sleep(0)
 
 
-def end(cell, request, server, outcome=RunOutcome.SERVED):
+def end(cell, request, server, outcome=RunOutcome.SERVED, pause_ms=0):
     """Report that a request ended."""
     cell.owner.take_report(
         InstanceReport(
@@ -153,7 +154,11 @@
             started=[],
             ended=[
                 EndedRun(
-                    request=request, server=server, outcome=outcome, first_event_ms=0
+                    request=request,
+                    server=server,
+                    outcome=outcome,
+                    first_event_ms=0,
+                    longest_pause_ms=pause_ms,
                 )
             ],
             running=[],
--- /dev/null
+++ b/tests/load/test_engine_speeds.py
@@ -0,0 +1,84 @@
+"""Engines of different speed: each gets the prompts that its streams bear."""
+
+import random
+from datetime import timedelta
+
+from magnoliatrail.routing.engine_scores import most_pause_tokens
+from magnoliatrail.routing.prompt_pace import FASTEST, SLOWEST, PromptPace
+from tests.load.cell import BRIEF_TOKENS, PAUSE_MS, Cell, end
+
+GOAL = timedelta(milliseconds=PAUSE_MS)
+USUAL = most_pause_tokens(GOAL, 4)
+STEPS_MS = 4 * 7.5
+
+
+def run_streams(pace, tokens_per_ms, count=3000):
+    """Let streams pause while an engine reads what it is given, and learn from them.
+
+    Return the share of the later streams whose pause was over the goal.
+    """
+    numbers = random.Random(1)
+    late = 0
+    for number in range(count):
+        read = USUAL * pace.share * numbers.uniform(0.7, 1.0)
+        pause = timedelta(milliseconds=STEPS_MS + read / tokens_per_ms)
+        pace.note(pause, GOAL, timedelta(milliseconds=70 * number))
+        late += number > count // 2 and pause > GOAL
+    return late / (count / 2)
+
+
+def test_a_fast_engine_gets_more_prompts_without_late_streams():
+    pace = PromptPace()
+    late = run_streams(pace, tokens_per_ms=30)
+    assert pace.share > 1.2
+    assert late < 0.05
+
+
+def test_a_slow_engine_gets_fewer_prompts():
+    pace = PromptPace()
+    late = run_streams(pace, tokens_per_ms=17)
+    assert pace.share < 0.9
+    assert late < 0.05
+
+
+def test_the_pace_stays_within_its_limits():
+    pace = PromptPace()
+    run_streams(pace, tokens_per_ms=300)
+    assert pace.share <= FASTEST
+    run_streams(pace, tokens_per_ms=10)
+    assert pace.share >= SLOWEST
+
+
+def test_a_pause_that_all_streams_of_an_engine_see_counts_once():
+    pace = PromptPace()
+    for _ in range(40):
+        pace.note(GOAL, GOAL, timedelta(seconds=1))
+    assert pace.share > 0.94
+
+
+def test_pauses_from_trouble_elsewhere_change_nothing():
+    pace = PromptPace()
+    for number in range(40):
+        pace.note(GOAL * 5, GOAL, timedelta(seconds=number))
+        pace.note(timedelta(), GOAL, timedelta(seconds=number))
+    assert pace.share == 1.0
+
+
+def test_an_engine_that_read_fast_gets_more_prompts_at_once(run):
+    async def scenario():
+        counts = []
+        for pause_ms in (0, 200):
+            cell = Cell(engines=1)
+            cell.hold("e0", "a1")
+            for number in range(100):
+                cell.ask(f"past{number}", "a1", tokens=10)
+                await cell.pass_time(10)
+                end(cell, f"past{number}", "e0", pause_ms=pause_ms)
+            await cell.pass_time(400)
+            for number in range(20):
+                cell.ask(f"r{number}", "a1", tokens=BRIEF_TOKENS)
+            await cell.pass_time(10)
+            counts.append(len(cell.granted()))
+        assert counts[1] > counts[0]
+
+    run(scenario())
