Let an owner go on while the store is away for everybody

Cause: during an outage of the store the lease of 2 s lapses, and the owner orders nothing: requests for adapters that are not loaded wait and are refused until the store is back, and then another instance claims and the owner's knowledge of its engines is lost.

Ruled out: a longer lease (a crashed owner would be replaced later), quorums of votes (state that must survive restarts of many at once).

Now instances say in each report whether the store answers them. An owner whose renewals fail goes on for 8 s more at most while each instance that it knows said within the last second that the store does not answer it: none of those can claim. A candidate asks the last owner before it claims; told no, that owner has stopped for good; without an answer, the candidate waits for as long as its own words may have let that owner go on, or, if that owner may have forgotten it, until the longest outage is over.

--- a/src/magnoliatrail/cells/fleet_cells.py
+++ b/src/magnoliatrail/cells/fleet_cells.py
@@ -12,7 +12,12 @@
 from magnoliatrail.cells.layout import cell_count, cell_ids, cell_order, cell_sizes
 from magnoliatrail.cells.lease import owner_row
 from magnoliatrail.cells.link import PLACE_PATH, REPORT_PATH, OwnerLink
-from magnoliatrail.cells.member import NEWS_CELL, NOTICE_PATH, CellMember
+from magnoliatrail.cells.member import (
+    NEWS_CELL,
+    NOTICE_PATH,
+    STANDING_PATH,
+    CellMember,
+)
 from magnoliatrail.cells.survey import EngineSurvey
 from magnoliatrail.clock import Clock
 from magnoliatrail.errors import ErrorKind, Failure
@@ -21,6 +26,8 @@
     LayoutRow,
     NoticeAnswer,
     OwnerNotice,
+    OwnerQuestion,
+    OwnerStanding,
     PlaceAnswer,
     PlaceRequest,
     PlaceState,
@@ -207,6 +214,15 @@
             return Result.Error(unknown_cell(message.cell))
         return Ok(member.report_answer(message))
 
+    async def answer_question(
+        self, message: OwnerQuestion
+    ) -> Result[OwnerStanding, Failure]:
+        """Say whether this instance still orders a cell's engines."""
+        member = self.members.get(CellId(message.cell))
+        if member is None:
+            return Ok(OwnerStanding(orders=False))
+        return Ok(member.succession.answer(message))
+
     async def answer_notice(
         self, message: OwnerNotice
     ) -> Result[NoticeAnswer, Failure]:
@@ -222,6 +238,7 @@
             PeerRoute(PLACE_PATH, PlaceRequest, self.answer_place),
             PeerRoute(REPORT_PATH, InstanceReport, self.answer_report),
             PeerRoute(NOTICE_PATH, OwnerNotice, self.answer_notice),
+            PeerRoute(STANDING_PATH, OwnerQuestion, self.answer_question),
         ]
 
 
--- a/src/magnoliatrail/cells/lease.py
+++ b/src/magnoliatrail/cells/lease.py
@@ -6,6 +6,7 @@
 import msgspec
 from expression import Result
 
+from magnoliatrail.cells.outage import OutageEvidence
 from magnoliatrail.clock import Clock
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.generated.cells import OwnerRow
@@ -50,6 +51,7 @@
         self.fencing_number = FencingNumber(0)
         self.lease_until = timedelta()
         self.renewals = 0
+        self.outage = OutageEvidence(clock, self.lease_until)
 
     @property
     def is_mine(self) -> bool:
@@ -60,7 +62,10 @@
 
     def may_order(self, duration: timedelta) -> bool:
         """Return whether an order that takes this long ends within the lease."""
-        return self.is_mine and self.clock.monotonic() + duration < self.lease_until
+        if not self.is_mine:
+            return False
+        in_time = self.clock.monotonic() + duration < self.lease_until
+        return in_time or self.outage.bridges(duration)
 
     @property
     def is_held(self) -> bool:
@@ -115,8 +120,12 @@
             case Result(tag="ok", ok=version):
                 self.adopt(row, version)
                 self.lease_until = sent_at + LEASE
+                self.outage.note_renewed(self.lease_until)
             case Result(error=failure):
+                self.outage.renewal_fails = True
                 log.warning("renewal_failed", reason=failure.message, kind=failure.kind)
+                if failure.kind is ErrorKind.CONFLICT:
+                    self.outage.cede()
                 if failure.kind is not ErrorKind.TABLE_UNAVAILABLE:
                     await self.read_after_doubt()
 
@@ -141,6 +150,7 @@
                 self.adopt(row, version)
                 self.fencing_number = FencingNumber(version)
                 self.lease_until = sent_at + LEASE
+                self.outage = OutageEvidence(self.clock, self.lease_until)
                 log.info("lease_claimed", fencing_number=version, cell=self.key)
                 return True
             case Result(error=failure):
@@ -154,6 +164,7 @@
         if not self.is_mine:
             return
         self.lease_until = timedelta()
+        self.outage.cede()
         row = self.new_row(released=True)
         match await self.write(row):
             case Result(tag="ok", ok=version):
--- a/src/magnoliatrail/cells/link.py
+++ b/src/magnoliatrail/cells/link.py
@@ -66,6 +66,8 @@
         self.owner = ""
         self.address = ""
         self.answered_at: timedelta | None = None
+        # When the last report was sent that this owner has answered.
+        self.heard_at: timedelta | None = None
         # The owner itself says that its lease has lapsed.
         self.lapsed = False
         self.running: dict[str, RunningRequest] = {}
@@ -106,7 +108,7 @@
             return
         log.info("owner_used", owner=owner, address=address, before=self.owner)
         self.owner, self.address = owner, address
-        self.answered_at = None
+        self.answered_at = self.heard_at = None
         self.lapsed = False
         self.reports = 0
         self.wake.set()
@@ -165,7 +167,9 @@
         self.unreported.ended.append(ended)
         self.wake.set()
 
-    async def report(self, versions: dict[str, int]) -> ReportAnswer | None:
+    async def report(
+        self, versions: dict[str, int], *, store_answers: bool, leaving: bool
+    ) -> ReportAnswer | None:
         """Tell the owner what changed; None if it does not answer."""
         if not self.address:
             return None
@@ -181,17 +185,20 @@
             ended=told.ended,
             running=list(self.running.values()) if full else [],
             full=full,
+            store_answers=store_answers,
+            leaving=leaving,
             versions=versions,
         )
         if self.own_report:
             answer = self.own_report(message)
             self.take_answer(answer)
             return answer
-        address = self.address
+        address, sent_at = self.address, self.clock.monotonic()
         url = f"http://{address}{REPORT_PATH}"
         match await self.peers.ask(url, message, ReportAnswer, REPORT_LIMITS):
             case Result(tag="ok", ok=answer):
                 if address == self.address:
+                    self.heard_at = sent_at
                     self.take_answer(answer)
                 return answer
             case Result(error=failure):
--- a/src/magnoliatrail/cells/member.py
+++ b/src/magnoliatrail/cells/member.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from contextlib import suppress
 from datetime import timedelta
 from functools import partial
 
@@ -14,6 +15,7 @@
 from magnoliatrail.cells.news import news_since, take_news
 from magnoliatrail.cells.orders import ORDER_TIME, EngineOrders, OrderingRights
 from magnoliatrail.cells.owner import CellOwner
+from magnoliatrail.cells.succession import Succession
 from magnoliatrail.clock import Clock
 from magnoliatrail.connections import ConnectionPool
 from magnoliatrail.generated.cells import (
@@ -22,7 +24,9 @@
     KnownInstance,
     NoticeAnswer,
     OwnerNotice,
+    OwnerQuestion,
     OwnerRow,
+    OwnerStanding,
     ReportAnswer,
 )
 from magnoliatrail.ids import CellId
@@ -49,11 +53,15 @@
 # A queue moves with time too, as engines read the prompts that they got.
 PUMP_EVERY_SECONDS = 0.02
 NOTICE_PATH = "/cell/owner"
+STANDING_PATH = "/cell/standing"
 # The owner of this cell reads the store for all instances.
 NEWS_CELL = CellId("0")
 # An adapter with more than this share of a cell's requests needs more cells.
 BUSY_SHARE = 0.35
 NOTICE_LIMITS = CallLimits(timedelta(milliseconds=300), timedelta(milliseconds=600))
+STANDING_LIMITS = CallLimits(timedelta(milliseconds=200), timedelta(milliseconds=300))
+# Pause between renewals that are tried early.
+LEAST_RENEW_PAUSE = timedelta(milliseconds=200)
 NOTICE_PAUSE = timedelta(milliseconds=400)
 MOST_NOTICES = 8
 
@@ -76,6 +84,7 @@
         cell: CellId,
         cells: int,
         handicap: Callable[[], timedelta],
+        store_answers: Callable[[], bool],
     ) -> None:
         self.clock = clock
         self.metrics = metrics
@@ -88,12 +97,21 @@
         self.cells = cells
         # How much later than others this instance claims a free lease.
         self.handicap = handicap
+        # Whether the store answered this instance last.
+        self.store_answers = store_answers
         self.lease = CellLease(clock=clock, store=store, identity=identity, cell=cell)
         self.peers = peers
         self.previous_address = ""
         self.link = OwnerLink(clock=clock, peers=peers, identity=identity, cell=cell)
+        self.succession = Succession(
+            clock=clock,
+            lease=self.lease,
+            heard_at=lambda: self.link.heard_at,
+            ask=self.ask_owner,
+        )
         self.owner: CellOwner | None = None
         self.stopping = False
+        self.renew_now = asyncio.Event()
         self.answers: dict[str, int] = {}
         self.view.on_change.append(self.view_changed)
 
@@ -126,16 +144,48 @@
             if self.lease.is_mine and not self.stopping:
                 await self.lease.renew()
                 self.follow_lease()
-                await self.clock.sleep(RENEW_EVERY)
+                await self.until_renewal()
                 continue
             if self.may_claim():
                 version = self.lease.row_version
                 await self.clock.sleep(self.claim_delay())
                 if self.may_claim() and self.lease.row_version == version:
-                    await self.lease.claim()
-                    self.follow_lease()
+                    await self.claim_unless_in_use()
             await self.clock.sleep(IDLE_PAUSE)
 
+    async def until_renewal(self) -> None:
+        """Wait for the next renewal, or until the store answers another instance."""
+        self.renew_now.clear()
+        await self.clock.sleep(LEAST_RENEW_PAUSE)
+        rest = (RENEW_EVERY - LEAST_RENEW_PAUSE).total_seconds()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(rest):
+                await self.renew_now.wait()
+
+    async def claim_unless_in_use(self) -> None:
+        """Claim the lease, unless its last owner says that it still orders."""
+        row, version = self.lease.row, self.lease.row_version
+        if not await self.succession.may_claim():
+            await self.clock.sleep(RENEW_EVERY)
+            return
+        if not self.may_claim() or self.lease.row_version != version:
+            return
+        if await self.lease.claim() and row is not None:
+            self.tasks.once(lambda: self.succession.ask_again(row))
+        self.follow_lease()
+
+    async def ask_owner(self, row: OwnerRow) -> OwnerStanding | None:
+        """Ask the owner that a row names whether it still orders."""
+        question = OwnerQuestion(cell=self.cell, row_version=self.lease.row_version)
+        url = f"http://{row.address}{STANDING_PATH}"
+        match await self.peers.ask(url, question, OwnerStanding, STANDING_LIMITS):
+            case Result(tag="ok", ok=standing):
+                log.info("owner_asked", owner=row.owner, orders=standing.orders)
+                return standing
+            case Result(error=failure):
+                log.info("owner_asked", owner=row.owner, reason=failure.message)
+        return None
+
     def may_claim(self) -> bool:
         """Return whether this instance should claim the lease."""
         return self.needs_row and self.lease.is_free() and not self.stopping
@@ -172,7 +222,7 @@
         rights = OrderingRights(
             holder=self.identity.instance,
             fencing_number=lambda: self.lease.fencing_number,
-            may_order=self.lease.may_order,
+            may_order=self.succession.may_order,
         )
         orders = EngineOrders(
             clock=self.clock, metrics=self.metrics, pool=self.pool, rights=rights
@@ -183,11 +233,12 @@
             view=self.view,
             in_cell=lambda server: cell_of(server, self.cells) == self.cell,
             orders=orders,
-            may_order=lambda: self.lease.may_order(ORDER_TIME),
+            may_order=lambda: self.succession.may_order(ORDER_TIME),
             expected=set(self.link.instances) - {self.link.owner},
             generator=self.generator,
             tasks=self.tasks,
         )
+        self.lease.outage.expect(set(self.link.instances) - {self.identity.instance})
         self.link.own_place = self.owner.place
         self.link.own_report = self.report_answer
         log.info("ownership_begun", fencing_number=self.lease.fencing_number)
@@ -239,7 +290,12 @@
             await self.link.until_due()
             asked_at = self.clock.monotonic()
             versions = {name: table.version for name, table in self.view.tables.items()}
-            answer = await self.link.report(versions)
+            store_answers = self.store_answers()
+            if not store_answers:
+                self.succession.denied_at = asked_at
+            answer = await self.link.report(
+                versions, store_answers=store_answers, leaving=self.stopping
+            )
             if answer is None:
                 await self.clock.sleep(IDLE_PAUSE)
                 continue
@@ -254,6 +310,7 @@
         owner = self.owner
         if owner:
             owner.take_report(message)
+            self.note_store(message)
         detailed = owner is not None and count % SUMMARY_EVERY == 0
         return ReportAnswer(
             owner=owner is not None and self.lease.is_held,
@@ -266,6 +323,19 @@
             spread=busy_adapters(owner, self.cells) if owner and detailed else [],
         )
 
+    def note_store(self, message: InstanceReport) -> None:
+        """Take in whether the store answers an instance; renew at once if it does."""
+        if message.instance == self.identity.instance:
+            return
+        outage = self.lease.outage
+        regained = outage.note_report(
+            message.instance,
+            store_answers=message.store_answers,
+            leaving=message.leaving,
+        )
+        if regained and outage.renewal_fails:
+            self.renew_now.set()
+
     def start(self) -> None:
         """Start the work that goes on while the instance runs."""
         for work in (self.keep_lease, self.keep_reporting, self.keep_pumping):
--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -168,6 +168,7 @@
             cell=cell,
             cells=cells,
             handicap=lambda: self.cells.handicap() + weakness(self.settings),
+            store_answers=lambda: not self.reader.failing,
         )
 
     async def start(self) -> None:
--- a/tests/load/cell.py
+++ b/tests/load/cell.py
@@ -163,6 +163,8 @@
             ],
             running=[],
             full=False,
+            store_answers=True,
+            leaving=False,
             versions={},
         )
     )
--- a/tests/load/test_patterns.py
+++ b/tests/load/test_patterns.py
@@ -220,6 +220,8 @@
             ended=[],
             running=[running],
             full=True,
+            store_answers=True,
+            leaving=False,
             versions={},
         )
         cell.owner.take_report(report)
--- /dev/null
+++ b/tests/platform/test_outage.py
@@ -0,0 +1,340 @@
+"""Who may give orders while the store is away: still at most one instance."""
+
+import asyncio
+from datetime import timedelta
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from magnoliatrail.cells.lease import LEASE, LEASE_MARGIN, CellLease, Identity
+from magnoliatrail.cells.outage import (
+    FORGOTTEN_AFTER,
+    LONGEST_OUTAGE,
+    REPORT_COUNTS,
+)
+from magnoliatrail.cells.succession import DENIAL_COUNTS, Succession
+from magnoliatrail.clock import ManualClock
+from magnoliatrail.generated.cells import OwnerQuestion
+from magnoliatrail.ids import CellId
+from magnoliatrail.platform.words import CELLS_TABLE
+from tests.platform.fake_store import FakeRows
+
+NO_TIME = timedelta()
+NAMES = "abc"
+
+
+def call(coroutine):
+    return asyncio.run(coroutine)
+
+
+class Instance:
+    """What a member of a cell does about its lease, one step at a time."""
+
+    def __init__(self, name, fleet, run=1):
+        self.name, self.fleet, self.run = name, fleet, run
+        identity = Identity(name, f"{name}-{run}", name)
+        self.lease = CellLease(
+            clock=fleet.clock, store=fleet.store, identity=identity, cell=CellId("0")
+        )
+        self.store_answers = True
+        self.heard = {}
+        self.succession = Succession(
+            clock=fleet.clock, lease=self.lease, heard_at=self.heard_at, ask=self.ask
+        )
+
+    def heard_at(self):
+        """Return when the owner that the row names got the last report."""
+        return self.heard.get(self.lease.row.owner)
+
+    def may_order(self):
+        return self.succession.may_order(NO_TIME)
+
+    def act(self):
+        """Renew, or claim what is free and whose owner does not order."""
+        store = self.fleet.store
+        store.down = self.fleet.down or self.name in self.fleet.turned_away
+        self.store_answers = not store.down
+        if self.lease.is_mine:
+            call(self.lease.renew())
+            return
+        call(self.lease.read())
+        if self.lease.is_free() and call(self.succession.may_claim()):
+            call(self.lease.claim())
+            if self.lease.is_mine:
+                self.lease.outage.expect(set(NAMES) - {self.name})
+
+    async def ask(self, row):
+        """Ask an owner over the link between the two, if there is one."""
+        if {row.owner, self.name} in self.fleet.cut:
+            return None
+        question = OwnerQuestion(cell="0", row_version=self.lease.row_version)
+        return self.fleet.instances[row.owner].succession.answer(question)
+
+    def report(self):
+        """Tell the owners that can be reached what the store does here."""
+        now = self.fleet.clock.monotonic()
+        if not self.store_answers:
+            self.succession.denied_at = now
+        for other in self.fleet.instances.values():
+            reached = {other.name, self.name} not in self.fleet.cut
+            if other is not self and other.lease.is_mine and reached:
+                self.heard = {other.name: now}
+                other.lease.outage.note_report(
+                    self.name, store_answers=self.store_answers, leaving=False
+                )
+
+
+class Fleet:
+    """Three instances before a store that may be away, for all or for some."""
+
+    def __init__(self):
+        self.store, self.clock = FakeRows(), ManualClock()
+        self.down = False
+        self.turned_away = set()
+        self.cut = []
+        self.instances = {name: Instance(name, self) for name in NAMES}
+
+    def with_owner(self):
+        """Return an instance that owns the cell and heard from all others."""
+        self.clock.advance(DENIAL_COUNTS)
+        for item in self.instances.values():
+            item.act()
+            item.report()
+        owner = self.instances["a"]
+        assert owner.may_order()
+        return owner
+
+    def pass_time(self, duration, step=timedelta(milliseconds=250)):
+        """Let all instances act and report for a while."""
+        until = self.clock.monotonic() + duration
+        while self.clock.monotonic() < until:
+            self.clock.advance(step)
+            for item in self.instances.values():
+                item.act()
+                item.report()
+
+    def owners(self):
+        return [item.name for item in self.instances.values() if item.may_order()]
+
+
+def test_the_owner_goes_on_while_the_store_is_away_for_all():
+    fleet = Fleet()
+    fleet.with_owner()
+    fleet.down = True
+    fleet.pass_time(LEASE * 2)
+    assert fleet.owners() == ["a"]
+    fleet.down = False
+    fleet.pass_time(timedelta(seconds=3))
+    assert fleet.owners() == ["a"]
+
+
+def test_an_owner_that_the_store_alone_turns_away_is_replaced():
+    fleet = Fleet()
+    fleet.with_owner()
+    fleet.turned_away = {"a"}
+    fleet.pass_time(LEASE + LEASE_MARGIN + timedelta(seconds=0.5))
+    assert fleet.owners()
+    assert "a" not in fleet.owners()
+
+
+def test_an_owner_that_is_cut_off_from_all_stops():
+    fleet = Fleet()
+    fleet.with_owner()
+    fleet.turned_away = {"a"}
+    fleet.cut = [{"a", "b"}, {"a", "c"}]
+    fleet.pass_time(LEASE + LEASE_MARGIN + timedelta(seconds=0.5))
+    assert "a" not in fleet.owners()
+    assert fleet.owners()
+
+
+def test_an_instance_that_fell_silent_ends_the_bridging():
+    fleet = Fleet()
+    fleet.with_owner()
+    fleet.down = True
+    fleet.pass_time(LEASE * 2)
+    fleet.cut = [{"a", "c"}]
+    fleet.pass_time(REPORT_COUNTS + timedelta(seconds=0.5))
+    assert not fleet.owners()
+
+
+def test_a_successor_waits_until_its_own_word_for_the_outage_no_longer_counts():
+    fleet = Fleet()
+    fleet.with_owner()
+    fleet.down = True
+    fleet.pass_time(LEASE * 2)
+    # The store comes back for one instance alone, right after its last report, and the
+    # owner can no longer be asked.
+    fleet.down, fleet.turned_away = False, {"a", "b"}
+    fleet.cut = [{"a", "c"}]
+    fleet.instances["c"].act()
+    assert fleet.instances["c"].lease.is_mine
+    assert fleet.owners() == ["a"]
+    for _ in range(20):
+        fleet.pass_time(timedelta(milliseconds=200), step=timedelta(milliseconds=100))
+        assert len(fleet.owners()) <= 1
+    assert fleet.owners() == ["c"]
+
+
+def test_an_owner_waits_for_those_from_whom_it_has_not_heard():
+    fleet = Fleet()
+    fleet.cut = [{"a", "c"}]
+    fleet.with_owner()
+    fleet.down = True
+    fleet.pass_time(LEASE * 2)
+    assert not fleet.owners()
+
+
+def test_an_owner_that_learns_of_a_claim_stops_bridging():
+    fleet = Fleet()
+    owner = fleet.with_owner()
+    fleet.down = True
+    fleet.pass_time(LEASE * 2)
+    assert owner.may_order()
+    question = OwnerQuestion(cell="0", row_version=owner.lease.row_version + 1)
+    assert not owner.succession.answer(question).orders
+    assert not owner.may_order()
+
+
+def test_a_renewal_that_came_second_ends_the_bridging_though_nothing_can_be_read():
+    fleet = Fleet()
+    owner = fleet.with_owner()
+    fleet.down = True
+    fleet.pass_time(LEASE * 2)
+    assert owner.may_order()
+    write = owner.lease.write
+
+    async def conflict(row):
+        fleet.store.down = False
+        fleet.store.version += 1
+        fleet.store.rows[CELLS_TABLE, owner.lease.key] = (b"{}", fleet.store.version)
+        done = await write(row)
+        fleet.store.down = True
+        return done
+
+    owner.lease.write = conflict
+    call(owner.lease.renew())
+    assert owner.lease.is_mine
+    assert not owner.may_order()
+
+
+def test_an_outage_is_bridged_for_a_time_only():
+    fleet = Fleet()
+    fleet.with_owner()
+    fleet.down = True
+    fleet.pass_time(LEASE + LONGEST_OUTAGE + timedelta(seconds=1))
+    assert not fleet.owners()
+
+
+def test_an_instance_that_is_gone_for_good_is_not_waited_for():
+    fleet = Fleet()
+    fleet.with_owner()
+    gone = fleet.instances.pop("c")
+    fleet.pass_time(FORGOTTEN_AFTER + timedelta(seconds=1))
+    fleet.down = True
+    fleet.pass_time(LEASE * 2)
+    assert fleet.owners() == ["a"]
+    # It was cut off and comes back before the store does for the others.
+    fleet.instances["c"] = gone
+    fleet.down, fleet.turned_away = False, {"a", "b"}
+    fleet.cut = [{"a", "c"}]
+    gone.act()
+    gone.act()
+    for _ in range(140):
+        fleet.pass_time(timedelta(milliseconds=100), step=timedelta(milliseconds=100))
+        assert len(fleet.owners()) <= 1
+    assert fleet.owners() == ["c"]
+
+
+def test_an_owner_that_said_it_had_stopped_does_not_begin_again():
+    fleet = Fleet()
+    owner = fleet.with_owner()
+    fleet.down = True
+    fleet.clock.advance(LEASE + LEASE_MARGIN)
+    owner.lease.outage.renewal_fails = True
+    owner.lease.outage.cede()
+    fleet.pass_time(timedelta(seconds=1))
+    assert not fleet.owners()
+
+
+def test_a_lone_instance_does_not_bridge():
+    fleet = Fleet()
+    fleet.instances = {"a": fleet.instances["a"]}
+    owner = fleet.instances["a"]
+    owner.act()
+    owner.lease.outage.reports.clear()
+    fleet.down = True
+    fleet.pass_time(LEASE * 2)
+    assert not fleet.owners()
+
+
+class Outages(RuleBasedStateMachine):
+    """Instances that act, report, freeze and restart while store and links fail."""
+
+    def __init__(self):
+        super().__init__()
+        self.fleet = Fleet()
+        self.numbers = {}
+
+    @rule(name=st.sampled_from(NAMES))
+    def act(self, name):
+        self.fleet.instances[name].act()
+
+    @rule(names=st.sets(st.sampled_from(NAMES)))
+    def act_and_report(self, names):
+        for name in sorted(names):
+            self.fleet.instances[name].act()
+            self.fleet.instances[name].report()
+
+    @rule(name=st.sampled_from(NAMES))
+    def report(self, name):
+        self.fleet.instances[name].report()
+
+    @rule(milliseconds=st.integers(1, 900))
+    def wait(self, milliseconds):
+        self.fleet.clock.advance(timedelta(milliseconds=milliseconds))
+
+    @rule(seconds=st.integers(1, 4))
+    def all_go_on(self, seconds):
+        self.fleet.pass_time(timedelta(seconds=seconds))
+
+    @rule(down=st.booleans())
+    def store_goes_down_or_comes_back(self, down):
+        self.fleet.down = down
+
+    @rule(names=st.sets(st.sampled_from(NAMES)))
+    def store_turns_some_away(self, names):
+        self.fleet.turned_away = names
+
+    @rule(pairs=st.sets(st.sampled_from(["ab", "ac", "bc"])))
+    def links_are_cut(self, pairs):
+        self.fleet.cut = [set(pair) for pair in pairs]
+
+    @rule(name=st.sampled_from(NAMES))
+    def restart(self, name):
+        run = self.fleet.instances[name].run + 1
+        self.fleet.instances[name] = Instance(name, self.fleet, run)
+
+    @rule(name=st.sampled_from(NAMES))
+    def release(self, name):
+        fleet = self.fleet
+        fleet.store.down = fleet.down or name in fleet.turned_away
+        call(fleet.instances[name].lease.release())
+
+    @invariant()
+    def at_most_one_instance_may_order(self):
+        assert len(self.fleet.owners()) <= 1
+
+    @invariant()
+    def fencing_numbers_only_rise(self):
+        for name in self.fleet.owners():
+            lease = self.fleet.instances[name].lease
+            number, holder = lease.fencing_number, lease.identity.incarnation
+            assert number >= max(self.numbers, default=0)
+            assert self.numbers.setdefault(number, holder) == holder
+
+
+Outages.TestCase.settings = settings(
+    derandomize=True, max_examples=300, stateful_step_count=60, deadline=None
+)
+TestOutages = Outages.TestCase
