--- /dev/null
+++ b/tests/load/test_demand_shifts.py
@@ -0,0 +1,25 @@
+"""Demand moves to another adapter: it gets the engines that it needs."""
+
+from datetime import timedelta
+
+from magnoliatrail.backends import LoadedAdapter
+from tests.load.cell import (
+    MODEL,
+    Cell,
+)
+
+
+def test_busy_adapter_gets_a_second_engine(run):
+    """One adapter's demand over what one engine reads: a copy serves sooner."""
+
+    async def scenario():
+        cell = Cell(engines=3)
+        cell.hold("e0", "hot")
+        for number in range(60):
+            cell.owner.loads.note_use(LoadedAdapter(MODEL, "hot", 1), timedelta())
+            if number % 3 == 0:
+                cell.ask(f"r{number}", "hot")
+        await cell.pass_time(1000)
+        assert len(set(cell.granted().values())) > 1
+
+    run(scenario())
--- /dev/null
+++ b/tests/load/test_owner_changes.py
@@ -0,0 +1,78 @@
+"""A new owner takes over under load: what runs and what arrives is kept."""
+
+from datetime import timedelta
+
+from magnoliatrail.backends import LoadedAdapter
+from magnoliatrail.cells.engine_state import Holding, HoldingState
+from magnoliatrail.generated.cells import (
+    InstanceReport,
+    RunningRequest,
+)
+from tests.load.cell import (
+    MODEL,
+    Cell,
+    settle,
+)
+
+
+def test_adapter_that_came_by_an_order_of_the_last_owner_is_delivered(run):
+    """A new owner finds an adapter on its way: those who wait for it are served."""
+
+    async def scenario():
+        cell = Cell(engines=1)
+        engine = cell.owner.engines["e0", 1]
+        adapter = LoadedAdapter(MODEL, "a1", 1)
+        engine.holdings[adapter] = Holding(
+            adapter, HoldingState.ARRIVING, timedelta(), timedelta()
+        )
+        cell.ask("r1", "a1")
+        await cell.pass_time(50)
+        assert not cell.granted()
+        engine.holdings[adapter].state = HoldingState.READY
+        cell.owner.loads.settle(engine)
+        await settle()
+        assert cell.granted() == {"r1": "e0"}
+
+    run(scenario())
+
+
+def test_request_that_runs_already_is_not_placed_a_second_time(run):
+    """Its first answer was lost: the instance reports it and asks again."""
+
+    async def scenario():
+        cell = Cell(engines=2)
+        engine = cell.owner.engines["e0", 1]
+        engine.models.clear()
+        cell.owner.engines["e1", 1].models.clear()
+        cell.ask("r1", "a1")
+        await settle()
+        running = RunningRequest(
+            request="r1",
+            server="e0",
+            model=MODEL,
+            adapter="a1",
+            version=1,
+            prompt_tokens=10,
+            output_tokens=10,
+            started=True,
+        )
+        report = InstanceReport(
+            cell="0",
+            instance="i",
+            incarnation="i-1",
+            address="10.0.0.2:1",
+            started=[],
+            ended=[],
+            running=[running],
+            full=True,
+            store_answers=True,
+            leaving=False,
+            versions={},
+        )
+        cell.owner.take_report(report)
+        engine.models.add(MODEL)
+        cell.owner.queue.pump()
+        assert list(engine.grants) == ["r1"]
+        assert "r1" not in cell.owner.queue.waiting
+
+    run(scenario())
