Keep a denied adapter's place counted until a report speaks of it

The log: engine i-aec443f431 denied a1853 at 28.990, 8 ms after it should have been there; look_again asked for 2 s, but each report was older than the engine's last order (46 orders in those 2 s) and was not taken; at 30.99 the adapter was given up and its place counted as free; the load at 31.0795 was the seventeenth of 16.

Now the adapter counts as there, and may make room, until a report says otherwise. The test fails before (15 of 16 places counted).

--- a/src/magnoliatrail/cells/loading.py
+++ b/src/magnoliatrail/cells/loading.py
@@ -34,7 +34,7 @@
 LOADING_PAUSE = timedelta(milliseconds=250)
 # A load that the engine still denies is looked at again after this time.
 DENIED_PAUSE = timedelta(milliseconds=60)
-# An engine that denies a load for this long has lost it.
+# An adapter of which no report told for this long is waited for no more.
 DENIED_FOR = timedelta(seconds=2)
 # Part of the weight store's rate that this owner uses.
 WEIGHT_RATE_SHARE = 0.8
@@ -297,7 +297,13 @@
                 key = await_key(engine, adapter)
                 self.on_ready(engine, self.waiters.pop(key, []))
                 return
-        self.give_up(engine, adapter)
+        holding = engine.holdings.get(adapter)
+        if holding is not None and holding.state is HoldingState.ARRIVING:
+            # It takes its place until a report says otherwise; it may make room.
+            holding.state = HoldingState.READY
+            log.warning("adapter_doubtful", engine=engine.server.id, adapter=adapter)
+        waiters = self.waiters.pop(await_key(engine, adapter), [])
+        self.on_failed(engine, waiters)
 
     def settle(self, engine: EngineState) -> None:
         """Deliver or give up what waits for adapters that the engine has or has not."""
