Take a server's removal for a lapse only if the store failed a read

An instance whose knowledge was older than 1.8 s concluded that the store had been away, and kept a server that was no longer listed for 2 s. On the grown sites an instance begins to read by itself at just 1.8 s (0.6 of 3 s), so that news that a turned-away owner had not passed on looked like an outage.

Ruled out: the age of the news when it is used (the read was made in time).

Before, both new tests fail. Two older tests now say that a read failed, as it does when the store is away; they ask for the same.

--- a/src/magnoliatrail/membership/fleet_view.py
+++ b/src/magnoliatrail/membership/fleet_view.py
@@ -48,6 +48,8 @@
         self.versions: dict[tuple[str, str], int] = {}
         self.servers: dict[ServerId, BackendServer] = {}
         self.lapsed: dict[ServerId, Lapse] = {}
+        # When the store last failed a read of a table here.
+        self.store_failed_at: dict[str, timedelta] = {}
         self.on_change: list[Callable[[], None]] = []
 
     def age(self) -> timedelta:
@@ -60,18 +62,30 @@
     ) -> None:
         """Take news of a table in; `source` says from whom, for the log."""
         view = self.tables[table]
-        gap = view.fresh_at is None or asked_at - view.fresh_at > STORE_GAP
+        away = self.store_was_away(table, asked_at)
         news = view.take(read, asked_at)
         for row in news:
             if table == OPERATOR_TABLE:
                 self.take_operator_row(row, source)
             else:
-                self.take_server_row(row, store_was_away=gap, source=source)
+                self.take_server_row(row, store_was_away=away, source=source)
         self.end_lapses()
         if news:
             for notify in self.on_change:
                 notify()
 
+    def store_was_away(self, table: str, asked_at: timedelta) -> bool:
+        """Return whether the store failed a read since a table was known as it is.
+
+        News that is merely late, as a peer passed none on, says nothing of the store.
+        """
+        fresh_at = self.tables[table].fresh_at
+        if fresh_at is None:
+            return True
+        failed_at = self.store_failed_at.get(table)
+        failed = failed_at is not None and failed_at >= fresh_at
+        return failed and asked_at - fresh_at > STORE_GAP
+
     def take_operator_row(self, row: StoredRow, source: str) -> None:
         """Take a configuration or an adapter's version in."""
         if row.value is None:
--- a/src/magnoliatrail/membership/store_reader.py
+++ b/src/magnoliatrail/membership/store_reader.py
@@ -128,7 +128,8 @@
             log.info("store_regained", table=table)
 
     def note_failure(self, table: str, reason: str) -> None:
-        """Log that the store cannot be read."""
+        """Note, and log once, that the store cannot be read."""
+        self.view.store_failed_at[table] = self.clock.monotonic()
         if table not in self.failing:
             self.failing.add(table)
             age = self.view.tables[table].age(self.clock.monotonic())
--- a/tests/platform/test_views.py
+++ b/tests/platform/test_views.py
@@ -107,11 +107,18 @@
     assert view.servers["s1"].key != first
 
 
+def fail_for(view, clock, duration):
+    """Let the store fail its reads for a while."""
+    clock.advance(duration / 2)
+    view.store_failed_at[SERVERS_TABLE] = clock.monotonic()
+    clock.advance(duration / 2)
+
+
 def test_a_server_that_lapsed_with_the_store_away_stays_for_a_while():
     clock = ManualClock()
     view = FleetView(clock)
     view.take(SERVERS_TABLE, read(server_row(3)), clock.monotonic(), "store")
-    clock.advance(timedelta(seconds=6))
+    fail_for(view, clock, timedelta(seconds=6))
     gone = StoredRow("s1", 9, None)
     view.take(SERVERS_TABLE, read(gone), clock.monotonic(), "store")
     assert view.usable("models")
@@ -123,13 +130,34 @@
     clock = ManualClock()
     view = FleetView(clock)
     view.take(SERVERS_TABLE, read(server_row(3)), clock.monotonic(), "store")
-    clock.advance(timedelta(seconds=6))
+    fail_for(view, clock, timedelta(seconds=6))
     view.take(SERVERS_TABLE, read(StoredRow("s1", 9, None)), clock.monotonic(), "store")
     view.take(SERVERS_TABLE, read(server_row(11)), clock.monotonic(), "store")
     clock.advance(RELISTED_WITHIN * 2)
     assert view.usable("models")
 
 
+def test_a_server_that_is_removed_while_news_is_late_is_gone_at_once():
+    """The peer that passes news on was turned away; the store served all others."""
+    clock = ManualClock()
+    view = FleetView(clock)
+    view.take(SERVERS_TABLE, read(server_row(3)), clock.monotonic(), "store")
+    clock.advance(timedelta(seconds=2.2))
+    view.take(SERVERS_TABLE, read(StoredRow("s1", 9, None)), clock.monotonic(), "store")
+    assert not view.usable("models")
+
+
+def test_an_outage_long_past_says_nothing_of_a_server_that_is_removed_now():
+    clock = ManualClock()
+    view = FleetView(clock)
+    view.take(SERVERS_TABLE, read(server_row(3)), clock.monotonic(), "store")
+    fail_for(view, clock, timedelta(seconds=6))
+    view.take(SERVERS_TABLE, read(server_row(5)), clock.monotonic(), "store")
+    clock.advance(timedelta(seconds=2.2))
+    view.take(SERVERS_TABLE, read(StoredRow("s1", 9, None)), clock.monotonic(), "store")
+    assert not view.usable("models")
+
+
 def test_a_server_that_is_removed_while_the_store_answers_is_gone_at_once():
     clock = ManualClock()
     view = FleetView(clock)
