Set no timers for work that an instance does not have

Cause: each instance woke every 50 ms for each cell to look at a lease that was not its own, every 20 ms for each cell to look at a queue that it does not have, and every 100 ms for each table that others read for it: some 300 times a second for each of 195 instances.

Change: tasks wait for the event that gives them work: an owner in doubt, an ownership, the time at which a table is due.

--- a/src/magnoliatrail/cells/fleet_cells.py
+++ b/src/magnoliatrail/cells/fleet_cells.py
@@ -1,5 +1,6 @@
 """One instance's membership in all cells of the fleet."""
 
+import asyncio
 import random
 from collections.abc import Callable
 from datetime import timedelta
@@ -48,7 +49,8 @@
 # layout is known.
 OWNER_READ_INTERVAL = timedelta(milliseconds=400)
 LAYOUT_READ_INTERVAL = timedelta(milliseconds=900)
-IDLE_POLL_INTERVAL = timedelta(milliseconds=50)
+# An instance checks at least this long apart whether all cells have an owner.
+OWNER_CHECK_INTERVAL = timedelta(milliseconds=100)
 # Before the layout is known, an instance reads tables that are older than this itself.
 MAX_UPDATE_AGE_AT_START = timedelta(seconds=1.5)
 # Share of the maximum update age after which an instance reads the store itself. The
@@ -97,7 +99,19 @@
                 wait = OWNER_READ_INTERVAL if started else LAYOUT_READ_INTERVAL
                 await self.clock.sleep(wait * self.generator.uniform(0.7, 1.3))
             else:
-                await self.clock.sleep(IDLE_POLL_INTERVAL)
+                await self.wait_for_doubt()
+
+    async def wait_for_doubt(self) -> None:
+        """Wait until the owner of some cell may be in doubt."""
+        waits = [
+            asyncio.ensure_future(member.link.wait_while_trusted(OWNER_CHECK_INTERVAL))
+            for member in self.members.values()
+        ]
+        try:
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for wait in waits:
+                wait.cancel()
 
     async def read_rows(self) -> None:
         """Read the table of cells once and apply its rows."""
@@ -139,17 +153,16 @@
 
     # Reads of the store
 
-    def should_read_store(self, age: timedelta) -> bool:
-        """Return whether this instance reads the store.
+    def read_due_in(self, age: timedelta) -> timedelta:
+        """Return the time until this instance reads the store, given its tables' age.
 
         The owner of one cell reads it for all; others do if their updates are late.
         """
         reader = self.members.get(STORE_READER_CELL)
-        if reader is None:
-            return age > MAX_UPDATE_AGE_AT_START
-        if reader.owner:
-            return True
-        return age > self.store_read_age
+        if reader and reader.owner:
+            return timedelta()
+        oldest = self.store_read_age if reader else MAX_UPDATE_AGE_AT_START
+        return oldest - min(age, oldest)
 
     # Requests
 
--- a/src/magnoliatrail/cells/link.py
+++ b/src/magnoliatrail/cells/link.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -82,6 +83,8 @@
         # Addresses of the instances that report to the owner.
         self.instances: dict[str, str] = {}
         self.wake = asyncio.Event()
+        # Pulsed when the owner is suspected or says that it lost the lease.
+        self.doubted = asyncio.Event()
         self.reports = 0
         # Set while this instance owns the cell.
         self.local_slot_handler: (
@@ -94,12 +97,38 @@
     @property
     def is_alive(self) -> bool:
         """Return whether the owner answered recently enough not to be suspected."""
+        return self.time_until_suspected > timedelta()
+
+    @property
+    def time_until_suspected(self) -> timedelta:
+        """Return for how long the owner's last answer keeps it from suspicion."""
         if self.answered_at is None or not self.address:
-            return False
+            return timedelta()
         timeout = max(
             SUSPICION_TIMEOUT, self.report_interval * SUSPICION_REPORT_INTERVALS
         )
-        return self.clock.monotonic() - self.answered_at < timeout
+        left = self.answered_at + timeout - self.clock.monotonic()
+        return max(timedelta(), left)
+
+    @property
+    def has_owner(self) -> bool:
+        """Return whether an owner answers and holds the lease."""
+        return self.is_alive and not self.lapsed
+
+    def doubt(self) -> None:
+        """Wake the tasks that wait while the owner is not in doubt."""
+        self.doubted.set()
+        self.doubted.clear()
+
+    async def wait_while_trusted(self, shortest: timedelta) -> None:
+        """Wait until the owner may be in doubt, and at least for a short time."""
+        if not self.has_owner:
+            await self.clock.sleep(shortest)
+            return
+        wait = max(shortest, self.time_until_suspected)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(wait.total_seconds()):
+                await self.doubted.wait()
 
     @property
     def report_interval(self) -> timedelta:
@@ -122,6 +151,7 @@
         self.lapsed = False
         self.reports = 0
         self.wake.set()
+        self.doubt()
 
     async def request_slot(self, message: SlotRequest) -> SlotAnswer | None:
         """Request a batch slot; None if the owner cannot be reached."""
@@ -135,12 +165,14 @@
             case Result(tag="ok", ok=answer):
                 if answer.state is SlotDecision.NOT_OWNER:
                     self.lapsed = True
+                    self.doubt()
                     return None
                 return answer
             case Result(error=failure):
                 if address == self.address:
                     # Suspect the owner until it answers a report.
                     self.answered_at = None
+                    self.doubt()
                 log.warning(
                     "owner_silent",
                     request=message.request,
@@ -214,6 +246,8 @@
         """Apply the owner's answer to a report."""
         self.answered_at = self.clock.monotonic()
         self.lapsed = not answer.owner
+        if self.lapsed:
+            self.doubt()
         if answer.engines:
             self.engines = answer.engines
             self.spread = {item.adapter: item.cells for item in answer.spread}
--- a/src/magnoliatrail/cells/member.py
+++ b/src/magnoliatrail/cells/member.py
@@ -114,6 +114,8 @@
             ask=self.request_owner_status,
         )
         self.owner: CellOwner | None = None
+        # Set while this instance runs the owner.
+        self.owns = asyncio.Event()
         self.stopping = False
         self.renew_now = asyncio.Event()
         self.answer_counts: dict[str, int] = {}
@@ -134,8 +136,7 @@
     @property
     def should_read_row(self) -> bool:
         """Return whether the owner's row should be read, as no owner answers."""
-        has_owner = self.link.is_alive and not self.link.lapsed
-        return not (self.lease.is_mine or has_owner)
+        return not (self.lease.is_mine or self.link.has_owner)
 
     def apply_row(self, row: OwnerRow | None, version: int) -> None:
         """Apply the owner's row as it was read."""
@@ -155,7 +156,7 @@
                 await self.clock.sleep(self.claim_delay())
                 if self.may_claim() and self.lease.row_version == version:
                     await self.claim_unless_in_use()
-            await self.clock.sleep(IDLE_POLL_INTERVAL)
+            await self.link.wait_while_trusted(IDLE_POLL_INTERVAL)
 
     async def wait_for_renewal(self) -> None:
         """Wait for the next renewal, or until the store answers another instance."""
@@ -216,12 +217,14 @@
         row = self.lease.row
         if row and not row.released and row.address != self.link.address:
             self.previous_owner_address = self.link.address
+        self.link.doubt()
         if self.lease.is_mine:
             self.become_owner()
         elif self.owner:
             log.warning("ownership_ended", row_version=self.lease.row_version)
             self.owner.close()
             self.owner = None
+            self.owns.clear()
             self.link.local_slot_handler = self.link.local_report_handler = None
         if row and not row.released:
             self.link.use_owner(row.owner, row.address)
@@ -252,6 +255,7 @@
         self.lease.outage.expect(set(self.link.instances) - {self.identity.instance})
         self.link.local_slot_handler = self.owner.request_slot
         self.link.local_report_handler = self.handle_report
+        self.owns.set()
         log.info("ownership_begun", fencing_number=self.lease.fencing_number)
         self.owner.sync_engines()
         self.tasks.once(self.announce_ownership)
@@ -363,9 +367,10 @@
     async def process_queue_periodically(self) -> None:
         """Process the queue without events too, to refuse what waits too long."""
         while True:
-            await asyncio.sleep(QUEUE_POLL_SECONDS)
+            await self.owns.wait()
             if self.owner:
                 self.owner.queue.process()
+            await asyncio.sleep(QUEUE_POLL_SECONDS)
 
 
 def known_instances(owner: CellOwner) -> list[KnownInstance]:
--- a/src/magnoliatrail/membership/store_reader.py
+++ b/src/magnoliatrail/membership/store_reader.py
@@ -21,8 +21,9 @@
 READ_RETRY_DELAY = timedelta(seconds=0.3)
 # Longest wait for a read of stale tables before a request uses their last state.
 STALE_READ_TIMEOUT = timedelta(milliseconds=300)
-# Interval at which an inactive reader checks whether its tables are out of date.
-IDLE_CHECK_INTERVAL = timedelta(seconds=0.1)
+# Bounds on the wait of an inactive reader before it checks its tables' age again.
+MIN_IDLE_WAIT = timedelta(seconds=0.1)
+MAX_IDLE_WAIT = timedelta(seconds=0.4)
 
 
 class StoreReader:
@@ -34,13 +35,13 @@
         clock: Clock,
         store: RowStore,
         view: FleetView,
-        should_read: Callable[[timedelta], bool],
+        read_due_in: Callable[[timedelta], timedelta],
     ) -> None:
         self.clock = clock
         self.store = store
         self.view = view
-        # Decides whether to read a table now, given the age of its last state.
-        self.should_read = should_read
+        # Time until a table is due for a read, given the age of its last state.
+        self.read_due_in = read_due_in
         self.failing: set[str] = set()
         # Reads in progress that requests wait for, by table.
         self.urgent_reads: dict[str, asyncio.Task[bool]] = {}
@@ -56,8 +57,10 @@
         """Follow one table."""
         view = self.view.tables[table]
         while True:
-            if not self.should_read(view.age(self.clock.monotonic())):
-                await self.clock.sleep(IDLE_CHECK_INTERVAL)
+            due_in = self.read_due_in(view.age(self.clock.monotonic()))
+            if due_in > timedelta():
+                wait = min(MAX_IDLE_WAIT, max(MIN_IDLE_WAIT, due_in))
+                await self.clock.sleep(wait)
             elif await self.read_once(table, wait):
                 await self.clock.sleep(pause)
             else:
--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -136,7 +136,7 @@
             clock=self.clock,
             store=self.store,
             view=self.view,
-            should_read=self.cells.should_read_store,
+            read_due_in=self.cells.read_due_in,
         )
         self.forwarding_context = ForwardingContext(
             clock=self.clock,
--- a/tests/platform/test_freshness.py
+++ b/tests/platform/test_freshness.py
@@ -48,7 +48,7 @@
             clock=self.clock,
             store=self.store,
             view=self.view,
-            should_read=lambda age: False,
+            read_due_in=lambda age: timedelta(days=1),
         )
 
 
