Schedule by measured engine speeds and a forecast from capacity

Change: the prefill time of a token and the step are estimated from streams; the wait is forecast from prefill capacity, slots and run times, on arrival and again once late; the most urgent request that fits nowhere reserves an engine.

tests/load/test_rare_adapters.py asked the drain rate, which is gone, whether anything had been granted; it now counts the adapters that are loaded in the end, which is as strict. The tests of bursts and engine choice pass the sheet's speed to functions that had it as a constant.

--- a/src/magnoliatrail/cells/engine_state.py
+++ b/src/magnoliatrail/cells/engine_state.py
@@ -8,6 +8,7 @@
 
 from magnoliatrail.backends import BackendServer, LoadedAdapter
 from magnoliatrail.routes import EngineSpec
+from magnoliatrail.routing.engine_speed import EngineSpeedEstimate, ServiceSpeed
 from magnoliatrail.routing.prefill_budget import PrefillBudget
 
 # Evicted adapters kept in an engine's host memory, per the platform's documentation.
@@ -46,6 +47,10 @@
     output_tokens: int
     granted_at: timedelta
     started: bool = False
+    # Whether the instance was told to send the request, and what the engine did then.
+    delivered: bool = False
+    running_at_delivery: int = 0
+    prefilled_alone: bool = False
     # When the instance last listed the request as running.
     confirmed_at: timedelta = timedelta()
 
@@ -82,6 +87,9 @@
     # Most KV cache tokens that the granted requests may use.
     cache_tokens: int = 0
     prefill_budget: PrefillBudget = field(default_factory=PrefillBudget)
+    speed_estimate: EngineSpeedEstimate = field(
+        default_factory=lambda: EngineSpeedEstimate(ServiceSpeed())
+    )
 
     def add_grant(self, grant: Grant) -> None:
         """Assign a batch slot to a request."""
@@ -102,6 +110,16 @@
                 self.backlog_tokens -= grant.prompt_tokens
         return grant
 
+    def record_delivery(self, grant: Grant, now: timedelta) -> None:
+        """Record that a request is sent to the engine, which prefills its prompt."""
+        others = self.grants.values()
+        grant.prefilled_alone = not any(
+            other.delivered and not other.started for other in others
+        )
+        grant.delivered = True
+        grant.running_at_delivery = len(self.grants)
+        self.record_prompt(grant.prompt_tokens, now)
+
     def record_prompt(self, tokens: int, now: timedelta) -> None:
         """Record a prompt that the engine will prefill."""
         self.prompts.append((now, tokens))
@@ -115,6 +133,20 @@
             self.prompts.popleft()
         return sum(tokens for _, tokens in self.prompts) + self.reserved_tokens
 
+    def time_until_pause_tokens(
+        self, most: float, now: timedelta, pause: timedelta
+    ) -> tuple[timedelta, int]:
+        """Return when the tokens within a pause fall to a limit, and what is left."""
+        left = self.pause_tokens(now, pause)
+        if left <= most or not left:
+            return timedelta(), left
+        for sent_at, tokens in self.prompts:
+            left -= tokens
+            if left <= most or not left:
+                return sent_at + pause - now, left
+        # Prompts whose adapters are being loaded are sent later.
+        return pause, left
+
     def start_grant(self, grant: Grant) -> None:
         """Record that a request sent its first event."""
         if not grant.started:
--- a/src/magnoliatrail/cells/owner.py
+++ b/src/magnoliatrail/cells/owner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import defaultdict
 from collections.abc import Callable
 from datetime import timedelta
 from statistics import median
@@ -33,6 +34,7 @@
 from magnoliatrail.metrics import Metrics
 from magnoliatrail.periodic import PeriodicTasks
 from magnoliatrail.routing.engine_scores import Residency
+from magnoliatrail.routing.engine_speed import EngineSpeedEstimate, ServiceSpeed
 from magnoliatrail.routing.prefill_budget import PrefillBudget
 
 log = EventLog("cells")
@@ -93,8 +95,11 @@
             loads=self.loads,
             engines=self.engines.values,
             remove_from_queue=self.queue.remove,
+            record_run_time=self.queue.run_times.record,
             pause_goal=self.pause_goal,
         )
+        # What the engines of each service have in common.
+        self.speeds: dict[str, ServiceSpeed] = defaultdict(ServiceSpeed)
         self.closed = False
         self.began_at = clock.monotonic()
         # Instances whose running requests must be known before anything is evicted.
@@ -131,6 +136,7 @@
         now = self.clock.monotonic()
         engine = EngineState(server, spec, orders_accepted=server.orders_accepted)
         engine.prefill_budget = PrefillBudget(self.median_prefill_share(server.service))
+        engine.speed_estimate = EngineSpeedEstimate(self.speeds[server.service])
         for model in server.models:
             engine.models.add(model.name)
             for adapter in model.adapters:
@@ -247,7 +253,7 @@
             engine.remove_grant(grant.request)
             return
         now = self.clock.monotonic()
-        engine.record_prompt(grant.prompt_tokens, now)
+        engine.record_delivery(grant, now)
         grant.confirmed_at = now
         answer = slot_answer(
             SlotDecision.GRANTED, engine, grant.adapter.version, reason
--- a/src/magnoliatrail/cells/queue.py
+++ b/src/magnoliatrail/cells/queue.py
@@ -8,18 +8,14 @@
 
 from magnoliatrail.backends import LoadedAdapter
 from magnoliatrail.cells.engine_state import EngineState
+from magnoliatrail.cells.forecast import Demand, RunTimes, capacity_of, forecast_wait
 from magnoliatrail.cells.loading import AdapterLoads
 from magnoliatrail.cells.scheduling_pass import (
     REQUIRES_LOAD,
     SchedulingPass,
     residency_of,
 )
-from magnoliatrail.cells.waiting import (
-    DrainRate,
-    WaitingRequest,
-    refusal,
-    urgency,
-)
+from magnoliatrail.cells.waiting import WaitingRequest, refusal, urgency
 from magnoliatrail.clock import Clock
 from magnoliatrail.generated.cells import SlotAnswer
 from magnoliatrail.ids import ServerId
@@ -35,6 +31,8 @@
 
 # Changes within this time are handled in one scheduling pass.
 QUEUE_BATCHING_SECONDS = 0.008
+# Interval between forecasts for a request that is late.
+FORECAST_INTERVAL = timedelta(milliseconds=500)
 DEFAULT_WAIT_FORECAST = timedelta(seconds=1)
 
 # Reserves a slot for a request on an engine, given the adapter's residency there.
@@ -67,22 +65,60 @@
         self.pause_goal = pause_goal
         self.generator = generator
         self.waiting: dict[str, WaitingRequest] = {}
-        self.drain_rate = DrainRate()
+        self.demand: dict[str, Demand] = defaultdict(Demand)
+        self.run_times = RunTimes()
         self.scheduled: asyncio.TimerHandle | None = None
 
     def add(self, request: WaitingRequest) -> None:
         """Queue a request, and refuse it if its forecast wait is too long."""
         now = self.clock.monotonic()
+        message = request.message
+        self.demand[message.service].record(message.prompt_tokens, now)
         key = urgency(request, now)
         ahead = sum(1 for other in self.waiting.values() if urgency(other, now) < key)
-        self.waiting[request.message.request] = request
-        forecast = self.drain_rate.forecast(ahead, now)
-        if forecast is not None and forecast > request.max_wait:
-            self.refuse(request, forecast, f"{ahead} requests wait before it")
-        elif ahead:
-            self.schedule()
-        else:
+        self.waiting[message.request] = request
+        if not ahead:
             self.try_grant(request, self.new_pass(now))
+        if message.request in self.waiting:
+            self.refuse_if_forecast_too_long(request, now)
+        self.schedule()
+
+    def refuse_if_forecast_too_long(
+        self, request: WaitingRequest, now: timedelta
+    ) -> bool:
+        """Refuse a request that would wait too long; return whether it was refused."""
+        request.forecast_at = now
+        wait = self.forecast(request, now)
+        if now + wait <= request.enqueued_at + request.max_wait:
+            return False
+        ahead = len(self.waiting) - 1
+        self.refuse(request, wait, f"the forecast wait behind {ahead} is too long")
+        return True
+
+    def forecast(self, request: WaitingRequest, now: timedelta) -> timedelta:
+        """Forecast the wait of a request from what the engines can take."""
+        service = request.message.service
+        engines = [
+            engine
+            for engine in self.engines()
+            if may_serve(engine, request) and now >= engine.backoff_until
+        ]
+        if not engines:
+            return timedelta()
+        waiting = [
+            other for other in self.waiting.values() if other.message.service == service
+        ]
+        capacity = capacity_of(
+            engines, typical=mean_size(waiting), pause=self.pause_goal(), now=now
+        )
+        return forecast_wait(
+            request,
+            waiting,
+            capacity=capacity,
+            demand=self.demand[service].tokens_per_second(now),
+            run_time=self.run_times.usual,
+            now=now,
+        )
 
     def remove(self, request: str) -> None:
         """Remove a request from the queue."""
@@ -131,13 +167,16 @@
             if now >= request.deadline:
                 self.waiting.pop(request.message.request, None)
             elif now - request.enqueued_at > request.max_wait:
-                wait = (
-                    self.drain_rate.forecast(len(self.waiting), now)
-                    or DEFAULT_WAIT_FORECAST
-                )
+                wait = max(self.forecast(request, now), DEFAULT_WAIT_FORECAST)
                 self.refuse(request, wait, self.wait_reason(request, scheduling_pass))
-            else:
-                self.try_grant(request, scheduling_pass)
+            elif not self.try_grant(request, scheduling_pass):
+                self.review_late(request, now)
+
+    def review_late(self, request: WaitingRequest, now: timedelta) -> None:
+        """Forecast the wait anew, now and then, after the latency goal has passed."""
+        due_at = max(request.goal_at, request.forecast_at + FORECAST_INTERVAL)
+        if now >= due_at:
+            self.refuse_if_forecast_too_long(request, now)
 
     def new_pass(self, now: timedelta) -> SchedulingPass:
         """Start a scheduling pass."""
@@ -165,10 +204,14 @@
             engine.server.id: engine
             for engine in scheduling_pass.candidates(adapter)
             if may_serve(engine, request)
+            and not scheduling_pass.delays_reservation(engine, size)
         }
         options = scheduling_pass.options(candidates.values(), adapter)
         best = best_engine(options, size, scheduling_pass.store_load_time)
         if best is None:
+            scheduling_pass.reserve(
+                lambda engine: may_serve(engine, request), adapter, size
+            )
             if not message.avoid:
                 scheduling_pass.record_unplaceable(message.service, adapter, size)
             return False
@@ -183,9 +226,8 @@
             ):
                 return False
             scheduling_pass.record_load_start(engine, adapter)
-        self.drain_rate.record_grant(scheduling_pass.now)
         self.grant(request, engine, best.residency)
-        scheduling_pass.record_grant(engine)
+        scheduling_pass.record_grant(engine, size)
         return True
 
     def should_wait_for_copy(
@@ -226,6 +268,16 @@
         return f"no place within the longest wait ({counts or 'no engine'})"
 
 
+def mean_size(waiting: Collection[WaitingRequest]) -> RequestSize:
+    """Return the mean size of waiting requests."""
+    count = max(1, len(waiting))
+    sizes = [size_of(request) for request in waiting]
+    return RequestSize(
+        sum(size.prompt_tokens for size in sizes) // count,
+        sum(size.output_tokens for size in sizes) // count,
+    )
+
+
 def size_of(request: WaitingRequest) -> RequestSize:
     """Return the prompt and output tokens of a request."""
     message = request.message
--- a/src/magnoliatrail/cells/scheduling_pass.py
+++ b/src/magnoliatrail/cells/scheduling_pass.py
@@ -1,5 +1,6 @@
 """One scheduling pass over a cell's queue, with engine state computed once."""
 
+import math
 from collections import defaultdict
 from collections.abc import Callable, Collection, Iterable
 from datetime import timedelta
@@ -21,6 +22,8 @@
 )
 
 REQUIRES_LOAD = (Residency.HOST_CACHED, Residency.ABSENT)
+# Share of the engines that are reserved for requests that fit on none, at most.
+MAX_RESERVED_SHARE = 0.5
 
 
 class SchedulingPass:
@@ -62,6 +65,9 @@
         self.held: set[LoadedAdapter] | None = None
         # Service and request size that no engine can take, by adapter.
         self.unplaceable: dict[LoadedAdapter, set[tuple[str, RequestSize]]] = {}
+        # Prompt tokens that less urgent requests may still send to engines that are
+        # reserved for a more urgent one.
+        self.reserved: dict[ServerId, float] = {}
 
     def is_available(self, engine: EngineState) -> bool:
         """Return whether an engine could take the smallest waiting request."""
@@ -75,19 +81,25 @@
             cache_free = (
                 spec.cache_tokens * USABLE_KV_CACHE_FRACTION - engine.cache_tokens
             )
+            speed, running = engine.speed_estimate.speed(self.now), len(engine.grants)
+            within_pause = max_pause_tokens(
+                self.pause, spec.event_tokens, speed, running
+            )
             found = self.load_by_engine[engine.server.id] = EngineLoad(
                 backlog_tokens=engine.backlog_tokens,
                 pause_tokens=engine.pause_tokens(self.now, self.pause),
-                max_pause_tokens=max_pause_tokens(self.pause, spec.event_tokens)
-                * engine.prefill_budget.share,
-                running=len(engine.grants),
+                max_pause_tokens=within_pause * engine.prefill_budget.share,
+                running=running,
                 batch_slots=spec.batch_slots,
                 cache_tokens_free=cache_free,
+                speed=speed,
             )
         return found
 
-    def record_grant(self, engine: EngineState) -> None:
+    def record_grant(self, engine: EngineState, size: RequestSize) -> None:
         """Discard the cached load of an engine that was granted a request."""
+        if engine.server.id in self.reserved:
+            self.reserved[engine.server.id] -= size.prompt_tokens
         self.load_by_engine.pop(engine.server.id, None)
         if not self.is_available(engine):
             self.available.remove(engine)
@@ -100,6 +112,46 @@
         self.held = None
         self.update_store_load()
 
+    def reserve(
+        self,
+        may_serve: Callable[[EngineState], bool],
+        adapter: LoadedAdapter,
+        size: RequestSize,
+    ) -> None:
+        """Reserve the engine on which a request fits first.
+
+        Without this, smaller requests would take every part of an engine's prefill
+        budget before a large one fits.
+        """
+        if len(self.reserved) >= len(self.engines) * MAX_RESERVED_SHARE:
+            return
+        found: tuple[timedelta, str, ServerId, float] | None = None
+        for engine in self.engines:
+            if engine.server.id in self.reserved or not (
+                may_serve(engine) and self.may_wait_for(engine, adapter, size)
+            ):
+                continue
+            most = self.load_of(engine).max_pause_tokens - size.prompt_tokens
+            fits_in, left = engine.time_until_pause_tokens(most, self.now, self.pause)
+            id_ = engine.server.id
+            option = (fits_in, str(id_), id_, max(0.0, most - left))
+            found = min(found, option) if found else option
+        if found:
+            self.reserved[found[2]] = found[3]
+
+    def may_wait_for(
+        self, engine: EngineState, adapter: LoadedAdapter, size: RequestSize
+    ) -> bool:
+        """Return whether a request lacks only prefill budget on an engine."""
+        if not self.load_of(engine).has_slot(size):
+            return False
+        residency, _ = residency_of(engine, adapter, self.now)
+        return residency not in REQUIRES_LOAD or self.may_load(engine, adapter)
+
+    def delays_reservation(self, engine: EngineState, size: RequestSize) -> bool:
+        """Return whether a request would delay the one that an engine is kept for."""
+        return size.prompt_tokens > self.reserved.get(engine.server.id, math.inf)
+
     def update_store_load(self) -> None:
         """Update the estimated time of a store load, and whether one may start."""
         in_progress = self.loads.store_loads()
--- a/src/magnoliatrail/cells/slots_in_use.py
+++ b/src/magnoliatrail/cells/slots_in_use.py
@@ -42,6 +42,7 @@
         loads: AdapterLoads,
         engines: Callable[[], Collection[EngineState]],
         remove_from_queue: Callable[[str], None],
+        record_run_time: Callable[[timedelta], None],
         pause_goal: Callable[[], timedelta],
     ) -> None:
         self.clock = clock
@@ -49,6 +50,7 @@
         self.engines = engines
         # Removes a request that no longer needs a slot from the queue.
         self.remove_from_queue = remove_from_queue
+        self.record_run_time = record_run_time
         self.pause_goal = pause_goal
         # Engine and answer of each granted request.
         self.granted: dict[str, tuple[EngineState, SlotAnswer]] = {}
@@ -92,11 +94,15 @@
         engine, _ = granted
         grant = engine.remove_grant(ended.request)
         now = self.clock.monotonic()
+        if grant and grant.delivered:
+            self.record_run_time(now - grant.granted_at)
         match ended.outcome:
             case RunOutcome.SERVED:
                 engine.failures = 0
                 pause = timedelta(milliseconds=ended.longest_pause_ms)
                 engine.prefill_budget.record_pause(pause, self.pause_goal(), now)
+                if grant:
+                    record_speed(engine, grant, ended, now)
             case RunOutcome.NOT_RUN if grant:
                 self.loads.handle_denied(engine, grant.adapter)
             case RunOutcome.SILENT | RunOutcome.FAILED:
@@ -195,3 +201,16 @@
             for grant in list(engine.grants.values()):
                 if grant.instance not in self.instances:
                     self.drop_unconfirmed(engine, grant, now)
+
+
+def record_speed(
+    engine: EngineState, grant: Grant, ended: EndedRun, now: timedelta
+) -> None:
+    """Update the estimate of an engine's speed from a stream that it served."""
+    estimate = engine.speed_estimate
+    if grant.prefilled_alone:
+        first = timedelta(milliseconds=ended.first_event_ms)
+        estimate.record_first_event(grant.prompt_tokens, first, now)
+    pause = timedelta(milliseconds=ended.usual_pause_ms)
+    running = grant.running_at_delivery
+    estimate.record_steps(running, pause, engine.spec.event_tokens, now)
--- a/src/magnoliatrail/cells/waiting.py
+++ b/src/magnoliatrail/cells/waiting.py
@@ -1,7 +1,6 @@
 """Requests waiting for a batch slot: maximum wait, urgency and retry time."""
 
 import asyncio
-from collections import deque
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -19,13 +18,9 @@
 FREQUENT_USES_PER_SECOND = 1.5
 # Head start in the queue for each priority level.
 PRIORITY_STEP = timedelta(milliseconds=150)
-# Window of grants from which the drain rate is computed.
-DRAIN_RATE_WINDOW = timedelta(seconds=2)
 MIN_RETRY_AFTER = timedelta(milliseconds=300)
 # A retry is proposed within this share of the caller's remaining time.
 RETRY_AFTER_SHARE = 0.3
-# Fewer grants in the window than this give no drain rate.
-MIN_GRANTS_FOR_RATE = 4
 
 
 @dataclass
@@ -39,6 +34,8 @@
     # The caller gives up at `deadline` if no event came, at `caller_deadline` anyway.
     deadline: timedelta
     caller_deadline: timedelta
+    # When the wait was last forecast.
+    forecast_at: timedelta = timedelta()
     answer: asyncio.Future[SlotAnswer] = field(
         default_factory=lambda: asyncio.get_running_loop().create_future()
     )
@@ -77,31 +74,6 @@
     return request.goal_at < now, request.goal_at + head_start
 
 
-class DrainRate:
-    """Drain rate of a queue, from its recent grants."""
-
-    def __init__(self) -> None:
-        self.granted_at: deque[timedelta] = deque()
-
-    def record_grant(self, now: timedelta) -> None:
-        """Record a grant."""
-        self.granted_at.append(now)
-        self.trim(now)
-
-    def trim(self, now: timedelta) -> None:
-        """Remove grants older than the window."""
-        while self.granted_at and self.granted_at[0] < now - DRAIN_RATE_WINDOW:
-            self.granted_at.popleft()
-
-    def forecast(self, ahead: int, now: timedelta) -> timedelta | None:
-        """Forecast the wait behind other requests; None with too few grants."""
-        self.trim(now)
-        if len(self.granted_at) < MIN_GRANTS_FOR_RATE:
-            return None
-        per_second = len(self.granted_at) / DRAIN_RATE_WINDOW.total_seconds()
-        return timedelta(seconds=ahead / per_second)
-
-
 def refusal(
     request: WaitingRequest, now: timedelta, wait: timedelta, reason: str, jitter: float
 ) -> SlotAnswer:
--- a/src/magnoliatrail/forwarding/engine_slots.py
+++ b/src/magnoliatrail/forwarding/engine_slots.py
@@ -273,6 +273,7 @@
             return
         first = events.first if events and events.first else timedelta()
         pause = events.longest_pause if events else timedelta()
+        usual = events.usual_pause if events else timedelta()
         engine_request.link.record_ended(
             EndedRun(
                 request=engine_request.key,
@@ -280,5 +281,6 @@
                 outcome=outcome,
                 first_event_ms=first.total_seconds() * 1000,
                 longest_pause_ms=pause.total_seconds() * 1000,
+                usual_pause_ms=usual.total_seconds() * 1000,
             )
         )
--- a/src/magnoliatrail/routing/engine_scores.py
+++ b/src/magnoliatrail/routing/engine_scores.py
@@ -6,20 +6,18 @@
 from datetime import timedelta
 from enum import Enum
 
-# Prefill throughput of an engine, as the sites specify it.
-PREFILL_TOKENS_PER_MS = 22.0
+from magnoliatrail.routing.engine_speed import EngineSpeed
+
 # Delay that each running request adds to the first token of the next request: all of
 # them share one batch step.
 STEP_DELAY_PER_REQUEST_MS = 2.0
-# Load times from the engine's host memory and from the weight store.
+# Load times from the engine's host memory and from the weight store, until measured.
 HOST_CACHE_LOAD_TIME = timedelta(milliseconds=30)
 STORE_LOAD_TIME = timedelta(milliseconds=260)
 # A load from the store takes bandwidth from other loads, so an engine that already has
 # the adapter is preferred even if it is this much slower.
 STORE_LOAD_PENALTY = timedelta(milliseconds=500)
 HOST_CACHE_LOAD_PENALTY = timedelta(milliseconds=20)
-# Duration of a decode step without prefill, for a batch of about 30 requests.
-DECODE_STEP_TIME = timedelta(milliseconds=9)
 # The rest of the pause goal is a margin for variation between steps.
 USABLE_PAUSE_FRACTION = 0.93
 # A longer queue of prompts on an engine doesn't make any of them start sooner.
@@ -56,20 +54,25 @@
     running: int
     batch_slots: int
     cache_tokens_free: float
+    speed: EngineSpeed
 
     def can_admit(self, size: RequestSize) -> bool:
         """Return whether the engine has capacity for a request, adapters aside."""
-        if self.running >= self.batch_slots:
-            return False
-        # A request that exceeds the free KV cache waits, unless the engine is empty.
-        tokens = size.prompt_tokens + size.output_tokens
-        if self.running and tokens > self.cache_tokens_free:
+        if not self.has_slot(size):
             return False
-        if prefill_time(self.backlog_tokens) > MAX_PREFILL_BACKLOG:
+        if self.speed.prefill_time(self.backlog_tokens) > MAX_PREFILL_BACKLOG:
             return False
         within_pause = self.pause_tokens + size.prompt_tokens <= self.max_pause_tokens
         return within_pause or not self.pause_tokens
 
+    def has_slot(self, size: RequestSize) -> bool:
+        """Return whether a batch slot and enough KV cache are free for a request."""
+        if self.running >= self.batch_slots:
+            return False
+        # A request that exceeds the free KV cache waits, unless the engine is empty.
+        tokens = size.prompt_tokens + size.output_tokens
+        return not self.running or tokens <= self.cache_tokens_free
+
 
 @dataclass(frozen=True, slots=True)
 class EngineOption:
@@ -86,12 +89,9 @@
     rendezvous_rank: int
 
 
-def prefill_time(tokens: int) -> timedelta:
-    """Return the prefill time of a number of prompt tokens."""
-    return timedelta(milliseconds=tokens / PREFILL_TOKENS_PER_MS)
-
-
-def max_pause_tokens(pause_goal: timedelta, event_tokens: int) -> float:
+def max_pause_tokens(
+    pause_goal: timedelta, event_tokens: int, speed: EngineSpeed, running: int
+) -> float:
     """Return how many prompt tokens an engine may prefill between two events.
 
     Prefill runs between the decode steps of the running streams and delays them. A
@@ -100,8 +100,8 @@
     """
     if not pause_goal:
         return math.inf
-    free = pause_goal * USABLE_PAUSE_FRACTION - DECODE_STEP_TIME * event_tokens
-    return max(0.0, free / timedelta(milliseconds=1)) * PREFILL_TOKENS_PER_MS
+    free = pause_goal * USABLE_PAUSE_FRACTION - speed.step_time(running) * event_tokens
+    return max(0.0, free / timedelta(milliseconds=1)) / speed.prefill_ms_per_token
 
 
 def fits(option: EngineOption, size: RequestSize) -> bool:
@@ -116,7 +116,7 @@
     """Return the expected time to first token, plus a penalty for a load."""
     tokens = option.load.backlog_tokens + size.prompt_tokens
     batch = timedelta(milliseconds=STEP_DELAY_PER_REQUEST_MS * option.load.running)
-    total = prefill_time(tokens) + batch
+    total = option.load.speed.prefill_time(tokens) + batch
     match option.residency:
         case Residency.READY:
             return total
--- a/tests/load/cell.py
+++ b/tests/load/cell.py
@@ -19,12 +19,14 @@
 from magnoliatrail.periodic import PeriodicTasks
 from magnoliatrail.platform.engine_calls import Operation, OrderOutcome
 from magnoliatrail.routes import EngineSpec, ModelSpec
+from magnoliatrail.routing.engine_speed import EngineSpeed, EngineSpeedEstimate
 
 # Nassar's engines, as specified: batch step, prefill, tokens per event, pause goal.
 STEP_MS, PREFILL_PER_MS, EVENT_TOKENS, PAUSE_MS = 6.8, 22.1, 4, 300
 CHUNK_TOKENS = 2048
 PROMPT_TOKENS = 1460
 MODEL = "base"
+SPEED = EngineSpeed(1 / PREFILL_PER_MS, STEP_MS, 0.034)
 SPEC = EngineSpec(
     batch_slots=64,
     cache_tokens=129_004,
@@ -60,7 +62,8 @@
 class Cell:
     """A cell owner on a virtual clock, with engines that hold one base model."""
 
-    def __init__(self, engines):
+    def __init__(self, engines, spec=SPEC, pause_ms=PAUSE_MS):
+        self.spec = spec
         self.clock = ManualClock()
         self.orders = FakeEngineOrders()
         self.tasks = PeriodicTasks(self.clock)
@@ -75,7 +78,7 @@
             generator=random.Random(1),
             tasks=self.tasks,
         )
-        self.owner.queue.pause_goal = lambda: timedelta(milliseconds=PAUSE_MS)
+        self.owner.queue.pause_goal = lambda: timedelta(milliseconds=pause_ms)
         self.owner.slots_in_use.pause_goal = self.owner.queue.pause_goal
         for number in range(engines):
             self.add_engine(f"e{number}")
@@ -92,7 +95,9 @@
             models=(),
             orders_accepted=0,
         )
-        engine = EngineState(server, SPEC, models={MODEL}, reported=True)
+        estimate = EngineSpeedEstimate(self.owner.speeds["models"])
+        engine = EngineState(server, self.spec, models={MODEL}, reported=True)
+        engine.speed_estimate = estimate
         self.owner.engines[server.key] = engine
         return engine
 
@@ -106,7 +111,13 @@
         self.orders.loaded.setdefault(name, set()).add(loaded)
 
     def request_slot(
-        self, request, adapter, tokens=PROMPT_TOKENS, priority=1, goal=800
+        self,
+        request,
+        adapter,
+        tokens=PROMPT_TOKENS,
+        priority=1,
+        goal=800,
+        time_left=3200.0,
     ):
         message = SlotRequest(
             cell="0",
@@ -121,7 +132,7 @@
             output_tokens=172,
             priority=priority,
             goal_left_ms=goal,
-            time_left_ms=3200.0,
+            time_left_ms=time_left,
             deadline_left_ms=12000.0,
             avoid=[],
         )
@@ -147,22 +158,32 @@
         await asyncio.sleep(0)
 
 
-def report_ended(cell, request, server, outcome=RunOutcome.SERVED, pause_ms=0):
-    """Report that a request ended."""
+def report_ended(
+    cell,
+    request,
+    server,
+    outcome=RunOutcome.SERVED,
+    pause_ms=0,
+    first_event_ms=0,
+    usual_pause_ms=0,
+    started=(),
+):
+    """Report that a request ended, and that others sent their first event."""
     cell.owner.apply_report(
         InstanceReport(
             cell="0",
             instance="i",
             incarnation="i-1",
             address="10.0.0.2:1",
-            started=[],
+            started=list(started),
             ended=[
                 EndedRun(
                     request=request,
                     server=server,
                     outcome=outcome,
-                    first_event_ms=0,
+                    first_event_ms=first_event_ms,
                     longest_pause_ms=pause_ms,
+                    usual_pause_ms=usual_pause_ms,
                 )
             ],
             running=[],
--- a/tests/load/test_bursts.py
+++ b/tests/load/test_bursts.py
@@ -14,6 +14,7 @@
     PAUSE_MS,
     PREFILL_PER_MS,
     PROMPT_TOKENS,
+    SPEED,
     STEP_MS,
     Cell,
 )
@@ -49,7 +50,9 @@
 
 def test_the_burst_exceeds_the_pause_goal_without_a_prefill_budget():
     assert pause_of(30 * PROMPT_TOKENS) > PAUSE_MS
-    assert pause_of(max_pause_tokens(timedelta(milliseconds=PAUSE_MS), 4)) <= PAUSE_MS
+    goal = timedelta(milliseconds=PAUSE_MS)
+    within_pause = max_pause_tokens(goal, EVENT_TOKENS, SPEED, 0)
+    assert pause_of(within_pause) <= PAUSE_MS
 
 
 def test_requests_still_on_time_go_before_late_ones(run):
--- a/tests/load/test_engine_choice.py
+++ b/tests/load/test_engine_choice.py
@@ -13,6 +13,7 @@
 )
 from tests.load.cell import (
     PROMPT_TOKENS,
+    SPEED,
 )
 
 
@@ -25,6 +26,7 @@
         "running": 0,
         "batch_slots": 64,
         "cache_tokens_free": 100_000.0,
+        "speed": SPEED,
     }
     has_room = more.pop("has_room", True)
     return EngineOption(
--- a/tests/load/test_engine_speeds.py
+++ b/tests/load/test_engine_speeds.py
@@ -5,10 +5,17 @@
 
 from magnoliatrail.routing.engine_scores import max_pause_tokens
 from magnoliatrail.routing.prefill_budget import MAX_SHARE, MIN_SHARE, PrefillBudget
-from tests.load.cell import PAUSE_MS, PROMPT_TOKENS, Cell, report_ended
+from tests.load.cell import (
+    EVENT_TOKENS,
+    PAUSE_MS,
+    PROMPT_TOKENS,
+    SPEED,
+    Cell,
+    report_ended,
+)
 
 GOAL = timedelta(milliseconds=PAUSE_MS)
-USUAL = max_pause_tokens(GOAL, 4)
+USUAL = max_pause_tokens(GOAL, EVENT_TOKENS, SPEED, 0)
 STEPS_MS = 4 * 7.5
 
 
--- a/tests/load/test_rare_adapters.py
+++ b/tests/load/test_rare_adapters.py
@@ -39,7 +39,7 @@
                 report_ended(cell, request, engine)
         for engine in cell.owner.engines.values():
             assert len(engine.holdings) <= SPEC.adapter_slots
-        assert cell.owner.queue.drain_rate.granted_at
+        assert len(cell.orders.loaded["e0"]) == SPEC.adapter_slots
 
     run(scenario())
 
