Survive a store that comes back from a copy

Cause: fencing numbers were versions of the store, which fall with the copy; the lease ignored every row whose version was not higher; a renewal from before could meet a row whose version has the same number again; views would never have read what was written anew.

Change: versions carry the era of the store in their high bits; an era's rise voids every lease; the owner's row has a key for each era; who held the lease when it learned of the era claims at once, others wait out the longest ownership or for that owner's word; the layout is confirmed before a claim; servers that had left stay unused. The stand-in and the fake store play the drill.

--- a/src/magnoliatrail/cells/fleet_cells.py
+++ b/src/magnoliatrail/cells/fleet_cells.py
@@ -12,7 +12,7 @@
 from magnoliatrail.cells.answers import slot_answer
 from magnoliatrail.cells.engine_discovery import EngineDiscovery
 from magnoliatrail.cells.layout import cell_count, cell_ids, cell_order, cell_sizes
-from magnoliatrail.cells.lease import owner_row
+from magnoliatrail.cells.lease_takeover import MAX_OWNERSHIP
 from magnoliatrail.cells.link import REPORT_PATH, SLOT_PATH, OwnerLink
 from magnoliatrail.cells.member import (
     ANNOUNCEMENT_PATH,
@@ -40,6 +40,7 @@
 from magnoliatrail.peers.server import PeerRoute
 from magnoliatrail.platform.protocol import CELLS_TABLE
 from magnoliatrail.platform.rows import RowsRead, RowStore, RowWrite
+from magnoliatrail.platform.store_versions import era_of
 from magnoliatrail.wire import encode
 
 log = EventLog("cells")
@@ -85,6 +86,9 @@
         self.store_read_age = max_update_age * STORE_READ_AGE_SHARE
         self.members: dict[CellId, CellMember] = {}
         self.discovery = EngineDiscovery()
+        # The newest era of the store that is known to have the layout in use here.
+        self.layout_era = 0
+        self.layout_missing_since: timedelta | None = None
 
     # Rows of the store
 
@@ -119,32 +123,66 @@
             case Result(tag="ok", ok=read):
                 await self.apply_layout(read)
                 for member in self.members.values():
-                    member.apply_row(*owner_row(read, member.lease.key))
+                    member.apply_rows(read)
             case Result(error=failure):
                 log.warning("owner_read_failed", reason=failure.message)
 
     async def apply_layout(self, read: RowsRead) -> None:
         """Apply the stored layout, or write one when engine discovery is complete."""
-        if self.members:
-            return
-        for row in read.rows:
-            if row.key == LAYOUT_KEY and row.value is not None:
-                self.join_cells(msgspec.json.decode(row.value, type=LayoutRow).cells)
-                return
-        if self.discovery.is_complete(len(self.view.engines()), self.clock.monotonic()):
-            await self.write_layout(cell_count(self.discovery.engines))
-
-    async def write_layout(self, cells: int) -> None:
+        era = era_of(read.version)
+        cells = layout_of(read)
+        if cells is not None:
+            self.layout_era = max(self.layout_era, era)
+            if cells != len(self.members):
+                self.join_cells(cells)
+        elif self.members:
+            await self.write_layout(len(self.members), era)
+        elif self.may_decide_layout(era):
+            await self.write_layout(cell_count(self.discovery.engines), era)
+
+    def may_decide_layout(self, era: int) -> bool:
+        """Return whether the engines are discovered and no layout can be in use.
+
+        A store that came back from a copy may have lost a layout that others still use.
+        They write it again, and order by it no longer than the longest ownership.
+        """
+        now = self.clock.monotonic()
+        discovered = self.discovery.is_complete(len(self.view.engines()), now)
+        if self.layout_missing_since is None:
+            self.layout_missing_since = now
+        waited = now - self.layout_missing_since
+        return discovered and (era == 0 or waited > MAX_OWNERSHIP)
+
+    async def write_layout(self, cells: int, era: int) -> None:
         """Write the layout, unless another instance already did."""
         write = RowWrite(CELLS_TABLE, LAYOUT_KEY, encode(LayoutRow(cells=cells)), 0)
         match await self.store.commit([write]):
             case Result(tag="ok", ok=version):
                 log.info("layout_decided", cells=cells, row_version=version)
+                if era == era_of(version) and self.members:
+                    self.layout_era = era
             case Result(error=failure):
                 log.info("layout_not_written", reason=failure.message)
 
+    async def confirm_layout(self) -> bool:
+        """Make sure that the store, in its newest era, has the layout in use here."""
+        era = self.store.era
+        if self.layout_era >= era:
+            return True
+        match await self.store.read(CELLS_TABLE):
+            case Result(tag="ok", ok=read):
+                await self.apply_layout(read)
+            case Result(error=failure):
+                log.warning("layout_read_failed", reason=failure.message)
+        return self.layout_era >= era
+
     def join_cells(self, cells: int) -> None:
         """Create and start a member for each cell of the layout."""
+        if self.members:
+            log.error("layout_replaced", cells=cells, before=len(self.members))
+        for member in self.members.values():
+            member.retire()
+        self.members.clear()
         log.info("layout_applied", cells=cells)
         for cell in cell_ids(cells):
             member = self.new_member(cell, cells)
@@ -232,7 +270,7 @@
         """Answer whether this instance may still order a cell's engines."""
         member = self.members.get(CellId(message.cell))
         if member is None:
-            return Ok(OwnerStatus(orders=False))
+            return Ok(OwnerStatus(orders=False, held_at_restore=False))
         return Ok(member.takeover.answer(message))
 
     async def answer_announcement(
@@ -258,6 +296,14 @@
         ]
 
 
+def layout_of(read: RowsRead) -> int | None:
+    """Return the number of cells of the stored layout, None if there is none."""
+    for row in read.rows:
+        if row.key == LAYOUT_KEY and row.value is not None:
+            return msgspec.json.decode(row.value, type=LayoutRow).cells
+    return None
+
+
 def unknown_cell(cell: str) -> Failure:
     """Build the failure for a message about a cell that is not known here yet."""
     return Failure(ErrorKind.STARTING, f"cell {cell} is not known here yet")
--- a/src/magnoliatrail/cells/lease.py
+++ b/src/magnoliatrail/cells/lease.py
@@ -14,6 +14,7 @@
 from magnoliatrail.logs import EventLog
 from magnoliatrail.platform.protocol import CELLS_TABLE
 from magnoliatrail.platform.rows import RowsRead, RowStore, RowWrite
+from magnoliatrail.platform.store_versions import era_of, number_of, version_in_era
 from magnoliatrail.wire import encode
 
 log = EventLog("cells")
@@ -43,7 +44,15 @@
         self.clock = clock
         self.store = store
         self.identity = identity
-        self.key = f"owner/{cell}"
+        self.cell = cell
+        # The era of the store in which the lease is held or claimed.
+        self.era = 0
+        # When this instance learned of that era, unless it is the first one.
+        self.restored_at: timedelta | None = None
+        # Whether this instance held the lease then, so that no other could order.
+        self.held_at_restore = False
+        # The last known owner's row. Its version has the number 0 while nobody is
+        # known to have claimed the lease in the current era.
         self.row: OwnerRow | None = None
         self.row_version = 0
         # When this instance first saw the current version of the row.
@@ -54,11 +63,64 @@
         self.outage = StoreOutageTracker(clock)
 
     @property
-    def is_mine(self) -> bool:
-        """Return whether the row names this run of this instance."""
+    def key(self) -> str:
+        """Return the key of the row.
+
+        Each era has its own. A write from before the store came back from a copy then
+        never meets a row from after it, whose version may have the same number.
+        """
+        return owner_key(self.cell, self.era)
+
+    @property
+    def is_claimed(self) -> bool:
+        """Return whether the lease was claimed in the current era."""
+        return number_of(self.row_version) > 0
+
+    @property
+    def names_me(self) -> bool:
+        """Return whether the row, written in the lease's era, names this run."""
         row = self.row
         mine = self.identity.incarnation
-        return row is not None and row.incarnation == mine and not row.released
+        return (
+            row is not None
+            and row.incarnation == mine
+            and not row.released
+            and self.is_claimed
+        )
+
+    @property
+    def is_mine(self) -> bool:
+        """Return whether the row names this run, in the store's newest known era."""
+        return self.names_me and self.store.era == self.era
+
+    @property
+    def may_reclaim(self) -> bool:
+        """Return whether the lease was held when the store came back from a copy."""
+        current = self.store.era == self.era
+        return self.held_at_restore and current and not self.is_claimed
+
+    def follow_era(self) -> None:
+        """Give up the lease, and what is known of it, if a new era has begun."""
+        if self.store.era <= self.era:
+            return
+        now = self.clock.monotonic()
+        self.held_at_restore = self.names_me and (
+            now < self.lease_until
+            or self.outage.extends_lease(self.lease_until, timedelta())
+        )
+        self.era = self.store.era
+        self.restored_at = now
+        self.row_version = version_in_era(self.era, 0)
+        if self.row_seen_at is not None:
+            self.row_seen_at = now
+        self.lease_until = timedelta()
+        log.warning(
+            "lease_void",
+            cell=self.cell,
+            era=self.era,
+            held=self.held_at_restore,
+            owner=self.row.owner if self.row else "",
+        )
 
     def may_order(self, duration: timedelta) -> bool:
         """Return whether an order of this duration ends within the lease.
@@ -77,6 +139,8 @@
 
     def apply_row(self, row: OwnerRow | None, version: int) -> None:
         """Apply a newer version of the row, read or reported by the owner."""
+        self.store.record_era(era_of(version))
+        self.follow_era()
         if version <= self.row_version and self.row_seen_at is not None:
             return
         before, was_mine = self.row, self.is_mine
@@ -103,7 +167,10 @@
         """
         if self.row_seen_at is None:
             return False
-        if self.row is None or self.row.released:
+        if self.is_claimed or self.era == 0:
+            if self.row is None or self.row.released:
+                return True
+        elif self.held_at_restore:
             return True
         waited = self.clock.monotonic() - self.row_seen_at
         return waited > LEASE_DURATION + TAKEOVER_MARGIN
@@ -112,17 +179,22 @@
         """Read the row from the store."""
         match await self.store.read(CELLS_TABLE):
             case Result(tag="ok", ok=read):
-                self.apply_row(*owner_row(read, self.key))
+                self.apply_row(*owner_row(read, self.cell))
                 return Result.Ok(None)
             case Result(error=failure):
                 return Result.Error(failure)
 
     async def renew(self) -> None:
         """Renew the lease; after a conflict or an unknown outcome, read the row."""
+        self.follow_era()
+        if not self.is_mine:
+            return
         self.renewals += 1
         sent_at = self.clock.monotonic()
         row = self.new_row(released=False)
         match await self.write(row):
+            case Result(tag="ok", ok=version) if era_of(version) != self.era:
+                self.follow_era()
             case Result(tag="ok", ok=version):
                 self.record_written_row(row, version)
                 self.lease_until = sent_at + LEASE_DURATION
@@ -149,14 +221,20 @@
     async def claim(self) -> bool:
         """Claim a free lease; return whether this instance owns it now."""
         assert self.is_free(), "claim of a lease that is not free"
+        reclaimed = self.may_reclaim
         sent_at = self.clock.monotonic()
         row = self.new_row(released=False)
         match await self.write(row):
+            case Result(tag="ok", ok=version) if era_of(version) != self.era:
+                self.follow_era()
             case Result(tag="ok", ok=version):
                 self.record_written_row(row, version)
                 self.fencing_number = FencingNumber(version)
                 self.lease_until = sent_at + LEASE_DURATION
-                self.outage = StoreOutageTracker(self.clock)
+                if reclaimed:
+                    self.outage.record_renewal()
+                else:
+                    self.outage = StoreOutageTracker(self.clock)
                 log.info("lease_claimed", fencing_number=version, cell=self.key)
                 return True
             case Result(error=failure):
@@ -173,6 +251,8 @@
         self.outage.forbid_extension()
         row = self.new_row(released=True)
         match await self.write(row):
+            case Result(tag="ok", ok=version) if era_of(version) != self.era:
+                self.follow_era()
             case Result(tag="ok", ok=version):
                 self.record_written_row(row, version)
                 log.info("lease_released", row_version=version)
@@ -201,9 +281,22 @@
         self.row_seen_at = self.clock.monotonic()
 
 
-def owner_row(read: RowsRead, key: str) -> tuple[OwnerRow | None, int]:
-    """Find the row under a key, with its version, in a read of the whole table."""
-    found = next((row for row in read.rows if row.key == key), None)
-    if found is None or found.value is None:
-        return None, 0
-    return msgspec.json.decode(found.value, type=OwnerRow), found.version
+def owner_key(cell: CellId, era: int) -> str:
+    """Return the key of a cell's owner row in an era of the store."""
+    return f"owner/{cell}@{era}" if era else f"owner/{cell}"
+
+
+def owner_row(read: RowsRead, cell: CellId) -> tuple[OwnerRow | None, int]:
+    """Find a cell's owner row, with its version, in a read of the whole table.
+
+    If nobody claimed the lease in the store's era, this is the last owner's row of an
+    earlier one, with the number 0 as its version.
+    """
+    era = era_of(read.version)
+    rows = {row.key: row for row in read.rows if row.value is not None}
+    for earlier in range(era, -1, -1):
+        found = rows.get(owner_key(cell, earlier))
+        if found is not None and found.value is not None:
+            version = found.version if earlier == era else version_in_era(era, 0)
+            return msgspec.json.decode(found.value, type=OwnerRow), version
+    return None, version_in_era(era, 0)
--- a/src/magnoliatrail/cells/lease_takeover.py
+++ b/src/magnoliatrail/cells/lease_takeover.py
@@ -13,6 +13,7 @@
 )
 from magnoliatrail.clock import Clock
 from magnoliatrail.generated.cells import OwnerRow, OwnerStatus, OwnerStatusRequest
+from magnoliatrail.platform.store_versions import era_of
 
 # Longest time for which an owner may continue because an instance reported that the
 # store does not answer: delivery of the report, its validity and one order.
@@ -67,6 +68,10 @@
         """Return whether the last owner gives no more orders or does not answer."""
         row = self.lease.row
         self.may_order_from = timedelta()
+        if self.lease.may_reclaim:
+            return True
+        if self.lease.era and not self.lease.is_claimed:
+            return await self.may_claim_after_restore()
         if row is None or row.released:
             return True
         status = await self.ask(row)
@@ -74,6 +79,21 @@
             self.may_order_from = self.last_owner_stops_by()
         return status is None or not status.orders
 
+    async def may_claim_after_restore(self) -> bool:
+        """Return whether no owner of before the store's return from a copy may order.
+
+        The store may have lost the claim of an owner that nobody here knows of. Only an
+        owner that held the lease when it learned of the return rules that out.
+        """
+        now, row = self.clock.monotonic(), self.lease.row
+        restored_at = self.lease.restored_at
+        if restored_at is None or now - restored_at > MAX_OWNERSHIP:
+            return True
+        if row is None:
+            return False
+        status = await self.ask(row)
+        return status is not None and status.held_at_restore and not status.orders
+
     def last_owner_stops_by(self) -> timedelta:
         """Return when an owner that does not answer must have stopped."""
         stops_by = self.outage_reported_at + OUTAGE_REPORT_VALIDITY
@@ -97,8 +117,21 @@
 
     def answer(self, request: OwnerStatusRequest) -> OwnerStatus:
         """Answer whether this instance may order; if not, forbid lease extension."""
-        known = request.row_version <= self.lease.row_version
-        if self.lease.is_held and known:
-            return OwnerStatus(orders=True)
-        self.lease.outage.forbid_extension()
-        return OwnerStatus(orders=False)
+        lease = self.lease
+        lease.store.record_era(era_of(request.row_version))
+        lease.follow_era()
+        known = request.row_version <= lease.row_version
+        held_at_restore = lease.held_at_restore and lease.era == era_of(
+            request.row_version
+        )
+        if (lease.is_held and known) or self.order_may_be_under_way():
+            return OwnerStatus(orders=True, held_at_restore=held_at_restore)
+        lease.outage.forbid_extension()
+        return OwnerStatus(orders=False, held_at_restore=held_at_restore)
+
+    def order_may_be_under_way(self) -> bool:
+        """Return whether an order sent before the store's restoration may arrive."""
+        restored_at = self.lease.restored_at
+        if restored_at is None or not self.lease.held_at_restore:
+            return False
+        return self.clock.monotonic() - restored_at < MAX_ORDER_DURATION
--- a/src/magnoliatrail/cells/member.py
+++ b/src/magnoliatrail/cells/member.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from datetime import timedelta
 from functools import partial
@@ -10,7 +10,12 @@
 from expression import Result
 
 from magnoliatrail.cells.layout import cell_of
-from magnoliatrail.cells.lease import RENEWAL_INTERVAL, CellLease, Identity
+from magnoliatrail.cells.lease import (
+    RENEWAL_INTERVAL,
+    CellLease,
+    Identity,
+    owner_row,
+)
 from magnoliatrail.cells.lease_takeover import LeaseTakeover
 from magnoliatrail.cells.link import OwnerLink
 from magnoliatrail.cells.orders import MAX_ORDER_DURATION, EngineOrders, OrderingRights
@@ -35,7 +40,7 @@
 from magnoliatrail.metrics import Metrics
 from magnoliatrail.peers.client import PeerClient
 from magnoliatrail.periodic import PeriodicTasks
-from magnoliatrail.platform.rows import RowStore
+from magnoliatrail.platform.rows import RowsRead, RowStore
 from magnoliatrail.rendezvous import ranked
 from magnoliatrail.wire import CallLimits
 
@@ -64,6 +69,7 @@
 OWNER_STATUS_LIMITS = CallLimits(
     timedelta(milliseconds=200), timedelta(milliseconds=300)
 )
+RECLAIM_RETRY_DELAY = timedelta(milliseconds=100)
 # Shortest interval, for renewals that are tried early.
 MIN_RENEWAL_INTERVAL = timedelta(milliseconds=200)
 ANNOUNCEMENT_RETRY_DELAY = timedelta(milliseconds=400)
@@ -89,6 +95,7 @@
         cells: int,
         owner_claim_delay: Callable[[], timedelta],
         store_answers: Callable[[], bool],
+        confirm_layout: Callable[[], Awaitable[bool]],
     ) -> None:
         self.clock = clock
         self.metrics = metrics
@@ -103,6 +110,8 @@
         self.owner_claim_delay = owner_claim_delay
         # Whether the store answered this instance's last call.
         self.store_answers = store_answers
+        # Makes sure that the store has the layout, also after it came back from a copy.
+        self.confirm_layout = confirm_layout
         self.lease = CellLease(clock=clock, store=store, identity=identity, cell=cell)
         self.peers = peers
         self.previous_owner_address = ""
@@ -119,6 +128,7 @@
         self.stopping = False
         self.renew_now = asyncio.Event()
         self.answer_counts: dict[str, int] = {}
+        self.running: list[asyncio.Task[None]] = []
         self.view.on_change.append(self.view_changed)
 
     @property
@@ -138,18 +148,25 @@
         """Return whether the owner's row should be read, as no owner answers."""
         return not (self.lease.is_mine or self.link.has_owner)
 
-    def apply_row(self, row: OwnerRow | None, version: int) -> None:
-        """Apply the owner's row as it was read."""
-        self.lease.apply_row(row, version)
+    def apply_rows(self, read: RowsRead) -> None:
+        """Apply the owner's row of a read of the whole table."""
+        self.lease.apply_row(*owner_row(read, self.cell))
         self.apply_lease()
 
     async def maintain_lease(self) -> None:
         """Renew the lease, or claim it if it is free."""
         while True:
+            self.lease.follow_era()
+            if self.lease.may_reclaim and not self.stopping:
+                await self.reclaim()
+                if self.lease.may_reclaim:
+                    await self.clock.sleep(RECLAIM_RETRY_DELAY)
+                continue
             if self.lease.is_mine and not self.stopping:
                 await self.lease.renew()
                 self.apply_lease()
-                await self.wait_for_renewal()
+                if not self.lease.may_reclaim:
+                    await self.wait_for_renewal()
                 continue
             if self.may_claim():
                 version = self.lease.row_version
@@ -158,6 +175,14 @@
                     await self.claim_unless_in_use()
             await self.link.wait_while_trusted(IDLE_POLL_INTERVAL)
 
+    async def reclaim(self) -> None:
+        """Claim the lease that was held when the store came back from a copy."""
+        confirmed = await self.confirm_layout()
+        if confirmed and self.lease.may_reclaim and not self.stopping:
+            await self.lease.claim()
+        if not self.lease.may_reclaim:
+            self.apply_lease()
+
     async def wait_for_renewal(self) -> None:
         """Wait for the next renewal, or until the store answers another instance."""
         self.renew_now.clear()
@@ -170,7 +195,7 @@
     async def claim_unless_in_use(self) -> None:
         """Claim the lease, unless its last owner answers that it still may order."""
         row, version = self.lease.row, self.lease.row_version
-        if not await self.takeover.may_claim():
+        if not (await self.takeover.may_claim() and await self.confirm_layout()):
             await self.clock.sleep(RENEWAL_INTERVAL)
             return
         if not self.may_claim() or self.lease.row_version != version:
@@ -220,7 +245,7 @@
         self.link.doubt()
         if self.lease.is_mine:
             self.become_owner()
-        elif self.owner:
+        elif self.owner and not self.lease.may_reclaim:
             log.warning("ownership_ended", row_version=self.lease.row_version)
             self.owner.close()
             self.owner = None
@@ -332,7 +357,7 @@
             self.record_store_report(message)
         detailed = owner is not None and count % REPORTS_PER_SUMMARY == 0
         return ReportAnswer(
-            owner=owner is not None and self.lease.is_held,
+            owner=owner is not None and (self.lease.is_held or self.lease.may_reclaim),
             row_version=self.lease.row_version,
             news=updates_since(self.view, message.versions, self.clock)
             if self.sends_updates
@@ -362,7 +387,17 @@
             self.report_periodically,
             self.process_queue_periodically,
         ):
-            self.tasks.forever(work)
+            self.running.append(self.tasks.forever(work))
+
+    def retire(self) -> None:
+        """End the membership, as the fleet got another layout."""
+        self.stopping = True
+        for task in self.running:
+            task.cancel()
+        self.view.on_change.remove(self.view_changed)
+        if self.owner:
+            self.owner.close()
+            self.owner = None
 
     async def process_queue_periodically(self) -> None:
         """Process the queue without events too, to refuse what waits too long."""
--- a/src/magnoliatrail/membership/fleet_view.py
+++ b/src/magnoliatrail/membership/fleet_view.py
@@ -1,7 +1,7 @@
 """Configuration, adapter versions and backend servers as one instance sees them."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 from expression import Result
@@ -18,6 +18,7 @@
 from magnoliatrail.platform.protocol import CONFIG_KEY, OPERATOR_TABLE, SERVERS_TABLE
 from magnoliatrail.platform.rows import RowsRead, StoredRow
 from magnoliatrail.platform.server_rows import decode_server
+from magnoliatrail.platform.store_versions import era_of
 from magnoliatrail.routes import RouteTable
 
 log = EventLog("membership")
@@ -28,6 +29,8 @@
 STORE_OUTAGE_THRESHOLD = timedelta(seconds=1.8)
 # Running servers that lapsed in a store outage are listed again within this time.
 RELISTING_GRACE = timedelta(seconds=2)
+# Departed server runs to remember; the oldest is forgotten first.
+MAX_DEPARTURES = 4096
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +41,17 @@
     until: timedelta
 
 
+@dataclass(slots=True)
+class Departure:
+    """A server run that is known to leave or to be gone."""
+
+    # Version of the row that said so.
+    version: int
+    draining: bool
+    # Version of the row of the run that a restored store listed again, 0 if none.
+    relisted_at: int = 0
+
+
 class FleetView:
     """View of the fleet, decoded from the rows of the store."""
 
@@ -48,6 +62,8 @@
         self.versions: dict[tuple[str, str], int] = {}
         self.servers: dict[ServerId, BackendServer] = {}
         self.lapsed: dict[ServerId, LapsedServer] = {}
+        # Server runs that are known to have left, by id and start time.
+        self.departures: dict[tuple[ServerId, int], Departure] = {}
         self.on_change: list[Callable[[], None]] = []
 
     def age(self) -> timedelta:
@@ -60,7 +76,10 @@
     ) -> None:
         """Apply updates of a table; `source` names their sender in the log."""
         view = self.tables[table]
-        unavailable = self.store_was_unavailable(table, asked_at)
+        restored = bool(view.version) and era_of(read.version) > era_of(view.version)
+        if restored:
+            log.warning("table_restored", table=table, source=source)
+        unavailable = restored or self.store_was_unavailable(table, asked_at)
         updates = view.apply(read, asked_at)
         for row in updates:
             if table == OPERATOR_TABLE:
@@ -138,11 +157,18 @@
         known = self.servers.get(id_)
         if row.value is None:
             self.drop_server(
-                id_, store_was_unavailable=store_was_unavailable, source=source
+                id_,
+                row.version,
+                store_was_unavailable=store_was_unavailable,
+                source=source,
             )
             return
         match decode_server(row.key, row.value):
-            case Result(tag="ok", ok=server):
+            case Result(tag="ok", ok=found):
+                server = self.without_return(found, row.version)
+                if server is None:
+                    self.log_server("departed_server_listed", found, source)
+                    return
                 self.lapsed.pop(id_, None)
                 self.servers[id_] = server
                 if known is None or shared_fields(known) != shared_fields(server):
@@ -155,8 +181,49 @@
                 # The row describes no usable server; a known one with this id stays.
                 log.warning("row_unreadable", key=row.key, reason=failure.message)
 
+    def without_return(
+        self, server: BackendServer, version: int
+    ) -> BackendServer | None:
+        """Return a listed server in the state that is known of its run.
+
+        A store that came back from a copy lists servers as they were before. One that
+        had announced its departure is still leaving, and one that was gone is listed
+        again only once its row is written anew.
+        """
+        departure = self.departures.get(server.key)
+        if server.state is ServerState.LEAVING:
+            self.record_departure(server, version, draining=True)
+            return server
+        if departure is None:
+            return server
+        if era_of(version) == era_of(departure.version):
+            del self.departures[server.key]
+            return server
+        if departure.draining:
+            return replace(server, state=ServerState.LEAVING)
+        if departure.relisted_at in (0, version):
+            departure.relisted_at = version
+            return None
+        del self.departures[server.key]
+        return server
+
+    def record_departure(
+        self, server: BackendServer, version: int, *, draining: bool
+    ) -> None:
+        """Remember that a server run leaves or is gone."""
+        known = self.departures.pop(server.key, None)
+        draining = draining or (known is not None and known.draining)
+        self.departures[server.key] = Departure(version, draining)
+        if len(self.departures) > MAX_DEPARTURES:
+            del self.departures[next(iter(self.departures))]
+
     def drop_server(
-        self, id_: ServerId, *, store_was_unavailable: bool, source: str
+        self,
+        id_: ServerId,
+        version: int,
+        *,
+        store_was_unavailable: bool,
+        source: str,
     ) -> None:
         """Remove a server, after a grace period if a store outage may be the cause."""
         server = self.servers.get(id_)
@@ -167,6 +234,7 @@
             self.lapsed[id_] = LapsedServer(server, until)
             self.log_server("server_lapsed", server, source)
             return
+        self.record_departure(server, version, draining=False)
         del self.servers[id_]
         self.log_server("server_gone", server, source)
 
--- a/src/magnoliatrail/membership/table_view.py
+++ b/src/magnoliatrail/membership/table_view.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 
 from magnoliatrail.platform.rows import RowsRead, StoredRow
+from magnoliatrail.platform.store_versions import era_of
 
 
 class TableView:
@@ -25,7 +26,12 @@
         return timedelta.max if self.fresh_at is None else now - self.fresh_at
 
     def apply(self, read: RowsRead, asked_at: timedelta) -> list[StoredRow]:
-        """Apply rows and return those that were newer."""
+        """Apply rows and return those that were newer.
+
+        What was read before the store came back from a copy changes nothing.
+        """
+        if era_of(read.version) < era_of(self.version):
+            return []
         updates = [row for row in read.rows if self.is_newer(row)]
         if read.whole:
             listed = {row.key for row in read.rows}
--- a/src/magnoliatrail/periodic.py
+++ b/src/magnoliatrail/periodic.py
@@ -31,15 +31,17 @@
         """Run some work once in the background."""
         self.track(asyncio.create_task(self.attempt(work)))
 
-    def forever(self, work: Work) -> None:
-        """Run endless work, and restart it after an error."""
+    def forever(self, work: Work) -> asyncio.Task[None]:
+        """Run endless work, and restart it after an error; return its task."""
 
         async def restart_forever() -> None:
             while True:
                 await self.attempt(work)
                 await self.clock.sleep(RESTART_DELAY_AFTER_ERROR)
 
-        self.track(asyncio.create_task(restart_forever()))
+        task = asyncio.create_task(restart_forever())
+        self.track(task)
+        return task
 
     def track(self, task: asyncio.Task[None]) -> None:
         """Hold a reference to a task until it is done."""
--- a/src/magnoliatrail/platform/protocol.py
+++ b/src/magnoliatrail/platform/protocol.py
@@ -12,6 +12,8 @@
 # PROMPT,OUTPUT; the second is the maximum number of generated tokens.
 TOKEN_COUNTS = "Magnoliatrail-Token-Counts"
 PROMPT_PREFIX = "Magnoliatrail-Prompt-Prefix"
+# Rises by one each time the store comes back from a copy.
+STORE_ERA = "Store-Era"
 LENGTH_HINT = "Magnoliatrail-Length-Hint"
 PRIORITY = "Magnoliatrail-Request-Priority"
 
--- a/src/magnoliatrail/platform/rows.py
+++ b/src/magnoliatrail/platform/rows.py
@@ -13,8 +13,13 @@
 from magnoliatrail.connections import ConnectionPool
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.exchange import OutgoingRequest, exchange
+from magnoliatrail.logs import EventLog
+from magnoliatrail.platform.protocol import STORE_ERA
+from magnoliatrail.platform.store_versions import era_of, number_of, version_in_era
 from magnoliatrail.wire import JSON_TYPE, CallFailed, CallLimits, encode
 
+log = EventLog("platform")
+
 HTTP_OK = 200
 HTTP_GONE = 410
 HTTP_CONDITION_FAILED = 412
@@ -70,12 +75,24 @@
 
 
 class RowStore:
-    """Call the store over pooled connections."""
+    """Call the store over pooled connections.
+
+    Versions include the era of the store, so that they rise also when the store comes
+    back from a copy and gives its own numbers out again.
+    """
 
     def __init__(self, pool: ConnectionPool, address: str, limits: CallLimits) -> None:
         self.pool = pool
         self.address = address
         self.limits = limits
+        # The newest era that an answer, or another instance, named.
+        self.era = 0
+
+    def record_era(self, era: int) -> None:
+        """Record an era of the store."""
+        if era > self.era:
+            log.warning("store_restored", era=era, before=self.era)
+            self.era = era
 
     async def read(self, table: str) -> Result[RowsRead, Failure]:
         """Read a whole table."""
@@ -86,6 +103,9 @@
             match await self.call_store("GET", "/v1/rows-get", query, NO_LONG_POLL):
                 case Result(tag="ok", ok=(200, answer)):
                     page = [decode_stored_row(row) for row in answer.rows]
+                    if rows and era_of(answer.row_version) != era_of(version):
+                        message = "the store was restored while a table was read"
+                        return Error(Failure(ErrorKind.TABLE_UNAVAILABLE, message))
                     rows.extend(page)
                     # The table is complete only up to the version of its oldest page.
                     version = min(version or answer.row_version, answer.row_version)
@@ -100,15 +120,17 @@
     async def changes(
         self, table: str, after: int, wait: timedelta
     ) -> Result[RowsRead | None, Failure]:
-        """Read the changes after a version; None if that history was discarded."""
-        query = {"table": table, "after": str(after)}
+        """Read the changes after a version; None if that history is not available."""
+        query = {"table": table, "after": str(number_of(after))}
         if wait:
             query["wait_ms"] = str(round(wait.total_seconds() * 1000))
         match await self.call_store("GET", "/v1/rows-feed", query, wait):
             case Result(tag="ok", ok=(200, answer)):
+                if era_of(answer.row_version) != era_of(after):
+                    return Ok(None)
                 rows = tuple(decode_stored_row(row) for row in answer.rows)
                 return Ok(RowsRead(rows, max(after, answer.row_version), whole=False))
-            case Result(tag="ok", ok=(410, _)):
+            case Result(tag="ok", ok=(status, _)) if status == HTTP_GONE:
                 return Ok(None)
             case Result(tag="ok", ok=(status, _)):
                 return Error(unavailable_failure(status))
@@ -121,13 +143,17 @@
         Errors: CONFLICT if a condition failed, TABLE_UNAVAILABLE if nothing changed,
         TABLE_OUTCOME_UNKNOWN if the write may have been applied or may still be.
         """
+        eras = {era_of(write.expected) for write in writes if number_of(write.expected)}
+        if eras - {self.era}:
+            message = "the store was restored since the row was read"
+            return Error(Failure(ErrorKind.CONFLICT, message))
         body = {
             "precondition": [
                 {
                     "table": write.table,
                     "part": "",
                     "key": write.key,
-                    "row_version": write.expected,
+                    "row_version": number_of(write.expected),
                 }
                 for write in writes
             ],
@@ -146,6 +172,10 @@
             "POST", "/v1/rows-tx", {}, NO_LONG_POLL, encode(body)
         ):
             case Result(tag="ok", ok=(200, answer)):
+                if eras - {era_of(answer.row_version)}:
+                    # The condition held by a number that was given out again.
+                    message = "the store was restored before the write"
+                    return Error(Failure(ErrorKind.TABLE_OUTCOME_UNKNOWN, message))
                 return Ok(answer.row_version)
             case Result(tag="ok", ok=(412, _)):
                 return Error(Failure(ErrorKind.CONFLICT, "another write came first"))
@@ -180,12 +210,31 @@
                 else ErrorKind.TABLE_UNAVAILABLE
             )
             return Error(Failure(kind, str(error)))
-        if answer.code not in (HTTP_OK, HTTP_CONDITION_FAILED):
-            return Ok((answer.code, WireRows()))
+        unknown = method == "POST"
+        kind = (
+            ErrorKind.TABLE_OUTCOME_UNKNOWN if unknown else ErrorKind.TABLE_UNAVAILABLE
+        )
         try:
-            return Ok((answer.code, msgspec.json.decode(answer.body, type=WireRows)))
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            return Error(Failure(ErrorKind.TABLE_OUTCOME_UNKNOWN, str(error)))
+            era = int(answer.headers.get(STORE_ERA, "0"))
+            if answer.code not in (HTTP_OK, HTTP_CONDITION_FAILED):
+                found = WireRows()
+            else:
+                found = msgspec.json.decode(answer.body, type=WireRows)
+        except (msgspec.DecodeError, ValueError) as error:
+            return Error(Failure(kind, f"unreadable answer of the store: {error}"))
+        if era < self.era:
+            message = f"an answer of era {era} came after the store was restored"
+            return Error(Failure(kind, message))
+        self.record_era(era)
+        return Ok((answer.code, in_era(found, era)))
+
+
+def in_era(answer: WireRows, era: int) -> WireRows:
+    """Return an answer with its versions extended by the store's era."""
+    answer.row_version = version_in_era(era, answer.row_version)
+    for row in answer.rows:
+        row.row_version = version_in_era(era, row.row_version)
+    return answer
 
 
 def decode_stored_row(row: WireRow) -> StoredRow:
--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -176,6 +176,7 @@
                 self.cells.owner_claim_delay() + resource_claim_delay(self.settings)
             ),
             store_answers=lambda: not self.reader.failing,
+            confirm_layout=self.cells.confirm_layout,
         )
 
     async def start(self) -> None:
--- a/src/magnoliatrail/standins/row_store.py
+++ b/src/magnoliatrail/standins/row_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import copy
 import json
 from dataclasses import dataclass, field
 from typing import Any, cast
@@ -10,7 +11,7 @@
 from tornado.httputil import HTTPServerRequest
 from tornado.web import Application, RequestHandler
 
-OPERATOR_TABLES = {"op", "servers"}
+STORE_ERA = "Store-Era"
 FEED_POLL_SECONDS = 0.01
 
 
@@ -36,6 +37,17 @@
     feed_start_version: int = 0
     # Commits writes, then closes the connection without an answer.
     lose_answers: bool = False
+    # How often the store came back from a copy; all answers carry it.
+    era: int = 0
+
+    def copy_rows(self) -> tuple[dict[str, dict[str, StoredValue]], int]:
+        """Return a copy of all rows and the newest version."""
+        return copy.deepcopy(self.tables), self.version
+
+    def restore(self, rows: dict[str, dict[str, StoredValue]], version: int) -> None:
+        """Come back from a copy: later writes are lost, versions are reused."""
+        self.tables, self.version = copy.deepcopy(rows), version
+        self.era += 1
 
     def put(self, table: str, key: str, value: bytes | None) -> int:
         """Write a row and return its version; None removes the row."""
@@ -93,7 +105,8 @@
         self.state = state
 
     def prepare(self) -> None:
-        """Count the call, and refuse it while the store is down."""
+        """Name the era, count the call, and refuse it while the store is down."""
+        self.set_header(STORE_ERA, str(self.state.era))
         self.state.calls += 1
         if self.state.down:
             self.set_status(503)
@@ -120,7 +133,7 @@
         after = int(self.get_query_argument("after"))
         wait = int(self.get_query_argument("wait_ms", "0")) / 1000
         table = self.get_query_argument("table")
-        if after < self.state.feed_start_version:
+        if after < self.state.feed_start_version or after > self.state.version:
             self.set_status(410)
             return
         until = asyncio.get_running_loop().time() + wait
--- a/tests/platform/fake_store.py
+++ b/tests/platform/fake_store.py
@@ -1,55 +1,49 @@
-"""An in-memory client of the row store, with injected faults."""
+"""An in-memory row store and its clients, with injected faults."""
 
 from expression import Error, Ok
 
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.platform.rows import RowsRead, StoredRow
+from magnoliatrail.platform.store_versions import era_of, number_of, version_in_era
 
 
 class FakeRows:
-    """Rows shared by several instances."""
+    """Rows shared by several instances, whose versions are the store's own numbers."""
 
     def __init__(self):
         self.rows = {}
         self.version = 0
+        self.era = 0
         self.down = False
         # Faults of the next write: its answer is lost, or it is also carried out late.
         self.lose_next = False
         self.delay_next = False
         self.delayed = []
 
-    async def read(self, table):
-        if self.down:
-            return Error(Failure(ErrorKind.TABLE_UNAVAILABLE, "down"))
-        rows = [
-            StoredRow(key, version, value)
-            for (name, key), (value, version) in sorted(self.rows.items())
-            if name == table
-        ]
-        return Ok(RowsRead(tuple(rows), self.version, whole=True))
+    def client(self):
+        """Return the client of one instance, which learns of eras from answers."""
+        return FakeClient(self)
 
-    async def commit(self, writes):
-        if self.down:
-            return Error(Failure(ErrorKind.TABLE_UNAVAILABLE, "down"))
-        if self.delay_next:
-            self.delay_next = False
-            self.delayed.append(writes)
-            return unknown()
-        done = self.apply(writes)
-        if self.lose_next:
-            self.lose_next = False
-            return unknown()
-        return done
+    def copy(self):
+        """Return a copy to come back from."""
+        return dict(self.rows), self.version
+
+    def restore(self, copied):
+        """Come back from a copy: later writes are lost, and versions go back."""
+        rows, self.version = copied
+        self.rows = dict(rows)
+        self.era += 1
 
     def apply(self, writes):
+        """Apply writes whose conditions hold; they are judged by number alone."""
         for write in writes:
             _, version = self.rows.get((write.table, write.key), (b"", 0))
-            if version != write.expected:
+            if version != number_of(write.expected):
                 return Error(Failure(ErrorKind.CONFLICT, "another came first"))
         self.version += 1
         for write in writes:
             self.rows[write.table, write.key] = (write.value, self.version)
-        return Ok(self.version)
+        return Ok(version_in_era(self.era, self.version))
 
     def apply_delayed(self):
         """Apply the delayed writes whose expected versions still match."""
@@ -58,5 +52,47 @@
         self.delayed.clear()
 
 
+class FakeClient:
+    """What one instance knows of the store, as `RowStore` does."""
+
+    def __init__(self, store):
+        self.store = store
+        self.era = 0
+
+    def record_era(self, era):
+        self.era = max(self.era, era)
+
+    async def read(self, table):
+        if self.store.down:
+            return Error(Failure(ErrorKind.TABLE_UNAVAILABLE, "down"))
+        self.record_era(self.store.era)
+        rows = [
+            StoredRow(key, version_in_era(self.era, version), value)
+            for (name, key), (value, version) in sorted(self.store.rows.items())
+            if name == table
+        ]
+        version = version_in_era(self.era, self.store.version)
+        return Ok(RowsRead(tuple(rows), version, whole=True))
+
+    async def commit(self, writes):
+        if self.store.down:
+            return Error(Failure(ErrorKind.TABLE_UNAVAILABLE, "down"))
+        eras = {era_of(item.expected) for item in writes if number_of(item.expected)}
+        if eras - {self.era}:
+            return Error(Failure(ErrorKind.CONFLICT, "the row is of another era"))
+        if self.store.delay_next:
+            self.store.delay_next = False
+            self.store.delayed.append(writes)
+            return unknown()
+        done = self.store.apply(writes)
+        if self.store.lose_next:
+            self.store.lose_next = False
+            return unknown()
+        self.record_era(self.store.era)
+        if done.is_ok() and eras - {self.era}:
+            return unknown()
+        return done
+
+
 def unknown():
     return Error(Failure(ErrorKind.TABLE_OUTCOME_UNKNOWN, "no answer"))
--- a/tests/platform/test_cell_lease.py
+++ b/tests/platform/test_cell_lease.py
@@ -23,7 +23,9 @@
 
 def lease_of(name, store, clock, run="1"):
     identity = Identity(name, f"{name}-{run}", f"{name}:1")
-    return CellLease(clock=clock, store=store, identity=identity, cell=CellId("0"))
+    return CellLease(
+        clock=clock, store=store.client(), identity=identity, cell=CellId("0")
+    )
 
 
 def call(coroutine):
--- a/tests/platform/test_outage.py
+++ b/tests/platform/test_outage.py
@@ -36,7 +36,10 @@
         self.name, self.fleet, self.run = name, fleet, run
         identity = Identity(name, f"{name}-{run}", name)
         self.lease = CellLease(
-            clock=fleet.clock, store=fleet.store, identity=identity, cell=CellId("0")
+            clock=fleet.clock,
+            store=fleet.store.client(),
+            identity=identity,
+            cell=CellId("0"),
         )
         self.store_answers = True
         self.acknowledged = {}
@@ -59,6 +62,10 @@
         store = self.fleet.store
         store.down = self.fleet.down or self.name in self.fleet.rejected
         self.store_answers = not store.down
+        self.lease.follow_era()
+        if self.lease.may_reclaim:
+            call(self.lease.claim())
+            return
         if self.lease.is_mine:
             call(self.lease.renew())
             return
@@ -279,6 +286,7 @@
         super().__init__()
         self.fleet = Fleet()
         self.numbers = {}
+        self.copied = None
 
     @rule(name=st.sampled_from(NAMES))
     def act(self, name):
@@ -319,6 +327,26 @@
         run = self.fleet.instances[name].run + 1
         self.fleet.instances[name] = Instance(name, self.fleet, run)
 
+    @rule()
+    def the_store_is_copied(self):
+        self.copied = self.fleet.store.copy()
+
+    @rule()
+    def the_store_comes_back_from_its_copy(self):
+        if self.copied:
+            self.fleet.store.restore(self.copied)
+            self.copied = None
+
+    @rule(name=st.sampled_from(NAMES), fault=st.sampled_from(["lose", "delay"]))
+    def act_with_a_fault(self, name, fault):
+        setattr(self.fleet.store, f"{fault}_next", True)
+        self.fleet.instances[name].act()
+        setattr(self.fleet.store, f"{fault}_next", False)
+
+    @rule()
+    def delayed_writes_are_applied(self):
+        self.fleet.store.apply_delayed()
+
     @rule(name=st.sampled_from(NAMES))
     def release(self, name):
         fleet = self.fleet
