Spread the store's era with reports, and follow the faster streams

Reports carry the versions that an instance knows, so an owner that the store rejects learns of the era from them.

--- a/src/magnoliatrail/cells/fleet_cells.py
+++ b/src/magnoliatrail/cells/fleet_cells.py
@@ -9,13 +9,13 @@
 import msgspec
 from expression import Ok, Result
 
+from magnoliatrail.cells.announcement import ANNOUNCEMENT_PATH
 from magnoliatrail.cells.answers import slot_answer
 from magnoliatrail.cells.engine_discovery import EngineDiscovery
 from magnoliatrail.cells.layout import cell_count, cell_ids, cell_order, cell_sizes
 from magnoliatrail.cells.lease_takeover import MAX_OWNERSHIP
 from magnoliatrail.cells.link import REPORT_PATH, SLOT_PATH, OwnerLink
 from magnoliatrail.cells.member import (
-    ANNOUNCEMENT_PATH,
     OWNER_STATUS_PATH,
     STORE_READER_CELL,
     CellMember,
--- a/src/magnoliatrail/cells/lease.py
+++ b/src/magnoliatrail/cells/lease.py
@@ -99,6 +99,11 @@
         current = self.store.era == self.era
         return self.held_at_restore and current and not self.is_claimed
 
+    def learn_era(self, era: int) -> None:
+        """Learn the store's era from another instance."""
+        self.store.record_era(era)
+        self.follow_era()
+
     def follow_era(self) -> None:
         """Give up the lease, and what is known of it, if a new era has begun."""
         if self.store.era <= self.era:
@@ -139,8 +144,7 @@
 
     def apply_row(self, row: OwnerRow | None, version: int) -> None:
         """Apply a newer version of the row, read or reported by the owner."""
-        self.store.record_era(era_of(version))
-        self.follow_era()
+        self.learn_era(era_of(version))
         if version <= self.row_version and self.row_seen_at is not None:
             return
         before, was_mine = self.row, self.is_mine
--- a/src/magnoliatrail/cells/lease_takeover.py
+++ b/src/magnoliatrail/cells/lease_takeover.py
@@ -118,8 +118,7 @@
     def answer(self, request: OwnerStatusRequest) -> OwnerStatus:
         """Answer whether this instance may order; if not, forbid lease extension."""
         lease = self.lease
-        lease.store.record_era(era_of(request.row_version))
-        lease.follow_era()
+        lease.learn_era(era_of(request.row_version))
         known = request.row_version <= lease.row_version
         held_at_restore = lease.held_at_restore and lease.era == era_of(
             request.row_version
--- a/src/magnoliatrail/cells/member.py
+++ b/src/magnoliatrail/cells/member.py
@@ -5,10 +5,10 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from datetime import timedelta
-from functools import partial
 
 from expression import Result
 
+from magnoliatrail.cells.announcement import OwnershipAnnouncer
 from magnoliatrail.cells.layout import cell_of
 from magnoliatrail.cells.lease import (
     RENEWAL_INTERVAL,
@@ -41,6 +41,7 @@
 from magnoliatrail.peers.client import PeerClient
 from magnoliatrail.periodic import PeriodicTasks
 from magnoliatrail.platform.rows import RowsRead, RowStore
+from magnoliatrail.platform.store_versions import era_of
 from magnoliatrail.rendezvous import ranked
 from magnoliatrail.wire import CallLimits
 
@@ -57,23 +58,17 @@
 REPORTS_PER_SUMMARY = 4
 # The queue is also processed without events, as prefill capacity frees up with time.
 QUEUE_POLL_SECONDS = 0.02
-ANNOUNCEMENT_PATH = "/cell/owner"
 OWNER_STATUS_PATH = "/cell/standing"
 # The owner of this cell reads the store for all instances.
 STORE_READER_CELL = CellId("0")
 # An adapter with more than this share of a cell's requests gets more cells.
 BUSY_ADAPTER_SHARE = 0.35
-ANNOUNCEMENT_LIMITS = CallLimits(
-    timedelta(milliseconds=300), timedelta(milliseconds=600)
-)
 OWNER_STATUS_LIMITS = CallLimits(
     timedelta(milliseconds=200), timedelta(milliseconds=300)
 )
 RECLAIM_RETRY_DELAY = timedelta(milliseconds=100)
 # Shortest interval, for renewals that are tried early.
 MIN_RENEWAL_INTERVAL = timedelta(milliseconds=200)
-ANNOUNCEMENT_RETRY_DELAY = timedelta(milliseconds=400)
-MAX_ANNOUNCEMENT_ATTEMPTS = 8
 
 
 class CellMember:
@@ -115,6 +110,9 @@
         self.lease = CellLease(clock=clock, store=store, identity=identity, cell=cell)
         self.peers = peers
         self.previous_owner_address = ""
+        self.announcer = OwnershipAnnouncer(
+            clock=clock, peers=peers, tasks=tasks, lease=self.lease
+        )
         self.link = OwnerLink(clock=clock, peers=peers, identity=identity, cell=cell)
         self.takeover = LeaseTakeover(
             clock=clock,
@@ -283,41 +281,11 @@
         self.owns.set()
         log.info("ownership_begun", fencing_number=self.lease.fencing_number)
         self.owner.sync_engines()
-        self.tasks.once(self.announce_ownership)
-
-    async def announce_ownership(self) -> None:
-        """Announce the ownership to the known instances and the last owner."""
-        row, version = self.lease.row, self.lease.row_version
-        assert row is not None, "ownership without an owner row"
-        message = OwnershipAnnouncement(cell=self.cell, row=row, row_version=version)
-        addresses = {*self.link.instances.values(), self.previous_owner_address}
-        for address in addresses - {"", self.identity.address}:
-            self.tasks.once(partial(self.announce_to, address, message))
-
-    async def announce_to(self, address: str, message: OwnershipAnnouncement) -> None:
-        """Send an announcement to one instance until it acknowledges it."""
-        url = f"http://{address}{ANNOUNCEMENT_PATH}"
-        for _ in range(MAX_ANNOUNCEMENT_ATTEMPTS):
-            if not self.lease.is_mine:
-                return
-            match await self.peers.ask(
-                url, message, AnnouncementAnswer, ANNOUNCEMENT_LIMITS
-            ):
-                case Result(tag="ok", ok=answer):
-                    if answer.row_version >= message.row_version:
-                        return
-                case Result(error=failure):
-                    log.info(
-                        "announcement_failed", address=address, reason=failure.message
-                    )
-            await self.clock.sleep(ANNOUNCEMENT_RETRY_DELAY)
-
-    def apply_announcement(self, message: OwnershipAnnouncement) -> AnnouncementAnswer:
-        """Apply an ownership announcement."""
-        if message.row_version > self.lease.row_version:
-            self.lease.apply_row(message.row, message.row_version)
-            self.apply_lease()
-        return AnnouncementAnswer(row_version=self.lease.row_version)
+        self.tasks.once(
+            lambda: self.announcer.announce(
+                {*self.link.instances.values(), self.previous_owner_address}
+            )
+        )
 
     async def leave(self) -> None:
         """Release the lease; waiting requests are redirected to the next owner."""
@@ -328,6 +296,13 @@
 
     # Messages
 
+    def apply_announcement(self, message: OwnershipAnnouncement) -> AnnouncementAnswer:
+        """Apply an ownership announcement."""
+        if message.row_version > self.lease.row_version:
+            self.lease.apply_row(message.row, message.row_version)
+            self.apply_lease()
+        return AnnouncementAnswer(row_version=self.lease.row_version)
+
     async def report_periodically(self) -> None:
         """Report to the owner and apply the table updates of its answers."""
         while True:
@@ -349,6 +324,9 @@
 
     def handle_report(self, message: InstanceReport) -> ReportAnswer:
         """Apply an instance's report, and answer with updates."""
+        self.lease.learn_era(max(map(era_of, message.versions.values()), default=0))
+        if self.lease.may_reclaim:
+            self.renew_now.set()
         count = self.answer_counts.get(message.instance, 0)
         self.answer_counts[message.instance] = count + 1
         owner = self.owner
--- a/src/magnoliatrail/cells/owner.py
+++ b/src/magnoliatrail/cells/owner.py
@@ -272,6 +272,10 @@
             backlog_tokens=engine.backlog_tokens,
             queue=len(self.queue.waiting),
             prefill_budget=round(engine.prefill_budget.share, 2),
+            prefill_ms=round(
+                engine.speed_estimate.speed(now).prefill_ms_per_token * 1000, 1
+            ),
+            step=engine.speed_estimate.speed(now).step_time(len(engine.grants)),
         )
         if not request.answer.done():
             request.answer.set_result(answer)
--- a/src/magnoliatrail/routing/engine_speed.py
+++ b/src/magnoliatrail/routing/engine_speed.py
@@ -6,13 +6,16 @@
 from datetime import timedelta
 
 # Number of samples after which an old one has lost most of its weight.
-SAMPLE_MEMORY = 200
+SAMPLE_MEMORY = 120
+# Weight of a sample above the line. Whatever else an engine or a link does only adds to
+# the time that a prompt takes, so the line follows the faster samples.
+SLOW_SAMPLE_WEIGHT = 0.25
 # A sample counts at most this many times, and at least this part, of its prediction.
 MAX_SAMPLE_RATIO, MIN_SAMPLE_RATIO = 3.0, 0.3
 # Samples assumed before any was taken, as (tokens, ms) and (running requests, ms).
 # They describe a slow engine, so that a new fleet starts with few prompts at once.
-PRIOR_FIRST_EVENTS = ((300.0, 45.0), (1500.0, 105.0), (3000.0, 180.0)) * 3
-PRIOR_STEPS = ((1.0, 9.0), (30.0, 10.5), (60.0, 12.0)) * 3
+PRIOR_FIRST_EVENTS = ((300.0, 45.0), (1500.0, 105.0), (3000.0, 180.0))
+PRIOR_STEPS = ((1.0, 9.0), (30.0, 10.5), (60.0, 12.0))
 # Limits on the estimates, far outside of what engines reach.
 MIN_PREFILL_MS_PER_TOKEN, MAX_PREFILL_MS_PER_TOKEN = 0.002, 2.0
 MIN_STEP_MS = 0.5
@@ -58,16 +61,16 @@
         """Add a sample; one far from the line counts as less far."""
         expected = self.at(x)
         clipped = min(expected * MAX_SAMPLE_RATIO, max(expected * MIN_SAMPLE_RATIO, y))
-        self.add_sample(x, clipped)
+        self.add_sample(x, clipped, SLOW_SAMPLE_WEIGHT if y > expected else 1.0)
 
-    def add_sample(self, x: float, y: float) -> None:
+    def add_sample(self, x: float, y: float, weight: float = 1.0) -> None:
         """Add a sample as it is."""
-        keep = 1 - 1 / SAMPLE_MEMORY
-        self.weight = self.weight * keep + 1
-        self.x = self.x * keep + x
-        self.y = self.y * keep + y
-        self.xx = self.xx * keep + x * x
-        self.xy = self.xy * keep + x * y
+        keep = 1 - weight / SAMPLE_MEMORY
+        self.weight = self.weight * keep + weight
+        self.x = self.x * keep + weight * x
+        self.y = self.y * keep + weight * y
+        self.xx = self.xx * keep + weight * x * x
+        self.xy = self.xy * keep + weight * x * y
 
     @property
     def slope(self) -> float:
--- a/tests/platform/test_outage.py
+++ b/tests/platform/test_outage.py
@@ -91,6 +91,7 @@
             reached = {other.name, self.name} not in self.fleet.cut
             if other is not self and other.lease.is_mine and reached:
                 self.acknowledged = {other.name: now}
+                other.lease.learn_era(self.lease.store.era)
                 other.lease.outage.record_report(
                     self.name, store_answers=self.store_answers, leaving=False
                 )
@@ -337,6 +338,16 @@
             self.fleet.store.restore(self.copied)
             self.copied = None
 
+    @rule(seconds=st.integers(1, 4), paused=st.sampled_from(NAMES))
+    def the_store_loses_the_last_seconds(self, seconds, paused):
+        """Let time pass, and lose what was written; one instance may not act then."""
+        copied = self.fleet.store.copy()
+        self.fleet.pass_time(timedelta(seconds=seconds))
+        self.fleet.store.restore(copied)
+        for name in NAMES:
+            if name != paused:
+                self.fleet.instances[name].act()
+
     @rule(name=st.sampled_from(NAMES), fault=st.sampled_from(["lose", "delay"]))
     def act_with_a_fault(self, name, fault):
         setattr(self.fleet.store, f"{fault}_next", True)
