--- a/src/magnoliatrail/cells/owner.py
+++ b/src/magnoliatrail/cells/owner.py
@@ -266,6 +266,7 @@
             instance=grant.instance,
             engine=engine.server.id,
             adapter=grant.adapter,
+            prompt_tokens=grant.prompt_tokens,
             reason=reason,
             waited=now - request.enqueued_at,
             running=len(engine.grants),
--- a/src/magnoliatrail/cells/queue.py
+++ b/src/magnoliatrail/cells/queue.py
@@ -141,6 +141,7 @@
             "place_refused",
             request=request.message.request,
             adapter=request.adapter,
+            prompt_tokens=request.message.prompt_tokens,
             waited=now - request.enqueued_at,
             retry_after_ms=round(answer.retry_after_ms),
             queue=len(self.waiting),
--- a/src/magnoliatrail/cells/scheduling_pass.py
+++ b/src/magnoliatrail/cells/scheduling_pass.py
@@ -22,8 +22,9 @@
 )
 
 REQUIRES_LOAD = (Residency.HOST_CACHED, Residency.ABSENT)
-# Share of the engines that are reserved for requests that fit on none, at most.
-MAX_RESERVED_SHARE = 0.5
+# Number of engines that are reserved for requests that fit on none, at most. Part of a
+# reserved engine's prefill budget stays unused.
+MAX_RESERVED_ENGINES = 1
 
 
 class SchedulingPass:
@@ -123,7 +124,7 @@
         Without this, smaller requests would take every part of an engine's prefill
         budget before a large one fits.
         """
-        if len(self.reserved) >= len(self.engines) * MAX_RESERVED_SHARE:
+        if len(self.reserved) >= MAX_RESERVED_ENGINES:
             return
         found: tuple[timedelta, str, ServerId, float] | None = None
         for engine in self.engines:
