--- a/src/magnoliatrail/cells/link.py
+++ b/src/magnoliatrail/cells/link.py
@@ -82,6 +82,7 @@
         self.spread: dict[str, int] = {}
         # Addresses of the instances that report to the owner.
         self.instances: dict[str, str] = {}
+        self.instances_digest = 0
         self.wake = asyncio.Event()
         # Pulsed when the owner is suspected or says that it lost the lease.
         self.doubted = asyncio.Event()
@@ -221,6 +222,7 @@
             store_answers=store_answers,
             leaving=leaving,
             versions=versions,
+            instances_digest=self.instances_digest,
         )
         if self.local_report_handler:
             answer = self.local_report_handler(message)
@@ -253,6 +255,7 @@
             self.spread = {item.adapter: item.cells for item in answer.spread}
         if answer.instances:
             self.instances = {item.instance: item.address for item in answer.instances}
+            self.instances_digest = answer.instances_digest
 
     async def wait_until_due(self) -> None:
         """Wait for an event to report, or until the report interval has passed."""
--- a/src/magnoliatrail/cells/member.py
+++ b/src/magnoliatrail/cells/member.py
@@ -27,7 +27,6 @@
     AdapterSpread,
     AnnouncementAnswer,
     InstanceReport,
-    KnownInstance,
     OwnerRow,
     OwnershipAnnouncement,
     OwnerStatus,
@@ -334,6 +333,9 @@
             owner.apply_report(message)
             self.record_store_report(message)
         detailed = owner is not None and count % REPORTS_PER_SUMMARY == 0
+        instances, digest = (
+            owner.slots_in_use.listed_instances() if owner and detailed else ([], 0)
+        )
         return ReportAnswer(
             owner=owner is not None and (self.lease.is_held or self.lease.may_reclaim),
             row_version=self.lease.row_version,
@@ -341,7 +343,8 @@
             if self.sends_updates
             else [],
             engines=owner.summary() if owner and detailed else [],
-            instances=known_instances(owner) if owner and detailed else [],
+            instances=[] if digest == message.instances_digest else instances,
+            instances_digest=digest,
             spread=busy_adapters(owner, self.cells) if owner and detailed else [],
         )
 
@@ -386,14 +389,6 @@
             await asyncio.sleep(QUEUE_POLL_SECONDS)
 
 
-def known_instances(owner: CellOwner) -> list[KnownInstance]:
-    """Return the instances that report to an owner."""
-    return [
-        KnownInstance(instance=name, address=address)
-        for name, address in sorted(owner.slots_in_use.addresses.items())
-    ]
-
-
 def busy_adapters(owner: CellOwner, cells: int) -> list[AdapterSpread]:
     """Return the adapters that need more than one cell."""
     found = owner.loads.busy_adapters(cells, BUSY_ADAPTER_SHARE) if cells > 1 else {}
--- a/src/magnoliatrail/cells/slots_in_use.py
+++ b/src/magnoliatrail/cells/slots_in_use.py
@@ -1,5 +1,6 @@
 """Batch slots in use, as instances report them to the owner of a cell."""
 
+import zlib
 from collections.abc import Callable, Collection
 from datetime import timedelta
 
@@ -11,6 +12,7 @@
 from magnoliatrail.generated.cells import (
     EndedRun,
     InstanceReport,
+    KnownInstance,
     RunningRequest,
     RunOutcome,
     SlotAnswer,
@@ -18,6 +20,7 @@
 )
 from magnoliatrail.ids import ServerId
 from magnoliatrail.logs import EventLog
+from magnoliatrail.wire import encode
 
 log = EventLog("cells")
 
@@ -57,6 +60,8 @@
         # When each instance last reported, and the address of its peer listener.
         self.instances: dict[str, timedelta] = {}
         self.addresses: dict[str, str] = {}
+        # The instances as they are listed to others, until one comes or goes.
+        self.listed: tuple[list[KnownInstance], int] | None = None
         # Instances that sent a full report of their running requests.
         self.fully_reported: set[str] = set()
         self.last_expiry_at = timedelta()
@@ -65,7 +70,9 @@
         """Apply an instance's report."""
         now = self.clock.monotonic()
         self.instances[report.instance] = now
-        self.addresses[report.instance] = report.address
+        if self.addresses.get(report.instance) != report.address:
+            self.addresses[report.instance] = report.address
+            self.listed = None
         for request in report.started:
             self.record_started(request)
         for ended in report.ended:
@@ -77,6 +84,16 @@
             self.last_expiry_at = now
             self.expire_instances(now)
 
+    def listed_instances(self) -> tuple[list[KnownInstance], int]:
+        """Return the instances that report, and a digest of them."""
+        if self.listed is None:
+            listed = [
+                KnownInstance(instance=name, address=address)
+                for name, address in sorted(self.addresses.items())
+            ]
+            self.listed = listed, zlib.crc32(encode(listed))
+        return self.listed
+
     def record_started(self, request: str) -> None:
         """Record that a request sent its first event."""
         granted = self.granted.get(request)
@@ -196,6 +213,7 @@
         for name in silent:
             del self.instances[name]
             self.addresses.pop(name, None)
+            self.listed = None
             log.info("instance_silent", instance=name)
         for engine in self.engines():
             for grant in list(engine.grants.values()):
--- a/tests/load/cell.py
+++ b/tests/load/cell.py
@@ -191,5 +191,6 @@
             store_answers=True,
             leaving=False,
             versions={},
+            instances_digest=0,
         )
     )
--- a/tests/load/test_owner_changes.py
+++ b/tests/load/test_owner_changes.py
@@ -74,6 +74,7 @@
             store_answers=True,
             leaving=False,
             versions={},
+            instances_digest=0,
         )
         cell.owner.apply_report(report)
         engine.models.add(MODEL)
--- a/tests/platform/test_idle_work.py
+++ b/tests/platform/test_idle_work.py
@@ -3,7 +3,7 @@
 import asyncio
 from datetime import timedelta
 
-from magnoliatrail.cells.fleet_cells import FleetCells
+from magnoliatrail.cells.fleet_cells import FIRST_TABLES_GRACE, FleetCells
 from magnoliatrail.cells.lease import Identity
 from magnoliatrail.cells.link import OwnerLink
 from magnoliatrail.clock import ManualClock
@@ -40,7 +40,13 @@
 
 def answer(*, owner):
     return ReportAnswer(
-        owner=owner, row_version=1, news=[], engines=[], instances=[], spread=[]
+        owner=owner,
+        row_version=1,
+        news=[],
+        engines=[],
+        instances=[],
+        instances_digest=0,
+        spread=[],
     )
 
 
@@ -120,6 +126,8 @@
         generator=None,
         new_member=None,
         max_update_age=timedelta(seconds=2),
+        identity=None,
     )
+    clock.advance(FIRST_TABLES_GRACE)
     assert cells.read_due_in(timedelta.max) == timedelta()
     assert cells.read_due_in(timedelta()) > timedelta()
