Let one instance discover the engines of a starting fleet

Change: one instance, named by a row, reads the tables and decides the layout; the others wait in one open call. The part of the store's layout moves to a module of its own.

--- a/src/magnoliatrail/cells/fleet_cells.py
+++ b/src/magnoliatrail/cells/fleet_cells.py
@@ -6,14 +6,13 @@
 from datetime import timedelta
 from typing import Any
 
-import msgspec
 from expression import Ok, Result
 
 from magnoliatrail.cells.announcement import ANNOUNCEMENT_PATH
 from magnoliatrail.cells.answers import slot_answer
-from magnoliatrail.cells.engine_discovery import EngineDiscovery
-from magnoliatrail.cells.layout import cell_count, cell_ids, cell_order, cell_sizes
-from magnoliatrail.cells.lease_takeover import MAX_OWNERSHIP
+from magnoliatrail.cells.fleet_layout import FleetLayout
+from magnoliatrail.cells.layout import cell_ids, cell_order, cell_sizes
+from magnoliatrail.cells.lease import Identity
 from magnoliatrail.cells.link import REPORT_PATH, SLOT_PATH, OwnerLink
 from magnoliatrail.cells.member import (
     OWNER_STATUS_PATH,
@@ -25,7 +24,6 @@
 from magnoliatrail.generated.cells import (
     AnnouncementAnswer,
     InstanceReport,
-    LayoutRow,
     OwnershipAnnouncement,
     OwnerStatus,
     OwnerStatusRequest,
@@ -39,16 +37,23 @@
 from magnoliatrail.membership.fleet_view import FleetView
 from magnoliatrail.peers.server import PeerRoute
 from magnoliatrail.platform.protocol import CELLS_TABLE
-from magnoliatrail.platform.rows import RowsRead, RowStore, RowWrite
-from magnoliatrail.platform.store_versions import era_of
-from magnoliatrail.wire import encode
+from magnoliatrail.platform.rows import RowStore
 
 log = EventLog("cells")
 
-LAYOUT_KEY = "layout"
+# Instances that start together read the rows spread over this time.
+START_SPREAD = timedelta(milliseconds=500)
+# Longest wait for the next change of a row while there is no layout.
+LAYOUT_LONG_POLL = timedelta(seconds=8)
+# An instance that knows no tables waits this long for another to send them.
+FIRST_TABLES_GRACE = timedelta(milliseconds=600)
+# The same at the first start of the whole fleet, before and after the layout is known.
+FIRST_START_GRACES = timedelta(seconds=8), timedelta(seconds=2.5)
 # Interval between reads of the rows while a cell has no known owner, and before the
 # layout is known.
 OWNER_READ_INTERVAL = timedelta(milliseconds=400)
+# Most instances of a starting fleet read the rows after the first claims.
+FIRST_OWNER_READ = timedelta(milliseconds=1200)
 LAYOUT_READ_INTERVAL = timedelta(milliseconds=900)
 # An instance checks at least this long apart whether all cells have an owner.
 OWNER_CHECK_INTERVAL = timedelta(milliseconds=100)
@@ -76,35 +81,73 @@
         generator: random.Random,
         new_member: NewMember,
         max_update_age: timedelta,
+        identity: Identity,
+        first_start: bool = False,
     ) -> None:
         self.clock = clock
         self.store = store
         self.view = view
         self.generator = generator
         self.new_member = new_member
+        # Whether all instances start together, for the first time.
+        self.first_start = first_start
+        # Whether the owners of a starting fleet are not known yet.
+        self.starting = first_start
+        self.joined_at = clock.monotonic()
         # Tables older than this are read from the store by this instance itself.
         self.store_read_age = max_update_age * STORE_READ_AGE_SHARE
         self.members: dict[CellId, CellMember] = {}
-        self.discovery = EngineDiscovery()
-        # The newest era of the store that is known to have the layout in use here.
-        self.layout_era = 0
-        self.layout_missing_since: timedelta | None = None
+        self.layout = FleetLayout(
+            clock=clock,
+            store=store,
+            view=view,
+            generator=generator,
+            identity=identity,
+            cells_in_use=lambda: len(self.members),
+            use=self.join_cells,
+        )
 
     # Rows of the store
 
     async def watch_rows(self) -> None:
         """Poll the layout and owner rows while one of them is not known."""
+        if self.first_start:
+            # Most instances then find the row of one that discovers the engines.
+            await self.clock.sleep(START_SPREAD * self.generator.random())
+        while not self.members:
+            await self.wait_for_layout()
+        self.starting = self.first_start
         while True:
-            started = bool(self.members)
-            if not started or any(
-                item.should_read_row for item in self.members.values()
-            ):
-                await self.read_rows()
-                wait = OWNER_READ_INTERVAL if started else LAYOUT_READ_INTERVAL
-                await self.clock.sleep(wait * self.generator.uniform(0.7, 1.3))
+            if any(item.should_read_row for item in self.members.values()):
+                interval = FIRST_OWNER_READ if self.starting else OWNER_READ_INTERVAL
+                self.starting = False
+                await self.clock.sleep(interval * self.generator.uniform(0.7, 1.3))
+                if any(item.should_read_row for item in self.members.values()):
+                    await self.read_rows()
             else:
                 await self.wait_for_doubt()
 
+    async def wait_for_layout(self) -> None:
+        """Read the rows; without a layout, wait for one or discover the engines."""
+        version = await self.read_rows()
+        if self.members:
+            return
+        if version is None or self.layout.discovers:
+            pause = LAYOUT_READ_INTERVAL * self.generator.uniform(0.7, 1.3)
+            await self.clock.sleep(pause)
+            return
+        while not self.members:
+            # The answer comes with the next change of a row.
+            changes = await self.store.changes(CELLS_TABLE, version, LAYOUT_LONG_POLL)
+            if changes.is_error() or changes.ok is None:
+                await self.clock.sleep(LAYOUT_READ_INTERVAL)
+                return
+            read = changes.ok
+            if not read.rows:
+                return
+            await self.layout.apply(read)
+            version = read.version
+
     async def wait_for_doubt(self) -> None:
         """Wait until the owner of some cell may be in doubt."""
         waits = [
@@ -117,67 +160,21 @@
             for wait in waits:
                 wait.cancel()
 
-    async def read_rows(self) -> None:
-        """Read the table of cells once and apply its rows."""
+    async def read_rows(self) -> int | None:
+        """Read the table of cells once, apply its rows and return its version."""
         match await self.store.read(CELLS_TABLE):
             case Result(tag="ok", ok=read):
-                await self.apply_layout(read)
+                await self.layout.apply(read)
                 for member in self.members.values():
                     member.apply_rows(read)
+                return read.version
             case Result(error=failure):
                 log.warning("owner_read_failed", reason=failure.message)
-
-    async def apply_layout(self, read: RowsRead) -> None:
-        """Apply the stored layout, or write one when engine discovery is complete."""
-        era = era_of(read.version)
-        cells = layout_of(read)
-        if cells is not None:
-            self.layout_era = max(self.layout_era, era)
-            if cells != len(self.members):
-                self.join_cells(cells)
-        elif self.members:
-            await self.write_layout(len(self.members), era)
-        elif self.may_decide_layout(era):
-            await self.write_layout(cell_count(self.discovery.engines), era)
-
-    def may_decide_layout(self, era: int) -> bool:
-        """Return whether the engines are discovered and no layout can be in use.
-
-        A store that came back from a copy may have lost a layout that others still use.
-        They write it again, and order by it no longer than the longest ownership.
-        """
-        now = self.clock.monotonic()
-        discovered = self.discovery.is_complete(len(self.view.engines()), now)
-        if self.layout_missing_since is None:
-            self.layout_missing_since = now
-        waited = now - self.layout_missing_since
-        return discovered and (era == 0 or waited > MAX_OWNERSHIP)
-
-    async def write_layout(self, cells: int, era: int) -> None:
-        """Write the layout, unless another instance already did."""
-        write = RowWrite(CELLS_TABLE, LAYOUT_KEY, encode(LayoutRow(cells=cells)), 0)
-        match await self.store.commit([write]):
-            case Result(tag="ok", ok=version):
-                log.info("layout_decided", cells=cells, row_version=version)
-                if era == era_of(version) and self.members:
-                    self.layout_era = era
-            case Result(error=failure):
-                log.info("layout_not_written", reason=failure.message)
-
-    async def confirm_layout(self) -> bool:
-        """Make sure that the store, in its newest era, has the layout in use here."""
-        era = self.store.era
-        if self.layout_era >= era:
-            return True
-        match await self.store.read(CELLS_TABLE):
-            case Result(tag="ok", ok=read):
-                await self.apply_layout(read)
-            case Result(error=failure):
-                log.warning("layout_read_failed", reason=failure.message)
-        return self.layout_era >= era
+        return None
 
     def join_cells(self, cells: int) -> None:
         """Create and start a member for each cell of the layout."""
+        self.joined_at = self.clock.monotonic()
         if self.members:
             log.error("layout_replaced", cells=cells, before=len(self.members))
         for member in self.members.values():
@@ -197,10 +194,17 @@
         The owner of one cell reads it for all; others do if their updates are late.
         """
         reader = self.members.get(STORE_READER_CELL)
-        if reader and reader.owner:
+        if (reader and reader.owner) or (self.layout.discovers and not reader):
             return timedelta()
         oldest = self.store_read_age if reader else MAX_UPDATE_AGE_AT_START
-        return oldest - min(age, oldest)
+        due_in = oldest - min(age, oldest)
+        if age == timedelta.max:
+            # The first tables come from the reader, if there is one.
+            grace = FIRST_TABLES_GRACE
+            if self.first_start:
+                grace = FIRST_START_GRACES[bool(self.members)]
+            due_in = max(due_in, self.joined_at + grace - self.clock.monotonic())
+        return due_in
 
     # Requests
 
@@ -296,14 +300,6 @@
         ]
 
 
-def layout_of(read: RowsRead) -> int | None:
-    """Return the number of cells of the stored layout, None if there is none."""
-    for row in read.rows:
-        if row.key == LAYOUT_KEY and row.value is not None:
-            return msgspec.json.decode(row.value, type=LayoutRow).cells
-    return None
-
-
 def unknown_cell(cell: str) -> Failure:
     """Build the failure for a message about a cell that is not known here yet."""
     return Failure(ErrorKind.STARTING, f"cell {cell} is not known here yet")
--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -131,6 +131,8 @@
             generator=self.generator,
             new_member=self.new_member,
             max_update_age=min(settings.bounds.propagation, settings.bounds.drain),
+            identity=self.identity,
+            first_start=settings.first_start,
         )
         self.reader = StoreReader(
             clock=self.clock,
@@ -176,7 +178,7 @@
                 self.cells.owner_claim_delay() + resource_claim_delay(self.settings)
             ),
             store_answers=lambda: not self.reader.failing,
-            confirm_layout=self.cells.confirm_layout,
+            confirm_layout=self.cells.layout.confirm,
         )
 
     async def start(self) -> None:
--- a/tests/platform/fake_store.py
+++ b/tests/platform/fake_store.py
@@ -1,5 +1,7 @@
 """An in-memory row store and its clients, with injected faults."""
 
+import asyncio
+
 from expression import Error, Ok
 
 from magnoliatrail.errors import ErrorKind, Failure
@@ -19,6 +21,11 @@
         self.lose_next = False
         self.delay_next = False
         self.delayed = []
+        self.calls = 0
+        # Times the long polls.
+        self.clock = None
+        # Resolved at the next change.
+        self.followers = []
 
     def client(self):
         """Return the client of one instance, which learns of eras from answers."""
@@ -43,6 +50,10 @@
         self.version += 1
         for write in writes:
             self.rows[write.table, write.key] = (write.value, self.version)
+        for follower in self.followers:
+            if not follower.done():
+                follower.set_result(None)
+        self.followers.clear()
         return Ok(version_in_era(self.era, self.version))
 
     def apply_delayed(self):
@@ -62,7 +73,22 @@
     def record_era(self, era):
         self.era = max(self.era, era)
 
+    async def changes(self, table, after, wait):
+        """Answer with the next change, or when the wait is over."""
+        self.store.calls += 1
+        if number_of(after) >= self.store.version:
+            follower = asyncio.get_running_loop().create_future()
+            self.store.followers.append(follower)
+            waited = asyncio.ensure_future(self.store.clock.sleep(wait))
+            await asyncio.wait({follower, waited}, return_when="FIRST_COMPLETED")
+            waited.cancel()
+        read = await self.read(table)
+        self.store.calls -= 1
+        rows = tuple(row for row in read.ok.rows if row.version > after)
+        return Ok(RowsRead(rows, read.ok.version, whole=False))
+
     async def read(self, table):
+        self.store.calls += 1
         if self.store.down:
             return Error(Failure(ErrorKind.TABLE_UNAVAILABLE, "down"))
         self.record_era(self.store.era)
@@ -75,6 +101,7 @@
         return Ok(RowsRead(tuple(rows), version, whole=True))
 
     async def commit(self, writes):
+        self.store.calls += 1
         if self.store.down:
             return Error(Failure(ErrorKind.TABLE_UNAVAILABLE, "down"))
         eras = {era_of(item.expected) for item in writes if number_of(item.expected)}
