Pass the measured speeds on to the next owner

Change: the owner's row carries the measured speeds; while none are known, prompts are no reason to refuse.

--- a/src/magnoliatrail/cells/forecast.py
+++ b/src/magnoliatrail/cells/forecast.py
@@ -1,5 +1,6 @@
 """Forecast of the wait for a batch slot, from what the engines can take."""
 
+import math
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -89,6 +90,9 @@
 def prefill_rate(engine: EngineState, pause: timedelta, now: timedelta) -> float:
     """Return the prompt tokens a second that an engine may prefill between events."""
     speed = engine.speed_estimate.speed(now)
+    if engine.speed_estimate.service.measured is None:
+        # Nothing is known yet that would justify a refusal.
+        return math.inf
     if not pause:
         return 1000.0 / speed.prefill_ms_per_token
     within_pause = max_pause_tokens(
--- a/src/magnoliatrail/cells/lease.py
+++ b/src/magnoliatrail/cells/lease.py
@@ -1,5 +1,6 @@
 """The lease on a cell, held in one row of the store that names the owner."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -9,7 +10,7 @@
 from magnoliatrail.cells.outage import StoreOutageTracker
 from magnoliatrail.clock import Clock
 from magnoliatrail.errors import ErrorKind, Failure
-from magnoliatrail.generated.cells import OwnerRow
+from magnoliatrail.generated.cells import MeasuredSpeed, OwnerRow
 from magnoliatrail.ids import CellId, FencingNumber, Incarnation, InstanceId
 from magnoliatrail.logs import EventLog
 from magnoliatrail.platform.protocol import CELLS_TABLE
@@ -61,6 +62,12 @@
         self.lease_until = timedelta()
         self.renewals = 0
         self.outage = StoreOutageTracker(clock)
+        # The speeds of engines to write for the next owner.
+        self.speeds: Callable[[], list[MeasuredSpeed]] = self.known_speeds
+
+    def known_speeds(self) -> list[MeasuredSpeed]:
+        """Return the speeds that the last known row carries."""
+        return self.row.speeds if self.row else []
 
     @property
     def key(self) -> str:
@@ -271,6 +278,7 @@
             address=self.identity.address,
             renewal=self.renewals,
             released=released,
+            speeds=self.speeds(),
         )
 
     async def write(self, row: OwnerRow) -> Result[int, Failure]:
--- a/src/magnoliatrail/cells/member.py
+++ b/src/magnoliatrail/cells/member.py
@@ -246,6 +246,7 @@
             log.warning("ownership_ended", row_version=self.lease.row_version)
             self.owner.close()
             self.owner = None
+            self.lease.speeds = self.lease.known_speeds
             self.owns.clear()
             self.link.local_slot_handler = self.link.local_report_handler = None
         if row and not row.released:
@@ -273,7 +274,9 @@
             expected=set(self.link.instances) - {self.link.owner},
             generator=self.generator,
             tasks=self.tasks,
+            known_speeds=self.lease.known_speeds(),
         )
+        self.lease.speeds = self.owner.measured_speeds
         self.lease.outage.expect(set(self.link.instances) - {self.identity.instance})
         self.link.local_slot_handler = self.owner.request_slot
         self.link.local_report_handler = self.handle_report
--- a/src/magnoliatrail/cells/owner.py
+++ b/src/magnoliatrail/cells/owner.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 from statistics import median
 
@@ -24,6 +24,7 @@
 from magnoliatrail.generated.cells import (
     EngineSummary,
     InstanceReport,
+    MeasuredSpeed,
     SlotAnswer,
     SlotDecision,
     SlotRequest,
@@ -34,7 +35,11 @@
 from magnoliatrail.metrics import Metrics
 from magnoliatrail.periodic import PeriodicTasks
 from magnoliatrail.routing.engine_scores import Residency
-from magnoliatrail.routing.engine_speed import EngineSpeedEstimate, ServiceSpeed
+from magnoliatrail.routing.engine_speed import (
+    EngineSpeed,
+    EngineSpeedEstimate,
+    ServiceSpeed,
+)
 from magnoliatrail.routing.prefill_budget import PrefillBudget
 
 log = EventLog("cells")
@@ -62,6 +67,7 @@
         expected: set[str],
         generator: random.Random,
         tasks: PeriodicTasks,
+        known_speeds: Iterable[MeasuredSpeed] = (),
     ) -> None:
         self.clock = clock
         self.metrics = metrics
@@ -100,6 +106,12 @@
         )
         # What the engines of each service have in common.
         self.speeds: dict[str, ServiceSpeed] = defaultdict(ServiceSpeed)
+        for known in known_speeds:
+            self.speeds[known.service] = ServiceSpeed(
+                EngineSpeed(
+                    known.prefill_ms_per_token, known.step_ms, known.step_ms_per_request
+                )
+            )
         self.closed = False
         self.began_at = clock.monotonic()
         # Instances whose running requests must be known before anything is evicted.
@@ -181,6 +193,19 @@
             if not request.answer.done():
                 request.answer.set_result(answer)
 
+    def measured_speeds(self) -> list[MeasuredSpeed]:
+        """Return the speeds of the services' engines, for the next owner."""
+        return [
+            MeasuredSpeed(
+                service=service,
+                prefill_ms_per_token=round(speed.prefill_ms_per_token, 5),
+                step_ms=round(speed.step_ms, 3),
+                step_ms_per_request=round(speed.step_ms_per_request, 5),
+            )
+            for service, estimate in self.speeds.items()
+            if (speed := estimate.measured)
+        ]
+
     # Slot requests
 
     async def request_slot(self, message: SlotRequest) -> SlotAnswer:
--- a/src/magnoliatrail/routing/engine_speed.py
+++ b/src/magnoliatrail/routing/engine_speed.py
@@ -16,6 +16,12 @@
 # They describe a slow engine, so that a new fleet starts with few prompts at once.
 PRIOR_FIRST_EVENTS = ((300.0, 45.0), (1500.0, 105.0), (3000.0, 180.0))
 PRIOR_STEPS = ((1.0, 9.0), (30.0, 10.5), (60.0, 12.0))
+# Delay of a first event beside its prefill, assumed where only the speed is known, and
+# how many samples of each size such knowledge counts for.
+PRIOR_OVERHEAD_MS = 15.0
+KNOWN_SPEED_SAMPLES = 10
+# Fewer samples don't show the speed of a service.
+MIN_SAMPLES = 20
 # Limits on the estimates, far outside of what engines reach.
 MIN_PREFILL_MS_PER_TOKEN, MAX_PREFILL_MS_PER_TOKEN = 0.002, 2.0
 MIN_STEP_MS = 0.5
@@ -88,9 +94,30 @@
 class ServiceSpeed:
     """The speed that the engines of one service have in common."""
 
-    def __init__(self) -> None:
-        self.first_events = LinearEstimate(PRIOR_FIRST_EVENTS)
-        self.steps = LinearEstimate(PRIOR_STEPS)
+    def __init__(self, known: EngineSpeed | None = None) -> None:
+        self.known = known
+        self.samples = 0
+        if known is None:
+            self.first_events = LinearEstimate(PRIOR_FIRST_EVENTS)
+            self.steps = LinearEstimate(PRIOR_STEPS)
+            return
+        self.first_events = LinearEstimate(
+            [
+                (tokens, PRIOR_OVERHEAD_MS + tokens * known.prefill_ms_per_token)
+                for tokens, _ in PRIOR_FIRST_EVENTS * KNOWN_SPEED_SAMPLES
+            ]
+        )
+        self.steps = LinearEstimate(
+            [
+                (running, known.step_ms + running * known.step_ms_per_request)
+                for running, _ in PRIOR_STEPS * KNOWN_SPEED_SAMPLES
+            ]
+        )
+
+    @property
+    def measured(self) -> EngineSpeed | None:
+        """Return the usual speed, or what was known of it while few streams ended."""
+        return self.speed(1.0) if self.samples >= MIN_SAMPLES else self.known
 
     def speed(self, slowness: float) -> EngineSpeed:
         """Return the speed of an engine that is slower than usual by a factor."""
@@ -143,6 +170,7 @@
         observed = first_event / timedelta(milliseconds=1)
         line = self.service.first_events
         usual = max(1.0, line.at(tokens))
+        self.service.samples += 1
         line.add(tokens, observed / self.outlier_factor(now))
         self.slowness.record(observed / usual, now)
 
--- a/tests/load/cell.py
+++ b/tests/load/cell.py
@@ -19,7 +19,11 @@
 from magnoliatrail.periodic import PeriodicTasks
 from magnoliatrail.platform.engine_calls import Operation, OrderOutcome
 from magnoliatrail.routes import EngineSpec, ModelSpec
-from magnoliatrail.routing.engine_speed import EngineSpeed, EngineSpeedEstimate
+from magnoliatrail.routing.engine_speed import (
+    EngineSpeed,
+    EngineSpeedEstimate,
+    ServiceSpeed,
+)
 
 # Nassar's engines, as specified: batch step, prefill, tokens per event, pause goal.
 STEP_MS, PREFILL_PER_MS, EVENT_TOKENS, PAUSE_MS = 6.8, 22.1, 4, 300
@@ -78,6 +82,7 @@
             generator=random.Random(1),
             tasks=self.tasks,
         )
+        self.owner.speeds["models"] = ServiceSpeed(SPEED)
         self.owner.queue.pause_goal = lambda: timedelta(milliseconds=pause_ms)
         self.owner.slots_in_use.pause_goal = self.owner.queue.pause_goal
         for number in range(engines):
--- a/tests/load/test_owner_changes.py
+++ b/tests/load/test_owner_changes.py
@@ -1,18 +1,30 @@
 """Lease takeover under load: running requests and adapter loads are kept."""
 
+import asyncio
+import random
 from datetime import timedelta
 
+import pytest
+
 from magnoliatrail.backends import LoadedAdapter
 from magnoliatrail.cells.engine_state import Holding, HoldingState
+from magnoliatrail.cells.owner import CellOwner
+from magnoliatrail.clock import ManualClock
 from magnoliatrail.generated.cells import (
     InstanceReport,
+    MeasuredSpeed,
     RunningRequest,
 )
+from magnoliatrail.membership.fleet_view import FleetView
+from magnoliatrail.metrics import NoMetrics
+from magnoliatrail.routing.engine_speed import ServiceSpeed
 from tests.load.cell import (
     MODEL,
     Cell,
     run_pending_tasks,
 )
+from tests.platform.fake_store import FakeRows
+from tests.platform.test_cell_lease import lease_of
 
 
 def test_requests_for_an_adapter_that_the_last_owner_ordered_are_granted(run):
@@ -83,3 +95,41 @@
         assert "r1" not in cell.owner.queue.waiting
 
     run(scenario())
+
+
+def test_the_next_owner_knows_the_speed_of_the_engines():
+    """Otherwise it assumes slow engines, and refuses what they could take."""
+    clock, store = ManualClock(), FakeRows()
+    first, second = (lease_of(name, store, clock) for name in "ab")
+    asyncio.run(first.read())
+    measured = MeasuredSpeed(
+        service="models",
+        prefill_ms_per_token=0.026,
+        step_ms=5.2,
+        step_ms_per_request=0.03,
+    )
+    first.speeds = lambda: [measured]
+    assert asyncio.run(first.claim())
+    clock.advance(timedelta(seconds=3))
+    asyncio.run(second.read())
+    clock.advance(timedelta(seconds=3))
+    assert asyncio.run(second.claim())
+    assert second.row.speeds == [measured]
+    cell = Cell(engines=1)
+    before = ServiceSpeed().speed(1.0)
+    owner = CellOwner(
+        clock=clock,
+        metrics=NoMetrics(),
+        view=FleetView(clock),
+        in_cell=lambda server: True,
+        orders=cell.orders,
+        may_order=lambda: True,
+        expected=set(),
+        generator=random.Random(1),
+        tasks=cell.tasks,
+        known_speeds=second.known_speeds(),
+    )
+    assert owner.measured_speeds() == [measured]
+    after = owner.speeds["models"].speed(1.0)
+    assert after.prefill_ms_per_token == pytest.approx(0.026, rel=0.05)
+    assert before.prefill_ms_per_token > after.prefill_ms_per_token * 1.5
