--- a/src/magnoliatrail/cells/lease.py
+++ b/src/magnoliatrail/cells/lease.py
@@ -67,7 +67,8 @@
 
     def known_speeds(self) -> list[MeasuredSpeed]:
         """Return the speeds that the last known row carries."""
-        return self.row.speeds if self.row else []
+        speeds = self.row.speeds if self.row else []
+        return [] if isinstance(speeds, msgspec.UnsetType) else speeds
 
     @property
     def key(self) -> str:
