--- a/src/magnoliatrail/cells/member.py
+++ b/src/magnoliatrail/cells/member.py
@@ -24,7 +24,6 @@
 from magnoliatrail.clock import Clock
 from magnoliatrail.connections import ConnectionPool
 from magnoliatrail.generated.cells import (
-    AdapterSpread,
     AnnouncementAnswer,
     InstanceReport,
     OwnerRow,
@@ -60,8 +59,6 @@
 OWNER_STATUS_PATH = "/cell/standing"
 # The owner of this cell reads the store for all instances.
 STORE_READER_CELL = CellId("0")
-# An adapter with more than this share of a cell's requests gets more cells.
-BUSY_ADAPTER_SHARE = 0.35
 OWNER_STATUS_LIMITS = CallLimits(
     timedelta(milliseconds=200), timedelta(milliseconds=300)
 )
@@ -348,7 +345,7 @@
             engines=owner.summary() if owner and detailed else [],
             instances=[] if digest == message.instances_digest else instances,
             instances_digest=digest,
-            spread=busy_adapters(owner, self.cells) if owner and detailed else [],
+            spread=owner.busy_adapters(self.cells) if owner and detailed else [],
         )
 
     def record_store_report(self, message: InstanceReport) -> None:
@@ -390,12 +387,3 @@
             if self.owner:
                 self.owner.queue.process()
             await asyncio.sleep(QUEUE_POLL_SECONDS)
-
-
-def busy_adapters(owner: CellOwner, cells: int) -> list[AdapterSpread]:
-    """Return the adapters that need more than one cell."""
-    found = owner.loads.busy_adapters(cells, BUSY_ADAPTER_SHARE) if cells > 1 else {}
-    return [
-        AdapterSpread(adapter=adapter, cells=count)
-        for adapter, count in sorted(found.items())
-    ]
--- a/src/magnoliatrail/cells/owner.py
+++ b/src/magnoliatrail/cells/owner.py
@@ -22,6 +22,7 @@
 from magnoliatrail.cells.waiting import WaitingRequest, waiting_request
 from magnoliatrail.clock import Clock
 from magnoliatrail.generated.cells import (
+    AdapterSpread,
     EngineSummary,
     InstanceReport,
     MeasuredSpeed,
@@ -47,6 +48,8 @@
 # Long poll: a slot request is held open for this long, then the instance repeats it.
 SLOT_REQUEST_HOLD = timedelta(milliseconds=700)
 
+# An adapter with more than this share of a cell's requests gets more cells.
+BUSY_ADAPTER_SHARE = 0.35
 # A new owner gives no orders until the instances reported their running requests, or
 # this long.
 FULL_REPORT_TIMEOUT = timedelta(milliseconds=800)
@@ -334,6 +337,16 @@
         self.slots_in_use.apply_report(report)
         self.queue.schedule()
 
+    def busy_adapters(self, cells: int) -> list[AdapterSpread]:
+        """Return the adapters that need more than one of the cells."""
+        if cells <= 1:
+            return []
+        found = self.loads.busy_adapters(cells, BUSY_ADAPTER_SHARE)
+        return [
+            AdapterSpread(adapter=adapter, cells=count)
+            for adapter, count in sorted(found.items())
+        ]
+
     def summary(self) -> list[EngineSummary]:
         """Summarize the engines, for instances that choose one without the owner."""
         return [
--- a/src/magnoliatrail/membership/fleet_view.py
+++ b/src/magnoliatrail/membership/fleet_view.py
@@ -167,7 +167,12 @@
             case Result(tag="ok", ok=found):
                 server = self.without_return(found, row.version)
                 if server is None:
-                    self.log_server("departed_server_listed", found, source)
+                    log.info(
+                        "departed_server_listed",
+                        server=id_,
+                        born=found.born,
+                        source=source,
+                    )
                     return
                 self.lapsed.pop(id_, None)
                 self.servers[id_] = server
