Reserve only for large prompts that waited, and budget from first events

The slope of first events includes decode steps, and the factor for slow engines took every engine for a little slow, as the line follows the faster samples.

Change: only engines twice as slow as their service count as slow; 0.85 of the slope counts as prefill; only large prompts that waited a fifth of their time reserve an engine.

--- a/src/magnoliatrail/cells/queue.py
+++ b/src/magnoliatrail/cells/queue.py
@@ -210,9 +210,10 @@
         options = scheduling_pass.options(candidates.values(), adapter)
         best = best_engine(options, size, scheduling_pass.store_load_time)
         if best is None:
-            scheduling_pass.reserve(
-                lambda engine: may_serve(engine, request), adapter, size
-            )
+            if request.was_passed_over(scheduling_pass.now):
+                scheduling_pass.reserve(
+                    lambda engine: may_serve(engine, request), adapter, size
+                )
             if not message.avoid:
                 scheduling_pass.record_unplaceable(message.service, adapter, size)
             return False
--- a/src/magnoliatrail/cells/scheduling_pass.py
+++ b/src/magnoliatrail/cells/scheduling_pass.py
@@ -25,6 +25,8 @@
 # Number of engines that are reserved for requests that fit on none, at most. Part of a
 # reserved engine's prefill budget stays unused.
 MAX_RESERVED_ENGINES = 1
+# A prompt is large if it needs this share of an engine's budget between two events.
+LARGE_PROMPT_SHARE = 0.4
 
 
 class SchedulingPass:
@@ -119,13 +121,16 @@
         adapter: LoadedAdapter,
         size: RequestSize,
     ) -> None:
-        """Reserve the engine on which a request fits first.
+        """Reserve the engine on which a large request fits first.
 
         Without this, smaller requests would take every part of an engine's prefill
-        budget before a large one fits.
+        budget before it fits.
         """
         if len(self.reserved) >= MAX_RESERVED_ENGINES:
             return
+        budgets = (self.load_of(engine).max_pause_tokens for engine in self.engines)
+        if size.prompt_tokens < max(budgets, default=0.0) * LARGE_PROMPT_SHARE:
+            return
         found: tuple[timedelta, str, ServerId, float] | None = None
         for engine in self.engines:
             if engine.server.id in self.reserved or not (
--- a/src/magnoliatrail/cells/waiting.py
+++ b/src/magnoliatrail/cells/waiting.py
@@ -16,6 +16,8 @@
 COPY_WAIT_SHARE = 0.3
 COPY_WAIT_SHARE_FREQUENT = 0.05
 FREQUENT_USES_PER_SECOND = 1.5
+# An engine may be kept for a request that waited this share of its maximum wait.
+RESERVE_WAIT_SHARE = 0.2
 # Head start in the queue for each priority level.
 PRIORITY_STEP = timedelta(milliseconds=150)
 MIN_RETRY_AFTER = timedelta(milliseconds=300)
@@ -46,6 +48,10 @@
         share = COPY_WAIT_SHARE_FREQUENT if frequent else COPY_WAIT_SHARE
         return now - self.enqueued_at < self.max_wait * share
 
+    def was_passed_over(self, now: timedelta) -> bool:
+        """Return whether an engine may be kept for the request, so long did it wait."""
+        return now - self.enqueued_at > self.max_wait * RESERVE_WAIT_SHARE
+
     @property
     def max_wait(self) -> timedelta:
         """Return the longest time that the request may wait."""
--- a/src/magnoliatrail/routing/engine_scores.py
+++ b/src/magnoliatrail/routing/engine_scores.py
@@ -20,6 +20,9 @@
 HOST_CACHE_LOAD_PENALTY = timedelta(milliseconds=20)
 # The rest of the pause goal is a margin for variation between steps.
 USABLE_PAUSE_FRACTION = 0.93
+# The time that a token adds to a first event includes decode steps between the pieces
+# of the prompt; the rest is prefill.
+PREFILL_SHARE_OF_FIRST_EVENT = 0.85
 # A longer queue of prompts on an engine doesn't make any of them start sooner.
 MAX_PREFILL_BACKLOG = timedelta(milliseconds=900)
 # Fraction of the engine's KV cache that requests are expected to fill at most.
@@ -101,7 +104,8 @@
     if not pause_goal:
         return math.inf
     free = pause_goal * USABLE_PAUSE_FRACTION - speed.step_time(running) * event_tokens
-    return max(0.0, free / timedelta(milliseconds=1)) / speed.prefill_ms_per_token
+    per_token = speed.prefill_ms_per_token * PREFILL_SHARE_OF_FIRST_EVENT
+    return max(0.0, free / timedelta(milliseconds=1)) / per_token
 
 
 def fits(option: EngineOption, size: RequestSize) -> bool:
--- a/src/magnoliatrail/routing/engine_speed.py
+++ b/src/magnoliatrail/routing/engine_speed.py
@@ -31,7 +31,7 @@
 SLOWNESS_SAMPLE_WEIGHT = 0.2
 MIN_SLOWNESS, MAX_SLOWNESS = 0.5, 10.0
 # Samples of an engine that is slower than this are scaled down to the usual speed.
-OUTLIER_SLOWNESS = 1.6
+OUTLIER_SLOWNESS = 2.0
 # An engine without new samples is considered as fast as the others again after a while.
 SLOWNESS_HALF_LIFE = timedelta(seconds=8)
 
@@ -159,7 +159,7 @@
 
     def speed(self, now: timedelta) -> EngineSpeed:
         """Return the current estimate."""
-        return self.service.speed(self.slowness.value(now))
+        return self.service.speed(self.outlier_factor(now))
 
     def record_first_event(
         self, tokens: int, first_event: timedelta, now: timedelta
