--- a/src/magnoliatrail/cells/fleet_layout.py
+++ b/src/magnoliatrail/cells/fleet_layout.py
@@ -132,7 +132,7 @@
                 await self.apply(read)
             case Result(error=failure):
                 log.warning("layout_read_failed", reason=failure.message)
-        return self.era >= era
+        return self.era >= self.store.era
 
 
 def layout_of(read: RowsRead) -> int | None:
