--- a/src/magnoliatrail/forwarding/context.py
+++ b/src/magnoliatrail/forwarding/context.py
@@ -11,7 +11,7 @@
 from magnoliatrail.connections import ConnectionPool
 from magnoliatrail.forwarding.request import CallerRequest
 from magnoliatrail.forwarding.retry_budget import RetryBudget
-from magnoliatrail.forwarding.server_call import Attempt
+from magnoliatrail.forwarding.server_call import Attempt, AttemptOutcome
 from magnoliatrail.forwarding.stream_versions import StreamVersions
 from magnoliatrail.logs import EventLog
 from magnoliatrail.membership.fleet_view import FleetView
@@ -105,6 +105,7 @@
 def log_attempt(routed: RoutedRequest, attempt: Attempt, number: int) -> None:
     """Log the outcome of one attempt."""
     server: BackendServer = attempt.server
+    broken = attempt.outcome is AttemptOutcome.BROKEN
     log.info(
         "attempt",
         request=routed.request.id,
@@ -123,5 +124,6 @@
         connection_error=attempt.connection_error,
         first_event=attempt.first_event or "",
         longest_pause=attempt.longest_pause,
+        parts=",".join(routed.request.shared_parts) if broken else "",
         reason=attempt.reason,
     )
--- a/src/magnoliatrail/forwarding/request.py
+++ b/src/magnoliatrail/forwarding/request.py
@@ -5,12 +5,14 @@
 import struct
 from dataclasses import dataclass
 from datetime import timedelta
+from functools import cached_property
 from http import HTTPStatus
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, ResponseStartLine
 from tornado.iostream import StreamClosedError
 
+from magnoliatrail.ids import PartId
 from magnoliatrail.platform.request_headers import (
     ModelWork,
     deadline_of,
@@ -18,6 +20,7 @@
     model_work_of,
     request_id_of,
     resumed_request_of,
+    shared_parts_of,
 )
 from magnoliatrail.wire import JSON_TYPE, encode
 
@@ -80,6 +83,11 @@
         """Return the requested model work, None if the headers name no model."""
         return model_work_of(self.headers)
 
+    @cached_property
+    def shared_parts(self) -> tuple[PartId, ...]:
+        """Return the parts of the prompt that other requests may have."""
+        return shared_parts_of(self.headers)
+
     async def start(self, status: int, headers: HTTPHeaders) -> None:
         """Start the answer with the status and headers of a server's answer."""
         await self.send_head(status, headers_for_caller(headers))
--- a/src/magnoliatrail/platform/request_headers.py
+++ b/src/magnoliatrail/platform/request_headers.py
@@ -9,6 +9,7 @@
 from tornado.httputil import HTTPHeaders
 
 from magnoliatrail.backends import BackendServer, LoadedAdapter, ServerNotice
+from magnoliatrail.ids import PartId
 from magnoliatrail.platform import protocol
 from magnoliatrail.wire import HOP_BY_HOP, connection_options
 
@@ -94,6 +95,12 @@
             yield name, int(tokens)
 
 
+def shared_parts_of(headers: HTTPHeaders) -> tuple[PartId, ...]:
+    """Return the parts of a prompt that other requests may have, all but the last."""
+    parts = list(prompt_parts(headers.get(protocol.PROMPT_PREFIX, "")))
+    return tuple(dict.fromkeys(PartId(name) for name, _ in parts[:-1]))
+
+
 def forwarded_headers(headers: HTTPHeaders) -> HTTPHeaders:
     """Return the headers without hop-by-hop headers and those that the system sets."""
     named = connection_options(headers)
--- a/tests/platform/test_request_headers.py
+++ b/tests/platform/test_request_headers.py
@@ -13,6 +13,7 @@
     not_executed,
     resumed_request_of,
     server_notice,
+    shared_parts_of,
 )
 
 SERVER = BackendServer(
@@ -52,6 +53,21 @@
     assert name not in forwarded({name: "3"})
 
 
+@pytest.mark.parametrize(
+    ("prefix", "shared"),
+    [
+        ("5c:800,91:410,e4:250", ("5c", "91")),
+        ("5c:800,5c:410,e4:250", ("5c",)),
+        ("e4:250", ()),
+        ("", ()),
+        ("5c:800,:4,91,e4:250", ("5c",)),
+    ],
+)
+def test_the_last_part_of_a_prompt_is_not_shared(prefix, shared):
+    headers = HTTPHeaders({"Magnoliatrail-Prompt-Prefix": prefix})
+    assert shared_parts_of(headers) == shared
+
+
 def test_a_caller_cannot_set_the_expected_instance():
     fields = forwarded({"Magnoliatrail-Expect-Instance": "forged"})
     assert fields.get_list("Magnoliatrail-Expect-Instance") == ["s1"]
