--- a/src/magnoliatrail/standins/platform_engine.py
+++ b/src/magnoliatrail/standins/platform_engine.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from tornado.httputil import HTTPServerRequest
 from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler
 
@@ -31,8 +32,12 @@
     # Ids of the executed requests, in order of execution.
     ran: list[str] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
-    # Set when a load order exceeds the adapter slots.
+    # Set when a load order exceeds the adapter slots, or by a crashing part.
     crashed: bool = False
+    # A part of a prompt on which the engine crashes when it begins an answer.
+    crashing_part: str = ""
+    # The requests that are being served.
+    serving: list[HTTPServerRequest] = field(default_factory=list)
     # Number of events after which streams are cut off; None for no fault.
     break_after_events: int | None = None
     # Whether streams have neither a length nor chunks and end with their connection.
@@ -105,6 +110,12 @@
         )
         return 202
 
+    def crash(self) -> None:
+        """Break off all answers; later requests find no server."""
+        self.crashed = True
+        for request in self.serving:
+            drop_connection(request)
+
     def finish_load(self, adapter: str) -> None:
         """Mark an adapter as loaded."""
         self.loading_adapters.discard(adapter)
@@ -182,6 +193,17 @@
     async def post(self, path: str) -> None:
         """Stream some events, or answer 421 if the request cannot run here."""
         del path
+        if self.state.crashed:
+            drop_connection(self.request)
+            return
+        self.state.serving.append(self.request)
+        try:
+            await self.run_request()
+        finally:
+            self.state.serving.remove(self.request)
+
+    async def run_request(self) -> None:
+        """Stream some events, unless the request cannot run here."""
         request = self.request.headers.get("Magnoliatrail-Request-Id", "")
         self.set_header("Magnoliatrail-Request-Id", request)
         if not self.check_expected_instance():
@@ -195,6 +217,14 @@
         self.state.ran.append(request)
         self.set_header("Magnoliatrail-Response-Signature", f"signed-{request}")
         self.set_header("Content-Type", "text/event-stream")
+        if self.state.crashing_part and self.state.crashing_part in prompt_parts(
+            self.request
+        ):
+            # The head is sent before the engine crashes.
+            await self.flush()
+            await asyncio.sleep(self.state.event_seconds)
+            self.state.crash()
+            return
         if self.state.unframed:
             await self.write_unframed()
             return
@@ -202,6 +232,8 @@
             if self.caller_disconnected:
                 self.state.abandoned.append(request)
                 return
+            if self.state.crashed:
+                return
             if self.state.break_after_events == number - 1:
                 if self.state.break_inside_event:
                     self.write(self.event(number)[:-1])
@@ -241,6 +273,12 @@
         return list(self._headers.get_all())
 
 
+def prompt_parts(request: HTTPServerRequest) -> list[str]:
+    """Return the ids of the parts of a request's prompt."""
+    prefix = request.headers.get("Magnoliatrail-Prompt-Prefix", "")
+    return [part.partition(":")[0] for part in prefix.split(",")]
+
+
 def platform_engine_application(state: PlatformEngineState) -> Application:
     """Return the HTTP application of an engine."""
     shared = {"state": state}
--- a/tests/platform/rig.py
+++ b/tests/platform/rig.py
@@ -152,6 +152,10 @@
         """Write an engine's row."""
         self.store.put_json("servers", state.id, {**state.row, "address": address})
 
+    def store_ids(self):
+        """Return the ids of the listed servers."""
+        return {row["key"] for row in self.store.list_rows("servers")}
+
     def add_plain(self, name, handler):
         """Start a plain server with a connection handler, and write its row."""
 
