--- a/src/magnoliatrail/forwarding/stream_versions.py
+++ b/src/magnoliatrail/forwarding/stream_versions.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections import OrderedDict, defaultdict
-from collections.abc import Callable, Mapping
 from datetime import timedelta
 from typing import Any
 
@@ -20,6 +19,7 @@
 from magnoliatrail.ids import InstanceId
 from magnoliatrail.logs import EventLog
 from magnoliatrail.membership.fleet_view import FleetView
+from magnoliatrail.membership.recent_instances import RecentInstances
 from magnoliatrail.peers.client import PeerClient
 from magnoliatrail.peers.server import PeerRoute
 from magnoliatrail.rendezvous import ranked
@@ -37,8 +37,6 @@
 # differ in which instances they know.
 COPIES = 2
 INSTANCES_ASKED = 6
-# A new owner lists only the instances that reported to it, so others are remembered.
-INSTANCE_MEMORY = timedelta(seconds=10)
 UNSENT_RETRY_DELAY = timedelta(milliseconds=500)
 # Streams that begin within this time are sent to another instance in one message.
 BATCHING_TIME = timedelta(milliseconds=20)
@@ -58,22 +56,19 @@
         peers: PeerClient,
         view: FleetView,
         instance: InstanceId,
-        addresses: Callable[[], Mapping[str, str]],
+        recent_instances: RecentInstances,
     ) -> None:
         self.clock = clock
         self.peers = peers
         self.view = view
         self.instance = instance
-        # Addresses of the peer listeners of all known instances.
-        self.addresses = addresses
+        self.recent_instances = recent_instances
         # Version and time by the request that began the stream, the oldest first.
         self.known: OrderedDict[str, tuple[str, timedelta]] = OrderedDict()
         self.unsent: list[BegunStream] = []
         # Streams to send by address, and the addresses that are being sent to.
         self.outgoing: defaultdict[str, list[BegunStream]] = defaultdict(list)
         self.sending: set[str] = set()
-        # Address of each instance and when it was last listed.
-        self.instances: dict[str, tuple[str, timedelta]] = {}
         self.wake = asyncio.Event()
 
     def record(self, request: str, version: str) -> None:
@@ -110,7 +105,6 @@
 
     async def ask_others(self, request: str) -> str | None:
         """Ask the instances that should know a stream for its version."""
-        self.update_instances()
         message = StreamVersionRequest(request=request)
         asked = [
             self.peers.ask(
@@ -135,19 +129,9 @@
 
     def holders(self, request: str, count: int) -> list[str]:
         """Return the addresses of the other instances that keep a stream's version."""
-        others = ranked(request, set(self.instances) - {self.instance})
-        return [self.instances[name][0] for name in others[:count]]
-
-    def update_instances(self) -> None:
-        """Update the known instances, and forget those that are listed no more."""
-        now = self.clock.monotonic()
-        for name, address in self.addresses().items():
-            self.instances[name] = address, now
-        self.instances = {
-            name: (address, at)
-            for name, (address, at) in self.instances.items()
-            if now - at <= INSTANCE_MEMORY
-        }
+        addresses = self.recent_instances.addresses()
+        others = ranked(request, addresses.keys() - {self.instance})
+        return [addresses[name] for name in others[:count]]
 
     async def send_periodically(self) -> None:
         """Send the versions of begun streams to the instances that keep them."""
@@ -163,8 +147,7 @@
         while True:
             await self.wake.wait()
             await self.clock.sleep(BATCHING_TIME)
-            self.update_instances()
-            if set(self.instances) <= {self.instance}:
+            if self.recent_instances.addresses().keys() <= {self.instance}:
                 # No other instance is known yet.
                 self.forget_ended()
                 self.unsent = [s for s in self.unsent if s.request in self.known]
--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -25,6 +25,7 @@
 from magnoliatrail.listeners import Listener, listen
 from magnoliatrail.logs import EventLog
 from magnoliatrail.membership.fleet_view import FleetView
+from magnoliatrail.membership.recent_instances import RecentInstances
 from magnoliatrail.membership.store_reader import StoreReader
 from magnoliatrail.metrics_text import TextMetrics
 from magnoliatrail.peers.client import PeerClient
@@ -141,12 +142,13 @@
             view=self.view,
             read_due_in=self.cells.read_due_in,
         )
+        self.recent_instances = RecentInstances(self.clock, self.cells.addresses)
         self.stream_versions = StreamVersions(
             clock=self.clock,
             peers=self.peers,
             view=self.view,
             instance=settings.instance,
-            addresses=self.cells.addresses,
+            recent_instances=self.recent_instances,
         )
         self.forwarding_context = ForwardingContext(
             clock=self.clock,
--- a/tests/unit/test_stream_versions.py
+++ b/tests/unit/test_stream_versions.py
@@ -8,13 +8,16 @@
 from magnoliatrail.clock import ManualClock, SystemClock
 from magnoliatrail.forwarding.stream_versions import (
     COPIES,
-    INSTANCE_MEMORY,
     MAX_STREAMS,
     STREAM_LIFETIME,
     StreamVersions,
 )
 from magnoliatrail.ids import InstanceId
 from magnoliatrail.membership.fleet_view import FleetView
+from magnoliatrail.membership.recent_instances import (
+    INSTANCE_MEMORY,
+    RecentInstances,
+)
 
 ADDRESSES = {f"i{number}": f"10.0.0.{number}:1" for number in range(9)}
 
@@ -28,15 +31,13 @@
 
 def versions(clock=None, instance="i0", addresses=ADDRESSES):
     clock = clock or ManualClock()
-    known = StreamVersions(
+    return StreamVersions(
         clock=clock,
         peers=NoPeers(),
         view=FleetView(clock),
         instance=InstanceId(instance),
-        addresses=lambda: addresses,
+        recent_instances=RecentInstances(clock, lambda: addresses),
     )
-    known.update_instances()
-    return known
 
 
 def test_a_recorded_version_is_found_without_asking(run):
@@ -168,8 +169,6 @@
     before = known.holders("r1", COPIES)
     addresses.clear()
     clock.advance(timedelta(seconds=1))
-    known.update_instances()
     assert known.holders("r1", COPIES) == before
     clock.advance(INSTANCE_MEMORY)
-    known.update_instances()
     assert known.holders("r1", COPIES) == []
