Refuse prompts with a part that crashes one server after the other

Cause: a crash was held only against the engine, so the next request with the part went to the next engine; and no instance saw five crashes by itself.

Each instance now reports the prompts whose answers had just begun, or not yet, when a server broke off. Two collectors look for what the crashes have in common; before they quarantine anything they ask all instances for whole answers, which clear a part. A group of parts that only occur together is refused only as a whole, so that nobody gets the parts of others refused by sending them along. Refusals are sent at once, to what waits too, and no request that was refused has run. A trial request ends a quarantine that is not needed; later trials are rarer.

The property tests found that a bystander's part which was suspected in as many crashes could hide the crashing one; ties are all accused now.

--- a/src/magnoliatrail/forwarding/context.py
+++ b/src/magnoliatrail/forwarding/context.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
+from http import HTTPStatus
 
 from magnoliatrail.backends import BackendServer
 from magnoliatrail.clock import Clock
@@ -16,6 +17,7 @@
 from magnoliatrail.logs import EventLog
 from magnoliatrail.membership.fleet_view import FleetView
 from magnoliatrail.metrics import Metrics
+from magnoliatrail.peers.quarantine_exchange import QuarantineExchange
 from magnoliatrail.platform.settings_file import Bounds
 from magnoliatrail.routes import Route
 
@@ -40,6 +42,7 @@
     # demand, provided that the store answers.
     ensure_fresh: Callable[[], Awaitable[None]]
     stream_versions: StreamVersions
+    quarantine: QuarantineExchange
     # Number of instances that share the retry budget.
     instances: int = 1
     # Numbers of known instances of the last window, with their times.
@@ -73,6 +76,21 @@
             return ""
         return await self.stream_versions.find(routed.service, routed.resumes)
 
+    def record_attempt(
+        self,
+        routed: "RoutedRequest",
+        attempt: Attempt,
+        sent_at: timedelta,
+        began_at: timedelta | None = None,
+    ) -> None:
+        """Record what an attempt says of its server and of the parts of its prompt."""
+        run, parts = attempt.server.key, routed.request.shared_parts
+        if attempt.outcome is AttemptOutcome.BROKEN:
+            self.quarantine.record_broken(run, parts, began_at)
+        elif attempt.outcome is AttemptOutcome.ANSWERED:
+            whole = attempt.status < HTTPStatus.MULTIPLE_CHOICES
+            self.quarantine.record_answered(run, parts, sent_at, whole=whole)
+
     def budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service."""
         if service not in self.budgets:
--- a/src/magnoliatrail/forwarding/engine_path.py
+++ b/src/magnoliatrail/forwarding/engine_path.py
@@ -1,5 +1,7 @@
 """Requests to engines: get a batch slot from the owner, then relay the stream."""
 
+import asyncio
+
 from tornado.httputil import HTTPHeaders
 
 from magnoliatrail.forwarding.context import (
@@ -29,6 +31,7 @@
 )
 from magnoliatrail.logs import EventLog
 from magnoliatrail.platform.request_headers import headers_for_server
+from magnoliatrail.routing import quarantine as quarantine_rules
 
 log = EventLog("forwarding")
 
@@ -70,7 +73,7 @@
             return
         engine_request.software_version = version
         for number in range(1, MAX_ATTEMPTS + 1):
-            slot = await self.slots.find(engine_request)
+            slot = await self.find_slot(engine_request)
             if isinstance(slot, NoBatchSlot):
                 await self.refuse(request, slot)
                 return
@@ -93,6 +96,26 @@
                 engine_request.avoid.append(slot.server.id)
         await request.answer_error(503, "no engine took the request", RETRY_AFTER)
 
+    async def find_slot(self, engine_request: EngineRequest) -> BatchSlot | NoBatchSlot:
+        """Find a batch slot, unless the request's prompt is or gets quarantined."""
+        quarantine = self.context.quarantine
+        parts = engine_request.routed.request.shared_parts
+        refusal = NoBatchSlot(quarantine_rules.REASON, quarantine_rules.RETRY_AFTER)
+        if quarantine.refuses(parts):
+            return refusal
+        try:
+            async with asyncio.timeout(None) as timeout:
+                with quarantine.rules.waiting_request(timeout, parts):
+                    slot = await self.slots.find(engine_request)
+        except TimeoutError:
+            if not timeout.expired():
+                raise
+            return refusal
+        if isinstance(slot, BatchSlot) and quarantine.refuses(parts, sending=True):
+            self.slots.release(engine_request, slot, RunOutcome.CANCELLED)
+            return refusal
+        return slot
+
     async def refuse(self, request: CallerRequest, slot: NoBatchSlot) -> None:
         """Answer that a request was not run."""
         log.info(
@@ -148,6 +171,10 @@
                 notice=self.context.view.apply_notice,
             )
             outcome = RUN_OUTCOMES[attempt.outcome]
+            began_at = None if events.first is None else sent_at + events.first
+            self.context.record_attempt(
+                engine_request.routed, attempt, sent_at, began_at
+            )
         finally:
             self.slots.in_flight[slot.server.id] -= 1
             self.slots.release(engine_request, slot, outcome, events)
--- a/src/magnoliatrail/forwarding/plain_path.py
+++ b/src/magnoliatrail/forwarding/plain_path.py
@@ -23,6 +23,7 @@
 from magnoliatrail.logs import EventLog
 from magnoliatrail.platform.request_headers import headers_for_server
 from magnoliatrail.routes import RouteKind
+from magnoliatrail.routing import quarantine
 
 log = EventLog("forwarding")
 
@@ -108,11 +109,15 @@
         if version is None:
             await request.answer_error(503, UNKNOWN_VERSION, RETRY_AFTER)
             return
+        no_attempt = NO_SERVER_OF_VERSION if version else NO_SERVER
         for number in range(1, MAX_ATTEMPTS + 1):
             server = self.choose(routed.service, tried, version)
             left = ends_at - clock.monotonic()
             if server is None or left < MIN_ATTEMPT_TIME:
                 break
+            if self.context.quarantine.refuses(request.shared_parts, sending=True):
+                no_attempt = quarantine.REASON
+                break
             if number > 1 and not budget.try_acquire(clock.monotonic()):
                 log.info(
                     "retry_budget_exhausted", request=request.id, service=routed.service
@@ -129,9 +134,7 @@
             if not self.may_retry(routed, last, runs):
                 break
         # A later refusal does not mean that the request has not run.
-        await self.answer(
-            routed, last_run or last, NO_SERVER_OF_VERSION if version else NO_SERVER
-        )
+        await self.answer(routed, last_run or last, no_attempt)
 
     def attempt_timeout(
         self, routed: RoutedRequest, left: timedelta, runs: int
@@ -173,6 +176,7 @@
             body=request.body,
         )
         self.in_flight[server.id] += 1
+        sent_at = self.context.clock.monotonic()
         try:
             attempt = await send_attempt(
                 self.context.pool,
@@ -188,6 +192,7 @@
             self.in_flight[server.id] -= 1
         attempt.body = b"".join(chunks) or attempt.body
         self.record_outcome(server, attempt)
+        self.context.record_attempt(routed, attempt, sent_at)
         return attempt
 
     def record_outcome(self, server: BackendServer, attempt: Attempt) -> None:
@@ -210,8 +215,10 @@
         request = routed.request
         if attempt is None or attempt.outcome is AttemptOutcome.NOT_RUN:
             reason = attempt.reason if attempt else no_attempt
-            accepts_in = self.context.view.accepts_in(routed.service)
-            await request.answer_error(503, reason, max(RETRY_AFTER, accepts_in))
+            retry_after = max(RETRY_AFTER, self.context.view.accepts_in(routed.service))
+            if reason == quarantine.REASON:
+                retry_after = quarantine.RETRY_AFTER
+            await request.answer_error(503, reason, retry_after)
             return
         match attempt.outcome:
             case AttemptOutcome.ANSWERED:
--- a/src/magnoliatrail/metrics_text.py
+++ b/src/magnoliatrail/metrics_text.py
@@ -76,6 +76,16 @@
         "Adapters brought, from the store or from near, and evicted.",
         "what",
     ),
+    "quarantine.refused": MetricDeclaration(
+        MetricKind.COUNTER,
+        "quarantine_refused_total",
+        "Requests refused because a part of their prompt crashes servers.",
+    ),
+    "quarantine.groups": MetricDeclaration(
+        MetricKind.COUNTER,
+        "quarantined_groups_total",
+        "Groups of prompt parts that this instance quarantined as a collector.",
+    ),
     "log.dropped": MetricDeclaration(
         MetricKind.COUNTER, "log_lines_dropped_total", "Log lines over the budget."
     ),
--- /dev/null
+++ b/src/magnoliatrail/peers/crash_collector.py
@@ -0,0 +1,207 @@
+"""Collection of all instances' crash reports, and decisions on quarantines."""
+
+import asyncio
+from collections.abc import Callable, Iterable, Mapping
+from datetime import timedelta
+
+from expression import Result
+
+from magnoliatrail.clock import Clock
+from magnoliatrail.generated.quarantine import (
+    QuarantineAnswer,
+    QuarantinedParts,
+    QuarantineUpdate,
+    ServerRunKey,
+    WholeAnswers,
+    WholeAnswersRequest,
+)
+from magnoliatrail.ids import InstanceId, PartId, ServerId
+from magnoliatrail.logs import EventLog
+from magnoliatrail.metrics import Metrics
+from magnoliatrail.peers.client import PeerClient
+from magnoliatrail.routing.crash_evidence import (
+    Accusation,
+    CrashEvidence,
+    Parts,
+    ServerRun,
+)
+from magnoliatrail.routing.quarantine import Quarantine, text_of
+from magnoliatrail.routing.quarantine_terms import QuarantineTerms
+from magnoliatrail.wire import CallLimits
+
+log = EventLog("quarantine")
+
+ANSWERS_PATH = "/quarantine/answers"
+UPDATE_PATH = "/quarantine/groups"
+PEER_LIMITS = CallLimits(timedelta(milliseconds=200), timedelta(milliseconds=500))
+# Groups in quarantine are sent again this often, also for instances that started.
+RENEWAL_INTERVAL = timedelta(seconds=1.5)
+
+
+class CrashCollector:
+    """Decide what to quarantine, and send it to all instances."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        metrics: Metrics,
+        peers: PeerClient,
+        instance: InstanceId,
+        urls: Callable[[], Mapping[InstanceId, str]],
+        evidence: CrashEvidence,
+        quarantine: Quarantine,
+    ) -> None:
+        self.clock = clock
+        self.metrics = metrics
+        self.peers = peers
+        self.instance = instance
+        # URLs of the peer listeners of the other instances.
+        self.urls = urls
+        self.evidence = evidence
+        self.quarantine = quarantine
+        self.terms = QuarantineTerms(clock)
+        self.renewed_at: timedelta | None = None
+        self.sent_groups: set[Parts] = set()
+
+    @property
+    def has_news(self) -> bool:
+        """Return whether instances have to be told of groups, or of their end."""
+        return bool(self.quarantine.groups or self.terms.recently_lifted())
+
+    def collect(
+        self, run: ServerRun, at: timedelta, prompts: Iterable[Iterable[PartId]]
+    ) -> bool:
+        """Add a report of a crash to the evidence; return whether it has news."""
+        if not self.evidence.record_crash(run, at, prompts):
+            return False
+        crash = self.evidence.crashes.get(run)
+        log.info(
+            "crash_reported",
+            server=run[0],
+            born=run[1],
+            prompts=len(crash.prompts) if crash else 0,
+        )
+        return True
+
+    def lift(self, parts: Parts, reason: str) -> None:
+        """End the quarantine of a group, and tell all instances."""
+        self.quarantine.lift(parts, reason)
+        self.terms.lift(parts)
+
+    async def decide(self) -> None:
+        """Quarantine what is accused, unless an instance had a whole answer."""
+        self.terms.record_crashes(self.quarantine.groups.values(), self.evidence)
+        accused = self.new_accusations()
+        if not accused:
+            return
+        await self.ask_for_whole_answers(accused)
+        for item in self.new_accusations():
+            self.quarantine.enforce(item.parts, self.clock.monotonic())
+            self.metrics.count("quarantine.groups")
+            log.warning(
+                "parts_accused", parts=text_of(item.parts), crashes=item.crashes
+            )
+
+    def new_accusations(self) -> list[Accusation]:
+        """Return the accusations that no group in quarantine covers."""
+        groups = self.quarantine.groups
+        return [
+            item
+            for item in self.evidence.accusations()
+            if not any(group <= item.parts for group in groups)
+        ]
+
+    async def ask_for_whole_answers(self, accused: list[Accusation]) -> None:
+        """Ask all other instances for whole answers that clear suspects."""
+        suspects: Parts = frozenset().union(*(item.parts for item in accused))
+        message = WholeAnswersRequest(
+            parts=sorted(suspects),
+            runs=[
+                ServerRunKey(server=server, born=born)
+                for server, born in self.evidence.crashes
+            ],
+        )
+        asked = [
+            self.peers.ask(url + ANSWERS_PATH, message, WholeAnswers, PEER_LIMITS)
+            for url in self.urls().values()
+        ]
+        for answer in await asyncio.gather(*asked):
+            match answer:
+                case Result(tag="ok", ok=whole):
+                    self.apply_whole_answers(whole)
+                case Result(error=failure):
+                    log.info("whole_answers_unknown", reason=failure.message)
+
+    def apply_whole_answers(self, whole: WholeAnswers) -> None:
+        """Apply the last whole answers of another instance."""
+        now = self.clock.monotonic()
+        for part in whole.parts:
+            at = now - timedelta(milliseconds=part.age_ms)
+            self.evidence.record_whole_answer([PartId(part.part)], at)
+        for run in whole.runs:
+            at = now - timedelta(milliseconds=run.age_ms)
+            self.evidence.record_run_answered((ServerId(run.server), run.born), at)
+
+    async def renew(self, *, gives_trials: bool) -> None:
+        """Send all instances the groups in quarantine, if they changed or are due."""
+        now = self.clock.monotonic()
+        for group in [*self.quarantine.groups.values()]:
+            if self.terms.is_idle(group):
+                self.lift(group.parts, "no more requests")
+            else:
+                self.quarantine.enforce(group.parts, group.since)
+        groups = set(self.quarantine.groups)
+        due = self.renewed_at is None or now - self.renewed_at >= RENEWAL_INTERVAL
+        if not self.has_news or (groups == self.sent_groups and not due):
+            return
+        self.renewed_at, self.sent_groups = now, groups
+        trials = {}
+        if gives_trials:
+            trials = self.terms.due_trials(self.quarantine.groups, self.instance)
+        for parts, instance in trials.items():
+            log.info("quarantine_trial_due", parts=text_of(parts), instance=instance)
+            if instance == self.instance:
+                self.quarantine.groups[parts].trial = True
+        await asyncio.gather(
+            *(
+                self.send_update(instance, url, trials)
+                for instance, url in self.urls().items()
+            )
+        )
+
+    async def send_update(
+        self, instance: InstanceId, url: str, trials: Mapping[Parts, InstanceId]
+    ) -> None:
+        """Send an instance the groups in quarantine, and learn of its refusals."""
+        now = self.clock.monotonic()
+        message = QuarantineUpdate(
+            groups=[
+                QuarantinedParts(
+                    parts=sorted(group.parts),
+                    age_ms=milliseconds(now - group.since),
+                    trial=trials.get(group.parts) == instance,
+                )
+                for group in self.quarantine.groups.values()
+            ],
+            lifted=[sorted(parts) for parts in self.terms.recently_lifted()],
+        )
+        url += UPDATE_PATH
+        match await self.peers.ask(url, message, QuarantineAnswer, PEER_LIMITS):
+            case Result(tag="ok", ok=answer):
+                now = self.clock.monotonic()
+                for item in answer.refused:
+                    at = now - timedelta(milliseconds=item.age_ms)
+                    self.terms.record_refusal(group_of(item.parts), instance, at)
+            case Result(error=failure):
+                log.info("quarantine_unsent", instance=instance, reason=failure.message)
+
+
+def milliseconds(duration: timedelta) -> float:
+    """Return a duration in milliseconds."""
+    return duration.total_seconds() * 1000
+
+
+def group_of(parts: Iterable[str]) -> Parts:
+    """Return a group from the parts in a message."""
+    return frozenset(map(PartId, parts))
--- /dev/null
+++ b/src/magnoliatrail/peers/quarantine_exchange.py
@@ -0,0 +1,309 @@
+"""Exchange of crash evidence and quarantined parts between instances.
+
+Each instance reports the crashes that it saw to two collectors, chosen by rendezvous
+hashing. A collector that finds an accusation asks all instances for whole answers that
+refute it, then sends the quarantined group to all.
+"""
+
+import asyncio
+from collections.abc import Callable, Collection, Mapping
+from contextlib import suppress
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any
+
+from expression import Ok, Result
+
+from magnoliatrail.clock import Clock
+from magnoliatrail.errors import Failure
+from magnoliatrail.generated.quarantine import (
+    CrashReport,
+    CrashReports,
+    CrashReportsAnswer,
+    GroupRefused,
+    PartAnswered,
+    QuarantineAnswer,
+    QuarantineUpdate,
+    RunAnswered,
+    WholeAnswers,
+    WholeAnswersRequest,
+)
+from magnoliatrail.ids import InstanceId, PartId, ServerId
+from magnoliatrail.logs import EventLog
+from magnoliatrail.metrics import Metrics
+from magnoliatrail.peers.client import PeerClient
+from magnoliatrail.peers.crash_collector import (
+    ANSWERS_PATH,
+    PEER_LIMITS,
+    RENEWAL_INTERVAL,
+    UPDATE_PATH,
+    CrashCollector,
+    group_of,
+    milliseconds,
+)
+from magnoliatrail.peers.server import PeerRoute
+from magnoliatrail.rendezvous import ranked
+from magnoliatrail.routing.crash_evidence import (
+    MAX_CRASH_DELAY,
+    CrashEvidence,
+    Parts,
+    ServerRun,
+)
+from magnoliatrail.routing.quarantine import Quarantine
+
+log = EventLog("quarantine")
+
+REPORTS_PATH = "/quarantine/crashes"
+COLLECTORS = 2
+COLLECTORS_KEY = "crash-collectors"
+# Answers that break off together are reported together.
+BATCHING_TIME = timedelta(milliseconds=30)
+# Own crashes are kept this long for a collector that takes over.
+REPORT_LIFETIME = timedelta(seconds=60)
+
+
+@dataclass(slots=True)
+class OwnCrash:
+    """A crash that this instance saw, and the collectors that know it."""
+
+    at: timedelta
+    prompts: set[tuple[PartId, ...]]
+    reported_to: set[InstanceId]
+
+
+class QuarantineExchange:
+    """Report crashes to the collectors, and apply the quarantines that they send."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        metrics: Metrics,
+        peers: PeerClient,
+        instance: InstanceId,
+        urls: Callable[[], Mapping[InstanceId, str]],
+    ) -> None:
+        self.clock = clock
+        self.metrics = metrics
+        self.peers = peers
+        self.instance = instance
+        # URLs of the peer listeners of the other instances.
+        self.urls = urls
+        self.evidence = CrashEvidence(clock)
+        self.rules = Quarantine(clock)
+        self.collector = CrashCollector(
+            clock=clock,
+            metrics=metrics,
+            peers=peers,
+            instance=instance,
+            urls=urls,
+            evidence=self.evidence,
+            quarantine=self.rules,
+        )
+        self.own_crashes: dict[ServerRun, OwnCrash] = {}
+        # Groups that stood in a whole answer here, and the collectors to tell.
+        self.refuted: dict[Parts, set[InstanceId]] = {}
+        self.wake = asyncio.Event()
+
+    # Observations of this instance
+
+    def record_broken(
+        self, run: ServerRun, parts: tuple[PartId, ...], began_at: timedelta | None
+    ) -> None:
+        """Record that a server broke off an answer that began then, if it began."""
+        now = self.clock.monotonic()
+        if not parts or (began_at is not None and now - began_at > MAX_CRASH_DELAY):
+            return
+        crash = self.own_crashes.setdefault(run, OwnCrash(now, set(), set()))
+        crash.prompts.add(parts)
+        crash.reported_to.clear()
+        self.wake.set()
+
+    def record_answered(
+        self,
+        run: ServerRun,
+        parts: tuple[PartId, ...],
+        sent_at: timedelta,
+        *,
+        whole: bool,
+    ) -> None:
+        """Record an answer of a server; `whole` if it ran the request to its end."""
+        self.evidence.record_run_answered(run, sent_at)
+        if not whole or not parts:
+            return
+        self.evidence.record_whole_answer(parts, self.clock.monotonic())
+        for group in [*self.rules.groups]:
+            if group.issubset(parts):
+                self.collector.lift(group, "a whole answer")
+                self.refuted[group] = {*self.collectors()} - {self.instance}
+                self.wake.set()
+
+    def refuses(self, parts: Collection[PartId], *, sending: bool = False) -> bool:
+        """Return whether a request must not be sent; sending it uses up a trial."""
+        refused = self.rules.refuses(parts, sending=sending)
+        if refused:
+            self.metrics.count("quarantine.refused")
+        return refused
+
+    # Background work
+
+    def collectors(self) -> list[InstanceId]:
+        """Return the instances that collect the reports of all others."""
+        names = ranked(COLLECTORS_KEY, {*self.urls(), self.instance})
+        return [InstanceId(name) for name in names[:COLLECTORS]]
+
+    async def run(self) -> None:
+        """Report, decide and renew; wait for events while there is nothing to do."""
+        while True:
+            if self.is_idle:
+                await self.wake.wait()
+            else:
+                with suppress(TimeoutError):
+                    async with asyncio.timeout(RENEWAL_INTERVAL.total_seconds()):
+                        await self.wake.wait()
+            self.wake.clear()
+            await self.clock.sleep(BATCHING_TIME)
+            await self.exchange()
+
+    async def exchange(self) -> None:
+        """Report what is new; as a collector, decide on it and tell all instances."""
+        self.forget_old()
+        collectors = self.collectors()
+        await asyncio.gather(*(self.report_to(name) for name in collectors))
+        if self.instance in collectors:
+            await self.collector.decide()
+            gives_trials = collectors[0] == self.instance
+            await self.collector.renew(gives_trials=gives_trials)
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether nothing has to be sent again."""
+        return not (self.own_crashes or self.refuted or self.collector.has_news)
+
+    def forget_old(self) -> None:
+        """Forget the crashes and refutations that no collector needs any more."""
+        oldest = self.clock.monotonic() - REPORT_LIFETIME
+        self.own_crashes = {
+            run: crash for run, crash in self.own_crashes.items() if crash.at >= oldest
+        }
+        collectors = set(self.collectors())
+        self.refuted = {
+            group: names & collectors
+            for group, names in self.refuted.items()
+            if names & collectors
+        }
+
+    async def report_to(self, collector: InstanceId) -> None:
+        """Send a collector the crashes and refutations that it does not know yet."""
+        crashes = {
+            run: crash
+            for run, crash in self.own_crashes.items()
+            if collector not in crash.reported_to
+        }
+        refuted = [group for group, names in self.refuted.items() if collector in names]
+        if not crashes and not refuted:
+            return
+        for crash in crashes.values():
+            crash.reported_to.add(collector)
+        if collector == self.instance:
+            for run, crash in crashes.items():
+                self.collector.collect(run, crash.at, crash.prompts)
+            return
+        now = self.clock.monotonic()
+        message = CrashReports(
+            crashes=[
+                CrashReport(
+                    server=run[0],
+                    born=run[1],
+                    age_ms=milliseconds(now - crash.at),
+                    prompts=[list(prompt) for prompt in crash.prompts],
+                )
+                for run, crash in crashes.items()
+            ],
+            lifted=[sorted(group) for group in refuted],
+        )
+        url = self.urls().get(collector, "") + REPORTS_PATH
+        match await self.peers.ask(url, message, CrashReportsAnswer, PEER_LIMITS):
+            case Result(tag="ok"):
+                for group in refuted:
+                    self.refuted[group].discard(collector)
+            case Result(error=failure):
+                for crash in crashes.values():
+                    crash.reported_to.discard(collector)
+                log.warning(
+                    "crashes_unreported",
+                    collector=collector,
+                    crashes=len(crashes),
+                    reason=failure.message,
+                )
+
+    # Messages
+
+    async def answer_reports(
+        self, message: CrashReports
+    ) -> Result[CrashReportsAnswer, Failure]:
+        """Take another instance's reports."""
+        now = self.clock.monotonic()
+        for report in message.crashes:
+            news = self.collector.collect(
+                (ServerId(report.server), report.born),
+                now - timedelta(milliseconds=report.age_ms),
+                [[PartId(part) for part in prompt] for prompt in report.prompts],
+            )
+            if news:
+                self.wake.set()
+        for parts in message.lifted:
+            self.evidence.record_whole_answer(map(PartId, parts), now)
+            self.collector.lift(group_of(parts), "a whole answer elsewhere")
+            self.wake.set()
+        return Ok(CrashReportsAnswer(taken=len(message.crashes)))
+
+    async def answer_whole_answers(
+        self, message: WholeAnswersRequest
+    ) -> Result[WholeAnswers, Failure]:
+        """Answer which suspects had whole answers here."""
+        now = self.clock.monotonic()
+        parts = []
+        for name in message.parts:
+            at = self.evidence.answered.get(PartId(name))
+            if at is not None:
+                parts.append(PartAnswered(part=name, age_ms=milliseconds(now - at)))
+        runs = []
+        for run in message.runs:
+            at = self.evidence.run_answered.get((ServerId(run.server), run.born))
+            if at is not None:
+                age = milliseconds(now - at)
+                runs.append(RunAnswered(server=run.server, born=run.born, age_ms=age))
+        return Ok(WholeAnswers(parts=parts, runs=runs))
+
+    async def answer_update(
+        self, message: QuarantineUpdate
+    ) -> Result[QuarantineAnswer, Failure]:
+        """Apply a collector's groups, and answer which ones refused requests here."""
+        now = self.clock.monotonic()
+        for lifted in message.lifted:
+            self.rules.lift(group_of(lifted), "a collector")
+        for item in message.groups:
+            parts = group_of(item.parts)
+            if parts in self.refuted:
+                continue
+            since = now - timedelta(milliseconds=item.age_ms)
+            group = self.rules.enforce(parts, since)
+            group.trial = group.trial or item.trial
+        refused = [
+            GroupRefused(
+                parts=sorted(group.parts),
+                age_ms=milliseconds(now - group.last_refusal_at),
+            )
+            for group in self.rules.groups.values()
+            if group.last_refusal_at is not None
+        ]
+        return Ok(QuarantineAnswer(refused=refused))
+
+    def peer_routes(self) -> list[PeerRoute[Any]]:
+        """Return the routes of the peer messages about quarantines."""
+        return [
+            PeerRoute(REPORTS_PATH, CrashReports, self.answer_reports),
+            PeerRoute(ANSWERS_PATH, WholeAnswersRequest, self.answer_whole_answers),
+            PeerRoute(UPDATE_PATH, QuarantineUpdate, self.answer_update),
+        ]
--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -21,7 +21,7 @@
 from magnoliatrail.forwarding.plain_path import PlainPath
 from magnoliatrail.forwarding.server import ForwardingServer
 from magnoliatrail.forwarding.stream_versions import StreamVersions
-from magnoliatrail.ids import CellId, new_incarnation
+from magnoliatrail.ids import CellId, InstanceId, new_incarnation
 from magnoliatrail.listeners import Listener, listen
 from magnoliatrail.logs import EventLog
 from magnoliatrail.membership.fleet_view import FleetView
@@ -30,6 +30,7 @@
 from magnoliatrail.metrics_text import TextMetrics
 from magnoliatrail.peers.client import PeerClient
 from magnoliatrail.peers.connections import PersistentConnections
+from magnoliatrail.peers.quarantine_exchange import QuarantineExchange
 from magnoliatrail.peers.server import peer_application
 from magnoliatrail.periodic import PeriodicTasks
 from magnoliatrail.platform.protocol import READY_PATH
@@ -150,6 +151,13 @@
             instance=settings.instance,
             recent_instances=self.recent_instances,
         )
+        self.quarantine = QuarantineExchange(
+            clock=self.clock,
+            metrics=self.metrics,
+            peers=self.peers,
+            instance=settings.instance,
+            urls=self.other_peer_urls,
+        )
         self.forwarding_context = ForwardingContext(
             clock=self.clock,
             metrics=self.metrics,
@@ -161,6 +169,7 @@
                 self.reader.ensure_fresh, max_request_update_age(settings)
             ),
             stream_versions=self.stream_versions,
+            quarantine=self.quarantine,
         )
         slots = EngineSlots(self.forwarding_context, self.cells, self.identity)
         engines = EnginePath(self.forwarding_context, slots)
@@ -171,6 +180,14 @@
         self.listeners: list[Listener] = []
         self.stopping = False
 
+    def other_peer_urls(self) -> dict[InstanceId, str]:
+        """Return the URLs of the peer listeners of the other instances."""
+        return {
+            InstanceId(name): f"http://{address}"
+            for name, address in self.recent_instances.addresses().items()
+            if name != self.settings.instance
+        }
+
     def new_member(self, cell: CellId, cells: int) -> CellMember:
         """Return this instance's membership of one cell."""
         return CellMember(
@@ -201,7 +218,11 @@
         self.listen_at(
             self.identity.address,
             peer_application(
-                [*self.cells.peer_routes(), *self.stream_versions.peer_routes()],
+                [
+                    *self.cells.peer_routes(),
+                    *self.stream_versions.peer_routes(),
+                    *self.quarantine.peer_routes(),
+                ],
                 self.token,
             ),
         )
@@ -215,6 +236,7 @@
             self.cells.watch_rows,
             self.update_instance_count,
             self.stream_versions.send_periodically,
+            self.quarantine.run,
         ):
             self.tasks.forever(work)
         self.listen_at(settings.callers_address, self.server)
--- /dev/null
+++ b/src/magnoliatrail/routing/quarantine.py
@@ -0,0 +1,116 @@
+"""Groups of prompt parts whose requests are refused, because they crash servers."""
+
+import asyncio
+from collections.abc import Collection, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from datetime import timedelta
+
+from magnoliatrail.clock import Clock
+from magnoliatrail.ids import PartId
+from magnoliatrail.logs import EventLog
+from magnoliatrail.routing.crash_evidence import Parts
+
+log = EventLog("quarantine")
+
+# A group that no collector renews for so long is dropped.
+RENEWAL_TIMEOUT = timedelta(seconds=30)
+MAX_GROUPS = 64
+REASON = "a part of the prompt crashes servers"
+# Callers should not send such a prompt again soon.
+RETRY_AFTER = timedelta(seconds=30)
+
+
+@dataclass(slots=True)
+class QuarantinedGroup:
+    """A group of parts, and the requests that had all of them."""
+
+    parts: Parts
+    since: timedelta
+    renewed_at: timedelta
+    last_refusal_at: timedelta | None = None
+    # Whether the next request may pass, to see whether it still crashes a server.
+    trial: bool = False
+
+
+class Quarantine:
+    """Refuse prompts with all parts of a quarantined group, at one instance."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.groups: dict[Parts, QuarantinedGroup] = {}
+        # Timeouts of the waiting requests, which expire when they are quarantined.
+        self.waiting: dict[asyncio.Timeout, Collection[PartId]] = {}
+
+    def find(self, parts: Collection[PartId]) -> QuarantinedGroup | None:
+        """Return a quarantined group that a prompt has, if any."""
+        if not self.groups:
+            return None
+        self.expire()
+        return next(
+            (group for group in self.groups.values() if group.parts.issubset(parts)),
+            None,
+        )
+
+    def refuses(self, parts: Collection[PartId], *, sending: bool = False) -> bool:
+        """Return whether a request must not be sent; sending it uses up a trial."""
+        group = self.find(parts)
+        if group is None:
+            return False
+        if group.trial:
+            if sending:
+                group.trial = False
+                log.info("quarantine_trial", parts=text_of(group.parts))
+            return False
+        group.last_refusal_at = self.clock.monotonic()
+        return True
+
+    def enforce(self, parts: Parts, since: timedelta) -> QuarantinedGroup:
+        """Add or renew a group, and end the waits of requests that have it."""
+        now = self.clock.monotonic()
+        group = self.groups.get(parts)
+        if group is None:
+            group = self.groups[parts] = QuarantinedGroup(parts, since, now)
+            log.warning("parts_quarantined", parts=text_of(parts))
+            self.end_waits(parts)
+            while len(self.groups) > MAX_GROUPS:
+                self.lift(next(iter(self.groups)), "too many groups")
+        group.renewed_at = now
+        return group
+
+    def lift(self, parts: Parts, reason: str) -> None:
+        """End the quarantine of a group."""
+        if self.groups.pop(parts, None):
+            log.warning("quarantine_lifted", parts=text_of(parts), reason=reason)
+
+    def expire(self) -> None:
+        """Drop the groups that no collector renewed."""
+        now = self.clock.monotonic()
+        for parts, group in list(self.groups.items()):
+            if now - group.renewed_at > RENEWAL_TIMEOUT:
+                self.lift(parts, "not renewed")
+
+    @contextmanager
+    def waiting_request(
+        self, timeout: asyncio.Timeout, parts: Collection[PartId]
+    ) -> Iterator[None]:
+        """Let a timeout expire when these parts are quarantined."""
+        if not parts:
+            yield
+            return
+        self.waiting[timeout] = parts
+        try:
+            yield
+        finally:
+            del self.waiting[timeout]
+
+    def end_waits(self, group: Parts) -> None:
+        """Let the timeouts of waiting requests with a group expire."""
+        for timeout, parts in self.waiting.items():
+            if group.issubset(parts):
+                timeout.reschedule(asyncio.get_running_loop().time())
+
+
+def text_of(parts: Parts) -> str:
+    """Return a group's parts as text for the log."""
+    return ",".join(sorted(parts))
