--- a/benchmarks/entry_chunk_cost.py
+++ b/benchmarks/entry_chunk_cost.py
@@ -37,9 +37,11 @@
 from magnoliatrail.generated.permits import PermitGrant
 from magnoliatrail.generated.platform import Catalogue, CatalogueEntry
 from magnoliatrail.generated.settings import Settings
-from magnoliatrail.ids import AdapterVersion, EngineId, Handle, RequestId
+from magnoliatrail.ids import AdapterVersion, EngineId, Handle, InstanceId, RequestId
 from magnoliatrail.listeners import listen
 from magnoliatrail.metrics import RecordedMetrics
+from magnoliatrail.peers.client import PeerClient
+from magnoliatrail.peers.quarantine_exchange import QuarantineExchange
 from magnoliatrail.placement.catalogue import AdapterCatalogue
 from magnoliatrail.requests import CompletionCall
 from magnoliatrail.wire import new_http_client
@@ -226,8 +228,19 @@
     metrics = RecordedMetrics()
     permits = PermitHolder()
     client = new_http_client()
+    quarantine = QuarantineExchange(
+        clock=clock,
+        metrics=metrics,
+        peers=PeerClient(settings.peer_token),
+        instance=InstanceId(settings.instance_id),
+        urls=dict,
+    )
     caller = EngineCaller(
-        settings=settings, clock=clock, client=client, permits=permits
+        settings=settings,
+        clock=clock,
+        client=client,
+        permits=permits,
+        quarantine=quarantine,
     )
     search: Any = FixedPermitSearch(permits, source)
     configuration = ConfigurationInForce(clock)
@@ -250,6 +263,7 @@
             metrics=metrics,
             search=search,
             caller=caller,
+            quarantine=quarantine,
             batch_slots=batch_slots,
         ),
         ledger=unused,
--- a/src/magnoliatrail/daemon.py
+++ b/src/magnoliatrail/daemon.py
@@ -37,6 +37,7 @@
 )
 from magnoliatrail.peers.placement_messages import PeerDirectory
 from magnoliatrail.peers.placement_parts import PlacementParts
+from magnoliatrail.peers.quarantine_exchange import QuarantineExchange
 from magnoliatrail.peers.server import PeerRoute, peer_application
 from magnoliatrail.periodic import PeriodicTasks
 from magnoliatrail.placement.catalogue import AdapterCatalogue
@@ -90,6 +91,13 @@
         )
         self.fleet = self.coordination.fleet
         self.gate = self.coordination.gate
+        self.quarantine = QuarantineExchange(
+            clock=self.clock,
+            metrics=self.metrics,
+            peers=self.peers,
+            instance=self.instance,
+            urls=self.other_peer_urls,
+        )
         self.propagation = self.new_propagation()
         self.placement = self.new_placement()
         self.lifecycle = Lifecycle(self.configuration)
@@ -211,12 +219,14 @@
             clock=self.clock,
             client=self.client,
             permits=self.permits,
+            quarantine=self.quarantine,
         )
         return Dispatcher(
             clock=self.clock,
             metrics=self.metrics,
             search=search,
             caller=caller,
+            quarantine=self.quarantine,
             gate=self.gate,
             is_live=self.fleet.is_live,
             batch_slots=self.placement.batch_slots,
@@ -264,6 +274,7 @@
         self.tasks.every(settings.configuration_poll_seconds, self.propagation.poll)
         self.tasks.every(settings.heartbeat_seconds, self.placement.demand.report_due)
         self.tasks.every(CATALOGUE_POLL_SECONDS, self.refresh_catalogue)
+        self.tasks.forever(self.quarantine.run)
         self.tasks.once(self.sweep_operations)
         self.lifecycle.ready = True
         log.info(
@@ -292,6 +303,11 @@
         self.peers.close()
         log.info("stopped", instance=self.instance)
 
+    def other_peer_urls(self) -> dict[InstanceId, str]:
+        """Return the URLs of the peer listeners of the other instances."""
+        members = self.fleet.members
+        return {peer: members.records[peer].peer_url for peer in members.peers()}
+
     def advertised_url(self, listener: Listener) -> str:
         """Return the address by which peers reach a listener."""
         host = self.settings.advertised_host or self.settings.host
@@ -340,4 +356,5 @@
             PeerRoute("/peer/status", object, self.answer_status),
             *configuration_routes(self.propagation),
             *self.placement.routes(),
+            *self.quarantine.peer_routes(),
         ]
--- a/src/magnoliatrail/entry/completions.py
+++ b/src/magnoliatrail/entry/completions.py
@@ -15,6 +15,7 @@
 from magnoliatrail.entry.chunk_writer import ChunkWriter
 from magnoliatrail.entry.handlers import CallerHandler
 from magnoliatrail.entry.parts import EntryParts
+from magnoliatrail.entry.prompt_parts import prompt_parts_of
 from magnoliatrail.errors import ErrorKind, Failure, answer_of
 from magnoliatrail.generated.answers import (
     ChatBody,
@@ -88,7 +89,10 @@
         match self.parts.catalogue.find(body.model):
             case Result(tag="ok", ok=model):
                 path = self.request.path
-                return Ok(CompletionCall(context, model, path, body.stream, fields))
+                parts = prompt_parts_of(fields)
+                return Ok(
+                    CompletionCall(context, model, path, body.stream, fields, parts)
+                )
             case Result(error=failure):
                 return Error(failure)
 
--- a/src/magnoliatrail/entry/dispatch.py
+++ b/src/magnoliatrail/entry/dispatch.py
@@ -1,5 +1,6 @@
 """Dispatch of completions: permit, batch slot, engine call and bounded retries."""
 
+import asyncio
 from collections.abc import Callable
 from datetime import timedelta
 from random import Random
@@ -18,9 +19,11 @@
 from magnoliatrail.membership.pause import PauseGate
 from magnoliatrail.metrics import Metrics
 from magnoliatrail.operations.backoff import Backoff, backoff_delays
+from magnoliatrail.peers.quarantine_exchange import QuarantineExchange
 from magnoliatrail.requests import CompletionCall
 from magnoliatrail.routing.circuit import Circuits, CircuitSettings
 from magnoliatrail.routing.permit_search import PermitSearch
+from magnoliatrail.routing.quarantine import REASON
 
 log = EventLog("dispatch")
 
@@ -49,10 +52,23 @@
 
 
 def is_final(failure: Failure) -> bool:
-    """Return whether a queue limit or the deadline rules out a retry."""
+    """Return whether a queue limit, the deadline or a quarantine rules out a retry."""
     if failure.kind is ErrorKind.QUEUE_FULL:
         return failure.retry_after is not None
-    return failure.kind is ErrorKind.DEADLINE_UNREACHABLE
+    return failure.kind in {
+        ErrorKind.DEADLINE_UNREACHABLE,
+        ErrorKind.PROMPT_QUARANTINED,
+    }
+
+
+def quarantined(request: CompletionCall) -> Failure:
+    """Return the failure of a request whose prompt is quarantined, and log it."""
+    log.info(
+        "prompt_quarantined",
+        request=request.context.request_id,
+        parts=",".join(request.parts),
+    )
+    return Failure(ErrorKind.PROMPT_QUARANTINED, REASON)
 
 
 class Dispatcher:
@@ -65,6 +81,7 @@
         metrics: Metrics,
         search: PermitSearch,
         caller: EngineCaller,
+        quarantine: QuarantineExchange,
         gate: PauseGate | None = None,
         is_live: Callable[[EngineId], bool] = lambda engine: True,
         batch_slots: EntryBatchSlots | None = None,
@@ -76,6 +93,7 @@
         self.metrics = metrics
         self.search = search
         self.caller = caller
+        self.quarantine = quarantine
         self.gate = gate
         self.is_live = is_live
         self.slots = batch_slots or EntryBatchSlots(
@@ -127,24 +145,43 @@
         self, request: CompletionCall, sink: AnswerSink
     ) -> Result[None, Failure]:
         """Obtain a permit and run the request under it."""
-        match await self.search.obtain(request):
+        if self.quarantine.refuses(request.parts):
+            return Error(quarantined(request))
+        try:
+            async with asyncio.timeout(None) as timeout:
+                with self.quarantine.rules.waiting_request(timeout, request.parts):
+                    found = await self.find_slot(request)
+        except TimeoutError:
+            if not timeout.expired():
+                raise
+            return Error(quarantined(request))
+        match found:
             case Result(tag="ok", ok=permit):
                 return await self.run_in_batch_slot(request, permit, sink)
             case Result(error=failure):
                 return Error(failure)
 
-    async def run_in_batch_slot(
-        self, request: CompletionCall, permit: Permit, sink: AnswerSink
-    ) -> Result[None, Failure]:
-        """Wait for a batch slot and run the request in it."""
+    async def find_slot(self, request: CompletionCall) -> Result[Permit, Failure]:
+        """Obtain a permit, and wait for a batch slot of its engine."""
+        match await self.search.obtain(request):
+            case Result(tag="ok", ok=permit):
+                pass
+            case Result(error=failure):
+                return Error(failure)
         permit.waiting += 1
         try:
             acquired = await self.slots.acquire(permit.engine, request.context)
         finally:
             permit.waiting -= 1
-        if acquired.is_error():
-            return acquired
+        return acquired.map(lambda _: permit)
+
+    async def run_in_batch_slot(
+        self, request: CompletionCall, permit: Permit, sink: AnswerSink
+    ) -> Result[None, Failure]:
+        """Run a request in its batch slot."""
         changed = await self.recheck_permit(permit)
+        if changed is None and self.quarantine.refuses(request.parts, sending=True):
+            changed = quarantined(request)
         if changed:
             self.slots.release(permit.engine, request.context)
             return Error(changed)
--- a/src/magnoliatrail/entry/engine_call.py
+++ b/src/magnoliatrail/entry/engine_call.py
@@ -25,6 +25,7 @@
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.generated.settings import Settings
 from magnoliatrail.logs import EventLog
+from magnoliatrail.peers.quarantine_exchange import QuarantineExchange
 from magnoliatrail.requests import CompletionCall
 from magnoliatrail.settings import control_limits
 from magnoliatrail.wire import CallFailed
@@ -36,6 +37,9 @@
 MAX_INTERRUPTIONS = 3
 MAX_RESUMES_WITHOUT_PROGRESS = 2
 
+# Failures after which the engine may have crashed.
+BROKEN_OFF = {ErrorKind.ANSWER_INTERRUPTED, ErrorKind.ANSWER_INVALID}
+
 RelayAnswer = Callable[[EngineStream], Awaitable[RelayFailure | None]]
 
 
@@ -49,9 +53,11 @@
         clock: Clock,
         client: AsyncHTTPClient,
         permits: PermitHolder,
+        quarantine: QuarantineExchange,
     ) -> None:
         self.settings = settings
         self.clock = clock
+        self.quarantine = quarantine
         self.permits = permits
         self.limits = StreamLimits(
             connect=timedelta(seconds=settings.connect_timeout_seconds),
@@ -66,12 +72,17 @@
     ) -> Result[None, Failure]:
         """Run a request under a permit, or continue an answer from another engine."""
         context = request.context
-        run = EngineRun(request, permit, run_id(context.request_id, sink.progress.runs))
+        run = EngineRun(
+            request,
+            permit,
+            run_id(context.request_id, sink.progress.runs),
+            sent_at=self.clock.monotonic(),
+        )
         sink.progress.runs += 1
         permit.in_flight += 1
         try:
             async with asyncio.timeout(context.time_left(self.clock).total_seconds()):
-                return await self.run_with_interruption_limit(run, sink)
+                result = await self.run_with_interruption_limit(run, sink)
         except TimeoutError:
             message = "the deadline passed while the engine generated"
             return Error(Failure(ErrorKind.DEADLINE_EXCEEDED, message))
@@ -80,6 +91,19 @@
                 self.canceller.cancel_in_background(permit, run.request_id, context)
             else:
                 permit.in_flight -= 1
+        self.record_run(run, result)
+        return result
+
+    def record_run(self, run: EngineRun, result: Result[None, Failure]) -> None:
+        """Record what a run says of its engine and of the parts of its prompt."""
+        parts = run.request.parts
+        match result:
+            case Result(tag="ok"):
+                self.quarantine.record_answered(
+                    run.server_run, parts, run.sent_at, whole=True
+                )
+            case Result(error=failure) if failure.kind in BROKEN_OFF:
+                self.quarantine.record_broken(run.server_run, parts, run.began_at)
 
     async def run_with_interruption_limit(
         self, run: EngineRun, sink: AnswerSink
@@ -107,8 +131,11 @@
             progress=sink.progress,
         )
 
+        def record_begin() -> None:
+            run.began_at = run.began_at or self.clock.monotonic()
+
         async def relay_answer(stream: EngineStream) -> RelayFailure | None:
-            return await relay_events(stream, check, sink)
+            return await relay_events(stream, check, sink, on_events=record_begin)
 
         return await self.run_until_complete(
             run, relay_answer, lambda: check.next_position
--- a/src/magnoliatrail/entry/engine_run.py
+++ b/src/magnoliatrail/entry/engine_run.py
@@ -1,14 +1,16 @@
 """One run of a request on one engine: request ids, URLs and log fields."""
 
 from dataclasses import dataclass
+from datetime import timedelta
 
 import msgspec
 
 from magnoliatrail.engines.permits import Permit
 from magnoliatrail.entry.engine_stream import EngineRequest
 from magnoliatrail.generated.permits import RequestClass
-from magnoliatrail.ids import RequestId
+from magnoliatrail.ids import RequestId, ServerId
 from magnoliatrail.requests import CompletionCall
+from magnoliatrail.routing.crash_evidence import ServerRun
 from magnoliatrail.wire import JSON_TYPE, encode
 
 PRIORITIES = {RequestClass.INTERACTIVE: 0, RequestClass.BATCH: 1}
@@ -23,6 +25,9 @@
     permit: Permit
     request_id: RequestId
     may_be_running: bool = False
+    # When the run was sent, and when its answer began.
+    sent_at: timedelta = timedelta()
+    began_at: timedelta | None = None
 
     def first_request(self) -> EngineRequest:
         """Return the request that starts the run."""
@@ -45,6 +50,11 @@
         url = f"{self.permit.grant.engine_url}/v1/requests/{self.request_id}"
         return EngineRequest("GET", url, headers)
 
+    @property
+    def server_run(self) -> ServerRun:
+        """Return what distinguishes runs of the engine: a restart ends all handles."""
+        return ServerId(f"{self.permit.engine}/{self.permit.handle}"), 0
+
     def log_fields(self) -> dict[str, object]:
         """Return the log fields that identify the run."""
         return {"request": self.request_id, "engine": self.permit.engine}
--- a/src/magnoliatrail/entry/stream_relay.py
+++ b/src/magnoliatrail/entry/stream_relay.py
@@ -1,6 +1,6 @@
 """Relaying of an answer's events from one connection to a caller."""
 
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from tornado.httputil import HTTPInputError
@@ -29,7 +29,11 @@
 
 
 async def relay_events(
-    stream: EngineStream, check: AnswerCheck, sink: AnswerSink
+    stream: EngineStream,
+    check: AnswerCheck,
+    sink: AnswerSink,
+    *,
+    on_events: Callable[[], None] = lambda: None,
 ) -> RelayFailure | None:
     """Relay checked events until the answer is complete or the connection fails."""
     check.reconnect()
@@ -38,7 +42,10 @@
         events = check.feed(data)
         if check.finished or check.failure:
             stream.stop()
-        return sink.write_events(events) if events else None
+        if not events:
+            return None
+        on_events()
+        return sink.write_events(events)
 
     failure = await relay_body(stream, handle_content)
     if check.finished:
--- a/src/magnoliatrail/errors.py
+++ b/src/magnoliatrail/errors.py
@@ -41,6 +41,7 @@
     PEER_UNAVAILABLE = "peer_unavailable"
     BACKEND_UNREACHABLE = "backend_unreachable"
     BACKEND_FAILED = "backend_failed"
+    PROMPT_QUARANTINED = "prompt_quarantined"
     ANSWER_INVALID = "answer_invalid"
     ANSWER_INTERRUPTED = "answer_interrupted"
     STARTING = "starting"
@@ -61,6 +62,7 @@
 
 SHORT_RETRY_DELAY = timedelta(seconds=1)
 LONG_RETRY_DELAY = timedelta(seconds=5)
+QUARANTINE_RETRY_DELAY = timedelta(seconds=30)
 NOT_RUN = Outcome.NOT_RUN
 UNKNOWN = Outcome.OUTCOME_UNKNOWN
 
@@ -143,6 +145,9 @@
     ErrorKind.BACKEND_FAILED: AnswerRule(
         502, UNKNOWN, "ask again if the operation is idempotent", SHORT_RETRY_DELAY
     ),
+    ErrorKind.PROMPT_QUARANTINED: AnswerRule(
+        503, NOT_RUN, "do not send this prompt again soon", QUARANTINE_RETRY_DELAY
+    ),
     ErrorKind.ANSWER_INVALID: AnswerRule(
         502, UNKNOWN, "ask again if the operation is idempotent", SHORT_RETRY_DELAY
     ),
--- a/src/magnoliatrail/requests.py
+++ b/src/magnoliatrail/requests.py
@@ -7,7 +7,7 @@
 
 from magnoliatrail.clock import Clock
 from magnoliatrail.generated.permits import RequestClass
-from magnoliatrail.ids import AdapterVersion, CallerId, RequestId
+from magnoliatrail.ids import AdapterVersion, CallerId, PartId, RequestId
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,3 +35,5 @@
     path: str
     stream: bool
     fields: dict[str, msgspec.Raw]
+    # Parts of the prompt that other requests may have too.
+    parts: tuple[PartId, ...] = ()
--- a/src/magnoliatrail/routing/quarantine.py
+++ b/src/magnoliatrail/routing/quarantine.py
@@ -7,6 +7,7 @@
 from datetime import timedelta
 
 from magnoliatrail.clock import Clock
+from magnoliatrail.errors import QUARANTINE_RETRY_DELAY
 from magnoliatrail.ids import PartId
 from magnoliatrail.logs import EventLog
 from magnoliatrail.routing.crash_evidence import Parts
@@ -18,7 +19,7 @@
 MAX_GROUPS = 64
 REASON = "a part of the prompt crashes servers"
 # Callers should not send such a prompt again soon.
-RETRY_AFTER = timedelta(seconds=30)
+RETRY_AFTER = QUARANTINE_RETRY_DELAY
 
 
 @dataclass(slots=True)
--- a/src/magnoliatrail/standins/engine.py
+++ b/src/magnoliatrail/standins/engine.py
@@ -190,6 +190,11 @@
         self, answer: GeneratedAnswer, order: CompletionOrder, source: str
     ) -> None:
         """Append the tokens of an answer, one per token time."""
+        crashing_text = self.faults.crashing_text
+        if crashing_text and crashing_text in prompt_text(order):
+            await self.clock.sleep(self.limits.token_time)
+            self.restart()
+            return
         digest = hashlib.sha256(prompt_text(order).encode()).hexdigest()[:8]
         self.record_cache_event(digest)
         for position in range(order.max_tokens):
--- a/src/magnoliatrail/standins/faults.py
+++ b/src/magnoliatrail/standins/faults.py
@@ -56,6 +56,8 @@
     drop_answers: int = 0
     # An answer names another adapter than the request.
     wrong_adapter: int = 0
+    # The engine restarts when it begins an answer to a prompt with this text.
+    crashing_text: str = ""
 
 
 def set_faults(faults: Faults, changes: dict[str, object]) -> None:
--- a/tests/load/test_fleet_restart.py
+++ b/tests/load/test_fleet_restart.py
@@ -24,6 +24,7 @@
         generator=random.Random(1),
         ensure_fresh=None,
         stream_versions=None,
+        quarantine=None,
     )
 
 
--- a/tests/unit/entry_rig.py
+++ b/tests/unit/entry_rig.py
@@ -28,6 +28,7 @@
 from magnoliatrail.standins.engine import EngineLimits, FakeEngine
 from magnoliatrail.standins.engine_http import engine_application
 from magnoliatrail.wire import CallLimits, call, encode, new_http_client
+from tests.lone_quarantine import lone_quarantine
 
 MODEL = AdapterVersion("adapter", "1")
 ENTRY = CatalogueEntry(adapter=MODEL.adapter, version=MODEL.version, base_model="base")
@@ -74,9 +75,14 @@
             for number, listener in enumerate(self.listeners)
         ]
         self.obtained = 0
+        self.quarantine = lone_quarantine(clock)
         self.client = new_http_client()
         caller = EngineCaller(
-            settings=self.settings, clock=clock, client=self.client, permits=holder
+            settings=self.settings,
+            clock=clock,
+            client=self.client,
+            permits=holder,
+            quarantine=self.quarantine,
         )
         metrics = RecordedMetrics()
         configuration = ConfigurationInForce(clock)
@@ -92,7 +98,11 @@
             configuration=configuration,
             catalogue=catalogue,
             dispatcher=Dispatcher(
-                clock=clock, metrics=metrics, search=self, caller=caller
+                clock=clock,
+                metrics=metrics,
+                search=self,
+                caller=caller,
+                quarantine=self.quarantine,
             ),
             ledger=None,
             settler=None,
--- a/tests/unit/test_dispatch.py
+++ b/tests/unit/test_dispatch.py
@@ -10,6 +10,7 @@
 from magnoliatrail.ids import AdapterVersion, CallerId, RequestId
 from magnoliatrail.metrics import NoMetrics
 from magnoliatrail.requests import CompletionCall, RequestContext
+from tests.lone_quarantine import lone_quarantine
 
 DEADLINE = timedelta(seconds=600)
 
@@ -50,6 +51,7 @@
         metrics=NoMetrics(),
         search=FailingSearch(kind),
         caller=None,
+        quarantine=lone_quarantine(clock),
         generator=Random(1),
     )
     result = run(dispatcher.dispatch(request, None))
