Test the quarantine of parts at plain services, in the queue and without an owner

The same cause elsewhere: plain servers (unsafe and safe routes), requests that wait for a batch slot, and engines chosen without an owner.

--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -5,8 +5,10 @@
 
 import pytest
 
+from magnoliatrail.routing.crash_evidence import MIN_CRASHES, SAME_EVENT_WITHIN
 from magnoliatrail.standins.platform_engine import PlatformEngineState
-from tests.platform.rig import MODEL, model, running
+from tests.platform.rig import MODEL, WAIT_SECONDS, model, running
+from tests.platform.test_server_notices import add_plain_servers
 
 INSTANCES = 3
 ENGINES = 4
@@ -106,3 +108,91 @@
             assert (answer.status, answer.whole) == (200, True)
 
     crashing_fleet(scenario)
+
+
+def crash_plain_server(requests):
+    """Return a handler that ends its connection without an answer to one part."""
+
+    async def handle(reader, writer):
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+            requests.append(head)
+            if CRASHING.encode() not in head:
+                request = head.partition(b"Request-Id: ")[2].partition(b"\r\n")[0]
+                writer.write(
+                    b"HTTP/1.1 200 OK\r\nMagnoliatrail-Request-Id: " + request + b"\r\n"
+                    b"Magnoliatrail-Response-Signature: s\r\nConnection: close\r\n"
+                    b"Content-Length: 2\r\n\r\nok"
+                )
+                await writer.drain()
+        finally:
+            writer.close()
+
+    return handle
+
+
+# Guards against a crashing part whose requests go to plain servers.
+@pytest.mark.parametrize("path", ["/plain/x", "/lookup/x"])
+def test_a_part_that_crashes_plain_servers_is_refused(run, path):
+    async def scenario():
+        async with running() as rig:
+            (daemon,) = rig.daemons
+            seen = {f"plain-{number}": [] for number in range(12)}
+            handlers = {name: crash_plain_server(seen[name]) for name in seen}
+            await add_plain_servers(rig, **handlers)
+            fleet = CrashingFleet(rig, path)
+            for _ in range(MIN_CRASHES):
+                assert (await fleet.send(SHARED, CRASHING)).status != 503
+                await asyncio.sleep(SAME_EVENT_WITHIN.total_seconds())
+            assert (await fleet.send(SHARED, "sound")).status == 200
+            await rig.until(lambda: daemon.quarantine.rules.groups)
+            before = sum(map(len, seen.values()))
+            answer = await fleet.send(SHARED, CRASHING)
+            assert answer.status == 503
+            assert float(answer.headers["Retry-After"]) > 1
+            assert sum(map(len, seen.values())) == before
+
+    run(scenario())
+
+
+def quarantine_at(daemon):
+    """Quarantine the crashing part at an instance, as a collector would."""
+    rules = daemon.quarantine.rules
+    return rules.enforce(frozenset({CRASHING}), daemon.clock.monotonic())
+
+
+# Guards against requests that keep waiting for a batch slot that they must not use.
+def test_a_waiting_request_is_refused_once_its_part_is_quarantined(run):
+    async def scenario():
+        async with running() as rig:
+            (daemon,) = rig.daemons
+            rig.engines[0].load_seconds = 60
+            fleet = CrashingFleet(rig)
+            sending = asyncio.create_task(fleet.send(SHARED, CRASHING))
+            await rig.until(lambda: daemon.quarantine.rules.waiting)
+            quarantine_at(daemon)
+            answer = await asyncio.wait_for(sending, WAIT_SECONDS)
+            assert answer.status == 503
+            assert not daemon.quarantine.rules.waiting
+            assert rig.engines[0].ran == []
+
+    run(scenario())
+
+
+# Guards against a way to the engines that passes the quarantine by.
+def test_a_quarantined_part_is_refused_without_an_owner_too(run):
+    async def scenario():
+        async with running() as rig:
+            (daemon,) = rig.daemons
+            fleet = CrashingFleet(rig)
+            assert (await fleet.send(SHARED, CRASHING)).status == 200
+            for member in daemon.cells.members.values():
+                member.link.local_slot_handler = None
+                member.link.address = ""
+            assert (await fleet.send(SHARED, "sound")).status == 200
+            quarantine_at(daemon)
+            before = len(rig.engines[0].ran)
+            assert (await fleet.send(SHARED, CRASHING)).status == 503
+            assert len(rig.engines[0].ran) == before
+
+    run(scenario())
