Keep quarantined parts in the owners' rows for a fleet that restarts as a whole

The owner's row, which is written at each renewal anyway, carries the groups (4,096 characters at most); an instance applies them from its first read of the rows. No call to the store is added. test_instances_that_all_restart_know_the_quarantined_parts fails without it.

--- a/src/magnoliatrail/cells/fleet_cells.py
+++ b/src/magnoliatrail/cells/fleet_cells.py
@@ -83,12 +83,16 @@
         max_update_age: timedelta,
         identity: Identity,
         first_start: bool = False,
+        restore_quarantine: Callable[[list[list[str]]], None] = lambda groups: None,
     ) -> None:
         self.clock = clock
         self.store = store
         self.view = view
         self.generator = generator
         self.new_member = new_member
+        # Applies what the rows say of the quarantine before this instance started.
+        self.restore_quarantine = restore_quarantine
+        self.quarantine_restored = False
         # Whether all instances start together, for the first time.
         self.first_start = first_start
         # Whether the owners of a starting fleet are not known yet.
@@ -167,6 +171,10 @@
                 await self.layout.apply(read)
                 for member in self.members.values():
                     member.apply_rows(read)
+                if self.members and not self.quarantine_restored:
+                    self.quarantine_restored = True
+                    for member in self.members.values():
+                        self.restore_quarantine(member.lease.known_quarantined())
                 return read.version
             case Result(error=failure):
                 log.warning("owner_read_failed", reason=failure.message)
--- a/src/magnoliatrail/cells/lease.py
+++ b/src/magnoliatrail/cells/lease.py
@@ -64,6 +64,13 @@
         self.outage = StoreOutageTracker(clock)
         # The speeds of engines to write for the next owner.
         self.speeds: Callable[[], list[MeasuredSpeed]] = self.known_speeds
+        # The groups of prompt parts in quarantine, for a fleet that starts again.
+        self.quarantined: Callable[[], list[list[str]]] = list
+
+    def known_quarantined(self) -> list[list[str]]:
+        """Return the groups in quarantine that the last known row carries."""
+        groups = self.row.quarantined if self.row else []
+        return [] if isinstance(groups, msgspec.UnsetType) else groups
 
     def known_speeds(self) -> list[MeasuredSpeed]:
         """Return the speeds that the last known row carries."""
@@ -280,6 +287,7 @@
             renewal=self.renewals,
             released=released,
             speeds=self.speeds(),
+            quarantined=self.quarantined(),
         )
 
     async def write(self, row: OwnerRow) -> Result[int, Failure]:
--- a/src/magnoliatrail/cells/member.py
+++ b/src/magnoliatrail/cells/member.py
@@ -87,6 +87,7 @@
         owner_claim_delay: Callable[[], timedelta],
         store_answers: Callable[[], bool],
         confirm_layout: Callable[[], Awaitable[bool]],
+        quarantined: Callable[[], list[list[str]]],
     ) -> None:
         self.clock = clock
         self.metrics = metrics
@@ -104,6 +105,7 @@
         # Makes sure that the store has the layout, also after it came back from a copy.
         self.confirm_layout = confirm_layout
         self.lease = CellLease(clock=clock, store=store, identity=identity, cell=cell)
+        self.lease.quarantined = quarantined
         self.peers = peers
         self.previous_owner_address = ""
         self.announcer = OwnershipAnnouncer(
--- a/src/magnoliatrail/peers/quarantine_exchange.py
+++ b/src/magnoliatrail/peers/quarantine_exchange.py
@@ -145,6 +145,13 @@
             self.metrics.count("quarantine.refused")
         return refused
 
+    def restore(self, groups: list[list[str]]) -> None:
+        """Apply the groups that were in quarantine before this instance started."""
+        for parts in groups:
+            self.rules.enforce(group_of(parts), self.clock.monotonic())
+        if groups:
+            self.wake.set()
+
     # Background work
 
     def collectors(self) -> list[InstanceId]:
--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -127,6 +127,13 @@
             f"{settings.ip}:{settings.peer_ports[0]}",
         )
         self.peers = PeerClient(self.token, PersistentConnections(self.pool))
+        self.quarantine = QuarantineExchange(
+            clock=self.clock,
+            metrics=self.metrics,
+            peers=self.peers,
+            instance=settings.instance,
+            urls=self.other_peer_urls,
+        )
         self.cells = FleetCells(
             clock=self.clock,
             store=self.store,
@@ -136,6 +143,7 @@
             max_update_age=min(settings.bounds.propagation, settings.bounds.drain),
             identity=self.identity,
             first_start=settings.first_start,
+            restore_quarantine=self.quarantine.restore,
         )
         self.reader = StoreReader(
             clock=self.clock,
@@ -151,13 +159,6 @@
             instance=settings.instance,
             recent_instances=self.recent_instances,
         )
-        self.quarantine = QuarantineExchange(
-            clock=self.clock,
-            metrics=self.metrics,
-            peers=self.peers,
-            instance=settings.instance,
-            urls=self.other_peer_urls,
-        )
         self.forwarding_context = ForwardingContext(
             clock=self.clock,
             metrics=self.metrics,
@@ -207,6 +208,7 @@
             ),
             store_answers=lambda: not self.reader.failing,
             confirm_layout=self.cells.layout.confirm,
+            quarantined=self.quarantine.rules.rows,
         )
 
     async def start(self) -> None:
--- a/src/magnoliatrail/routing/quarantine.py
+++ b/src/magnoliatrail/routing/quarantine.py
@@ -17,6 +17,7 @@
 # A group that no collector renews for so long is dropped.
 RENEWAL_TIMEOUT = timedelta(seconds=30)
 MAX_GROUPS = 64
+MAX_STORED_CHARACTERS = 4096
 REASON = "a part of the prompt crashes servers"
 # Callers should not send such a prompt again soon.
 RETRY_AFTER = QUARANTINE_RETRY_DELAY
@@ -91,6 +92,17 @@
             if now - group.renewed_at > RENEWAL_TIMEOUT:
                 self.lift(parts, "not renewed")
 
+    def rows(self) -> list[list[str]]:
+        """Return the newest groups, as many as the store should keep."""
+        self.expire()
+        groups, length = [], 0
+        for group in reversed(self.groups):
+            length += sum(map(len, group))
+            if length > MAX_STORED_CHARACTERS:
+                break
+            groups.append([str(part) for part in sorted(group)])
+        return groups
+
     @contextmanager
     def waiting_request(
         self, timeout: asyncio.Timeout, parts: Collection[PartId]
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -1,13 +1,15 @@
 """Prompts with a part that crashes each engine that begins an answer on it."""
 
 import asyncio
+import base64
+import json
 from itertools import cycle
 
 import pytest
 
 from magnoliatrail.routing.crash_evidence import MIN_CRASHES, SAME_EVENT_WITHIN
 from magnoliatrail.standins.platform_engine import PlatformEngineState
-from tests.platform.rig import MODEL, WAIT_SECONDS, model, running
+from tests.platform.rig import MODEL, WAIT_SECONDS, close, decoded, model, running
 from tests.platform.test_server_notices import add_plain_servers
 
 INSTANCES = 3
@@ -196,3 +198,27 @@
             assert len(rig.engines[0].ran) == before
 
     run(scenario())
+
+
+# Guards against a fleet that forgets the crashing parts when all of it restarts.
+def test_instances_that_all_restart_know_the_quarantined_parts(run):
+    async def scenario():
+        async with running(instances=2) as rig:
+            address = rig.daemons[0].settings.store_address
+            for daemon in rig.daemons:
+                quarantine_at(daemon)
+            await rig.until(
+                lambda: any(
+                    CRASHING in json.dumps(decoded(base64.b64decode(row["value"])))
+                    for row in rig.store.list_rows("cells")
+                )
+            )
+            for daemon in rig.daemons:
+                await close(daemon)
+            rig.daemons.clear()
+            await rig.start_instance(7, address)
+            await rig.until(lambda: rig.daemons[0].quarantine.rules.groups)
+            assert rig.daemons[0].quarantine.refuses({SHARED, CRASHING})
+            assert not rig.daemons[0].quarantine.refuses({SHARED})
+
+    run(scenario())
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -9,7 +9,12 @@
 from magnoliatrail.clock import ManualClock
 from magnoliatrail.ids import InstanceId
 from magnoliatrail.routing.crash_evidence import CrashEvidence
-from magnoliatrail.routing.quarantine import MAX_GROUPS, RENEWAL_TIMEOUT, Quarantine
+from magnoliatrail.routing.quarantine import (
+    MAX_GROUPS,
+    MAX_STORED_CHARACTERS,
+    RENEWAL_TIMEOUT,
+    Quarantine,
+)
 from magnoliatrail.routing.quarantine_terms import (
     DOUBTFUL_CRASHES,
     FIRST_TRIAL_AFTER,
@@ -66,6 +71,16 @@
     assert rules.refuses({f"part-{2 * MAX_GROUPS - 1}"})
 
 
+def test_the_store_keeps_the_newest_groups_within_a_bound(rules, clock):
+    for number in range(MAX_GROUPS):
+        parts = frozenset(f"{number}-{part}-{'x' * 100}" for part in range(10))
+        rules.enforce(parts, clock.monotonic())
+    rows = rules.rows()
+    assert rows[0][0].startswith(f"{MAX_GROUPS - 1}-")
+    length = sum(len(part) for row in rows for part in row)
+    assert MAX_STORED_CHARACTERS / 2 < length <= MAX_STORED_CHARACTERS
+
+
 # Guards against requests that wait in a queue although their part is quarantined.
 def test_the_wait_of_a_quarantined_request_ends_at_once(run, rules, clock):
     async def wait(parts):
