--- a/src/magnoliatrail/backends.py
+++ b/src/magnoliatrail/backends.py
@@ -44,6 +44,9 @@
     leaving: bool = False
     # The server refused a request and wants no other from this instance for so long.
     refuses_for: timedelta = timedelta()
+    # Requests a second that the server takes from all instances together, None if it
+    # names no limit.
+    requests_per_second: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/magnoliatrail/platform/protocol.py
+++ b/src/magnoliatrail/platform/protocol.py
@@ -19,6 +19,8 @@
 RESUMES = "Resumes"
 # The server that answered is leaving.
 SERVER_LEAVING = "Server-Leaving"
+# Requests a second that the server takes from all instances together.
+SERVER_LIMIT = "Server-Limit"
 INSTANCE_ID = "Magnoliatrail-Instance-Id"
 RETRY_AFTER = "Retry-After"
 LENGTH_HINT = "Magnoliatrail-Length-Hint"
--- a/src/magnoliatrail/platform/request_headers.py
+++ b/src/magnoliatrail/platform/request_headers.py
@@ -155,9 +155,19 @@
     return ServerNotice(
         leaving=headers.get(protocol.SERVER_LEAVING) == "1",
         refuses_for=retry_after_of(headers) if refuses else timedelta(),
+        requests_per_second=request_limit_of(headers),
     )
 
 
+def request_limit_of(headers: HTTPHeaders) -> float | None:
+    """Return the requests a second that a server takes, None if it names no limit."""
+    try:
+        limit = float(headers.get(protocol.SERVER_LIMIT, ""))
+    except ValueError:
+        return None
+    return limit if math.isfinite(limit) and limit >= 0 else None
+
+
 def retry_after_of(headers: HTTPHeaders) -> timedelta:
     """Return the time in Retry-After, zero if there is none or it is no number."""
     try:
--- a/tests/platform/test_request_headers.py
+++ b/tests/platform/test_request_headers.py
@@ -178,3 +178,21 @@
 def test_only_a_503_asks_for_no_requests_for_a_time(status, value, seconds):
     notice = server_notice(SERVER, status, HTTPHeaders({"Retry-After": value}))
     assert notice.refuses_for == timedelta(seconds=seconds)
+
+
+@pytest.mark.parametrize(
+    ("value", "limit"),
+    [
+        ("1.6", 1.6),
+        ("0", 0.0),
+        ("20", 20.0),
+        *((text, None) for text in ("", "fast", "-1", "nan", "inf")),
+    ],
+)
+def test_a_server_names_its_request_limit(value, limit):
+    headers = HTTPHeaders({"Server-Limit": value})
+    assert server_notice(SERVER, 200, headers).requests_per_second == limit
+
+
+def test_a_server_without_the_header_has_no_request_limit():
+    assert server_notice(SERVER, 200, HTTPHeaders()).requests_per_second is None
