--- a/src/magnoliatrail/standins/platform_engine.py
+++ b/src/magnoliatrail/standins/platform_engine.py
@@ -48,6 +48,10 @@
     refuses_for_seconds: int = 0
     # Number of these refusals.
     refused: int = 0
+    # Requests a second that all answers name as the engine's limit; None for none.
+    request_limit: float | None = None
+    # When each request arrived, on the event loop's clock.
+    arrived_at: list[float] = field(default_factory=list)
     # Version of the engine's software.
     version: str = "v1"
     # Whether a stream that is cut off ends in the middle of its next event.
@@ -136,6 +140,8 @@
         self.caller_disconnected = False
         if state.leaving:
             self.set_header("Server-Leaving", "1")
+        if state.request_limit is not None:
+            self.set_header("Server-Limit", str(state.request_limit))
 
     def prepare(self) -> None:
         """Refuse the call if the engine refuses all calls."""
@@ -193,6 +199,7 @@
     async def post(self, path: str) -> None:
         """Stream some events, or answer 421 if the request cannot run here."""
         del path
+        self.state.arrived_at.append(asyncio.get_running_loop().time())
         if self.state.crashed:
             drop_connection(self.request)
             return
