Wait in a test for instances that know no configuration yet

The test looked at the version of a configuration that was not there; it waits for it now and checks the same afterwards.

--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -135,7 +135,10 @@
             routes = [route("new", "/new/", "streaming", "models")]
             rig.store.put_json("op", "config", configuration(7, routes))
             await rig.until(
-                lambda: all(item.view.routes.version == 7 for item in rig.daemons)
+                lambda: all(
+                    item.view.routes and item.view.routes.version == 7
+                    for item in rig.daemons
+                )
             )
             answer = await rig.send(
                 rig.daemons[2], "/new/x", request="r1", headers=model("a1")
