Keep all instances together to the request limit that a server names

Cause: the header was not read, and nothing in the scheduling knew a rate.

Instances report what servers say of their limits to the owners of the cells; the latest statement holds, so a limit ends with the next answer to a request that names none. The owner paces its grants on a limited engine by a token bucket that starts empty, sends the rest to other engines, and counts the limit in its forecast, so that what no engine may take is refused early. Without an owner, and for plain servers, each instance keeps to its share of the limit; a limit of less than a request a second for each is left to some of them, so that not all have a token at the same time. A server that was not heard of for 30 s gets a request now and then, else a limit of 0 could never end.

--- a/src/magnoliatrail/backends.py
+++ b/src/magnoliatrail/backends.py
@@ -45,8 +45,10 @@
     # The server refused a request and wants no other from this instance for so long.
     refuses_for: timedelta = timedelta()
     # Requests a second that the server takes from all instances together, None if it
-    # names no limit.
+    # says nothing of it.
     requests_per_second: float | None = None
+    # Whether it answered a request without naming a limit.
+    unlimited: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/magnoliatrail/cells/engine_state.py
+++ b/src/magnoliatrail/cells/engine_state.py
@@ -10,6 +10,7 @@
 from magnoliatrail.routes import EngineSpec
 from magnoliatrail.routing.engine_speed import EngineSpeedEstimate, ServiceSpeed
 from magnoliatrail.routing.prefill_budget import PrefillBudget
+from magnoliatrail.routing.request_rate import RequestPace
 
 # Evicted adapters kept in an engine's host memory, per the platform's documentation.
 MAX_HOST_CACHED_ADAPTERS = 96
@@ -91,6 +92,29 @@
         default_factory=lambda: EngineSpeedEstimate(ServiceSpeed())
     )
 
+    # Requests a second that the engine takes, if it named a limit, and their pace.
+    request_limit: float | None = None
+    request_pace: RequestPace | None = None
+
+    def set_request_limit(self, limit: float | None, now: timedelta) -> None:
+        """Apply the limit that the engine names now, None for no limit."""
+        self.request_limit = limit
+        if limit is None:
+            self.request_pace = None
+        elif self.request_pace is None:
+            self.request_pace = RequestPace(now)
+
+    def may_be_sent(self, now: timedelta) -> bool:
+        """Return whether the engine's request limit leaves room for a request."""
+        if self.request_limit is None or self.request_pace is None:
+            return True
+        return self.request_pace.may_send(self.request_limit, now)
+
+    def record_sent(self, now: timedelta) -> None:
+        """Count a granted request against the engine's request limit."""
+        if self.request_limit is not None and self.request_pace is not None:
+            self.request_pace.record_sent(self.request_limit, now)
+
     def add_grant(self, grant: Grant) -> None:
         """Assign a batch slot to a request."""
         assert grant.request not in self.grants, (
--- a/src/magnoliatrail/cells/forecast.py
+++ b/src/magnoliatrail/cells/forecast.py
@@ -78,7 +78,11 @@
     rate, slots, free = 0.0, 0, 0
     for engine in engines:
         running = len(engine.grants)
-        rate += prefill_rate(engine, pause, now)
+        engine_rate = prefill_rate(engine, pause, now)
+        if engine.request_limit is not None:
+            typical_rate = engine.request_limit * max(1, typical.prompt_tokens)
+            engine_rate = min(engine_rate, typical_rate)
+        rate += engine_rate
         cache = engine.spec.cache_tokens * USABLE_KV_CACHE_FRACTION
         tokens = max(1, typical.prompt_tokens + typical.output_tokens)
         usable = max(1, min(engine.spec.batch_slots, int(cache / tokens)))
--- a/src/magnoliatrail/cells/link.py
+++ b/src/magnoliatrail/cells/link.py
@@ -17,6 +17,7 @@
     InstanceReport,
     ReportAnswer,
     RunningRequest,
+    ServerLimit,
     SlotAnswer,
     SlotDecision,
     SlotRequest,
@@ -202,7 +203,12 @@
         self.wake.set()
 
     async def report(
-        self, versions: dict[str, int], *, store_answers: bool, leaving: bool
+        self,
+        versions: dict[str, int],
+        *,
+        store_answers: bool,
+        leaving: bool,
+        limits: list[ServerLimit],
     ) -> ReportAnswer | None:
         """Send the owner a report; None if it does not answer."""
         if not self.address:
@@ -223,6 +229,7 @@
             leaving=leaving,
             versions=versions,
             instances_digest=self.instances_digest,
+            limits=limits,
         )
         if self.local_report_handler:
             answer = self.local_report_handler(message)
--- a/src/magnoliatrail/cells/member.py
+++ b/src/magnoliatrail/cells/member.py
@@ -20,6 +20,7 @@
 from magnoliatrail.cells.link import OwnerLink
 from magnoliatrail.cells.orders import MAX_ORDER_DURATION, EngineOrders, OrderingRights
 from magnoliatrail.cells.owner import CellOwner
+from magnoliatrail.cells.reported_limits import reported_limits
 from magnoliatrail.cells.table_updates import apply_updates, updates_since
 from magnoliatrail.clock import Clock
 from magnoliatrail.connections import ConnectionPool
@@ -319,7 +320,10 @@
             if not store_answers:
                 self.takeover.outage_reported_at = requested_at
             answer = await self.link.report(
-                versions, store_answers=store_answers, leaving=self.stopping
+                versions,
+                store_answers=store_answers,
+                leaving=self.stopping,
+                limits=reported_limits(self.view.request_limits),
             )
             if answer is None:
                 await self.clock.sleep(IDLE_POLL_INTERVAL)
--- a/src/magnoliatrail/cells/owner.py
+++ b/src/magnoliatrail/cells/owner.py
@@ -18,6 +18,7 @@
 from magnoliatrail.cells.loading import AdapterLoads
 from magnoliatrail.cells.orders import EngineOrders
 from magnoliatrail.cells.queue import CellQueue
+from magnoliatrail.cells.reported_limits import apply_reported_limits
 from magnoliatrail.cells.slots_in_use import SlotsInUse
 from magnoliatrail.cells.waiting import WaitingRequest, waiting_request
 from magnoliatrail.clock import Clock
@@ -97,6 +98,7 @@
             grant=self.grant,
             with_required_version=self.with_required_version,
             pause_goal=self.pause_goal,
+            request_limit=lambda server: view.request_limits.find(server.key),
             generator=generator,
         )
         self.slots_in_use = SlotsInUse(
@@ -334,6 +336,7 @@
 
     def apply_report(self, report: InstanceReport) -> None:
         """Apply an instance's report and schedule a pass over the queue."""
+        apply_reported_limits(self.view.request_limits, report.limits)
         self.slots_in_use.apply_report(report)
         self.queue.schedule()
 
--- a/src/magnoliatrail/cells/queue.py
+++ b/src/magnoliatrail/cells/queue.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Collection
 from datetime import timedelta
 
-from magnoliatrail.backends import LoadedAdapter
+from magnoliatrail.backends import BackendServer, LoadedAdapter
 from magnoliatrail.cells.engine_state import EngineState
 from magnoliatrail.cells.forecast import Demand, RunTimes, capacity_of, forecast_wait
 from magnoliatrail.cells.loading import AdapterLoads
@@ -53,6 +53,7 @@
         grant: GrantSlot,
         with_required_version: Callable[[LoadedAdapter], LoadedAdapter],
         pause_goal: Callable[[], timedelta],
+        request_limit: Callable[[BackendServer], float | None],
         generator: random.Random,
     ) -> None:
         self.clock = clock
@@ -63,6 +64,8 @@
         self.grant = grant
         self.with_required_version = with_required_version
         self.pause_goal = pause_goal
+        # The requests a second that a server takes from all instances, None if any.
+        self.request_limit = request_limit
         self.generator = generator
         self.waiting: dict[str, WaitingRequest] = {}
         self.demand: dict[str, Demand] = defaultdict(Demand)
@@ -191,6 +194,7 @@
 
     def new_pass(self, now: timedelta) -> SchedulingPass:
         """Start a scheduling pass."""
+        self.update_request_limits(now)
         return SchedulingPass(
             now=now,
             engines=self.engines(),
@@ -200,6 +204,11 @@
             pause=self.pause_goal(),
         )
 
+    def update_request_limits(self, now: timedelta) -> None:
+        """Apply the request limits that the engines name now."""
+        for engine in self.engines():
+            engine.set_request_limit(self.request_limit(engine.server), now)
+
     def try_grant(
         self, request: WaitingRequest, scheduling_pass: SchedulingPass
     ) -> bool:
@@ -250,7 +259,8 @@
         return request.should_wait_for_copy(
             scheduling_pass.now, use_rate
         ) and scheduling_pass.is_held(
-            request.adapter, lambda engine: may_serve(engine, request)
+            request.adapter,
+            lambda engine: may_serve(engine, request) and engine.request_limit is None,
         )
 
     def wait_reason(
@@ -265,6 +275,8 @@
                 reasons["unfit"] += 1
             elif len(engine.grants) >= engine.spec.batch_slots:
                 reasons["no_place"] += 1
+            elif not engine.may_be_sent(scheduling_pass.now):
+                reasons["request_limit"] += 1
             elif not scheduling_pass.load_of(engine).can_admit(size):
                 reasons["prompts"] += 1
             elif residency in REQUIRES_LOAD and not scheduling_pass.room(engine):
--- a/src/magnoliatrail/cells/scheduling_pass.py
+++ b/src/magnoliatrail/cells/scheduling_pass.py
@@ -74,7 +74,9 @@
 
     def is_available(self, engine: EngineState) -> bool:
         """Return whether an engine could take the smallest waiting request."""
-        return self.load_of(engine).can_admit(self.smallest_size)
+        return engine.may_be_sent(self.now) and self.load_of(engine).can_admit(
+            self.smallest_size
+        )
 
     def load_of(self, engine: EngineState) -> EngineLoad:
         """Return an engine's load, computed once until the engine changes."""
@@ -104,6 +106,7 @@
         if engine.server.id in self.reserved:
             self.reserved[engine.server.id] -= size.prompt_tokens
         self.load_by_engine.pop(engine.server.id, None)
+        engine.record_sent(self.now)
         if not self.is_available(engine):
             self.available.remove(engine)
 
--- a/src/magnoliatrail/forwarding/context.py
+++ b/src/magnoliatrail/forwarding/context.py
@@ -11,6 +11,7 @@
 from magnoliatrail.clock import Clock
 from magnoliatrail.connections import ConnectionPool
 from magnoliatrail.forwarding.request import CallerRequest
+from magnoliatrail.forwarding.request_paces import RequestPaces
 from magnoliatrail.forwarding.retry_budget import RetryBudget
 from magnoliatrail.forwarding.server_call import Attempt, AttemptOutcome
 from magnoliatrail.forwarding.stream_versions import StreamVersions
@@ -43,6 +44,7 @@
     ensure_fresh: Callable[[], Awaitable[None]]
     stream_versions: StreamVersions
     quarantine: QuarantineExchange
+    paces: RequestPaces
     # Number of instances that share the retry budget.
     instances: int = 1
     # Numbers of known instances of the last window, with their times.
--- a/src/magnoliatrail/forwarding/engine_slots.py
+++ b/src/magnoliatrail/forwarding/engine_slots.py
@@ -268,6 +268,7 @@
             )
             if (
                 has_adapter
+                and self.context.paces.may_send(server)
                 and server.id not in engine_request.avoid
                 and server.has_software_version(engine_request.software_version)
             ):
@@ -275,6 +276,7 @@
         if not candidates:
             return None
         server = min(candidates, key=lambda item: self.in_flight[item.id])
+        self.context.paces.record_sent(server)
         log.info(
             "engine_chosen_without_owner", request=engine_request.key, engine=server.id
         )
--- a/src/magnoliatrail/forwarding/plain_path.py
+++ b/src/magnoliatrail/forwarding/plain_path.py
@@ -80,6 +80,7 @@
             server
             for server in self.context.view.accepting(service)
             if server.has_software_version(software_version)
+            and self.context.paces.may_send(server)
         ]
         choices = [server for server in servers if server.id not in tried] or servers
         if not choices:
@@ -124,6 +125,7 @@
                 )
                 break
             tried.add(server.id)
+            self.context.paces.record_sent(server)
             last = await self.attempt(
                 routed, server, self.attempt_timeout(routed, left, runs)
             )
@@ -215,7 +217,12 @@
         request = routed.request
         if attempt is None or attempt.outcome is AttemptOutcome.NOT_RUN:
             reason = attempt.reason if attempt else no_attempt
-            retry_after = max(RETRY_AFTER, self.context.view.accepts_in(routed.service))
+            view, paces = self.context.view, self.context.paces
+            retry_after = max(
+                RETRY_AFTER,
+                view.accepts_in(routed.service),
+                paces.time_until_any(view.accepting(routed.service)),
+            )
             if reason == quarantine.REASON:
                 retry_after = quarantine.RETRY_AFTER
             await request.answer_error(503, reason, retry_after)
--- a/src/magnoliatrail/forwarding/server_call.py
+++ b/src/magnoliatrail/forwarding/server_call.py
@@ -143,7 +143,9 @@
         self.attempt.status, self.attempt.headers = self.status, headers
         self.attempt.framing = framing_of(headers)
         server = self.attempt.server
-        self.notice(server, server_notice(server, self.status, headers))
+        self.notice(
+            server, server_notice(server, self.status, headers, to_request=True)
+        )
         if not_executed(self.status, headers) or not is_signed(headers):
             return None
         if not HTTPStatus.OK <= self.status < HTTPStatus.MULTIPLE_CHOICES:
--- a/src/magnoliatrail/membership/fleet_view.py
+++ b/src/magnoliatrail/membership/fleet_view.py
@@ -74,7 +74,7 @@
         self.said_to_leave: dict[tuple[ServerId, int], None] = {}
         # Until when a server run wants no requests from this instance.
         self.refused_until: dict[tuple[ServerId, int], timedelta] = {}
-        self.request_limits = RequestLimits()
+        self.request_limits = RequestLimits(clock)
         # When each software version was last listed, by service and version.
         self.versions_listed: dict[tuple[str, str], timedelta] = {}
         self.on_change: list[Callable[[], None]] = []
@@ -296,7 +296,8 @@
         """Apply what a server said of itself in an answer."""
         if notice.refuses_for:
             self.record_refusal(server, notice.refuses_for)
-        self.request_limits.record(server.key, notice.requests_per_second)
+        if notice.unlimited or notice.requests_per_second is not None:
+            self.request_limits.record(server.key, notice.requests_per_second)
         if not notice.leaving or server.key in self.said_to_leave:
             return
         self.said_to_leave[server.key] = None
--- a/src/magnoliatrail/platform/request_headers.py
+++ b/src/magnoliatrail/platform/request_headers.py
@@ -145,17 +145,27 @@
 
 
 def server_notice(
-    server: BackendServer, status: int, headers: HTTPHeaders
+    server: BackendServer,
+    status: int,
+    headers: HTTPHeaders,
+    *,
+    to_request: bool = False,
 ) -> ServerNotice:
-    """Return what a server says of itself in the head of an answer."""
+    """Return what a server says of itself in the head of an answer.
+
+    Only an answer `to_request` of a caller says that there is no request limit; answers
+    to orders and reports need not name it.
+    """
     if headers.get(protocol.INSTANCE_ID, server.id) != server.id:
         # Another server has the address.
         return ServerNotice()
+    limit = request_limit_of(headers)
     refuses = status == HTTPStatus.SERVICE_UNAVAILABLE
     return ServerNotice(
         leaving=headers.get(protocol.SERVER_LEAVING) == "1",
         refuses_for=retry_after_of(headers) if refuses else timedelta(),
-        requests_per_second=request_limit_of(headers),
+        requests_per_second=limit,
+        unlimited=to_request and limit is None,
     )
 
 
--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -19,6 +19,7 @@
 from magnoliatrail.forwarding.engine_slots import EngineSlots
 from magnoliatrail.forwarding.handler import ForwardingHandler
 from magnoliatrail.forwarding.plain_path import PlainPath
+from magnoliatrail.forwarding.request_paces import RequestPaces
 from magnoliatrail.forwarding.server import ForwardingServer
 from magnoliatrail.forwarding.stream_versions import StreamVersions
 from magnoliatrail.ids import CellId, InstanceId, new_incarnation
@@ -171,6 +172,12 @@
             ),
             stream_versions=self.stream_versions,
             quarantine=self.quarantine,
+            paces=RequestPaces(
+                clock=self.clock,
+                limits=self.view.request_limits,
+                instance=settings.instance,
+                recent_instances=self.recent_instances,
+            ),
         )
         slots = EngineSlots(self.forwarding_context, self.cells, self.identity)
         engines = EnginePath(self.forwarding_context, slots)
--- a/tests/load/cell.py
+++ b/tests/load/cell.py
@@ -201,5 +201,6 @@
             leaving=False,
             versions={},
             instances_digest=0,
+            limits=[],
         )
     )
--- a/tests/load/test_owner_changes.py
+++ b/tests/load/test_owner_changes.py
@@ -87,6 +87,7 @@
             leaving=False,
             versions={},
             instances_digest=0,
+            limits=[],
         )
         cell.owner.apply_report(report)
         engine.models.add(MODEL)
