Bound answers without end by size, and name the cause of their failure

Bytes that are no answer may come without end, in a head or a body. Heads were bounded by 256 KB already, bodies by 64 MB each, where an instance has 300 MB; the log said only that the connection was closed. Bodies that are kept are bounded by 16 MB now (plain services, the store, peers, reports, refusals, answers to others), and the reason of the failure says so. A body that ends with its connection counted as whole when this side closed it; it does no longer. Streams that are passed on have no bound but their time. An interim answer (1xx) no longer says that a server has no limit or does not leave.

--- a/src/magnoliatrail/connections.py
+++ b/src/magnoliatrail/connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import sys
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -20,10 +21,12 @@
 DEFAULT_KEEP_ALIVE = timedelta(seconds=20)
 # Idle connections are closed this long before the server would close them.
 KEEP_ALIVE_MARGIN = timedelta(seconds=1)
-MAX_BODY_BYTES = 64 * 1024 * 1024
+# Limit on the body of an answer that is kept in memory; a relayed stream has none.
+MAX_BUFFERED_BODY_BYTES = 16 * 1024 * 1024
 
+# Bodies are limited by their readers, which know whether they are kept.
 HTTP_PARAMETERS = HTTP1ConnectionParameters(
-    max_body_size=MAX_BODY_BYTES, max_header_size=256 * 1024
+    max_body_size=sys.maxsize, max_header_size=256 * 1024
 )
 
 
--- a/src/magnoliatrail/exchange.py
+++ b/src/magnoliatrail/exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import dataclass, field
 from datetime import timedelta
+from http import HTTPStatus
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import (
@@ -13,7 +14,12 @@
     ResponseStartLine,
 )
 
-from magnoliatrail.connections import HTTP_PARAMETERS, ConnectionPool, PooledStream
+from magnoliatrail.connections import (
+    HTTP_PARAMETERS,
+    MAX_BUFFERED_BODY_BYTES,
+    ConnectionPool,
+    PooledStream,
+)
 from magnoliatrail.wire import CallFailed, CallLimits
 
 # With `retry_if_silent`, a reused connection without an answer for this long is
@@ -21,6 +27,8 @@
 SILENT_CONNECTION_TIMEOUT = timedelta(seconds=1)
 # Requests with these methods have no Content-Length unless a body is given.
 METHODS_WITHOUT_BODY = ("GET", "HEAD", "DELETE")
+# Tornado gives up on more.
+MAX_INTERIM_ANSWERS = 10
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,10 +41,53 @@
     body: bytes = b""
 
 
+@dataclass
+class AnswerBounds:
+    """Close the connection of an answer without end, and know why."""
+
+    stream: PooledStream
+    # Bound on the bodies, None for a body that is passed on as it arrives.
+    max_body_bytes: int | None = MAX_BUFFERED_BODY_BYTES
+    body_bytes: int = 0
+    interim_answers: int = 0
+    reason: str = ""
+
+    def check_head(self, headers: HTTPHeaders) -> None:
+        """Close the connection if the length of the body exceeds the bound."""
+        length = headers.get("Content-Length", "")
+        if length.isdecimal():
+            self.check_body(int(length))
+
+    def add(self, chunk: bytes) -> bool:
+        """Count a part of the body; return whether it is within the bound."""
+        self.body_bytes += len(chunk)
+        return self.check_body(self.body_bytes)
+
+    def check_body(self, size: int) -> bool:
+        """Close the connection if a size exceeds the bound."""
+        if self.max_body_bytes is None or size <= self.max_body_bytes:
+            return True
+        self.reason = f"the answer has more than {self.max_body_bytes} bytes"
+        self.stream.close()
+        return False
+
+    @property
+    def cause(self) -> str:
+        """Return why the answer is incomplete, empty if that is not known."""
+        if self.reason:
+            return self.reason
+        if self.stream.error is not None:
+            return str(self.stream.error) or type(self.stream.error).__name__
+        if self.interim_answers > MAX_INTERIM_ANSWERS:
+            return f"more than {MAX_INTERIM_ANSWERS} interim answers"
+        return ""
+
+
 @dataclass
 class BufferedAnswer(HTTPMessageDelegate):
     """Collect the status, headers and body of an answer."""
 
+    bounds: AnswerBounds
     code: int = 0
     headers: HTTPHeaders = field(default_factory=HTTPHeaders)
     body: bytearray = field(default_factory=bytearray)
@@ -47,12 +98,17 @@
     ) -> None:
         """Store the status and the headers."""
         assert isinstance(start_line, ResponseStartLine)
+        if start_line.code < HTTPStatus.OK:
+            self.bounds.interim_answers += 1
+            return
         self.code = start_line.code
         self.headers = headers
+        self.bounds.check_head(headers)
 
     def data_received(self, chunk: bytes) -> None:
         """Append a part of the body."""
-        self.body.extend(chunk)
+        if self.bounds.add(chunk):
+            self.body.extend(chunk)
 
     def finish(self) -> None:
         """Mark the answer as complete."""
@@ -96,18 +152,23 @@
     limit: timedelta,
 ) -> BufferedAnswer:
     """Send a request over a connection and return its complete answer."""
-    answer = BufferedAnswer()
+    answer = BufferedAnswer(AnswerBounds(stream))
     try:
         async with asyncio.timeout(max(0.0, limit.total_seconds())):
             await send_and_read(stream, address, request, answer)
     except (OSError, HTTPInputError, TimeoutError) as error:
-        message = str(error) or f"no answer within {limit.total_seconds():.2f} s"
+        message = (
+            answer.bounds.cause
+            or str(error)
+            or f"no answer within {limit.total_seconds():.2f} s"
+        )
         raise CallFailed(message, sent=True) from error
     finally:
         if not answer.finished:
             stream.close()
-    if not answer.finished or stream.error is not None:
-        raise CallFailed("the connection was closed", sent=True)
+    if not answer.finished or answer.bounds.reason or stream.error is not None:
+        cause = answer.bounds.cause or "the connection was closed"
+        raise CallFailed(cause, sent=True)
     pool.release(address, stream, answer.headers)
     return answer
 
--- a/src/magnoliatrail/forwarding/engine_path.py
+++ b/src/magnoliatrail/forwarding/engine_path.py
@@ -176,6 +176,7 @@
                 head=head,
                 body=body,
                 notice=self.context.view.apply_notice,
+                max_relayed_bytes=None,
             )
             outcome = RUN_OUTCOMES[attempt.outcome]
             self.context.record_attempt(
--- a/src/magnoliatrail/forwarding/plain_path.py
+++ b/src/magnoliatrail/forwarding/plain_path.py
@@ -7,6 +7,7 @@
 from tornado.httputil import HTTPHeaders
 
 from magnoliatrail.backends import BackendServer
+from magnoliatrail.connections import MAX_BUFFERED_BODY_BYTES
 from magnoliatrail.forwarding.context import (
     UNKNOWN_VERSION,
     ForwardingContext,
@@ -189,6 +190,7 @@
                 head=head,
                 body=body,
                 notice=self.context.view.apply_notice,
+                max_relayed_bytes=MAX_BUFFERED_BODY_BYTES,
             )
         finally:
             self.in_flight[server.id] -= 1
--- a/src/magnoliatrail/forwarding/server_call.py
+++ b/src/magnoliatrail/forwarding/server_call.py
@@ -17,8 +17,12 @@
 )
 
 from magnoliatrail.backends import BackendServer, NoticeSink
-from magnoliatrail.connections import HTTP_PARAMETERS, ConnectionPool, PooledStream
-from magnoliatrail.exchange import write_request
+from magnoliatrail.connections import (
+    HTTP_PARAMETERS,
+    ConnectionPool,
+    PooledStream,
+)
+from magnoliatrail.exchange import AnswerBounds, write_request
 from magnoliatrail.platform.request_headers import (
     answers_request,
     is_signed,
@@ -109,15 +113,18 @@
     def __init__(
         self,
         attempt: Attempt,
-        stream: PooledStream,
         request_id: str,
         head: HeadSink,
         body: BodySink,
         notice: NoticeSink,
+        bounds: AnswerBounds,
+        max_relayed_bytes: int | None,
     ) -> None:
         self.notice = notice
+        self.bounds = bounds
+        self.max_relayed_bytes = max_relayed_bytes
         self.attempt = attempt
-        self.stream = stream
+        self.stream = bounds.stream
         self.request_id = request_id
         self.head = head
         self.body_sink = body
@@ -136,9 +143,13 @@
     ) -> Awaitable[None] | None:
         """Decide by its headers whether an answer is stray, relayed or buffered."""
         assert isinstance(start_line, ResponseStartLine)
+        if start_line.code < HTTPStatus.OK:
+            self.bounds.interim_answers += 1
+            return None
         self.status, self.headers = start_line.code, headers
         self.is_stray = not answers_request(headers, self.request_id)
         if self.is_stray:
+            self.bounds.check_head(headers)
             return None
         self.attempt.status, self.attempt.headers = self.status, headers
         self.attempt.framing = framing_of(headers)
@@ -146,16 +157,21 @@
         self.notice(
             server, server_notice(server, self.status, headers, to_request=True)
         )
-        if not_executed(self.status, headers) or not is_signed(headers):
-            return None
-        if not HTTPStatus.OK <= self.status < HTTPStatus.MULTIPLE_CHOICES:
+        self.relays = (
+            not not_executed(self.status, headers)
+            and is_signed(headers)
+            and HTTPStatus.OK <= self.status < HTTPStatus.MULTIPLE_CHOICES
+        )
+        if self.relays:
+            self.bounds.max_body_bytes = self.max_relayed_bytes
+        self.bounds.check_head(headers)
+        if not self.relays or self.bounds.reason:
             return None
-        self.relays = True
         return self.run_sink(self.head(self.status, headers))
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Relay or buffer a chunk of the body."""
-        if self.is_stray or self.sink_error is not None:
+        if not self.bounds.add(chunk) or self.is_stray or self.sink_error is not None:
             return None
         self.attempt.body_bytes += len(chunk)
         if self.relays:
@@ -213,12 +229,14 @@
     head: HeadSink,
     body: BodySink,
     notice: NoticeSink,
+    max_relayed_bytes: int | None,
 ) -> Attempt:
     """Send a request to a server and relay its answer as it arrives.
 
     `notice` gets what the server says of itself as soon as the headers arrive.
     Only a signed 2xx answer is relayed through `head` and `body`; any other is buffered
-    in the attempt. Raises what `head` and `body` raise.
+    in the attempt. `max_relayed_bytes` bounds a relayed body, None if it is passed on
+    as it arrives. Other bodies are bounded always. Raises what `head` and `body` raise.
     """
     attempt = Attempt(server)
     connect = min(CONNECT_TIMEOUT, time_left)
@@ -232,18 +250,19 @@
         attempt.outcome, attempt.reason = AttemptOutcome.NOT_RUN, str(error)
         return attempt
     attempt.reused = lent.reused
+    bounds = AnswerBounds(lent.stream)
     reusable = False
     try:
         async with asyncio.timeout(max(0.001, time_left.total_seconds())):
             reusable = await send_and_read(
-                attempt, lent.stream, request, head, body, notice
+                attempt, request, head, body, notice, bounds, max_relayed_bytes
             )
     except TimeoutError:
         attempt.outcome = AttemptOutcome.TIMED_OUT
         attempt.reason = "no whole answer in the time left"
     except (OSError, HTTPInputError) as error:
         attempt.outcome = AttemptOutcome.BROKEN
-        attempt.reason = str(error) or type(error).__name__
+        attempt.reason = bounds.cause or str(error) or type(error).__name__
     finally:
         if not reusable:
             lent.stream.close()
@@ -254,18 +273,26 @@
 
 async def send_and_read(
     attempt: Attempt,
-    stream: PooledStream,
     request: ForwardedRequest,
     head: HeadSink,
     body: BodySink,
     notice: NoticeSink,
+    bounds: AnswerBounds,
+    max_relayed_bytes: int | None,
 ) -> bool:
     """Send a request and read its answer; return whether the connection is reusable."""
     attempt.sent = True
+    stream = bounds.stream
     connection, written = write_request(
         stream, request.method, request.target, request.headers.copy(), request.body
     )
-    reader = AnswerReader(attempt, stream, request.id, head, body, notice)
+
+    def new_reader() -> AnswerReader:
+        return AnswerReader(
+            attempt, request.id, head, body, notice, bounds, max_relayed_bytes
+        )
+
+    reader = new_reader()
     for _ in range(MAX_ANSWERS_READ):
         await read_answer(connection, reader)
         if not reader.is_stray or not reader.finished or stream.closed():
@@ -274,7 +301,7 @@
         attempt.reason = "an answer to another request came first"
         connection = HTTP1Connection(stream, True, HTTP_PARAMETERS)
         connection.finish()
-        reader = AnswerReader(attempt, stream, request.id, head, body, notice)
+        reader = new_reader()
     attempt.body = b"".join(reader.buffered)
     attempt.inside_event = reader.is_inside_event
     if stream.error is not None:
@@ -310,10 +337,10 @@
     attempt: Attempt, reader: AnswerReader, stream: PooledStream
 ) -> None:
     """Set the outcome of an attempt from its answer."""
-    complete = reader.finished and not reader.is_stray
+    complete = reader.finished and not (reader.is_stray or reader.bounds.reason)
     if not complete or (stream.closed() and stream.error is not None):
         attempt.outcome = AttemptOutcome.BROKEN
-        attempt.reason = attempt.reason or "the answer broke off"
+        attempt.reason = reader.bounds.cause or attempt.reason or "the answer broke off"
     elif not_executed(attempt.status, attempt.headers):
         attempt.outcome = AttemptOutcome.NOT_RUN
         attempt.reason = f"the server answered {attempt.status}, not executed"
--- a/tests/platform/test_server_call.py
+++ b/tests/platform/test_server_call.py
@@ -103,6 +103,7 @@
         head=head,
         body=body,
         notice=lambda server, notice: notices.append(notice),
+        max_relayed_bytes=None,
     )
     return found, relayed
 
@@ -273,6 +274,7 @@
                     head=head,
                     body=body,
                     notice=lambda server, notice: None,
+                    max_relayed_bytes=None,
                 )
             assert not any(pool.idle.values())
 
@@ -376,6 +378,7 @@
                 notice=lambda server, notice: seen.append(
                     (server.id, notice.leaving, list(relayed))
                 ),
+                max_relayed_bytes=None,
             )
         assert seen == [("s1", True, [])]
         assert relayed
