Let the soak play prompts that crash engines, and engines with request limits

Each run has, with a chance of 0.6 each, 9 s of requests with a part on which all engines crash, and an engine that names a limit of 3 requests a second. The checks are the platform's rules: no more than three requests with the part from instances in touch later than 3 s after the fifth crash, and no window of 4 s over one and a half times the limit and five more.

--- a/src/magnoliatrail/standins/platform_engine.py
+++ b/src/magnoliatrail/standins/platform_engine.py
@@ -32,10 +32,12 @@
     # Ids of the executed requests, in order of execution.
     ran: list[str] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
-    # Set when a load order exceeds the adapter slots, or by a crashing part.
+    # Set when a load order exceeds the adapter slots.
     crashed: bool = False
     # A part of a prompt on which the engine crashes when it begins an answer.
     crashing_part: str = ""
+    # Set by such a crash.
+    ended: bool = False
     # The requests that are being served.
     serving: list[HTTPServerRequest] = field(default_factory=list)
     # Number of events after which streams are cut off; None for no fault.
@@ -50,8 +52,8 @@
     refused: int = 0
     # Requests a second that all answers name as the engine's limit; None for none.
     request_limit: float | None = None
-    # When each request arrived, on the event loop's clock.
-    arrived_at: list[float] = field(default_factory=list)
+    # When each request arrived, on the event loop's clock, and its id.
+    arrivals: list[tuple[float, str]] = field(default_factory=list)
     # Version of the engine's software.
     version: str = "v1"
     # Whether a stream that is cut off ends in the middle of its next event.
@@ -116,7 +118,7 @@
 
     def crash(self) -> None:
         """Break off all answers; later requests find no server."""
-        self.crashed = True
+        self.ended = True
         for request in self.serving:
             drop_connection(request)
 
@@ -199,8 +201,9 @@
     async def post(self, path: str) -> None:
         """Stream some events, or answer 421 if the request cannot run here."""
         del path
-        self.state.arrived_at.append(asyncio.get_running_loop().time())
-        if self.state.crashed:
+        request = self.request.headers.get("Magnoliatrail-Request-Id", "")
+        self.state.arrivals.append((asyncio.get_running_loop().time(), request))
+        if self.state.ended:
             drop_connection(self.request)
             return
         self.state.serving.append(self.request)
@@ -239,7 +242,7 @@
             if self.caller_disconnected:
                 self.state.abandoned.append(request)
                 return
-            if self.state.crashed:
+            if self.state.ended:
                 return
             if self.state.break_after_events == number - 1:
                 if self.state.break_inside_event:
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -39,7 +39,7 @@
 
     @property
     def crashed(self):
-        return [state for state in self.rig.engines if state.crashed]
+        return [state for state in self.rig.engines if state.ended]
 
     async def replace_crashed(self):
         """List a new engine for each one that crashed since the last call."""
--- a/tests/platform/test_request_limits.py
+++ b/tests/platform/test_request_limits.py
@@ -51,11 +51,11 @@
             limited, other = rig.engines
             limited.request_limit = LIMIT
             statuses = await send_steadily(rig, "/stream/x")
-            assert limited.arrived_at
-            assert most_in_window(limited.arrived_at) <= allowed(LIMIT)
+            arrived_at = [at for at, _ in limited.arrivals]
+            assert most_in_window(arrived_at) <= allowed(LIMIT)
             # The other engine has room for all that is over.
             assert set(statuses) == {200}
-            assert len(other.arrived_at) > len(limited.arrived_at)
+            assert len(other.arrivals) > len(arrived_at) > 0
 
     run(scenario())
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -14,10 +14,25 @@
 ERROR_MARKS = ("event=task_failed", "event=request_failed", "Traceback")
 # An order may have been on its way while its sender was paused or cut off.
 ORDER_DELAY_SECONDS = 0.3
+# The platform's bounds: for news to reach all instances, and for what comes after.
+STABILITY_SECONDS = 3.0
+KNOWN_AFTER_CRASHES = 5
+MAX_LATE_CRASHING_REQUESTS = 3
+WINDOW_SECONDS = 4.0
 
 Interval = tuple[float, float]
 
 
+@dataclass(frozen=True)
+class NamedLimit:
+    """A limit of requests a second that a run of an engine named for a while."""
+
+    run: str
+    since: float
+    until: float
+    per_second: float
+
+
 @dataclass
 class Observations:
     """All that was seen in a run."""
@@ -34,6 +49,12 @@
     delays: Mapping[str, Sequence[Interval]] = field(default_factory=dict)
     exits: list[Exit] = field(default_factory=list)
     log_lines: list[str] = field(default_factory=list)
+    # When which requests arrived, by engine run.
+    arrivals: dict[str, list[tuple[float, str]]] = field(default_factory=dict)
+    # Parts that crash engines, also the names of their callers, and when one did.
+    crashing_parts: set[str] = field(default_factory=set)
+    part_crashes: list[float] = field(default_factory=list)
+    limits: list[NamedLimit] = field(default_factory=list)
 
 
 def violations(seen: Observations) -> list[str]:
@@ -46,6 +67,8 @@
         *disordered(seen.orders, seen.delays),
         *(f"engine {name} was ordered to load too much" for name in seen.crashed),
         *bad_exits(seen.exits),
+        *late_crashing_requests(seen),
+        *exceeded_limits(seen),
         *(f"log: {line}" for line in seen.log_lines if is_error(line)),
     ]
 
@@ -140,3 +163,53 @@
 def is_error(line: str) -> bool:
     """Return whether a line of a log reports a fault of the program."""
     return any(mark in line for mark in ERROR_MARKS)
+
+
+def late_crashing_requests(seen: Observations) -> list[str]:
+    """Return the requests with a crashing part that came after it must be known."""
+    if len(seen.part_crashes) < KNOWN_AFTER_CRASHES:
+        return []
+    fifth = sorted(seen.part_crashes)[KNOWN_AFTER_CRASHES - 1]
+    sent_by = {item.request: item for item in seen.exchanges}
+    late = sorted(
+        (at, request)
+        for arrivals in seen.arrivals.values()
+        for at, request in arrivals
+        if request.rpartition("-")[0] in seen.crashing_parts
+        and sent_by[request].sent_at > fifth + STABILITY_SECONDS
+        and in_touch(seen, sent_by[request].instance, at)
+    )
+    if len(late) <= MAX_LATE_CRASHING_REQUESTS:
+        return []
+    return [f"{request}: reached an engine at {at:.2f}" for at, request in late]
+
+
+def exceeded_limits(seen: Observations) -> list[str]:
+    """Return the limits of engines that instances together exceeded."""
+    sent_by = {item.request: item for item in seen.exchanges}
+    found = []
+    for limit in seen.limits:
+        times = [
+            at
+            for at, request in seen.arrivals.get(limit.run, ())
+            if limit.since + STABILITY_SECONDS <= at <= limit.until
+            and request in sent_by
+            and in_touch(seen, sent_by[request].instance, at, since=limit.since)
+            and not overlaps((at - WINDOW_SECONDS, at), seen.delays.get(limit.run, ()))
+        ]
+        allowed = 1.5 * limit.per_second * WINDOW_SECONDS + 5
+        most = max(
+            (sum(at <= other < at + WINDOW_SECONDS for other in times) for at in times),
+            default=0,
+        )
+        if most > allowed:
+            found.append(f"{limit}: {most} requests in a window, {allowed} allowed")
+    return found
+
+
+def in_touch(
+    seen: Observations, instance: str, at: float, since: float | None = None
+) -> bool:
+    """Return whether an instance ran undisturbed for long enough before a moment."""
+    began = at - STABILITY_SECONDS if since is None else since
+    return not overlaps((began, at), seen.disturbed.get(instance, ()))
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -25,6 +25,10 @@
     # Requests run, and their answers break off.
     SERVER_BREAKS = "server_breaks"
     CONFIGURATION = "configuration"
+    # Prompts with one part crash each engine that begins an answer to them.
+    CRASHING_PART = "crashing_part"
+    # An engine names a limit of requests a second.
+    ENGINE_LIMITED = "engine_limited"
 
 
 # How often each kind is drawn, and the longest time that it lasts in seconds.
@@ -65,6 +69,23 @@
         return f"{self.kind.value} of {self.target} at {times}"
 
 
+# Faults of what callers send and servers ask for: the chance that a run has one, and
+# how long it lasts in seconds.
+LOAD_FAULTS = {
+    FaultKind.CRASHING_PART: (0.6, 9.0),
+    FaultKind.ENGINE_LIMITED: (0.6, 9.0),
+}
+
+
+def draw_load_faults(generator: Random, *, seconds: float) -> list[Fault]:
+    """Return the faults of load of a run; they begin in its first half."""
+    return [
+        Fault(kind, generator.uniform(0, seconds / 2), lasts, generator.randrange(1000))
+        for kind, (chance, lasts) in LOAD_FAULTS.items()
+        if generator.random() < chance
+    ]
+
+
 def draw_faults(
     generator: Random, *, seconds: float, mean_gap: float = 0.8
 ) -> list[Fault]:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -13,8 +13,14 @@
 from magnoliatrail.listeners import listen
 from magnoliatrail.standins.row_store import RowStoreState, row_store_application
 from tests.platform.rig import configuration, route
-from tests.soak.checks import ORDER_DELAY_SECONDS, Interval, Observations, violations
-from tests.soak.faults import Fault, FaultKind, draw_faults
+from tests.soak.checks import (
+    ORDER_DELAY_SECONDS,
+    Interval,
+    NamedLimit,
+    Observations,
+    violations,
+)
+from tests.soak.faults import Fault, FaultKind, draw_faults, draw_load_faults
 from tests.soak.links import FaultyLink, LinkState
 from tests.soak.processes import Exit, Instance
 from tests.soak.servers import CheckedEngine, Server
@@ -25,6 +31,8 @@
 SETTLE_LIMIT_SECONDS = 60.0
 DRAIN_SECONDS = 2.5
 SLOW_SECONDS = 0.3
+CRASHING_REQUEST_INTERVAL_SECONDS = 0.2
+LIMIT_PER_SECOND = 3.0
 
 
 @dataclass(frozen=True)
@@ -68,6 +76,7 @@
     )
     extra: list[str] = field(default_factory=list)
     configuration_version: int = 1
+    limits: list[NamedLimit] = field(default_factory=list)
 
     async def run(self) -> Report:
         """Run the fleet, inject the faults, and check what was seen."""
@@ -76,6 +85,9 @@
         faults = draw_faults(
             generator, seconds=settings.fault_seconds, mean_gap=settings.mean_gap
         )
+        faults += draw_load_faults(
+            Random(f"{settings.seed}-load"), seconds=settings.fault_seconds
+        )
         listener = listen(row_store_application(self.store), host="127.0.0.1")
         try:
             await self.start(listener.port)
@@ -184,6 +196,8 @@
             FaultKind.SERVER_LEAVES: self.leave,
             FaultKind.SERVER_BREAKS: self.break_answers,
             FaultKind.CONFIGURATION: self.change_configuration,
+            FaultKind.CRASHING_PART: self.send_crashing_part,
+            FaultKind.ENGINE_LIMITED: self.limit_engine,
         }
 
     def instance(self, fault: Fault) -> Instance:
@@ -359,18 +373,56 @@
         self.configuration_version += 1
         self.write_configuration()
 
+    async def send_crashing_part(self, fault: Fault) -> None:
+        """Let engines crash on a part, and send requests with it to all instances."""
+        part = f"crashing{fault.target}"
+        engines = [server for server in self.servers if server.is_engine]
+        for engine in engines:
+            engine.set_crashing_part(part)
+        caller = Caller(part, self.instances, Random(fault.target), part=part)
+        self.callers.append(caller)
+        until = time.monotonic() + fault.seconds
+        while time.monotonic() < until:
+            instance = caller.generator.choice(self.instances)
+            await caller.send(instance, RequestKind.STREAM)
+            await asyncio.sleep(CRASHING_REQUEST_INTERVAL_SECONDS)
+        for engine in engines:
+            engine.set_crashing_part("")
+
+    async def limit_engine(self, fault: Fault) -> None:
+        """Let the current run of an engine name a limit for a while."""
+        engines = [server for server in self.servers if server.is_engine]
+        server = engines[fault.target % len(engines)]
+        state, since = server.runs[-1], time.monotonic()
+        assert isinstance(state, CheckedEngine)
+        state.request_limit = LIMIT_PER_SECOND
+        await asyncio.sleep(fault.seconds)
+        state.request_limit = None
+        name = f"{server.name} run {state.born}"
+        until = time.monotonic()
+        self.limits.append(NamedLimit(name, since, until, LIMIT_PER_SECOND))
+
     def observations(self) -> Observations:
         """Return what callers, servers and logs saw."""
         exchanges: list[Exchange] = []
         for caller in self.callers:
             exchanges.extend(caller.exchanges)
-        seen = Observations(exchanges=exchanges, ran=Counter(), delays=self.delays)
+        seen = Observations(
+            exchanges=exchanges,
+            ran=Counter(),
+            delays=self.delays,
+            limits=self.limits,
+            crashing_parts={caller.part for caller in self.callers if caller.part},
+        )
         for server in self.servers:
             for state in server.runs:
                 seen.ran.update(state.ran)
                 if isinstance(state, CheckedEngine):
                     name = f"{server.name} run {state.born}"
                     seen.orders[name] = state.orders_seen
+                    seen.arrivals[name] = state.arrivals
+                    if state.crashed_by_part_at is not None:
+                        seen.part_crashes.append(state.crashed_by_part_at)
                     self.delays[name] = self.delays[server.link.address]
                     if state.crashed:
                         seen.crashed.append(server.name)
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -3,6 +3,7 @@
 import asyncio
 import hashlib
 import json
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -19,6 +20,7 @@
 MODEL = "base"
 EVENTS = 12
 FENCED = 412
+CRASH_SECONDS = 0.5
 
 
 @dataclass(frozen=True)
@@ -35,6 +37,16 @@
     """An engine that records who orders, and refuses falling fencing numbers."""
 
     orders_seen: list[OrderSeen] = field(default_factory=list)
+    # When the engine crashed by a part of a prompt, and what restarts it then.
+    crashed_by_part_at: float | None = None
+    on_crash: Callable[[], None] = lambda: None
+
+    def crash(self) -> None:
+        """Crash by a part of a prompt, and let the engine be restarted."""
+        if not self.ended:
+            self.crashed_by_part_at = asyncio.get_running_loop().time()
+            self.on_crash()
+        super().crash()
 
     def apply_order(self, order: dict[str, Any]) -> int:
         """Record an order, and apply it unless a newer owner has ordered."""
@@ -116,6 +128,8 @@
         self.listener: Listener | None = None
         self.listed = "ready"
         self.breaks = False
+        self.crashing_part = ""
+        self.restarts: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Start the first run behind the link."""
@@ -133,6 +147,8 @@
                 models={MODEL},
                 events=EVENTS,
                 event_seconds=0.01,
+                crashing_part=self.crashing_part,
+                on_crash=self.restart_crashed,
             )
             assert isinstance(state, CheckedEngine)
             application = platform_engine_application(state)
@@ -147,6 +163,26 @@
         self.link.target_port = self.listener.port
         self.list_as("ready")
 
+    def set_crashing_part(self, part: str) -> None:
+        """Let this and later runs of an engine crash on a part, or on none."""
+        self.crashing_part = part
+        state = self.runs[-1]
+        if isinstance(state, CheckedEngine):
+            state.crashing_part = part
+
+    def restart_crashed(self) -> None:
+        """End the crashed run, and start the next one after a while."""
+        task = asyncio.create_task(self.restart_after(CRASH_SECONDS))
+        self.restarts.add(task)
+        task.add_done_callback(self.restarts.discard)
+
+    async def restart_after(self, seconds: float) -> None:
+        """End a run, and start another one unless something else does."""
+        self.stop_run()
+        await asyncio.sleep(seconds)
+        if self.listener is None and self.listed == "ready":
+            self.start_run()
+
     def break_answers(self, variant: int) -> None:
         """Let the answers of the current run break off, in one of several ways."""
         self.breaks = True
@@ -188,5 +224,7 @@
 
     def close(self) -> None:
         """End the server."""
+        for task in self.restarts:
+            task.cancel()
         self.stop_run()
         self.link.close()
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 
-from tests.soak.checks import Observations, violations
+from tests.soak.checks import NamedLimit, Observations, violations
 from tests.soak.processes import Exit
 from tests.soak.servers import OrderSeen
 from tests.soak.traffic import Ending, Exchange, RequestKind
@@ -104,3 +104,72 @@
 def test_a_fault_in_a_log_is_found():
     lines = ["part=tasks event=task_failed work=x", "part=daemon event=started"]
     assert len(found(log_lines=lines)) == 1
+
+
+def crashing_requests(*sent_at):
+    return [
+        Exchange(
+            f"bad-{number}",
+            RequestKind.STREAM,
+            "one",
+            at,
+            at,
+            at + 1,
+            Ending.TRUNCATED,
+            200,
+            b"",
+            b"",
+        )
+        for number, at in enumerate(sent_at)
+    ]
+
+
+def found_after_crashes(*sent_at, disturbed=None):
+    exchanges = crashing_requests(*sent_at)
+    arrivals = [(item.sent_at, item.request) for item in exchanges]
+    return found(
+        exchanges=exchanges,
+        arrivals={"engine": arrivals},
+        crashing_parts={"bad"},
+        part_crashes=[1.0, 2.0, 3.0, 4.0, 5.0],
+        disturbed=disturbed or {},
+    )
+
+
+def test_requests_with_a_part_that_crashed_five_engines_are_found():
+    assert len(found_after_crashes(8.1, 8.2, 8.3, 8.4)) == 4
+
+
+def test_some_late_requests_with_a_crashing_part_are_allowed():
+    assert found_after_crashes(7.0, 7.5, 7.9, 8.1, 8.2, 8.3) == []
+
+
+def test_late_requests_of_an_instance_that_was_paused_are_allowed():
+    disturbed = {"one": [(5.5, 6.0)]}
+    assert found_after_crashes(8.1, 8.2, 8.3, 8.4, disturbed=disturbed) == []
+
+
+def found_at_limit(*arrived_at, delays=None):
+    exchanges = crashing_requests(*arrived_at)
+    arrivals = [(item.sent_at, item.request) for item in exchanges]
+    return found(
+        exchanges=exchanges,
+        arrivals={"engine": arrivals},
+        limits=[NamedLimit("engine", 0.0, 20.0, 1.0)],
+        delays=delays or {},
+    )
+
+
+def test_an_exceeded_limit_is_found():
+    (line,) = found_at_limit(*(5 + number / 10 for number in range(12)))
+    assert "12 requests in a window, 11.0 allowed" in line
+
+
+def test_a_kept_limit_and_requests_before_it_was_known_are_allowed():
+    assert found_at_limit(*(1 + number / 10 for number in range(12))) == []
+    assert found_at_limit(*(5 + number / 10 for number in range(11))) == []
+
+
+def test_requests_that_a_link_held_up_are_allowed():
+    arrived = [5 + number / 10 for number in range(12)]
+    assert found_at_limit(*arrived, delays={"engine": [(4.0, 7.0)]}) == []
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -14,6 +14,7 @@
 HANG_SECONDS = 30.0
 ADAPTERS = 12
 PAUSE_SECONDS = 0.05
+SHARED_PART = "shared"
 
 
 class RequestKind(Enum):
@@ -75,6 +76,8 @@
     connections: dict[str, Connection] = field(default_factory=dict)
     exchanges: list[Exchange] = field(default_factory=list)
     stopped: bool = False
+    # A part of the prompts beside those that all callers share.
+    part: str = ""
 
     async def run(self) -> None:
         """Send requests until the run ends."""
@@ -120,6 +123,9 @@
             number = int(ADAPTERS * self.generator.random() ** 2)
             fields["Magnoliatrail-Model"] = f"{MODEL}/a{number}"
             fields["Magnoliatrail-Token-Counts"] = "100,20"
+            parts = [SHARED_PART, self.part or self.name, f"own{len(self.exchanges)}"]
+            prefix = ",".join(f"{part}:30" for part in parts)
+            fields["Magnoliatrail-Prompt-Prefix"] = prefix
         if resumes:
             fields["Resumes"] = resumes
             fields["Last-Event-Id"] = "1"
