Ask for sound answers of all suspects before parts are quarantined

Found in a reading: once the answers of other instances cleared a suspect, the next one was quarantined without asking for it.

--- a/src/magnoliatrail/peers/crash_collector.py
+++ b/src/magnoliatrail/peers/crash_collector.py
@@ -1,7 +1,7 @@
 """Collection of all instances' crash reports, and decisions on quarantines."""
 
 import asyncio
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from datetime import timedelta
 
 from expression import Result
@@ -36,6 +36,8 @@
 PEER_LIMITS = CallLimits(timedelta(milliseconds=200), timedelta(milliseconds=500))
 # Groups in quarantine are sent again this often, also for instances that started.
 RENEWAL_INTERVAL = timedelta(seconds=1.5)
+# Times that instances are asked for sound answers before a decision.
+MAX_ROUNDS = 4
 
 
 class CrashCollector:
@@ -92,11 +94,19 @@
     async def decide(self) -> None:
         """Quarantine what is accused, unless an instance had a sound answer."""
         self.terms.record_crashes(self.quarantine.groups.values(), self.evidence)
-        accused = self.new_accusations()
-        if not accused:
-            return
-        await self.ask_for_sound_answers(accused)
+        asked: set[PartId] = set()
+        for _ in range(MAX_ROUNDS):
+            # Once some parts are cleared, others may be accused instead.
+            suspects = {
+                part for item in self.new_accusations() for part in item.parts
+            } - asked
+            if not suspects:
+                break
+            await self.ask_for_sound_answers(suspects)
+            asked |= suspects
         for item in self.new_accusations():
+            if not item.parts <= asked:
+                continue
             self.quarantine.enforce(item.parts, self.clock.monotonic())
             self.metrics.count("quarantine.groups")
             log.warning(
@@ -112,9 +122,8 @@
             if not any(group <= item.parts for group in groups)
         ]
 
-    async def ask_for_sound_answers(self, accused: list[Accusation]) -> None:
+    async def ask_for_sound_answers(self, suspects: Collection[PartId]) -> None:
         """Ask all other instances for sound answers that clear suspects."""
-        suspects: Parts = frozenset().union(*(item.parts for item in accused))
         message = SoundAnswersRequest(
             parts=sorted(suspects),
             runs=[
--- a/tests/unit/test_quarantine_exchange.py
+++ b/tests/unit/test_quarantine_exchange.py
@@ -137,6 +137,25 @@
     run(scenario())
 
 
+# Guards against suspects that come up once others are cleared, and are not asked for.
+def test_suspects_behind_a_cleared_one_are_asked_for_too(run, fleet):
+    async def scenario():
+        others = [name for name in fleet.instances if name not in fleet.collectors]
+        for number in range(MIN_CRASHES):
+            fleet.clock.advance(SECOND)
+            fleet.break_at(others[0], ("first", "rare"), run=(f"s{number}", 1))
+            fleet.break_at(others[0], ("first",), run=(f"s{number}", 1))
+            if number == MIN_CRASHES - 2:
+                fleet.answer(others[1], ("first", "rare"))
+        fleet.clock.advance(SECOND)
+        fleet.break_at(others[0], ("first",), run=("last", 1))
+        fleet.answer(others[2], ("first",))
+        await fleet.exchange()
+        assert not fleet.refusing(("first", "rare"))
+
+    run(scenario())
+
+
 def test_a_server_that_answers_another_instance_has_not_crashed(run, fleet):
     async def scenario():
         for number in range(MIN_CRASHES - 1):
