--- a/src/magnoliatrail/exchange.py
+++ b/src/magnoliatrail/exchange.py
@@ -48,6 +48,8 @@
     stream: PooledStream
     # Bound on the bodies, None for a body that is passed on as it arrives.
     max_body_bytes: int | None = MAX_BUFFERED_BODY_BYTES
+    # False for an answer to HEAD, whose length is that of another body.
+    has_body: bool = True
     body_bytes: int = 0
     interim_answers: int = 0
     reason: str = ""
@@ -55,7 +57,7 @@
     def check_head(self, headers: HTTPHeaders) -> None:
         """Close the connection if the length of the body exceeds the bound."""
         length = headers.get("Content-Length", "")
-        if length.isdecimal():
+        if self.has_body and length.isdecimal():
             self.check_body(int(length))
 
     def add(self, chunk: bytes) -> bool:
--- a/src/magnoliatrail/forwarding/server_call.py
+++ b/src/magnoliatrail/forwarding/server_call.py
@@ -250,7 +250,7 @@
         attempt.outcome, attempt.reason = AttemptOutcome.NOT_RUN, str(error)
         return attempt
     attempt.reused = lent.reused
-    bounds = AnswerBounds(lent.stream)
+    bounds = AnswerBounds(lent.stream, has_body=request.method != "HEAD")
     reusable = False
     try:
         async with asyncio.timeout(max(0.001, time_left.total_seconds())):
--- a/tests/platform/test_server_call.py
+++ b/tests/platform/test_server_call.py
@@ -399,3 +399,15 @@
         assert [notice.leaving for notice in notices] == [True]
 
     run(scenario())
+
+
+def test_the_length_of_an_answer_to_head_is_not_bounded(run):
+    head = GOOD.replace(b"Content-Length: 5", b"Content-Length: 99999999999")
+    answer = head.removesuffix(b"hello")
+
+    async def scenario():
+        async with serving(answer) as (target, pool, _):
+            found, _ = await attempt(target, pool, method="HEAD")
+            return found
+
+    assert run(scenario()).outcome is AttemptOutcome.ANSWERED
