--- a/src/magnoliatrail/routing/crash_evidence.py
+++ b/src/magnoliatrail/routing/crash_evidence.py
@@ -103,14 +103,10 @@
         self.forget_old()
         events = self.crash_events()
         accusations: list[Accusation] = []
-        for threshold, once_sound in (
-            (MIN_CRASHES, False),
-            (MIN_CRASHES_ONCE_SOUND, True),
+        for threshold, may_be_cause in (
+            (MIN_CRASHES, self.was_never_sound),
+            (MIN_CRASHES_ONCE_SOUND, lambda part: True),
         ):
-
-            def may_be_cause(part: PartId, once_sound: bool = once_sound) -> bool:
-                return once_sound or part not in self.answered
-
             while found := strongest(events, threshold, may_be_cause):
                 accusations += found
                 # A crash is explained by one cause; it says nothing of other suspects.
@@ -121,6 +117,10 @@
                 ]
         return accusations
 
+    def was_never_sound(self, part: PartId) -> bool:
+        """Return whether no sound answer with a part is remembered."""
+        return part not in self.answered
+
     def forget_old(self) -> None:
         """Forget the crashes and sound answers that happened too long ago."""
         oldest = self.clock.monotonic() - CRASH_LIFETIME
