--- a/tests/platform/rig.py
+++ b/tests/platform/rig.py
@@ -240,9 +240,11 @@
 
 
 def is_settled(daemon):
-    """Return whether the owner of every cell answers an instance."""
+    """Return whether an instance knows a configuration, and all owners answer it."""
     members = daemon.cells.members.values()
-    return bool(members) and all(item.link.is_alive for item in members)
+    knows_configuration = daemon.view.routes is not None
+    alive = all(item.link.is_alive for item in members)
+    return knows_configuration and bool(members) and alive
 
 
 async def close(daemon):
