--- a/tests/soak/test_faults.py
+++ b/tests/soak/test_faults.py
@@ -3,7 +3,13 @@
 import itertools
 from random import Random
 
-from tests.soak.faults import SHORTEST_SECONDS, WEIGHTS, FaultKind, draw_faults
+from tests.soak.faults import (
+    SHORTEST_SECONDS,
+    WEIGHTS,
+    FaultKind,
+    draw_faults,
+    draw_load_faults,
+)
 
 
 def test_a_seed_always_gives_the_same_faults():
@@ -28,5 +34,7 @@
 
 
 def test_every_kind_is_drawn():
-    kinds = {fault.kind for fault in draw_faults(Random(1), seconds=600)}
-    assert kinds == set(FaultKind)
+    drawn = draw_faults(Random(1), seconds=600)
+    for seed in range(20):
+        drawn += draw_load_faults(Random(seed), seconds=12)
+    assert {fault.kind for fault in drawn} == set(FaultKind)
