Remove the unused start of an accusation, and a match with one branch

No change of behaviour; the tests of the evidence, the exchange, the quarantine and the load of crashing servers pass, and the linter and types.

--- a/src/magnoliatrail/routing/crash_evidence.py
+++ b/src/magnoliatrail/routing/crash_evidence.py
@@ -49,8 +49,6 @@
 
     parts: Parts
     crashes: int
-    # When the first of these crashes happened.
-    since: timedelta
 
 
 class CrashEvidence:
@@ -202,14 +200,14 @@
     most = max((counts[part] for part in causes), default=0)
     if most < threshold:
         return []
-    groups = {
-        companions(part, suspects[part], counts): suspects[part][0].at
+    groups = dict.fromkeys(
+        companions(part, suspects[part], counts)
         for part in causes
         if counts[part] == most
-    }
+    )
     return [
-        Accusation(group, most, since)
-        for group, since in groups.items()
+        Accusation(group, most)
+        for group in groups
         if not any(group < other for other in groups)
     ]
 
--- a/tests/unit/test_quarantine_exchange.py
+++ b/tests/unit/test_quarantine_exchange.py
@@ -102,9 +102,8 @@
         if peer is None or {name, self.name} & self.fleet.silent:
             return Error(Failure(ErrorKind.PEER_UNAVAILABLE, "no answer"))
         (route,) = (item for item in peer.peer_routes() if item.path == f"/{path}")
-        match decode(encode(message), route.message_type):
-            case decoded:
-                answer = await route.answer(decoded.ok)
+        received = decode(encode(message), route.message_type).ok
+        answer = await route.answer(received)
         return decode(encode(answer.ok), answer_type)
 
 
