Log the fingerprint of requests whose answers broke off

The fingerprint is a digest of caller, method, host, target and body; the caller is the address of the connection, as the platform's requests name none. No decision reads it yet.

--- a/src/magnoliatrail/forwarding/context.py
+++ b/src/magnoliatrail/forwarding/context.py
@@ -147,5 +147,6 @@
         first_event=attempt.first_event or "",
         longest_pause=attempt.longest_pause,
         parts=",".join(routed.request.shared_parts) if broken else "",
+        fingerprint=routed.request.fingerprint if broken else "",
         reason=attempt.reason,
     )
--- a/src/magnoliatrail/forwarding/request.py
+++ b/src/magnoliatrail/forwarding/request.py
@@ -22,6 +22,7 @@
     resumed_request_of,
     shared_parts_of,
 )
+from magnoliatrail.requests import request_fingerprint
 from magnoliatrail.wire import JSON_TYPE, encode
 
 # A caller that reads nothing of its answer for this long counts as disconnected.
@@ -43,6 +44,8 @@
     target: str
     headers: HTTPHeaders
     received_at: timedelta
+    # Address of the caller's connection, without the port.
+    caller: str = ""
     http_version: str = "HTTP/1.1"
     body: bytes = b""
     # Close the connection after the answer.
@@ -88,6 +91,12 @@
         """Return the parts of the prompt that other requests may have."""
         return shared_parts_of(self.headers)
 
+    @cached_property
+    def fingerprint(self) -> PartId:
+        """Return what the repeats of this request have in common."""
+        target = f"{self.host.lower()}{self.target}"
+        return request_fingerprint(self.caller, self.method, target, self.body)
+
     async def start(self, status: int, headers: HTTPHeaders) -> None:
         """Start the answer with the status and headers of a server's answer."""
         await self.send_head(status, headers_for_caller(headers))
--- a/src/magnoliatrail/requests.py
+++ b/src/magnoliatrail/requests.py
@@ -1,5 +1,6 @@
 """Callers' requests after parsing."""
 
+import hashlib
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -9,6 +10,26 @@
 from magnoliatrail.generated.permits import RequestClass
 from magnoliatrail.ids import AdapterVersion, CallerId, PartId, RequestId
 
+# No part of a prompt that a caller names contains a colon, so that no prompt can have
+# the fingerprint of another caller's request as its part.
+FINGERPRINT_PREFIX = "request:"
+FINGERPRINT_BYTES = 8
+
+
+def request_fingerprint(
+    caller: str, method: str, target: str, body: bytes | bytearray
+) -> PartId:
+    """Return what a caller's request and its repeats have in common at all instances.
+
+    `target` includes the host or the service. Ids, deadlines and other headers, which
+    each attempt has of its own, are left out.
+    """
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for item in (caller.encode(), method.encode(), target.encode(), body):
+        digest.update(len(item).to_bytes(8, "big"))
+        digest.update(item)
+    return PartId(FINGERPRINT_PREFIX + digest.hexdigest())
+
 
 @dataclass(frozen=True, slots=True)
 class RequestContext:
