--- a/src/magnoliatrail/standins/platform_engine.py
+++ b/src/magnoliatrail/standins/platform_engine.py
@@ -36,6 +36,8 @@
     crashed: bool = False
     # A part of a prompt on which the engine crashes when it begins an answer.
     crashing_part: str = ""
+    # The body of requests on which it crashes then.
+    crashing_body: bytes | None = None
     # Set by such a crash.
     ended: bool = False
     # The requests that are being served.
@@ -75,6 +77,12 @@
             "models": self.listed_models(),
         }
 
+    def crashes_on(self, request: HTTPServerRequest) -> bool:
+        """Return whether the engine crashes when it begins to answer a request."""
+        if self.crashing_part and self.crashing_part in prompt_parts(request):
+            return True
+        return request.body == self.crashing_body
+
     def listed_models(self) -> list[dict[str, object]]:
         """Return the models and adapters that can be used."""
         return [
@@ -227,9 +235,7 @@
         self.state.ran.append(request)
         self.set_header("Magnoliatrail-Response-Signature", f"signed-{request}")
         self.set_header("Content-Type", "text/event-stream")
-        if self.state.crashing_part and self.state.crashing_part in prompt_parts(
-            self.request
-        ):
+        if self.state.crashes_on(self.request):
             # The head is sent before the engine crashes.
             await self.flush()
             await asyncio.sleep(self.state.event_seconds)
