Refuse requests that crash replicas at /v1 and /services too

At /services no request left evidence, and one caller's idempotent request may be sent four times; at /v1 the parts of the prompt did, from the fourth crash on. Both give the fingerprint now. The new test of tests/outcomes/test_services.py does not end on the code before, which never quarantines. The list of instances has no start times of replicas, so each answer of a replica that breaks off counts.

--- a/src/magnoliatrail/daemon.py
+++ b/src/magnoliatrail/daemon.py
@@ -243,6 +243,7 @@
             client=self.client,
             fleet=self.fleet,
             metrics=self.metrics,
+            quarantine=self.quarantine,
             retry_share=lambda: self.configuration.configuration.defaults.retry_share,
             generator=self.operations.generator,
         )
--- a/src/magnoliatrail/entry/completions.py
+++ b/src/magnoliatrail/entry/completions.py
@@ -25,7 +25,7 @@
     PromptBody,
 )
 from magnoliatrail.logs import EventLog
-from magnoliatrail.requests import CompletionCall
+from magnoliatrail.requests import CompletionCall, request_fingerprint
 from magnoliatrail.wire import JSON_TYPE, decode, encode
 
 log = EventLog("entry")
@@ -89,7 +89,10 @@
         match self.parts.catalogue.find(body.model):
             case Result(tag="ok", ok=model):
                 path = self.request.path
-                parts = prompt_parts_of(fields)
+                fingerprint = request_fingerprint(
+                    context.caller, "POST", path, self.request.body
+                )
+                parts = (*prompt_parts_of(fields), fingerprint)
                 return Ok(
                     CompletionCall(context, model, path, body.stream, fields, parts)
                 )
--- a/src/magnoliatrail/entry/service_call.py
+++ b/src/magnoliatrail/entry/service_call.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from datetime import timedelta
-from itertools import islice
+from itertools import count, islice
 from random import Random
 from urllib.parse import urlsplit
 
@@ -21,18 +21,22 @@
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.generated.platform import ListedInstance, ListedKind
 from magnoliatrail.generated.settings import Settings
+from magnoliatrail.ids import PartId, ServerId
 from magnoliatrail.logs import EventLog
 from magnoliatrail.membership.fleet import Fleet
 from magnoliatrail.metrics import Metrics
 from magnoliatrail.operations.backoff import Backoff, backoff_delays
 from magnoliatrail.operations.rows import RecordedAnswer
-from magnoliatrail.requests import RequestContext
+from magnoliatrail.peers.quarantine_exchange import QuarantineExchange
+from magnoliatrail.requests import RequestContext, request_fingerprint
+from magnoliatrail.routing.quarantine import REASON
 from magnoliatrail.wire import CallFailed, CallLimits, call
 
 log = EventLog("services")
 
 REPLICA_CHOICES = 2
 MAX_RETRIES = 3
+HTTP_MULTIPLE_CHOICES = 300
 HTTP_UNAVAILABLE = 503
 RETRY_BACKOFF = Backoff(
     first=timedelta(milliseconds=50),
@@ -55,6 +59,12 @@
     headers: HTTPHeaders
     body: bytes
 
+    @property
+    def fingerprint(self) -> PartId:
+        """Return what the repeats of this request have in common."""
+        target = f"{self.service}/{self.path}?{self.query}"
+        return request_fingerprint(self.context.caller, self.method, target, self.body)
+
 
 @dataclass
 class CallProgress:
@@ -77,6 +87,7 @@
         client: AsyncHTTPClient,
         fleet: Fleet,
         metrics: Metrics,
+        quarantine: QuarantineExchange,
         retry_share: Callable[[], float],
         generator: Random,
     ) -> None:
@@ -85,6 +96,8 @@
         self.client = client
         self.fleet = fleet
         self.metrics = metrics
+        self.quarantine = quarantine
+        self.broken_answers = count()
         self.generator = generator
         self.budget = RetryBudget(retry_share)
         self.in_flight: Counter[str] = Counter()
@@ -133,7 +146,7 @@
         self.budget.earn()
         answer = await self.send(request, progress)
         for wait in islice(backoff_delays(RETRY_BACKOFF, self.generator), MAX_RETRIES):
-            if answer.is_ok() or not answer.error.not_run:
+            if answer.is_ok() or not answer.error.not_run or is_quarantined(answer):
                 break
             if not await self.wait_for_retry(request, wait):
                 break
@@ -187,6 +200,9 @@
         refusal = self.refusal(request)
         if refusal:
             return Error(refusal)
+        if self.quarantine.refuses((request.fingerprint,), sending=True):
+            log.info("request_quarantined", request=request.context.request_id)
+            return Error(Failure(ErrorKind.PROMPT_QUARANTINED, REASON))
         replica = self.choose(request, progress.tried)
         progress.replica = replica
         progress.tried.add(replica.id)
@@ -195,12 +211,29 @@
             answer = await self.send_to(request, replica)
             if answer.is_ok() or not answer.error.not_run:
                 progress.may_have_run = True
+            self.record_answer(request, replica, answer)
             return answer
         finally:
             self.in_flight[replica.id] -= 1
             if not self.in_flight[replica.id]:
                 del self.in_flight[replica.id]
 
+    def record_answer(
+        self, request: ServiceRequest, replica: ListedInstance, answer: Answer
+    ) -> None:
+        """Record what an answer says of whether its request crashes replicas.
+
+        The list does not tell the runs of a replica apart, so each answer that breaks
+        off counts as the end of one.
+        """
+        match answer:
+            case Result(tag="ok", ok=recorded):
+                if recorded.status < HTTP_MULTIPLE_CHOICES:
+                    self.quarantine.record_sound((request.fingerprint,))
+            case Result(error=failure) if failure.kind is ErrorKind.BACKEND_FAILED:
+                run = ServerId(f"{replica.id}/{next(self.broken_answers)}"), 0
+                self.quarantine.record_broken(run, (request.fingerprint,))
+
     def choose(self, request: ServiceRequest, tried: Collection[str]) -> ListedInstance:
         """Choose the less loaded of two random live replicas, untried ones first."""
         live = self.fleet.live_services(request.service)
@@ -252,6 +285,11 @@
     }
 
 
+def is_quarantined(answer: Answer) -> bool:
+    """Return whether a request was refused because it crashes replicas."""
+    return answer.is_error() and answer.error.kind is ErrorKind.PROMPT_QUARANTINED
+
+
 def with_earlier_attempts(answer: Answer, progress: CallProgress) -> Answer:
     """Replace a "not run" failure if an earlier attempt may have run."""
     if answer.is_ok() or not (answer.error.not_run and progress.may_have_run):
--- a/src/magnoliatrail/errors.py
+++ b/src/magnoliatrail/errors.py
@@ -146,7 +146,7 @@
         502, UNKNOWN, "ask again if the operation is idempotent", SHORT_RETRY_DELAY
     ),
     ErrorKind.PROMPT_QUARANTINED: AnswerRule(
-        503, NOT_RUN, "do not send this prompt again soon", QUARANTINE_RETRY_DELAY
+        503, NOT_RUN, "do not send this request again soon", QUARANTINE_RETRY_DELAY
     ),
     ErrorKind.ANSWER_INVALID: AnswerRule(
         502, UNKNOWN, "ask again if the operation is idempotent", SHORT_RETRY_DELAY
--- a/src/magnoliatrail/requests.py
+++ b/src/magnoliatrail/requests.py
@@ -61,5 +61,5 @@
     path: str
     stream: bool
     fields: dict[str, msgspec.Raw]
-    # Parts of the prompt that other requests may have too.
+    # Parts of the prompt that other requests may have too, and the fingerprint.
     parts: tuple[PartId, ...] = ()
--- a/tests/outcomes/test_services.py
+++ b/tests/outcomes/test_services.py
@@ -9,6 +9,8 @@
 from tornado.httpclient import HTTPRequest
 from tornado.web import Application, RequestHandler, stream_request_body
 
+from magnoliatrail.errors import ErrorKind
+from magnoliatrail.generated.answers import ErrorAnswer, Outcome
 from magnoliatrail.generated.platform import ListedInstance, ListedKind, ListedState
 from magnoliatrail.listeners import listen
 from magnoliatrail.wire import call
@@ -17,6 +19,7 @@
 from .test_matrix import refuse_connections
 
 PATH = "/services/archive"
+CRASHING = b"crash"
 
 
 @dataclass
@@ -39,6 +42,9 @@
     def echo(self):
         self.record.requests.append(self.request)
         self.record.bodies.append(self.body)
+        if self.body == CRASHING:
+            self.request.connection.stream.close()
+            return
         status = int(self.get_query_argument("status", "200"))
         self.set_status(status)
         self.add_header("Set-Cookie", "a=1")
@@ -276,3 +282,27 @@
             assert not got.not_run, got.kind
 
     run(scenario())
+
+
+# Guards against a request that crashes one replica of a service after the other.
+def test_a_request_that_crashed_three_replicas_is_refused(run):
+    async def scenario():
+        async with running_archive(4) as (harness, records):
+            quarantine = harness.daemons[0].quarantine
+            while not quarantine.rules.groups:
+                await send(harness, "POST", f"{PATH}/x", {}, CRASHING)
+                await asyncio.sleep(0.1)
+            reached = sum(len(record.requests) for record in records)
+            response = await send(harness, "POST", f"{PATH}/x", {}, CRASHING)
+            error = msgspec.json.decode(response.body, type=ErrorAnswer).error
+            assert response.code == 503
+            assert error.kind == ErrorKind.PROMPT_QUARANTINED.value
+            assert error.outcome is Outcome.NOT_RUN
+            assert sum(len(record.requests) for record in records) == reached
+            for body, caller in ((b"sound", ""), (CRASHING, "another")):
+                headers = {"X-Caller": caller} if caller else {}
+                before = sum(len(record.requests) for record in records)
+                await send(harness, "POST", f"{PATH}/x", headers, body)
+                assert sum(len(record.requests) for record in records) > before
+
+    run(scenario())
