Log when an instance reaches no server, and whether others do

Connections that could not be opened, and silence while requests wait, raise the doubt; three probes and a question to other instances settle it. Nothing is decided by it yet.

--- a/src/magnoliatrail/forwarding/context.py
+++ b/src/magnoliatrail/forwarding/context.py
@@ -7,7 +7,7 @@
 from datetime import timedelta
 from http import HTTPStatus
 
-from magnoliatrail.backends import BackendServer
+from magnoliatrail.backends import BackendServer, ServerNotice
 from magnoliatrail.clock import Clock
 from magnoliatrail.connections import ConnectionPool
 from magnoliatrail.forwarding.request import CallerRequest
@@ -19,6 +19,7 @@
 from magnoliatrail.membership.fleet_view import FleetView
 from magnoliatrail.metrics import Metrics
 from magnoliatrail.peers.quarantine_exchange import QuarantineExchange
+from magnoliatrail.peers.reach_monitor import ReachMonitor
 from magnoliatrail.platform.settings_file import Bounds
 from magnoliatrail.routes import Route
 
@@ -44,6 +45,7 @@
     ensure_fresh: Callable[[], Awaitable[None]]
     stream_versions: StreamVersions
     quarantine: QuarantineExchange
+    reach: ReachMonitor
     paces: RequestPaces
     # Number of instances that share the retry budget.
     instances: int = 1
@@ -78,6 +80,11 @@
             return ""
         return await self.stream_versions.find(routed.service, routed.resumes)
 
+    def apply_notice(self, server: BackendServer, notice: ServerNotice) -> None:
+        """Apply what a server said of itself in the head of an answer."""
+        self.reach.signals.record_contact()
+        self.view.apply_notice(server, notice)
+
     def record_attempt(
         self,
         routed: "RoutedRequest",
@@ -87,6 +94,10 @@
         known_sound: bool = False,
     ) -> None:
         """Record what an attempt says of its server and of what may crash it."""
+        if not attempt.sent:
+            self.reach.record_unreachable(attempt.server.address)
+        elif not attempt.reused:
+            self.reach.signals.record_opened(sent_at)
         run, suspects = attempt.server.key, routed.request.suspects
         if attempt.outcome is AttemptOutcome.BROKEN and not known_sound:
             self.quarantine.record_broken(run, suspects)
--- a/src/magnoliatrail/forwarding/engine_path.py
+++ b/src/magnoliatrail/forwarding/engine_path.py
@@ -145,6 +145,7 @@
             if events.first is None:
                 self.record_started(engine_request, slot)
             events.record(clock.monotonic())
+            self.context.reach.signals.record_contact()
             if not known_sound and events.duration > MAX_CRASH_DELAY:
                 known_sound = True
                 self.context.quarantine.record_sound(request.suspects)
@@ -167,17 +168,18 @@
         outcome = RunOutcome.CANCELLED
         self.slots.in_flight[slot.server.id] += 1
         try:
-            attempt = await send_attempt(
-                self.context.pool,
-                slot.server,
-                forwarded,
-                time_left=left,
-                only_recently_used=not route.idempotent,
-                head=head,
-                body=body,
-                notice=self.context.view.apply_notice,
-                max_relayed_bytes=None,
-            )
+            with self.context.reach.signals.awaiting_answer():
+                attempt = await send_attempt(
+                    self.context.pool,
+                    slot.server,
+                    forwarded,
+                    time_left=left,
+                    only_recently_used=not route.idempotent,
+                    head=head,
+                    body=body,
+                    notice=self.context.apply_notice,
+                    max_relayed_bytes=None,
+                )
             outcome = RUN_OUTCOMES[attempt.outcome]
             self.context.record_attempt(
                 engine_request.routed, attempt, sent_at, known_sound=known_sound
--- a/src/magnoliatrail/forwarding/plain_path.py
+++ b/src/magnoliatrail/forwarding/plain_path.py
@@ -184,17 +184,18 @@
         self.in_flight[server.id] += 1
         sent_at = self.context.clock.monotonic()
         try:
-            attempt = await send_attempt(
-                self.context.pool,
-                server,
-                forwarded,
-                time_left=left,
-                only_recently_used=routed.route.kind is not RouteKind.SAFE,
-                head=head,
-                body=body,
-                notice=self.context.view.apply_notice,
-                max_relayed_bytes=MAX_BUFFERED_BODY_BYTES,
-            )
+            with self.context.reach.signals.awaiting_answer():
+                attempt = await send_attempt(
+                    self.context.pool,
+                    server,
+                    forwarded,
+                    time_left=left,
+                    only_recently_used=routed.route.kind is not RouteKind.SAFE,
+                    head=head,
+                    body=body,
+                    notice=self.context.apply_notice,
+                    max_relayed_bytes=MAX_BUFFERED_BODY_BYTES,
+                )
         finally:
             self.in_flight[server.id] -= 1
         attempt.body = b"".join(chunks) or attempt.body
--- a/src/magnoliatrail/membership/fleet_view.py
+++ b/src/magnoliatrail/membership/fleet_view.py
@@ -292,6 +292,15 @@
             if server.service == service and server.state is ServerState.READY
         ]
 
+    def server_addresses(self) -> set[str]:
+        """Return the addresses of the servers that accept new requests."""
+        self.expire_lapsed()
+        return {
+            server.address
+            for server in self.servers.values()
+            if server.state is ServerState.READY
+        }
+
     def apply_notice(self, server: BackendServer, notice: ServerNotice) -> None:
         """Apply what a server said of itself in an answer."""
         if notice.refuses_for:
--- a/src/magnoliatrail/metrics_text.py
+++ b/src/magnoliatrail/metrics_text.py
@@ -76,6 +76,11 @@
         "Adapters brought, from the store or from near, and evicted.",
         "what",
     ),
+    "reach.checks": MetricDeclaration(
+        MetricKind.COUNTER,
+        "reach_checks_total",
+        "Checks of the way to the servers that reached none.",
+    ),
     "quarantine.refused": MetricDeclaration(
         MetricKind.COUNTER,
         "quarantine_refused_total",
--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -27,11 +27,13 @@
 from magnoliatrail.logs import EventLog
 from magnoliatrail.membership.fleet_view import FleetView
 from magnoliatrail.membership.recent_instances import RecentInstances
+from magnoliatrail.membership.server_reach import ServerReach
 from magnoliatrail.membership.store_reader import StoreReader
 from magnoliatrail.metrics_text import TextMetrics
 from magnoliatrail.peers.client import PeerClient
 from magnoliatrail.peers.connections import PersistentConnections
 from magnoliatrail.peers.quarantine_exchange import QuarantineExchange
+from magnoliatrail.peers.reach_monitor import ReachMonitor
 from magnoliatrail.peers.server import peer_application
 from magnoliatrail.periodic import PeriodicTasks
 from magnoliatrail.platform.protocol import READY_PATH
@@ -135,6 +137,17 @@
             instance=settings.instance,
             urls=self.other_peer_urls,
         )
+        self.reach = ReachMonitor(
+            clock=self.clock,
+            metrics=self.metrics,
+            peers=self.peers,
+            pool=self.pool,
+            signals=ServerReach(self.clock),
+            failure_domain=settings.failure_domain,
+            generator=self.generator,
+            servers=self.view.server_addresses,
+            addresses=self.other_peer_addresses,
+        )
         self.cells = FleetCells(
             clock=self.clock,
             store=self.store,
@@ -172,6 +185,7 @@
             ),
             stream_versions=self.stream_versions,
             quarantine=self.quarantine,
+            reach=self.reach,
             paces=RequestPaces(
                 clock=self.clock,
                 limits=self.view.request_limits,
@@ -190,8 +204,13 @@
 
     def other_peer_urls(self) -> dict[InstanceId, str]:
         """Return the URLs of the peer listeners of the other instances."""
+        addresses = self.other_peer_addresses()
+        return {name: f"http://{address}" for name, address in addresses.items()}
+
+    def other_peer_addresses(self) -> dict[InstanceId, str]:
+        """Return the addresses of the peer listeners of the other instances."""
         return {
-            InstanceId(name): f"http://{address}"
+            InstanceId(name): address
             for name, address in self.recent_instances.addresses().items()
             if name != self.settings.instance
         }
@@ -231,6 +250,7 @@
                     *self.cells.peer_routes(),
                     *self.stream_versions.peer_routes(),
                     *self.quarantine.peer_routes(),
+                    *self.reach.peer_routes(),
                 ],
                 self.token,
             ),
@@ -246,6 +266,7 @@
             self.update_instance_count,
             self.stream_versions.send_periodically,
             self.quarantine.run,
+            self.reach.run,
         ):
             self.tasks.forever(work)
         self.listen_at(settings.callers_address, self.server)
--- a/tests/load/test_fleet_restart.py
+++ b/tests/load/test_fleet_restart.py
@@ -25,6 +25,7 @@
         ensure_fresh=None,
         stream_versions=None,
         quarantine=None,
+        reach=None,
         paces=None,
     )
 
