Name the caller of a request by its credentials, not by its address

The repeats come from several addresses: the record has them at instances of all failure domains, and the balancer chooses the instance by the address. So each repeat had a fingerprint of its own. The tests' repeats come from different addresses now and fail on that form (3 of 3), pass on this one.

--- a/src/magnoliatrail/forwarding/request.py
+++ b/src/magnoliatrail/forwarding/request.py
@@ -15,6 +15,7 @@
 from magnoliatrail.ids import PartId
 from magnoliatrail.platform.request_headers import (
     ModelWork,
+    caller_of,
     deadline_of,
     headers_for_caller,
     model_work_of,
@@ -44,8 +45,6 @@
     target: str
     headers: HTTPHeaders
     received_at: timedelta
-    # Address of the caller's connection, without the port.
-    caller: str = ""
     http_version: str = "HTTP/1.1"
     body: bytes = b""
     # Close the connection after the answer.
@@ -95,7 +94,8 @@
     def fingerprint(self) -> PartId:
         """Return what the repeats of this request have in common."""
         target = f"{self.host.lower()}{self.target}"
-        return request_fingerprint(self.caller, self.method, target, self.body)
+        caller = caller_of(self.headers)
+        return request_fingerprint(caller, self.method, target, self.body)
 
     @cached_property
     def suspects(self) -> tuple[PartId, ...]:
--- a/src/magnoliatrail/forwarding/server.py
+++ b/src/magnoliatrail/forwarding/server.py
@@ -83,7 +83,6 @@
             target=start_line.path,
             headers=headers,
             received_at=self.server.clock.monotonic(),
-            caller=str(getattr(self.connection.context, "remote_ip", "")),
             http_version=start_line.version,
         )
 
--- a/src/magnoliatrail/platform/protocol.py
+++ b/src/magnoliatrail/platform/protocol.py
@@ -25,6 +25,8 @@
 RETRY_AFTER = "Retry-After"
 LENGTH_HINT = "Magnoliatrail-Length-Hint"
 PRIORITY = "Magnoliatrail-Request-Priority"
+# Name the caller, where the operators tell callers apart.
+CALLER_HEADERS = ("Api-Key", "Authorization")
 
 # Headers to a backend server that only the system may set.
 SYSTEM_HEADERS = frozenset(
--- a/src/magnoliatrail/platform/request_headers.py
+++ b/src/magnoliatrail/platform/request_headers.py
@@ -38,6 +38,15 @@
     return headers.get(protocol.REQUEST_ID, "")
 
 
+def caller_of(headers: HTTPHeaders) -> str:
+    """Return the credentials by which callers are told apart, empty without any.
+
+    The address of the connection is no part of it: one caller sends from several.
+    """
+    named = [headers.get(name, "") for name in protocol.CALLER_HEADERS]
+    return "\n".join(named) if any(named) else ""
+
+
 def resumed_request_of(headers: HTTPHeaders) -> str | None:
     """Return the id of the request that began a resumed stream, None for a new stream.
 
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -16,7 +16,8 @@
 STABILITY_SECONDS = 3
 # Retries that may still reach servers after that.
 ALLOWED_LATE_RETRIES = 3
-OTHER_CALLER = "127.0.0.2"
+CALLER = {"Api-Key": "one"}
+OTHER_CALLER = {"Api-Key": "another"}
 
 
 class CrashingServers:
@@ -92,19 +93,22 @@
             lambda: all(set(item.view.servers) == names for item in self.rig.daemons)
         )
 
-    async def send(self, path, body, *, caller="127.0.0.1"):
-        """Send a request to the next instance, and replace what crashed under it."""
+    async def send(self, path, body, *, caller=CALLER):
+        """Send a request to the next instance, and replace what crashed under it.
+
+        Each comes from another address, as the balancer spreads callers by theirs.
+        """
         self.sent += 1
         daemon = next(self.instances)
         host, port = daemon.settings.callers_address.split(":")
         connection = await asyncio.open_connection(
-            host, int(port), local_addr=(caller, 0)
+            host, int(port), local_addr=(f"127.0.0.{self.sent % 100 + 2}", 0)
         )
         answer = await self.rig.send(
             daemon,
             path,
             request=f"r{self.sent}",
-            headers=model("a7"),
+            headers={**model("a7"), **caller},
             body=body,
             keep=connection,
         )
