Serve requests through another instance where no server is reached

Now an instance that can't open connections, or hears from no server while requests wait, probes three servers and asks other instances; if they reach servers, it relays new requests to one of them, over the peer listener: one hop, the own failure domain first, least loaded first, as long as the cut lasts. What may have run is not sent again. A cut instance gives up the leases on its cells, claims none, and reports no broken answers as crashes.

--- a/src/magnoliatrail/cells/member.py
+++ b/src/magnoliatrail/cells/member.py
@@ -9,6 +9,7 @@
 from expression import Result
 
 from magnoliatrail.cells.announcement import OwnershipAnnouncer
+from magnoliatrail.cells.claim_turn import claim_turn
 from magnoliatrail.cells.layout import cell_of
 from magnoliatrail.cells.lease import (
     RENEWAL_INTERVAL,
@@ -41,18 +42,11 @@
 from magnoliatrail.periodic import PeriodicTasks
 from magnoliatrail.platform.rows import RowsRead, RowStore
 from magnoliatrail.platform.store_versions import era_of
-from magnoliatrail.rendezvous import ranked
 from magnoliatrail.wire import CallLimits
 
 log = EventLog("cells")
 
 IDLE_POLL_INTERVAL = timedelta(milliseconds=50)
-# Candidates claim a free lease one after the other, this far apart.
-CLAIM_STAGGER = timedelta(milliseconds=120)
-MAX_CLAIM_STEPS = 6
-# First claims of a lease are spread over this time, so that most candidates see
-# another's claim before they send their own.
-FIRST_CLAIM_SPREAD = timedelta(seconds=1.2)
 # One report in this many is answered with the state of the engines.
 REPORTS_PER_SUMMARY = 4
 # The queue is also processed without events, as prefill capacity frees up with time.
@@ -89,6 +83,7 @@
         store_answers: Callable[[], bool],
         confirm_layout: Callable[[], Awaitable[bool]],
         quarantined: Callable[[], list[list[str]]],
+        may_own: Callable[[], bool],
     ) -> None:
         self.clock = clock
         self.metrics = metrics
@@ -103,6 +98,8 @@
         self.owner_claim_delay = owner_claim_delay
         # Whether the store answered this instance's last call.
         self.store_answers = store_answers
+        # Whether this instance reaches engines, as far as it knows.
+        self.may_own = may_own
         # Makes sure that the store has the layout, also after it came back from a copy.
         self.confirm_layout = confirm_layout
         self.lease = CellLease(clock=clock, store=store, identity=identity, cell=cell)
@@ -159,6 +156,14 @@
                 if self.lease.may_reclaim:
                     await self.clock.sleep(RECLAIM_RETRY_DELAY)
                 continue
+            if self.lease.is_mine and not self.stopping and not self.may_own():
+                log.warning(
+                    "lease_given_up", cell=self.cell, reason="no engine reached"
+                )
+                await self.lease.release()
+                self.apply_lease()
+                await self.clock.sleep(RENEWAL_INTERVAL)
+                continue
             if self.lease.is_mine and not self.stopping:
                 await self.lease.renew()
                 self.apply_lease()
@@ -167,7 +172,13 @@
                 continue
             if self.may_claim():
                 version = self.lease.row_version
-                await self.clock.sleep(self.claim_delay())
+                turn = claim_turn(
+                    f"{self.lease.key}/{version}",
+                    self.identity.instance,
+                    set(self.link.instances) - {self.link.owner},
+                    self.generator,
+                )
+                await self.clock.sleep(turn + self.owner_claim_delay())
                 if self.may_claim() and self.lease.row_version == version:
                     await self.claim_unless_in_use()
             await self.link.wait_while_trusted(IDLE_POLL_INTERVAL)
@@ -219,20 +230,8 @@
 
     def may_claim(self) -> bool:
         """Return whether the lease is free for this instance to claim."""
-        return self.should_read_row and self.lease.is_free() and not self.stopping
-
-    def claim_delay(self) -> timedelta:
-        """Return the delay before a claim, ranked so that candidates claim in turn."""
-        names = set(self.link.instances) - {self.link.owner}
-        if self.identity.instance in names:
-            order = ranked(f"{self.lease.key}/{self.lease.row_version}", names)
-            position = order.index(self.identity.instance)
-            return (
-                CLAIM_STAGGER * min(position, MAX_CLAIM_STEPS)
-                + self.owner_claim_delay()
-            )
-        # The other candidates are not known yet.
-        return FIRST_CLAIM_SPREAD * self.generator.random() + self.owner_claim_delay()
+        may_hold = self.may_own() and not self.stopping
+        return may_hold and self.should_read_row and self.lease.is_free()
 
     def apply_lease(self) -> None:
         """Start or stop the owner according to the row, and link to the row's owner."""
--- a/src/magnoliatrail/connections.py
+++ b/src/magnoliatrail/connections.py
@@ -64,6 +64,8 @@
         self.monotonic = monotonic
         self.idle: dict[str, list[PooledStream]] = defaultdict(list)
         self.opened = 0
+        # Is told of each new connection by its address, and of each that failed.
+        self.on_open: Callable[[str, bool], None] = lambda address, opened: None
 
     async def acquire(
         self, address: str, connect: timedelta, *, max_idle: timedelta | None = None
@@ -107,6 +109,7 @@
                 await stream.connect((host, int(port)))
         except (OSError, ValueError, TimeoutError) as error:
             stream.close()
+            self.on_open(address, False)
             reason = str(error) or f"no connection within {limit.total_seconds():.2f} s"
             raise CallFailed(reason, sent=False) from error
         except asyncio.CancelledError:
@@ -117,6 +120,7 @@
         if option is not None:
             stream.socket.setsockopt(socket.IPPROTO_TCP, option, TCP_USER_TIMEOUT_MS)
         self.opened += 1
+        self.on_open(address, True)
         return stream
 
     def release(
--- a/src/magnoliatrail/forwarding/context.py
+++ b/src/magnoliatrail/forwarding/context.py
@@ -54,6 +54,9 @@
     # Refuse streams that have no batch slot yet, because the process is shutting down.
     refuses_streams: bool = False
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
+    # Answers a request through another instance, given the number of its runs; returns
+    # whether one took it.
+    relay: "Callable[[RoutedRequest, int], Awaitable[bool]] | None" = None
     started_at: timedelta = field(init=False)
 
     def __post_init__(self) -> None:
@@ -80,6 +83,15 @@
             return ""
         return await self.stream_versions.find(routed.service, routed.resumes)
 
+    async def served_elsewhere(self, routed: "RoutedRequest", runs: int = 0) -> bool:
+        """Answer a request through another instance if this one reaches no server.
+
+        Returns False if the request was not sent to another instance.
+        """
+        if self.relay is None or routed.request.origin or not self.reach.is_cut:
+            return False
+        return await self.relay(routed, runs)
+
     def apply_notice(self, server: BackendServer, notice: ServerNotice) -> None:
         """Apply what a server said of itself in the head of an answer."""
         self.reach.signals.record_contact()
@@ -94,12 +106,10 @@
         known_sound: bool = False,
     ) -> None:
         """Record what an attempt says of its server and of what may crash it."""
-        if not attempt.sent:
-            self.reach.record_unreachable(attempt.server.address)
-        elif not attempt.reused:
-            self.reach.signals.record_opened(sent_at)
         run, suspects = attempt.server.key, routed.request.suspects
-        if attempt.outcome is AttemptOutcome.BROKEN and not known_sound:
+        if attempt.outcome is AttemptOutcome.BROKEN and self.reach.is_cut:
+            log.info("break_not_reported", request=routed.request.id, server=run[0])
+        elif attempt.outcome is AttemptOutcome.BROKEN and not known_sound:
             self.quarantine.record_broken(run, suspects)
         elif attempt.outcome is AttemptOutcome.ANSWERED:
             self.quarantine.record_answered(run, sent_at)
--- a/src/magnoliatrail/forwarding/engine_path.py
+++ b/src/magnoliatrail/forwarding/engine_path.py
@@ -62,6 +62,8 @@
         if work is None:
             await request.answer_error(400, "the request names no model")
             return
+        if await self.context.served_elsewhere(routed):
+            return
         clock, budget = self.context.clock, self.context.budget(routed.service)
         budget.record_request(clock.monotonic())
         route = routed.route
@@ -95,6 +97,8 @@
                 return
             if not attempt.sent:
                 engine_request.avoid.append(slot.server.id)
+                if await self.context.served_elsewhere(routed):
+                    return
         await request.answer_error(503, "no engine took the request", RETRY_AFTER)
 
     async def find_slot(self, engine_request: EngineRequest) -> BatchSlot | NoBatchSlot:
@@ -138,6 +142,7 @@
         known_sound = False
 
         async def head(status: int, headers: HTTPHeaders) -> None:
+            request.name_server(slot.server)
             await request.start(status, headers)
 
         async def body(chunk: bytes) -> None:
@@ -206,6 +211,7 @@
     async def answer(self, routed: RoutedRequest, attempt: Attempt) -> None:
         """Finish the caller's answer according to the outcome of the attempt."""
         request = routed.request
+        request.name_server(attempt.server)
         complete = attempt.outcome is AttemptOutcome.ANSWERED
         if request.answer_started:
             if complete:
--- a/src/magnoliatrail/forwarding/handler.py
+++ b/src/magnoliatrail/forwarding/handler.py
@@ -10,6 +10,7 @@
 )
 from magnoliatrail.forwarding.engine_path import EnginePath
 from magnoliatrail.forwarding.plain_path import PlainPath
+from magnoliatrail.forwarding.relay import REFUSED, refusal_of
 from magnoliatrail.forwarding.request import CallerRequest
 from magnoliatrail.logs import EventLog
 
@@ -29,9 +30,33 @@
         self.plain = plain
         # Refuse all new requests, because the process is shutting down.
         self.refuses_all = False
+        # The same for requests of other instances.
+        self.refuses_relayed = False
+        # Requests of other instances in progress.
+        self.relayed = 0
 
     async def handle(self, request: CallerRequest) -> None:
         """Answer one request."""
+        if request.origin is None:
+            await self.route(request)
+            return
+        self.relayed += 1
+        try:
+            await self.context.ensure_fresh()
+            reason = SHUTTING_DOWN if self.refuses_relayed else None
+            reason = reason or refusal_of(
+                request.origin, self.context, relayed=self.relayed
+            )
+            if reason is None:
+                await self.route(request)
+            else:
+                request.answer_fields[REFUSED] = "1"
+                await request.answer_error(503, reason, SHUTDOWN_RETRY_AFTER)
+        finally:
+            self.relayed -= 1
+
+    async def route(self, request: CallerRequest) -> None:
+        """Match the route of a request, and let it be served."""
         started = request.received_at
         await self.context.ensure_fresh()
         routes = self.context.view.routes
@@ -63,4 +88,5 @@
             whole=request.answer_finished,
             took=took,
             configuration=routes.version if routes else 0,
+            relayed=request.origin is not None,
         )
--- a/src/magnoliatrail/forwarding/plain_path.py
+++ b/src/magnoliatrail/forwarding/plain_path.py
@@ -101,12 +101,14 @@
 
     async def serve(self, routed: RoutedRequest) -> None:
         """Forward a request, retrying as allowed, and answer the caller."""
+        if await self.context.served_elsewhere(routed):
+            return
         request = routed.request
         clock, budget = self.context.clock, self.context.budget(routed.service)
         budget.record_request(clock.monotonic())
         ends_at = routed.ends_at
         tried: set[ServerId] = set()
-        runs = 0
+        runs = request.origin.runs if request.origin else 0
         last: Attempt | None = None
         last_run: Attempt | None = None
         version = await self.context.required_software_version(routed)
@@ -127,6 +129,8 @@
                     "retry_budget_exhausted", request=request.id, service=routed.service
                 )
                 break
+            if number > 1 and await self.context.served_elsewhere(routed, runs):
+                return
             tried.add(server.id)
             self.context.paces.record_sent(server)
             last = await self.attempt(
@@ -221,6 +225,8 @@
     ) -> None:
         """Answer by the outcome of an attempt, or by the reason why there was none."""
         request = routed.request
+        if attempt is not None:
+            request.name_server(attempt.server)
         if attempt is None or attempt.outcome is AttemptOutcome.NOT_RUN:
             reason = attempt.reason if attempt else no_attempt
             view, paces = self.context.view, self.context.paces
--- a/src/magnoliatrail/forwarding/request.py
+++ b/src/magnoliatrail/forwarding/request.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 import struct
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 from functools import cached_property
 from http import HTTPStatus
@@ -12,6 +12,7 @@
 from tornado.httputil import HTTPHeaders, ResponseStartLine
 from tornado.iostream import StreamClosedError
 
+from magnoliatrail.backends import BackendServer
 from magnoliatrail.ids import PartId
 from magnoliatrail.platform.request_headers import (
     ModelWork,
@@ -26,6 +27,8 @@
 from magnoliatrail.requests import request_fingerprint
 from magnoliatrail.wire import JSON_TYPE, encode
 
+# Header of an answer to another instance.
+RELAY_SERVER = "Relay-Server"
 # A caller that reads nothing of its answer for this long counts as disconnected.
 STALLED_WRITE_TIMEOUT = timedelta(seconds=10)
 # SO_LINGER on, with a timeout of 0: closing the socket resets the connection.
@@ -36,6 +39,17 @@
     """The caller closed its connection, or stopped reading."""
 
 
+@dataclass(frozen=True, slots=True)
+class RelayOrigin:
+    """What the instance that relays a request says of it."""
+
+    fingerprint: str
+    # How many servers may have run the request already.
+    runs: int
+    # Version of the configuration that the instance routed it by.
+    configuration: int
+
+
 @dataclass
 class CallerRequest:
     """A request as received, with its connection and the state of the answer."""
@@ -51,6 +65,10 @@
     closes: bool = False
     answer_started: bool = False
     answer_finished: bool = False
+    # Set if another instance relays the request.
+    origin: RelayOrigin | None = None
+    # Further headers of the answer.
+    answer_fields: dict[str, str] = field(default_factory=dict)
     # Whether the answer has neither a length nor chunks.
     ends_with_connection: bool = False
     status: int = 0
@@ -93,6 +111,8 @@
     @cached_property
     def fingerprint(self) -> PartId:
         """Return what the repeats of this request have in common."""
+        if self.origin is not None:
+            return PartId(self.origin.fingerprint)
         target = f"{self.host.lower()}{self.target}"
         caller = caller_of(self.headers)
         return request_fingerprint(caller, self.method, target, self.body)
@@ -102,6 +122,11 @@
         """Return all that may be the cause if a server crashes under this request."""
         return (*self.shared_parts, self.fingerprint)
 
+    def name_server(self, server: BackendServer) -> None:
+        """Name the server that answers to the instance that relays the request."""
+        if self.origin is not None:
+            self.answer_fields[RELAY_SERVER] = f"{server.id} {server.born}"
+
     async def start(self, status: int, headers: HTTPHeaders) -> None:
         """Start the answer with the status and headers of a server's answer."""
         await self.send_head(status, headers_for_caller(headers))
@@ -111,6 +136,7 @@
         assert not self.answer_started, "the answer has already started"
         if self.closes:
             fields["Connection"] = "close"
+        fields.update(self.answer_fields)
         self.answer_started = True
         self.ends_with_connection = (
             self.http_version == "HTTP/1.0" and "Content-Length" not in fields
--- a/src/magnoliatrail/membership/server_reach.py
+++ b/src/magnoliatrail/membership/server_reach.py
@@ -32,14 +32,10 @@
         """Record that some server sent a part of an answer."""
         self.contact_at = self.clock.monotonic()
 
-    def record_opened(self, at: timedelta) -> None:
-        """Record that some server accepted a connection at a time."""
-        self.contact_at = max(at, self.contact_at or at)
-        self.unreachable = {
-            address: failed_at
-            for address, failed_at in self.unreachable.items()
-            if failed_at > at
-        }
+    def record_opened(self) -> None:
+        """Record that some server accepted a connection."""
+        self.record_contact()
+        self.unreachable.clear()
 
     def record_unreachable(self, address: str) -> None:
         """Record that no connection to a server could be opened."""
--- a/src/magnoliatrail/peers/reach_monitor.py
+++ b/src/magnoliatrail/peers/reach_monitor.py
@@ -89,16 +89,22 @@
         # Number of requests that are served here for other instances.
         self.relayed: Callable[[], int] = lambda: 0
         self.wake = asyncio.Event()
+        self.pool.on_open = self.record_connection
 
     @property
     def is_cut(self) -> bool:
         """Return whether other instances reach servers and this one reaches none."""
         return self.cut_since is not None
 
-    def record_unreachable(self, address: str) -> None:
-        """Record that no connection to a server could be opened."""
-        self.signals.record_unreachable(address)
-        self.wake.set()
+    def record_connection(self, address: str, opened: bool) -> None:
+        """Record whether a connection could be opened, if it is one to a server."""
+        if address not in self.servers():
+            return
+        if opened:
+            self.signals.record_opened()
+        else:
+            self.signals.record_unreachable(address)
+            self.wake.set()
 
     async def run(self) -> None:
         """Check the way to the servers whenever there is a reason to doubt it."""
@@ -154,6 +160,10 @@
         self.cut_since = None
         self.helpers = []
 
+    def forget_helper(self, helper: Helper) -> None:
+        """Forget an instance that does not help, until the next check."""
+        self.helpers = [item for item in self.helpers if item != helper]
+
     async def probe(self, addresses: Collection[str]) -> bool:
         """Return whether a connection to any of these servers can be opened."""
         found = await asyncio.gather(*(self.probe_one(item) for item in addresses))
@@ -164,10 +174,8 @@
         try:
             stream = await self.pool.open(address, PROBE_TIMEOUT)
         except CallFailed as error:
-            self.signals.record_unreachable(address)
             log.info("probe_failed", server=address, reason=str(error))
             return False
-        self.signals.record_opened(self.clock.monotonic())
         self.pool.release(address, stream, HTTPHeaders())
         return True
 
--- a/src/magnoliatrail/platform/request_headers.py
+++ b/src/magnoliatrail/platform/request_headers.py
@@ -143,6 +143,13 @@
     return fields
 
 
+def headers_for_relay(headers: HTTPHeaders, time_left: timedelta) -> HTTPHeaders:
+    """Return the headers of a request that another instance sends to a server."""
+    fields = forwarded_headers(headers)
+    fields[protocol.DEADLINE_MS] = str(max(1, int(time_left.total_seconds() * 1000)))
+    return fields
+
+
 def not_executed(status: int, headers: HTTPHeaders) -> bool:
     """Return whether an answer states that the request was not executed."""
     return status == HTTP_MISDIRECTED or protocol.NOT_EXECUTED in headers
--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -3,10 +3,12 @@
 import asyncio
 import random
 import time
+from collections import Counter
 from collections.abc import Callable
 from datetime import timedelta
 from functools import partial
 
+from tornado.httputil import HTTPServerConnectionDelegate
 from tornado.web import Application, RequestHandler
 
 from magnoliatrail.cells.fleet_cells import FleetCells
@@ -19,6 +21,8 @@
 from magnoliatrail.forwarding.engine_slots import EngineSlots
 from magnoliatrail.forwarding.handler import ForwardingHandler
 from magnoliatrail.forwarding.plain_path import PlainPath
+from magnoliatrail.forwarding.relay import Relay
+from magnoliatrail.forwarding.relay_listener import RelayListener
 from magnoliatrail.forwarding.request_paces import RequestPaces
 from magnoliatrail.forwarding.server import ForwardingServer
 from magnoliatrail.forwarding.stream_versions import StreamVersions
@@ -199,6 +203,9 @@
             self.forwarding_context, engines, PlainPath(self.forwarding_context)
         )
         self.server = ForwardingServer(self.clock, self.handler.handle)
+        relay = Relay(self.forwarding_context, self.token, Counter())
+        self.forwarding_context.relay = relay.serve
+        self.reach.relayed = lambda: self.handler.relayed
         self.listeners: list[Listener] = []
         self.stopping = False
 
@@ -235,6 +242,7 @@
             store_answers=lambda: not self.reader.failing,
             confirm_layout=self.cells.layout.confirm,
             quarantined=self.quarantine.rules.rows,
+            may_own=lambda: not self.reach.is_cut,
         )
 
     async def start(self) -> None:
@@ -245,15 +253,7 @@
         settings = self.settings
         self.listen_at(
             self.identity.address,
-            peer_application(
-                [
-                    *self.cells.peer_routes(),
-                    *self.stream_versions.peer_routes(),
-                    *self.quarantine.peer_routes(),
-                    *self.reach.peer_routes(),
-                ],
-                self.token,
-            ),
+            RelayListener(self.peer_messages(), self.server, self.token),
         )
         self.listen_at(
             settings.ready_address, text_application(READY_PATH, self.readiness)
@@ -279,8 +279,20 @@
             first_start=settings.first_start,
         )
 
+    def peer_messages(self) -> Application:
+        """Return the application that answers the messages of other instances."""
+        return peer_application(
+            [
+                *self.cells.peer_routes(),
+                *self.stream_versions.peer_routes(),
+                *self.quarantine.peer_routes(),
+                *self.reach.peer_routes(),
+            ],
+            self.token,
+        )
+
     def listen_at(
-        self, address: str, application: Application | ForwardingServer
+        self, address: str, application: Application | HTTPServerConnectionDelegate
     ) -> None:
         """Serve an application at an address."""
         host, _, port = address.rpartition(":")
@@ -319,6 +331,7 @@
         grace = self.settings.bounds.grace
         self.stopping = True
         self.server.closing = True
+        self.handler.refuses_relayed = True
         log.info("stopping", in_flight=len(self.server.tasks))
         await self.cells.leave()
         while self.clock.monotonic() - began < grace - DRAIN_END_BEFORE_KILL:
