Test relayed requests, and end a cut that all instances share

One connection settles most doubts; four more are probed only if it fails. Tests: one hop, at most once, cancellation, events, the owner's cells, the fingerprint across a relay, the end with few probes.

--- a/src/magnoliatrail/peers/reach_monitor.py
+++ b/src/magnoliatrail/peers/reach_monitor.py
@@ -31,8 +31,8 @@
 
 REACH_PATH = "/reach"
 PROBE_TIMEOUT = timedelta(milliseconds=400)
-# Servers that are probed at once, before other instances are asked.
-PROBES = 3
+# Servers that are probed before other instances are asked.
+PROBES = 5
 # How often the way to the servers is checked while requests wait for answers.
 CHECK_INTERVAL = timedelta(milliseconds=200)
 # After a check that found servers in reach.
@@ -86,6 +86,8 @@
         self.addresses = addresses
         self.cut_since: timedelta | None = None
         self.helpers: list[Helper] = []
+        # Instances that did not answer when they were last asked.
+        self.unknown = 0
         # Number of requests that are served here for other instances.
         self.relayed: Callable[[], int] = lambda: 0
         self.wake = asyncio.Event()
@@ -131,11 +133,12 @@
         untried = [item for item in servers if item not in self.signals.unreachable]
         self.generator.shuffle(untried)
         self.generator.shuffle(failed)
-        probes = 1 if self.is_cut else PROBES
-        probed = (untried + failed)[:probes]
+        # Most doubts are settled by one connection.
+        probed = (untried + failed)[: 1 if self.is_cut else PROBES]
         began = self.clock.monotonic()
-        if not servers or await self.probe(probed):
-            self.end_cut()
+        reached = await self.probe(probed[:1]) or await self.probe(probed[1:])
+        if reached or not servers:
+            self.end_cut("a server was reached")
             return
         helpers = await self.ask([*self.signals.unreachable])
         self.metrics.count("reach.checks")
@@ -148,15 +151,18 @@
             took=self.clock.monotonic() - began,
         )
         self.helpers = helpers
-        if helpers and not self.is_cut:
+        if not helpers and not self.unknown:
+            # The others reach no server either, so the servers are down.
+            self.end_cut("no other instance reaches servers")
+        elif helpers and not self.is_cut:
             self.cut_since = self.clock.monotonic()
             log.warning("cut_from_servers", helpers=len(helpers))
 
-    def end_cut(self) -> None:
-        """Record that a server was reached."""
+    def end_cut(self, reason: str) -> None:
+        """Record that this instance is not, or no longer, the only one to be cut."""
         if self.cut_since is not None:
             took = self.clock.monotonic() - self.cut_since
-            log.warning("servers_reached_again", took=took)
+            log.warning("cut_ended", took=took, reason=reason)
         self.cut_since = None
         self.helpers = []
 
@@ -183,6 +189,7 @@
         """Return the instances that reach servers, the best helpers first."""
         others = list(self.addresses().items())
         asked = self.generator.sample(others, min(MAX_ASKED, len(others)))
+        self.unknown = 0
         found = await asyncio.gather(
             *(self.ask_one(name, address, unreachable) for name, address in asked)
         )
@@ -208,6 +215,7 @@
             case Result(tag="ok"):
                 return None
             case Result(error=failure):
+                self.unknown += 1
                 log.info("reach_unknown", instance=name, reason=failure.message)
         return None
 
--- a/tests/platform/test_cut_from_servers.py
+++ b/tests/platform/test_cut_from_servers.py
@@ -3,12 +3,13 @@
 import asyncio
 import socket
 from contextlib import asynccontextmanager
-from datetime import timedelta
+from dataclasses import replace
 from enum import Enum
 
 import pytest
 
 from magnoliatrail.connections import PooledStream
+from magnoliatrail.requests import request_fingerprint
 from magnoliatrail.wire import CallFailed
 from tests.platform.rig import model, running
 from tests.platform.test_server_notices import add_plain_servers, plain_server
@@ -17,7 +18,6 @@
 # The platform allows this long until a cut is worked round.
 STABILITY_SECONDS = 3
 PATHS = ["/plain/x", "/lookup/x", "/stream/x"]
-SHORT = timedelta(milliseconds=500)
 
 
 class CutForm(Enum):
@@ -148,3 +148,172 @@
                 task.cancel()
 
     run(scenario())
+
+
+async def until_cut(fleet, daemon, path="/plain/x"):
+    """Send requests until an instance knows that it is cut."""
+    sending = await fleet.send_for(0.5, daemon, path)
+    await fleet.rig.until(lambda: daemon.reach.is_cut and daemon.reach.helpers)
+    for task in sending:
+        task.cancel()
+
+
+# Guards against an instance that goes on through others, or with probes, for ever.
+def test_the_end_of_a_cut_is_found_with_few_probes(run):
+    async def scenario():
+        async with cut_fleet() as fleet:
+            daemon = fleet.rig.daemons[0]
+            await fleet.cut(CutForm.RESET, daemon)
+            await until_cut(fleet, daemon)
+            await fleet.cuts.pop().end()
+            opened = daemon.pool.opened
+            await fleet.rig.until(lambda: not daemon.reach.is_cut)
+            assert daemon.pool.opened - opened <= ENGINES + 2
+            assert (await fleet.send(daemon, "/plain/x")).status == 200
+            assert not daemon.reach.helpers
+
+    run(scenario())
+
+
+# Guards against instances that take dead servers for a cut, and relay in a circle.
+def test_instances_that_are_all_cut_refuse_requests(run):
+    async def scenario():
+        async with cut_fleet() as fleet:
+            await fleet.cut(CutForm.RESET, *fleet.rig.daemons)
+            for daemon in fleet.rig.daemons:
+                for _ in range(3):
+                    answer = await fleet.send(daemon, "/plain/x")
+                    assert answer.status == 503
+            await asyncio.sleep(STABILITY_SECONDS / 2)
+            assert not any(daemon.reach.is_cut for daemon in fleet.rig.daemons)
+
+    run(scenario())
+
+
+# Guards against requests that go on from the instance that they were relayed to.
+def test_a_relayed_request_goes_one_hop(run):
+    async def scenario():
+        async with cut_fleet() as fleet:
+            first, second, third = fleet.rig.daemons
+            await fleet.cut(CutForm.RESET, first, second)
+            await until_cut(fleet, second)
+            await until_cut(fleet, first)
+            helpers = [*second.reach.helpers, *first.reach.helpers]
+            assert {item.instance for item in helpers} == {third.settings.instance}
+            # The second one is asked nevertheless, and refuses.
+            address = second.identity.address
+            first.reach.helpers[:] = [replace(helpers[0], address=address)]
+            answer = await fleet.send(first, "/plain/x")
+            assert answer.status == 503
+            assert "Relay-Refused" not in answer.headers
+
+    run(scenario())
+
+
+# Guards against a request that is run twice as the instance that had it broke off.
+@pytest.mark.parametrize("path", PATHS)
+def test_a_request_that_a_helper_may_have_run_is_not_sent_again(run, path):
+    async def scenario():
+        async with cut_fleet() as fleet:
+            daemon = fleet.rig.daemons[0]
+            await fleet.cut(CutForm.RESET, daemon)
+            await until_cut(fleet, daemon)
+            reached = []
+
+            async def break_off(reader, writer):
+                reached.append(await reader.readuntil(b"\r\n\r\n"))
+                writer.close()
+
+            server = await asyncio.start_server(break_off, "127.0.0.1", 0)
+            host, port = server.sockets[0].getsockname()
+            helper = replace(daemon.reach.helpers[0], address=f"{host}:{port}")
+            daemon.reach.helpers = [replace(helper, relayed=-1), *daemon.reach.helpers]
+            before = len(fleet.plain)
+            answer = await fleet.send(daemon, path)
+            server.close()
+            assert answer.status == 502
+            assert len(reached) == 1
+            assert len(fleet.plain) == before
+
+    run(scenario())
+
+
+# Guards against work that goes on after the caller of a relayed stream has left.
+def test_a_relayed_stream_passes_event_by_event_and_ends_with_its_caller(run):
+    async def scenario():
+        async with cut_fleet() as fleet:
+            daemon = fleet.rig.daemons[0]
+            for engine in fleet.rig.engines:
+                engine.event_seconds, engine.events = 0.1, 100
+            await fleet.cut(CutForm.RESET, daemon)
+            await until_cut(fleet, daemon)
+            host, port = daemon.settings.callers_address.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            sending = asyncio.create_task(
+                fleet.send(daemon, "/stream/x", keep=(writer_only(reader), writer))
+            )
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert b" 200 " in head.partition(b"\r\n")[0]
+            assert b"Relay-" not in head
+            await reader.readuntil(b"id: 2\n")
+            assert not any(engine.abandoned for engine in fleet.rig.engines)
+            writer.close()
+            sending.cancel()
+            await fleet.rig.until(
+                lambda: any(engine.abandoned for engine in fleet.rig.engines)
+            )
+
+    run(scenario())
+
+
+def writer_only(reader):
+    """Return a reader that never reads, as the test reads the answer itself."""
+    del reader
+    return asyncio.StreamReader()
+
+
+# Guards against an owner that keeps cells whose engines it does not reach.
+def test_a_cut_owner_gives_its_cells_to_an_instance_that_reaches_engines(run):
+    async def scenario():
+        async with cut_fleet() as fleet:
+            daemons = fleet.rig.daemons
+            owner = next(
+                item
+                for item in daemons
+                if any(member.owner for member in item.cells.members.values())
+            )
+            await fleet.cut(CutForm.RESET, owner)
+            await fleet.rig.until(
+                lambda: any(
+                    member.owner
+                    for item in daemons
+                    if item is not owner
+                    for member in item.cells.members.values()
+                )
+            )
+            assert not any(item.owner for item in owner.cells.members.values())
+            answer = await fleet.send(owner, "/stream/x")
+            assert (answer.status, answer.whole) == (200, True)
+
+    run(scenario())
+
+
+# Guards against a quarantine that a request passes by, as another instance sends it.
+def test_a_relayed_request_keeps_its_fingerprint(run):
+    async def scenario():
+        async with cut_fleet() as fleet:
+            daemon, *others = fleet.rig.daemons
+            await fleet.cut(CutForm.RESET, daemon)
+            await until_cut(fleet, daemon)
+            headers = {"Api-Key": "one"}
+            for path in PATHS:
+                target = f"app.example{path}"
+                part = request_fingerprint("one\n", "POST", target, b"x")
+                for other in others:
+                    now = other.clock.monotonic()
+                    other.quarantine.rules.enforce(frozenset([part]), now)
+                answer = await fleet.send(daemon, path, headers=headers)
+                assert answer.status == 503
+                assert float(answer.headers["Retry-After"]) > 1
+
+    run(scenario())
