Check the way to the servers as soon as a request waits

The check slept until a connection failed if no request waited when it began to sleep, so silence on old connections alone was not seen. test_silence_on_old_connections_alone_is_found failed before. One function ends an answer that broke off, direct or relayed.

--- a/src/magnoliatrail/forwarding/context.py
+++ b/src/magnoliatrail/forwarding/context.py
@@ -171,3 +171,15 @@
         fingerprint=routed.request.fingerprint if broken else "",
         reason=attempt.reason,
     )
+
+
+def break_off(request: CallerRequest, attempt: Attempt) -> None:
+    """End an answer that began and can't be completed, so that its caller sees it."""
+    log.warning(
+        "answer_broken_off",
+        request=request.id,
+        server=attempt.server.id,
+        outcome=attempt.outcome,
+        reason=attempt.reason,
+    )
+    request.abort()
--- a/src/magnoliatrail/forwarding/engine_path.py
+++ b/src/magnoliatrail/forwarding/engine_path.py
@@ -8,6 +8,7 @@
     UNKNOWN_VERSION,
     ForwardingContext,
     RoutedRequest,
+    break_off,
     log_attempt,
 )
 from magnoliatrail.forwarding.engine_slots import (
@@ -173,7 +174,7 @@
         outcome = RunOutcome.CANCELLED
         self.slots.in_flight[slot.server.id] += 1
         try:
-            with self.context.reach.signals.awaiting_answer():
+            with self.context.reach.awaiting_answer():
                 attempt = await send_attempt(
                     self.context.pool,
                     slot.server,
@@ -217,14 +218,7 @@
             if complete:
                 request.finish()
                 return
-            log.warning(
-                "answer_broken_off",
-                request=request.id,
-                server=attempt.server.id,
-                outcome=attempt.outcome,
-                reason=attempt.reason,
-            )
-            request.abort()
+            break_off(request, attempt)
             return
         if complete:
             await request.answer_complete(attempt.status, attempt.headers, attempt.body)
--- a/src/magnoliatrail/forwarding/plain_path.py
+++ b/src/magnoliatrail/forwarding/plain_path.py
@@ -188,7 +188,7 @@
         self.in_flight[server.id] += 1
         sent_at = self.context.clock.monotonic()
         try:
-            with self.context.reach.signals.awaiting_answer():
+            with self.context.reach.awaiting_answer():
                 attempt = await send_attempt(
                     self.context.pool,
                     server,
--- a/src/magnoliatrail/forwarding/relay.py
+++ b/src/magnoliatrail/forwarding/relay.py
@@ -12,7 +12,11 @@
 from tornado.httputil import HTTPHeaders
 
 from magnoliatrail.backends import BackendServer, ServerNotice, ServerState
-from magnoliatrail.forwarding.context import ForwardingContext, RoutedRequest
+from magnoliatrail.forwarding.context import (
+    ForwardingContext,
+    RoutedRequest,
+    break_off,
+)
 from magnoliatrail.forwarding.request import RELAY_SERVER, RelayOrigin
 from magnoliatrail.forwarding.server_call import (
     Attempt,
@@ -156,14 +160,7 @@
             if attempt.outcome is AttemptOutcome.ANSWERED:
                 request.finish()
                 return
-            log.warning(
-                "answer_broken_off",
-                request=request.id,
-                server=attempt.server.id,
-                outcome=attempt.outcome,
-                reason=attempt.reason,
-            )
-            request.abort()
+            break_off(request, attempt)
         elif whole:
             fields = without_relay_headers(attempt.headers)
             await request.answer_complete(attempt.status, fields, attempt.body)
--- a/src/magnoliatrail/peers/reach_monitor.py
+++ b/src/magnoliatrail/peers/reach_monitor.py
@@ -6,8 +6,8 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Collection, Mapping
-from contextlib import suppress
+from collections.abc import Callable, Collection, Iterator, Mapping
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
@@ -108,6 +108,14 @@
             self.signals.record_unreachable(address)
             self.wake.set()
 
+    @contextmanager
+    def awaiting_answer(self) -> Iterator[None]:
+        """Count a request as sent, and check the way while it waits for its answer."""
+        if not self.signals.awaited:
+            self.wake.set()
+        with self.signals.awaiting_answer():
+            yield
+
     async def run(self) -> None:
         """Check the way to the servers whenever there is a reason to doubt it."""
         while True:
--- a/tests/platform/test_cut_from_servers.py
+++ b/tests/platform/test_cut_from_servers.py
@@ -317,3 +317,18 @@
                 assert float(answer.headers["Retry-After"]) > 1
 
     run(scenario())
+
+
+# Guards against a cut that no failed connection shows, as idle ones are used up first.
+def test_silence_on_old_connections_alone_is_found(run):
+    async def scenario():
+        async with cut_fleet() as fleet:
+            daemon = fleet.rig.daemons[0]
+            await asyncio.sleep(0.3)
+            await fleet.cut(CutForm.HANG, daemon)
+            daemon.pool.on_open = lambda address, opened: None
+            sending = asyncio.create_task(fleet.send(daemon, "/lookup/x"))
+            await fleet.rig.until(lambda: daemon.reach.is_cut)
+            sending.cancel()
+
+    run(scenario())
