Take only a server's own answer for its notice, and relay only what has not run

The relay of a safe request that may have run could end in a refusal that says it has not, and its check came after the budget of repeats; requests that may have run stay here now.

--- a/src/magnoliatrail/forwarding/context.py
+++ b/src/magnoliatrail/forwarding/context.py
@@ -54,9 +54,8 @@
     # Refuse streams that have no batch slot yet, because the process is shutting down.
     refuses_streams: bool = False
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
-    # Answers a request through another instance, given the number of its runs; returns
-    # whether one took it.
-    relay: "Callable[[RoutedRequest, int], Awaitable[bool]] | None" = None
+    # Answers a request through another instance; returns whether one took it.
+    relay: "Callable[[RoutedRequest], Awaitable[bool]] | None" = None
     started_at: timedelta = field(init=False)
 
     def __post_init__(self) -> None:
@@ -83,14 +82,15 @@
             return ""
         return await self.stream_versions.find(routed.service, routed.resumes)
 
-    async def served_elsewhere(self, routed: "RoutedRequest", runs: int = 0) -> bool:
+    async def served_elsewhere(self, routed: "RoutedRequest") -> bool:
         """Answer a request through another instance if this one reaches no server.
 
-        Returns False if the request was not sent to another instance.
+        Returns False if the request was not sent to another instance. No server may
+        have run it before.
         """
         if self.relay is None or routed.request.origin or not self.reach.is_cut:
             return False
-        return await self.relay(routed, runs)
+        return await self.relay(routed)
 
     def apply_notice(self, server: BackendServer, notice: ServerNotice) -> None:
         """Apply what a server said of itself in the head of an answer."""
--- a/src/magnoliatrail/forwarding/plain_path.py
+++ b/src/magnoliatrail/forwarding/plain_path.py
@@ -108,7 +108,7 @@
         budget.record_request(clock.monotonic())
         ends_at = routed.ends_at
         tried: set[ServerId] = set()
-        runs = request.origin.runs if request.origin else 0
+        runs = 0
         last: Attempt | None = None
         last_run: Attempt | None = None
         version = await self.context.required_software_version(routed)
@@ -124,13 +124,13 @@
             if self.context.quarantine.refuses(request.suspects, sending=True):
                 no_attempt = quarantine.REASON
                 break
+            if number > 1 and not runs and await self.context.served_elsewhere(routed):
+                return
             if number > 1 and not budget.try_acquire(clock.monotonic()):
                 log.info(
                     "retry_budget_exhausted", request=request.id, service=routed.service
                 )
                 break
-            if number > 1 and await self.context.served_elsewhere(routed, runs):
-                return
             tried.add(server.id)
             self.context.paces.record_sent(server)
             last = await self.attempt(
--- a/src/magnoliatrail/forwarding/relay.py
+++ b/src/magnoliatrail/forwarding/relay.py
@@ -27,18 +27,21 @@
 from magnoliatrail.ids import InstanceId, ServerId
 from magnoliatrail.logs import EventLog
 from magnoliatrail.peers.reach_monitor import Helper
-from magnoliatrail.platform.request_headers import headers_for_relay, server_notice
+from magnoliatrail.platform.request_headers import (
+    headers_for_relay,
+    is_signed,
+    server_notice,
+)
 
 log = EventLog("relay")
 
 # Headers between instances; no caller or server gets them.
 TOKEN = "Relay-Token"
 FINGERPRINT = "Relay-Fingerprint"
-RUNS = "Relay-Runs"
 CONFIGURATION = "Relay-Configuration"
 SERVER = RELAY_SERVER
 REFUSED = "Relay-Refused"
-HEADERS = (TOKEN, FINGERPRINT, RUNS, CONFIGURATION, SERVER, REFUSED)
+HEADERS = (TOKEN, FINGERPRINT, CONFIGURATION, SERVER, REFUSED)
 
 # Instances that are tried for one request.
 MAX_HELPERS = 3
@@ -55,11 +58,8 @@
     token: str
     in_flight: Counter[InstanceId]
 
-    async def serve(self, routed: RoutedRequest, runs: int) -> bool:
-        """Answer through another instance; return False if none takes the request.
-
-        `runs` is how many servers may have run the request already.
-        """
+    async def serve(self, routed: RoutedRequest) -> bool:
+        """Answer through another instance; return False if none takes the request."""
         tried: set[InstanceId] = set()
         while len(tried) < MAX_HELPERS:
             left = routed.ends_at - self.context.clock.monotonic()
@@ -67,7 +67,7 @@
             if helper is None or left < MIN_TIME_LEFT:
                 return False
             tried.add(helper.instance)
-            attempt = await self.attempt(routed, helper, left, runs)
+            attempt = await self.attempt(routed, helper, left)
             refused = (
                 attempt.outcome is AttemptOutcome.INVALID and REFUSED in attempt.headers
             )
@@ -100,7 +100,7 @@
         )
 
     async def attempt(
-        self, routed: RoutedRequest, helper: Helper, left: timedelta, runs: int
+        self, routed: RoutedRequest, helper: Helper, left: timedelta
     ) -> Attempt:
         """Send a request to another instance, and pass a successful answer on."""
         request = routed.request
@@ -116,7 +116,6 @@
         fields = headers_for_relay(request.headers, left)
         fields[TOKEN] = self.token
         fields[FINGERPRINT] = request.fingerprint
-        fields[RUNS] = str(runs)
         fields[CONFIGURATION] = str(routes.version if routes else 0)
         self.in_flight[helper.instance] += 1
         try:
@@ -135,7 +134,7 @@
             )
         finally:
             self.in_flight[helper.instance] -= 1
-        if not request.answer_started:
+        if not request.answer_started and is_signed(attempt.headers):
             self.apply_notice(attempt.status, attempt.headers)
         return attempt
 
@@ -200,10 +199,9 @@
 
 def relay_origin(headers: HTTPHeaders) -> RelayOrigin:
     """Return what the sender of a relayed request says of it."""
-    runs, version = headers.get(RUNS, ""), headers.get(CONFIGURATION, "")
+    version = headers.get(CONFIGURATION, "")
     return RelayOrigin(
         fingerprint=headers.get(FINGERPRINT, ""),
-        runs=int(runs) if runs.isdecimal() else 0,
         configuration=int(version) if version.isdecimal() else 0,
     )
 
--- a/src/magnoliatrail/forwarding/request.py
+++ b/src/magnoliatrail/forwarding/request.py
@@ -44,8 +44,6 @@
     """What the instance that relays a request says of it."""
 
     fingerprint: str
-    # How many servers may have run the request already.
-    runs: int
     # Version of the configuration that the instance routed it by.
     configuration: int
 
--- a/tests/platform/test_cut_from_servers.py
+++ b/tests/platform/test_cut_from_servers.py
@@ -332,3 +332,25 @@
             sending.cancel()
 
     run(scenario())
+
+
+# Guards against a refusal of a helper that is taken for one of the server it names.
+def test_a_refusal_of_a_helper_says_nothing_of_a_server(run):
+    async def scenario():
+        async with cut_fleet() as fleet:
+            daemon, *others = fleet.rig.daemons
+            await fleet.cut(CutForm.RESET, daemon)
+            await until_cut(fleet, daemon)
+            server = daemon.view.servers["plain-0"]
+            for other in others:
+                for name in ("plain-0", "plain-1"):
+                    other.pool.close_address(other.view.servers[name].address)
+                    other.view.servers[name] = replace(
+                        other.view.servers[name], address="127.0.0.1:1"
+                    )
+            answer = await fleet.send(daemon, "/plain/x")
+            assert answer.status == 503
+            assert "Retry-After" in answer.headers
+            assert not daemon.view.refuses(server)
+
+    run(scenario())
