Log what is known about the begin of a stream that a request resumes

A refused request did not say which stream it resumes, and nothing said who began that stream, who was asked, and whether a version was recorded or inferred from the list of servers. Messages between instances carry the instance that relays a stream, so releases before and after can't be mixed.

--- a/src/magnoliatrail/forwarding/context.py
+++ b/src/magnoliatrail/forwarding/context.py
@@ -1,7 +1,7 @@
 """State that all forwarded requests share, and the routed request."""
 
 import random
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -80,7 +80,19 @@
         """
         if routed.resumes is None:
             return ""
-        return await self.stream_versions.find(routed.service, routed.resumes)
+        begin = await self.stream_versions.find(routed.service, routed.resumes)
+        log.info(
+            "stream_resumed",
+            request=routed.request.id,
+            resumes=routed.resumes,
+            software_version=begin.software_version or "",
+            source=begin.source,
+            began_at=begin.instance,
+            informant=begin.informant,
+            age=begin.age,
+            listed=count_software_versions(self.view.usable(routed.service)),
+        )
+        return begin.software_version
 
     async def served_elsewhere(self, routed: "RoutedRequest") -> bool:
         """Answer a request through another instance if this one reaches no server.
@@ -145,6 +157,12 @@
         return self.request.resumes if self.route.resumable else None
 
 
+def count_software_versions(servers: list[BackendServer]) -> str:
+    """Return the number of servers of each software version, as a text."""
+    counts = Counter(server.software_version for server in servers)
+    return ",".join(f"{name}:{count}" for name, count in sorted(counts.items()))
+
+
 def log_attempt(routed: RoutedRequest, attempt: Attempt, number: int) -> None:
     """Log the outcome of one attempt."""
     server: BackendServer = attempt.server
--- a/src/magnoliatrail/forwarding/engine_path.py
+++ b/src/magnoliatrail/forwarding/engine_path.py
@@ -127,6 +127,7 @@
         log.info(
             "refused",
             request=request.id,
+            resumes=request.resumes or "",
             reason=slot.reason,
             retry_after=slot.retry_after,
         )
--- a/src/magnoliatrail/forwarding/stream_versions.py
+++ b/src/magnoliatrail/forwarding/stream_versions.py
@@ -2,7 +2,9 @@
 
 import asyncio
 from collections import OrderedDict, defaultdict
+from dataclasses import dataclass
 from datetime import timedelta
+from enum import Enum
 from typing import Any
 
 from expression import Ok, Result
@@ -42,6 +44,44 @@
 BATCHING_TIME = timedelta(milliseconds=20)
 
 
+class VersionSource(Enum):
+    """How the version that began a stream is known."""
+
+    RECORDED = "recorded"
+    INSTANCE = "instance"
+    LISTED = "listed"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class RecordedStream:
+    """The software version that began a stream, and the instance that relayed it."""
+
+    software_version: str
+    instance: str
+    at: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class StreamBegin:
+    """What is known about the begin of a stream that a request resumes."""
+
+    source: VersionSource
+    # None if it cannot be known.
+    software_version: str | None = None
+    # The instance that relayed the stream, empty if it is not known.
+    instance: str = ""
+    # Address of the instance that remembered it.
+    informant: str = ""
+    age: timedelta = timedelta()
+
+
+UNKNOWN_BEGIN = StreamBegin(VersionSource.UNKNOWN)
+UNKNOWN_STREAM = StreamVersionAnswer(
+    known=False, software_version="", instance="", age_ms=0.0
+)
+
+
 class StreamVersions:
     """Record the software version that began each stream, and find it again.
 
@@ -63,8 +103,8 @@
         self.view = view
         self.instance = instance
         self.recent_instances = recent_instances
-        # Version and time by the request that began the stream, the oldest first.
-        self.known: OrderedDict[str, tuple[str, timedelta]] = OrderedDict()
+        # Streams by the request that began them, the oldest first.
+        self.known: OrderedDict[str, RecordedStream] = OrderedDict()
         self.unsent: list[BegunStream] = []
         # Streams to send by address, and the addresses that are being sent to.
         self.outgoing: defaultdict[str, list[BegunStream]] = defaultdict(list)
@@ -73,39 +113,50 @@
 
     def record(self, request: str, version: str) -> None:
         """Record the version that sent the first event of a stream."""
-        self.keep(request, version)
-        self.unsent.append(BegunStream(request=request, software_version=version))
+        stream = BegunStream(
+            request=request, software_version=version, instance=self.instance
+        )
+        self.keep(stream)
+        self.unsent.append(stream)
         del self.unsent[:-MAX_STREAMS]
         self.wake.set()
 
-    def keep(self, request: str, version: str) -> None:
+    def keep(self, stream: BegunStream) -> None:
         """Keep the version of a stream, and forget those that ended."""
-        self.known[request] = version, self.clock.monotonic()
-        self.known.move_to_end(request)
+        self.known[stream.request] = RecordedStream(
+            stream.software_version, stream.instance, self.clock.monotonic()
+        )
+        self.known.move_to_end(stream.request)
         self.forget_ended()
 
     def forget_ended(self) -> None:
         """Forget streams that ended long ago, and the oldest above the limit."""
         now = self.clock.monotonic()
         while self.known:
-            _, at = next(iter(self.known.values()))
-            if len(self.known) <= MAX_STREAMS and now - at <= STREAM_LIFETIME:
+            oldest = next(iter(self.known.values()))
+            if len(self.known) <= MAX_STREAMS and now - oldest.at <= STREAM_LIFETIME:
                 break
             self.known.popitem(last=False)
 
-    async def find(self, service: str, request: str) -> str | None:
-        """Return the version that began a stream, None if it cannot be known."""
+    async def find(self, service: str, request: str) -> StreamBegin:
+        """Return what is known about the begin of a stream."""
         found = self.known.get(request)
         if found:
-            return found[0]
+            return StreamBegin(
+                VersionSource.RECORDED,
+                found.software_version,
+                found.instance,
+                age=self.clock.monotonic() - found.at,
+            )
         recent = self.view.recent_software_versions(service, STREAM_LIFETIME)
         if len(recent) == 1:
-            return next(iter(recent))
-        return await self.ask_others(request) if request else None
+            return StreamBegin(VersionSource.LISTED, next(iter(recent)))
+        return await self.ask_others(request) if request else UNKNOWN_BEGIN
 
-    async def ask_others(self, request: str) -> str | None:
+    async def ask_others(self, request: str) -> StreamBegin:
         """Ask the instances that should know a stream for its version."""
         message = StreamVersionRequest(request=request)
+        addresses = self.holders(request, INSTANCES_ASKED)
         asked = [
             self.peers.ask(
                 f"http://{address}{STREAM_VERSION_PATH}",
@@ -113,19 +164,27 @@
                 StreamVersionAnswer,
                 PEER_LIMITS,
             )
-            for address in self.holders(request, INSTANCES_ASKED)
+            for address in addresses
         ]
-        for answer in await asyncio.gather(*asked):
+        answers = await asyncio.gather(*asked)
+        for address, answer in zip(addresses, answers, strict=True):
             match answer:
-                case Result(tag="ok", ok=StreamVersionAnswer(known=True) as version):
-                    return version.software_version
+                case Result(tag="ok", ok=StreamVersionAnswer(known=True) as found):
+                    return StreamBegin(
+                        VersionSource.INSTANCE,
+                        found.software_version,
+                        found.instance,
+                        informant=address,
+                        age=timedelta(milliseconds=found.age_ms),
+                    )
                 case Result(tag="error", error=failure):
                     log.info(
                         "stream_version_unanswered",
                         request=request,
+                        address=address,
                         reason=failure.message,
                     )
-        return None
+        return UNKNOWN_BEGIN
 
     def holders(self, request: str, count: int) -> list[str]:
         """Return the addresses of the other instances that keep a stream's version."""
@@ -189,7 +248,7 @@
     ) -> Result[BegunStreamsAnswer, Failure]:
         """Keep the versions of streams that another instance relays."""
         for stream in message.streams:
-            self.keep(stream.request, stream.software_version)
+            self.keep(stream)
         return Ok(BegunStreamsAnswer(kept=len(message.streams)))
 
     async def answer_version(
@@ -197,9 +256,15 @@
     ) -> Result[StreamVersionAnswer, Failure]:
         """Answer which version began a stream."""
         found = self.known.get(message.request)
+        if found is None:
+            return Ok(UNKNOWN_STREAM)
+        age = self.clock.monotonic() - found.at
         return Ok(
             StreamVersionAnswer(
-                known=found is not None, software_version=found[0] if found else ""
+                known=True,
+                software_version=found.software_version,
+                instance=found.instance,
+                age_ms=age.total_seconds() * 1000,
             )
         )
 
--- a/tests/unit/test_stream_versions.py
+++ b/tests/unit/test_stream_versions.py
@@ -11,6 +11,7 @@
     MAX_STREAMS,
     STREAM_LIFETIME,
     StreamVersions,
+    VersionSource,
 )
 from magnoliatrail.ids import InstanceId
 from magnoliatrail.membership.fleet_view import FleetView
@@ -43,25 +44,26 @@
 def test_a_recorded_version_is_found_without_asking(run):
     known = versions()
     known.record("r1", "v1")
-    assert run(known.find("models", "r1")) == "v1"
+    found = run(known.find("models", "r1"))
+    assert (found.software_version, found.source) == ("v1", VersionSource.RECORDED)
 
 
 def test_versions_are_forgotten_after_the_lifetime_of_a_stream():
     clock = ManualClock()
     known = versions(clock)
-    known.keep("r1", "v1")
+    known.record("r1", "v1")
     clock.advance(STREAM_LIFETIME - timedelta(seconds=1))
-    known.keep("r2", "v1")
+    known.record("r2", "v1")
     assert set(known.known) == {"r1", "r2"}
     clock.advance(timedelta(seconds=2))
-    known.keep("r3", "v1")
+    known.record("r3", "v1")
     assert set(known.known) == {"r2", "r3"}
 
 
 def test_the_record_is_bounded():
     known = versions()
     for number in range(MAX_STREAMS + 10):
-        known.keep(f"r{number}", "v1")
+        known.record(f"r{number}", "v1")
     assert len(known.known) == MAX_STREAMS
     assert "r0" not in known.known
 
