Keep the software versions of begun streams in the store, and infer none

What callers saw: after a restart of all instances, streams that they took up again were answered 200 and joined from two software versions (once the servers of the old one had left), or were all refused with 503 (while both versions served).

Cause: a version was inferred from absence. A single version that was listed within a minute was taken for the one that began any stream, though a process that has just started has seen only what is listed now, and an instance with an old list only what was listed then; and what was known about streams lived in the instances alone. The two can't be mended apart: without the inference every stream is refused after a restart of all.

Now a version is known only if it was recorded: here, by another instance, or in the store. Some instances (two, one in 50 from 100 on) write what all begin as new rows, at most one each 0.4 s; rows are never changed, so writes that come late or twice do no harm. A request that resumes a stream asks six instances, and reads the store after 100 ms or once all have answered. Rows are removed after a minute, and written again if the store comes back from a copy; what is lost with the last batch is refused.

Weighed: a row a service with the versions that it had, as a proof that a single version served. It saves some two writes a second, but the proof needs a bound on how long an instance with an old list still sends to a version that was closed, and must not survive a restored store. Not taken: a record of each stream needs no proof.

--- a/src/magnoliatrail/forwarding/context.py
+++ b/src/magnoliatrail/forwarding/context.py
@@ -80,7 +80,7 @@
         """
         if routed.resumes is None:
             return ""
-        begin = await self.stream_versions.find(routed.service, routed.resumes)
+        begin = await self.stream_versions.find(routed.resumes)
         log.info(
             "stream_resumed",
             request=routed.request.id,
@@ -92,6 +92,7 @@
             age=begin.age,
             listed=count_software_versions(self.view.usable(routed.service)),
         )
+        self.metrics.count(f"resumed_streams.{begin.source.value}")
         return begin.software_version
 
     async def served_elsewhere(self, routed: "RoutedRequest") -> bool:
--- a/src/magnoliatrail/forwarding/engine_slots.py
+++ b/src/magnoliatrail/forwarding/engine_slots.py
@@ -148,10 +148,10 @@
     def lacks_software_version(self, engine_request: EngineRequest) -> bool:
         """Return whether no usable engine has the software version of a request."""
         required = engine_request.software_version
+        if not required or not self.context.view.lists_servers:
+            return False
         usable = self.context.view.usable(engine_request.routed.service)
-        return bool(required) and not any(
-            server.has_software_version(required) for server in usable
-        )
+        return not any(server.has_software_version(required) for server in usable)
 
     def version_cells(self, engine_request: EngineRequest) -> set[CellId]:
         """Return the cells with an engine of the request's software version."""
--- /dev/null
+++ b/src/magnoliatrail/forwarding/stream_begin.py
@@ -0,0 +1,55 @@
+"""What is known about the begin of a stream that a caller resumes."""
+
+import asyncio
+from contextlib import suppress
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+
+
+class VersionSource(Enum):
+    """How the version that began a stream is known."""
+
+    RECORDED = "recorded"
+    INSTANCE = "instance"
+    STORE = "store"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class RecordedStream:
+    """The software version that began a stream, and the instance that relayed it."""
+
+    software_version: str
+    instance: str
+    at: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class StreamBegin:
+    """What is known about the begin of a stream that a request resumes."""
+
+    source: VersionSource
+    # None if it cannot be known.
+    software_version: str | None = None
+    # The instance that relayed the stream, empty if it is not known.
+    instance: str = ""
+    # Address of the instance that remembered it, or name of the one that wrote it.
+    informant: str = ""
+    age: timedelta = timedelta()
+
+
+UNKNOWN_BEGIN = StreamBegin(VersionSource.UNKNOWN)
+
+
+async def first_found(
+    questions: set[asyncio.Task[StreamBegin | None]], patience: timedelta
+) -> StreamBegin | None:
+    """Return the first answer that knows a stream, None if none does in time."""
+    with suppress(TimeoutError):
+        async with asyncio.timeout(patience.total_seconds()):
+            for answered in asyncio.as_completed(questions):
+                begin = await answered
+                if begin is not None:
+                    return begin
+    return None
--- a/src/magnoliatrail/forwarding/stream_versions.py
+++ b/src/magnoliatrail/forwarding/stream_versions.py
@@ -2,15 +2,24 @@
 
 import asyncio
 from collections import OrderedDict, defaultdict
+from collections.abc import Coroutine
 from dataclasses import dataclass
 from datetime import timedelta
-from enum import Enum
+from itertools import islice
 from typing import Any
+from zlib import crc32
 
 from expression import Ok, Result
 
 from magnoliatrail.clock import Clock
 from magnoliatrail.errors import Failure
+from magnoliatrail.forwarding.stream_begin import (
+    UNKNOWN_BEGIN,
+    RecordedStream,
+    StreamBegin,
+    VersionSource,
+    first_found,
+)
 from magnoliatrail.generated.cells import (
     BegunStream,
     BegunStreams,
@@ -20,8 +29,13 @@
 )
 from magnoliatrail.ids import InstanceId
 from magnoliatrail.logs import EventLog
-from magnoliatrail.membership.fleet_view import FleetView
 from magnoliatrail.membership.recent_instances import RecentInstances
+from magnoliatrail.membership.stream_records import (
+    MAX_STREAMS,
+    STREAM_LIFETIME,
+    StreamRecordReader,
+    StreamRecordWriter,
+)
 from magnoliatrail.peers.client import PeerClient
 from magnoliatrail.peers.server import PeerRoute
 from magnoliatrail.rendezvous import ranked
@@ -32,61 +46,44 @@
 BEGUN_STREAMS_PATH = "/stream/begun"
 STREAM_VERSION_PATH = "/stream/version"
 PEER_LIMITS = CallLimits(timedelta(milliseconds=200), timedelta(milliseconds=400))
-# No caller resumes a stream that began longer ago.
-STREAM_LIFETIME = timedelta(seconds=60)
-MAX_STREAMS = 50_000
 # Other instances that know the version of a stream. More are asked, as instances may
 # differ in which instances they know.
 COPIES = 2
 INSTANCES_ASKED = 6
+# One of so many instances writes the streams that the others begin, so that the number
+# of writes does not grow with the number of instances; but at least some do.
+INSTANCES_PER_WRITER = 50
+MIN_WRITERS = 2
+# Instances that a stream is sent to before the one that began it writes it itself.
+WRITERS_TRIED = 3
+# The store is read if no other instance knows a stream by then.
+STORE_READ_DELAY = timedelta(milliseconds=100)
+MAX_LOOKUP_TIME = timedelta(seconds=1)
 UNSENT_RETRY_DELAY = timedelta(milliseconds=500)
 # Streams that begin within this time are sent to another instance in one message.
 BATCHING_TIME = timedelta(milliseconds=20)
 
 
-class VersionSource(Enum):
-    """How the version that began a stream is known."""
-
-    RECORDED = "recorded"
-    INSTANCE = "instance"
-    LISTED = "listed"
-    UNKNOWN = "unknown"
-
-
-@dataclass(frozen=True, slots=True)
-class RecordedStream:
-    """The software version that began a stream, and the instance that relayed it."""
-
-    software_version: str
-    instance: str
-    at: timedelta
+UNKNOWN_STREAM = StreamVersionAnswer(
+    known=False, software_version="", instance="", age_ms=0.0
+)
 
 
 @dataclass(frozen=True, slots=True)
-class StreamBegin:
-    """What is known about the begin of a stream that a request resumes."""
+class UnsentStream:
+    """A stream to send to other instances."""
 
-    source: VersionSource
-    # None if it cannot be known.
-    software_version: str | None = None
-    # The instance that relayed the stream, empty if it is not known.
-    instance: str = ""
-    # Address of the instance that remembered it.
-    informant: str = ""
-    age: timedelta = timedelta()
-
-
-UNKNOWN_BEGIN = StreamBegin(VersionSource.UNKNOWN)
-UNKNOWN_STREAM = StreamVersionAnswer(
-    known=False, software_version="", instance="", age_ms=0.0
-)
+    stream: BegunStream
+    # How many writers did not take it yet; None if it need not be written by others.
+    writers_tried: int | None = None
 
 
 class StreamVersions:
     """Record the software version that began each stream, and find it again.
 
-    The version is kept here and by other instances, chosen by rendezvous hashing of the
-    request's id, so that it outlives the instance that relayed the stream.
+    The version is kept here and by other instances, so that it outlives the instance
+    that relayed the stream, and in the store, so that it outlives all of them. It is
+    never inferred: a stream that nobody recorded may have begun at any version.
     """
 
     def __init__(
@@ -94,22 +91,26 @@
         *,
         clock: Clock,
         peers: PeerClient,
-        view: FleetView,
         instance: InstanceId,
         recent_instances: RecentInstances,
+        writer: StreamRecordWriter,
+        reader: StreamRecordReader,
     ) -> None:
         self.clock = clock
         self.peers = peers
-        self.view = view
         self.instance = instance
         self.recent_instances = recent_instances
+        self.writer = writer
+        self.reader = reader
         # Streams by the request that began them, the oldest first.
         self.known: OrderedDict[str, RecordedStream] = OrderedDict()
-        self.unsent: list[BegunStream] = []
+        self.unsent: list[UnsentStream] = []
         # Streams to send by address, and the addresses that are being sent to.
-        self.outgoing: defaultdict[str, list[BegunStream]] = defaultdict(list)
+        self.outgoing: defaultdict[str, list[UnsentStream]] = defaultdict(list)
         self.sending: set[str] = set()
         self.wake = asyncio.Event()
+        # Questions that may be answered after a stream has been found.
+        self.questions: set[asyncio.Task[StreamBegin | None]] = set()
 
     def record(self, request: str, version: str) -> None:
         """Record the version that sent the first event of a stream."""
@@ -117,7 +118,11 @@
             request=request, software_version=version, instance=self.instance
         )
         self.keep(stream)
-        self.unsent.append(stream)
+        if self.ranking(request)[0] == self.instance:
+            self.writer.add([stream])
+            self.unsent.append(UnsentStream(stream))
+        else:
+            self.unsent.append(UnsentStream(stream, writers_tried=0))
         del self.unsent[:-MAX_STREAMS]
         self.wake.set()
 
@@ -138,8 +143,11 @@
                 break
             self.known.popitem(last=False)
 
-    async def find(self, service: str, request: str) -> StreamBegin:
-        """Return what is known about the begin of a stream."""
+    async def find(self, request: str) -> StreamBegin:
+        """Return what is known about the begin of a stream.
+
+        Other instances are asked first, and the store if they don't know in time.
+        """
         found = self.known.get(request)
         if found:
             return StreamBegin(
@@ -148,49 +156,80 @@
                 found.instance,
                 age=self.clock.monotonic() - found.at,
             )
-        recent = self.view.recent_software_versions(service, STREAM_LIFETIME)
-        if len(recent) == 1:
-            return StreamBegin(VersionSource.LISTED, next(iter(recent)))
-        return await self.ask_others(request) if request else UNKNOWN_BEGIN
-
-    async def ask_others(self, request: str) -> StreamBegin:
-        """Ask the instances that should know a stream for its version."""
-        message = StreamVersionRequest(request=request)
-        addresses = self.holders(request, INSTANCES_ASKED)
-        asked = [
-            self.peers.ask(
-                f"http://{address}{STREAM_VERSION_PATH}",
-                message,
-                StreamVersionAnswer,
-                PEER_LIMITS,
-            )
-            for address in addresses
-        ]
-        answers = await asyncio.gather(*asked)
-        for address, answer in zip(addresses, answers, strict=True):
-            match answer:
-                case Result(tag="ok", ok=StreamVersionAnswer(known=True) as found):
-                    return StreamBegin(
-                        VersionSource.INSTANCE,
-                        found.software_version,
-                        found.instance,
-                        informant=address,
-                        age=timedelta(milliseconds=found.age_ms),
-                    )
-                case Result(tag="error", error=failure):
-                    log.info(
-                        "stream_version_unanswered",
-                        request=request,
-                        address=address,
-                        reason=failure.message,
-                    )
-        return UNKNOWN_BEGIN
+        if not request:
+            return UNKNOWN_BEGIN
+        asked = {
+            self.start_question(self.ask(address, request))
+            for address in self.holders(request, INSTANCES_ASKED)
+        }
+        begin = await first_found(asked, STORE_READ_DELAY)
+        if begin is None:
+            asked = {question for question in asked if not question.done()}
+            asked.add(self.start_question(self.read_record(request)))
+            begin = await first_found(asked, MAX_LOOKUP_TIME)
+        return begin or UNKNOWN_BEGIN
+
+    def start_question(
+        self, question: Coroutine[Any, Any, StreamBegin | None]
+    ) -> asyncio.Task[StreamBegin | None]:
+        """Start a question, which is not cancelled if its answer is not needed."""
+        task = asyncio.create_task(question)
+        self.questions.add(task)
+        task.add_done_callback(self.questions.discard)
+        return task
+
+    async def ask(self, address: str, request: str) -> StreamBegin | None:
+        """Ask another instance for the version of a stream."""
+        match await self.peers.ask(
+            f"http://{address}{STREAM_VERSION_PATH}",
+            StreamVersionRequest(request=request),
+            StreamVersionAnswer,
+            PEER_LIMITS,
+        ):
+            case Result(tag="ok", ok=StreamVersionAnswer(known=True) as found):
+                return StreamBegin(
+                    VersionSource.INSTANCE,
+                    found.software_version,
+                    found.instance,
+                    informant=address,
+                    age=timedelta(milliseconds=found.age_ms),
+                )
+            case Result(tag="error", error=failure):
+                log.info(
+                    "stream_version_unanswered",
+                    request=request,
+                    address=address,
+                    reason=failure.message,
+                )
+        return None
+
+    async def read_record(self, request: str) -> StreamBegin | None:
+        """Read the version of a stream from the store."""
+        match await self.reader.find(request):
+            case Result(tag="ok", ok=(version, writer)):
+                return StreamBegin(VersionSource.STORE, version, informant=writer)
+            case Result(tag="error", error=failure):
+                log.info(
+                    "stream_records_unreadable",
+                    request=request,
+                    reason=failure.message,
+                )
+        return None
+
+    def ranking(self, request: str) -> list[str]:
+        """Return all instances, the one that should write a stream first.
+
+        Streams are divided into groups, so that few instances write.
+        """
+        names = self.recent_instances.addresses().keys() | {self.instance}
+        groups = max(MIN_WRITERS, len(names) // INSTANCES_PER_WRITER)
+        return ranked(f"streams/{crc32(request.encode()) % groups}", names)
 
     def holders(self, request: str, count: int) -> list[str]:
         """Return the addresses of the other instances that keep a stream's version."""
         addresses = self.recent_instances.addresses()
-        others = ranked(request, addresses.keys() - {self.instance})
-        return [addresses[name] for name in others[:count]]
+        others = (name for name in self.ranking(request) if name != self.instance)
+        return [addresses[name] for name in islice(others, count)]
 
     async def send_periodically(self) -> None:
         """Send the versions of begun streams to the instances that keep them."""
@@ -209,7 +248,9 @@
             if self.recent_instances.addresses().keys() <= {self.instance}:
                 # No other instance is known yet.
                 self.forget_ended()
-                self.unsent = [s for s in self.unsent if s.request in self.known]
+                self.unsent = [
+                    item for item in self.unsent if item.stream.request in self.known
+                ]
                 if not self.unsent:
                     self.wake.clear()
                     continue
@@ -217,39 +258,71 @@
                 continue
             self.wake.clear()
             begun, self.unsent = self.unsent, []
-            for stream in begun:
-                for address in self.holders(stream.request, COPIES):
-                    self.outgoing[address].append(stream)
+            for item in begun:
+                self.address(item)
             for address in set(self.outgoing) - self.sending:
                 self.sending.add(address)
                 group.create_task(self.send_outgoing(address))
 
+    def address(self, item: UnsentStream) -> None:
+        """Choose the instances that a stream is sent to, one of which writes it."""
+        if item.writers_tried is None:
+            for address in self.holders(item.stream.request, COPIES):
+                self.outgoing[address].append(item)
+            return
+        holders = self.holders(item.stream.request, WRITERS_TRIED)
+        if item.writers_tried >= len(holders):
+            self.writer.add([item.stream])
+            return
+        self.outgoing[holders[item.writers_tried]].append(item)
+        if item.writers_tried == 0:
+            for address in holders[1:COPIES]:
+                self.outgoing[address].append(UnsentStream(item.stream))
+
     async def send_outgoing(self, address: str) -> None:
         """Send an instance what is to be sent to it, until nothing is left."""
         while streams := self.outgoing.pop(address, None):
             await self.send(address, streams)
         self.sending.discard(address)
 
-    async def send(self, address: str, streams: list[BegunStream]) -> None:
-        """Send the versions of begun streams to another instance."""
+    async def send(self, address: str, items: list[UnsentStream]) -> None:
+        """Send the versions of begun streams to another instance.
+
+        Those that it should write and will not are sent to the next one.
+        """
         url = f"http://{address}{BEGUN_STREAMS_PATH}"
-        message = BegunStreams(streams=streams)
+        to_write = [item for item in items if item.writers_tried is not None]
+        message = BegunStreams(
+            streams=[item.stream for item in items if item.writers_tried is None],
+            to_write=[item.stream for item in to_write],
+        )
         match await self.peers.ask(url, message, BegunStreamsAnswer, PEER_LIMITS):
+            case Result(tag="ok", ok=answer) if answer.writes:
+                return
             case Result(tag="error", error=failure):
                 log.warning(
                     "begun_streams_unsent",
                     address=address,
-                    streams=len(streams),
+                    streams=len(items),
                     reason=failure.message,
                 )
+        self.unsent.extend(
+            UnsentStream(item.stream, (item.writers_tried or 0) + 1)
+            for item in to_write
+        )
+        self.wake.set()
 
     async def answer_begun(
         self, message: BegunStreams
     ) -> Result[BegunStreamsAnswer, Failure]:
         """Keep the versions of streams that another instance relays."""
-        for stream in message.streams:
+        for stream in (*message.streams, *message.to_write):
             self.keep(stream)
-        return Ok(BegunStreamsAnswer(kept=len(message.streams)))
+        writes = not self.writer.failing
+        if writes and message.to_write:
+            self.writer.add(message.to_write)
+        kept = len(message.streams) + len(message.to_write)
+        return Ok(BegunStreamsAnswer(kept=kept, writes=writes))
 
     async def answer_version(
         self, message: StreamVersionRequest
--- a/src/magnoliatrail/membership/fleet_view.py
+++ b/src/magnoliatrail/membership/fleet_view.py
@@ -75,10 +75,13 @@
         # Until when a server run wants no requests from this instance.
         self.refused_until: dict[tuple[ServerId, int], timedelta] = {}
         self.request_limits = RequestLimits(clock)
-        # When each software version was last listed, by service and version.
-        self.versions_listed: dict[tuple[str, str], timedelta] = {}
         self.on_change: list[Callable[[], None]] = []
 
+    @property
+    def lists_servers(self) -> bool:
+        """Return whether the list of servers has been read."""
+        return self.tables[SERVERS_TABLE].fresh_at is not None
+
     def age(self) -> timedelta:
         """Return the age of the older of both tables."""
         now = self.clock.monotonic()
@@ -168,8 +171,6 @@
         if row.value is None:
             self.tables[SERVERS_TABLE].changed_at[row.key] = row.version
         known = self.servers.get(id_)
-        if known:
-            self.record_software_version(known)
         if row.value is None:
             self.drop_server(
                 id_,
@@ -266,7 +267,6 @@
         for id_, lapsed in list(self.lapsed.items()):
             if now >= lapsed.until:
                 del self.lapsed[id_]
-                self.record_software_version(lapsed.server)
                 self.servers.pop(id_, None)
                 self.log_server("server_gone", lapsed.server, "lapse")
 
@@ -351,21 +351,6 @@
         ]
         return min(waits, default=timedelta())
 
-    def record_software_version(self, server: BackendServer) -> None:
-        """Record that a server with its software version is listed now."""
-        now = self.clock.monotonic()
-        self.versions_listed[server.service, server.software_version] = now
-
-    def recent_software_versions(self, service: str, within: timedelta) -> set[str]:
-        """Return the software versions that were listed for a service lately."""
-        for server in self.servers.values():
-            self.record_software_version(server)
-        oldest = self.clock.monotonic() - within
-        self.versions_listed = {
-            key: at for key, at in self.versions_listed.items() if at >= oldest
-        }
-        return {version for name, version in self.versions_listed if name == service}
-
     def engines(self) -> list[BackendServer]:
         """Return the servers that run models and accept new requests."""
         services = self.engine_services()
--- /dev/null
+++ b/src/magnoliatrail/membership/stream_records.py
@@ -0,0 +1,259 @@
+"""Records in the store of which software version began which streams.
+
+They outlive a restart of all instances. Each write adds a row and changes none, so a
+write that the store carries out late, or twice, does no harm.
+"""
+
+import asyncio
+import hashlib
+from base64 import urlsafe_b64encode
+from collections import defaultdict, deque
+from collections.abc import Iterable
+from datetime import timedelta
+
+from expression import Error, Ok, Result
+
+from magnoliatrail.clock import Clock
+from magnoliatrail.errors import ErrorKind, Failure
+from magnoliatrail.generated.cells import (
+    BegunStream,
+    StreamRecordRow,
+    StreamsOfVersion,
+)
+from magnoliatrail.ids import Incarnation, InstanceId
+from magnoliatrail.logs import EventLog
+from magnoliatrail.metrics import Metrics
+from magnoliatrail.platform.protocol import STREAMS_TABLE
+from magnoliatrail.platform.rows import RowRemoval, RowsRead, RowStore, RowWrite
+from magnoliatrail.platform.store_versions import era_of
+from magnoliatrail.wire import decode, encode
+
+log = EventLog("membership")
+
+# No caller resumes a stream that began longer ago.
+STREAM_LIFETIME = timedelta(seconds=60)
+MAX_STREAMS = 50_000
+WRITE_INTERVAL = timedelta(milliseconds=400)
+WRITE_RETRY_DELAY = timedelta(milliseconds=600)
+# Keeps the value of a row well under the store's limit of 64 KB.
+MAX_STREAMS_A_ROW = 2_000
+# A transaction has at most 100 entries, two of which are the row that it adds.
+MAX_REMOVALS = 90
+DIGEST_BYTES = 12
+
+
+def digest_of(request: str) -> str:
+    """Return the digest by which a row names the request that began a stream."""
+    digest = hashlib.blake2b(request.encode(), digest_size=DIGEST_BYTES).digest()
+    return urlsafe_b64encode(digest).decode()
+
+
+def row_of(writer: InstanceId, streams: Iterable[BegunStream]) -> StreamRecordRow:
+    """Return the row that records some streams."""
+    versions: defaultdict[str, list[str]] = defaultdict(list)
+    for stream in streams:
+        versions[stream.software_version].append(digest_of(stream.request))
+    return StreamRecordRow(
+        writer=writer,
+        versions=[
+            StreamsOfVersion(software_version=version, streams=digests)
+            for version, digests in versions.items()
+        ],
+    )
+
+
+class StreamRecordWriter:
+    """Write the versions of begun streams to the store, and remove old rows."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        metrics: Metrics,
+        store: RowStore,
+        instance: InstanceId,
+        incarnation: Incarnation,
+    ) -> None:
+        self.clock = clock
+        self.metrics = metrics
+        self.store = store
+        self.instance = instance
+        self.incarnation = incarnation
+        self.pending: list[BegunStream] = []
+        # The streams of the row that is being written.
+        self.row: list[BegunStream] = []
+        self.wake = asyncio.Event()
+        # Whether the last write failed, so that others should write.
+        self.failing = False
+        self.rows_written = 0
+        # What was written within the lifetime of a stream, and when, the oldest first.
+        # It is written again if the store comes back from a copy.
+        self.written: deque[tuple[timedelta, list[BegunStream]]] = deque()
+        self.era = store.era
+        # Since when this instance knows each row of the table.
+        self.rows: dict[str, timedelta] = {}
+        self.listed_at: timedelta | None = None
+
+    def add(self, streams: Iterable[BegunStream]) -> None:
+        """Add streams to write."""
+        self.pending.extend(streams)
+        if len(self.pending) > MAX_STREAMS:
+            log.warning("stream_records_dropped", streams=len(self.pending))
+            del self.pending[:-MAX_STREAMS]
+        self.wake.set()
+
+    async def run(self) -> None:
+        """Write what is added, one row at a time, until cancelled."""
+        while True:
+            await self.wake.wait()
+            written = await self.write_row()
+            await self.clock.sleep(WRITE_INTERVAL if written else WRITE_RETRY_DELAY)
+
+    async def write_row(self) -> bool:
+        """Write the streams that were added as one row; return whether it is written.
+
+        A row keeps its key and its streams until it is written, so a write that was
+        carried out without an answer is recognised by the conflict with itself.
+        """
+        if self.store.era > self.era:
+            self.era = self.store.era
+            again = [stream for _, streams in self.written for stream in streams]
+            self.pending = [*again, *self.pending]
+            self.written.clear()
+        if not self.row:
+            self.row = self.pending[:MAX_STREAMS_A_ROW]
+            del self.pending[: len(self.row)]
+        key = f"{self.incarnation}.{self.rows_written}"
+        value = encode(row_of(self.instance, self.row))
+        write = RowWrite(STREAMS_TABLE, key, value, expected=0)
+        removed = self.expired_rows()
+        removals = [RowRemoval(STREAMS_TABLE, item) for item in removed]
+        match await self.store.commit([write], removals=removals):
+            case Result(tag="error", error=failure) if (
+                failure.kind is not ErrorKind.CONFLICT
+            ):
+                self.record_failure(failure.message)
+                return False
+        if self.failing:
+            log.info("stream_records_writable")
+        self.failing = False
+        self.metrics.count("stream_records", len(self.row))
+        now = self.clock.monotonic()
+        self.written.append((now, self.row))
+        while now - self.written[0][0] > STREAM_LIFETIME:
+            self.written.popleft()
+        self.row = []
+        self.rows_written += 1
+        self.rows[key] = now
+        for item in removed:
+            del self.rows[item]
+        if not self.pending:
+            self.wake.clear()
+        await self.list_rows()
+        return True
+
+    def expired_rows(self) -> list[str]:
+        """Return the rows that only name streams that have ended."""
+        oldest = self.clock.monotonic() - STREAM_LIFETIME
+        return [key for key, since in self.rows.items() if since < oldest][
+            :MAX_REMOVALS
+        ]
+
+    async def list_rows(self) -> None:
+        """Find the rows that writers left which are gone, once in a lifetime."""
+        now = self.clock.monotonic()
+        if self.listed_at is not None and now - self.listed_at < STREAM_LIFETIME:
+            return
+        match await self.store.read(STREAMS_TABLE):
+            case Result(tag="ok", ok=read):
+                self.listed_at = now
+                listed = {row.key for row in read.rows}
+                self.rows = {key: self.rows.get(key, now) for key in listed}
+            case Result(error=failure):
+                log.info("stream_records_unreadable", reason=failure.message)
+
+    def record_failure(self, reason: str) -> None:
+        """Record, and log once, that the streams cannot be written."""
+        if not self.failing:
+            log.warning(
+                "stream_records_unwritten",
+                streams=len(self.row) + len(self.pending),
+                reason=reason,
+            )
+        self.failing = True
+
+
+class StreamRecordReader:
+    """Find the recorded version of a stream in the store."""
+
+    def __init__(self, store: RowStore) -> None:
+        self.store = store
+        # Versions by digest of each row, complete up to a version of the store.
+        self.rows: dict[str, StreamRecordRow] = {}
+        self.version = 0
+        self.reading: asyncio.Task[Result[None, Failure]] | None = None
+
+    async def find(self, request: str) -> Result[tuple[str, str] | None, Failure]:
+        """Return the version that began a stream and the instance that recorded it.
+
+        None if the store does not have the stream.
+        """
+        digest = digest_of(request)
+        found = self.look_up(digest)
+        if found is not None:
+            return Ok(found)
+        if self.reading is not None and not self.reading.done():
+            # It may have begun before the stream was written.
+            await asyncio.shield(self.reading)
+            found = self.look_up(digest)
+            if found is not None:
+                return Ok(found)
+        read = await self.refresh()
+        return read.map(lambda _: self.look_up(digest))
+
+    def look_up(self, digest: str) -> tuple[str, str] | None:
+        """Return the version and the writer of a stream in the rows that are known."""
+        for row in self.rows.values():
+            for version in row.versions:
+                if digest in version.streams:
+                    return version.software_version, row.writer
+        return None
+
+    async def refresh(self) -> Result[None, Failure]:
+        """Wait for the read in progress, or else for a new one."""
+        if self.reading is None or self.reading.done():
+            self.reading = asyncio.create_task(self.read())
+        return await asyncio.shield(self.reading)
+
+    async def read(self) -> Result[None, Failure]:
+        """Read the changes of the table, or all of it."""
+        if self.version:
+            match await self.store.changes(STREAMS_TABLE, self.version, timedelta()):
+                case Result(tag="ok", ok=RowsRead() as changes):
+                    self.apply(changes)
+                    return Ok(None)
+                case Result(tag="error", error=failure):
+                    return Error(failure)
+        match await self.store.read(STREAMS_TABLE):
+            case Result(tag="ok", ok=read):
+                self.apply(read)
+                return Ok(None)
+            case Result(error=failure):
+                return Error(failure)
+
+    def apply(self, read: RowsRead) -> None:
+        """Apply rows, unless they were read before the store was restored."""
+        if era_of(read.version) < era_of(self.version):
+            return
+        if read.whole:
+            self.rows.clear()
+        for row in read.rows:
+            if row.value is None:
+                self.rows.pop(row.key, None)
+                continue
+            match decode(row.value, StreamRecordRow):
+                case Result(tag="ok", ok=decoded):
+                    self.rows[row.key] = decoded
+                case Result(error=failure):
+                    log.warning("row_unreadable", key=row.key, reason=failure.message)
+        self.version = max(self.version, read.version)
--- a/src/magnoliatrail/metrics_text.py
+++ b/src/magnoliatrail/metrics_text.py
@@ -76,6 +76,17 @@
         "Adapters brought, from the store or from near, and evicted.",
         "what",
     ),
+    "resumed_streams.": MetricDeclaration(
+        MetricKind.COUNTER,
+        "streams_resumed_total",
+        "Requests that resume a stream, by how the version that began it is known.",
+        "source",
+    ),
+    "stream_records": MetricDeclaration(
+        MetricKind.COUNTER,
+        "streams_recorded_total",
+        "Begun streams whose software version this instance wrote to the store.",
+    ),
     "reach.checks": MetricDeclaration(
         MetricKind.COUNTER,
         "reach_checks_total",
--- a/src/magnoliatrail/platform/protocol.py
+++ b/src/magnoliatrail/platform/protocol.py
@@ -57,5 +57,7 @@
 SERVERS_TABLE = "servers"
 # The system's own table of owners and instances.
 CELLS_TABLE = "cells"
+# Its records of which software version began which streams.
+STREAMS_TABLE = "streams"
 
 SETTINGS_VARIABLE = "MAGNOLIATRAIL_CONFIG"
--- a/src/magnoliatrail/platform/rows.py
+++ b/src/magnoliatrail/platform/rows.py
@@ -57,6 +57,14 @@
     expected: int
 
 
+@dataclass(frozen=True, slots=True)
+class RowRemoval:
+    """An unconditional removal of a row."""
+
+    table: str
+    key: str
+
+
 class WireRow(msgspec.Struct):
     """A row in an answer from the store."""
 
@@ -137,8 +145,10 @@
             case Result(error=failure):
                 return Error(failure)
 
-    async def commit(self, writes: Sequence[RowWrite]) -> Result[int, Failure]:
-        """Write rows if their conditions hold, and return the new version.
+    async def commit(
+        self, writes: Sequence[RowWrite], *, removals: Sequence[RowRemoval] = ()
+    ) -> Result[int, Failure]:
+        """Write and remove rows if all conditions hold, and return the new version.
 
         Errors: CONFLICT if a condition failed, TABLE_UNAVAILABLE if nothing changed,
         TABLE_OUTCOME_UNKNOWN if the write may have been applied or may still be.
@@ -166,7 +176,10 @@
                 }
                 for write in writes
             ],
-            "remove": [],
+            "remove": [
+                {"table": removal.table, "part": "", "key": removal.key}
+                for removal in removals
+            ],
         }
         match await self.call_store(
             "POST", "/v1/rows-tx", {}, NO_LONG_POLL, encode(body)
--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -33,6 +33,10 @@
 from magnoliatrail.membership.recent_instances import RecentInstances
 from magnoliatrail.membership.server_reach import ServerReach
 from magnoliatrail.membership.store_reader import StoreReader
+from magnoliatrail.membership.stream_records import (
+    StreamRecordReader,
+    StreamRecordWriter,
+)
 from magnoliatrail.metrics_text import TextMetrics
 from magnoliatrail.peers.client import PeerClient
 from magnoliatrail.peers.connections import PersistentConnections
@@ -170,13 +174,7 @@
             read_due_in=self.cells.read_due_in,
         )
         self.recent_instances = RecentInstances(self.clock, self.cells.addresses)
-        self.stream_versions = StreamVersions(
-            clock=self.clock,
-            peers=self.peers,
-            view=self.view,
-            instance=settings.instance,
-            recent_instances=self.recent_instances,
-        )
+        self.stream_versions = self.new_stream_versions()
         self.forwarding_context = ForwardingContext(
             clock=self.clock,
             metrics=self.metrics,
@@ -222,6 +220,24 @@
             if name != self.settings.instance
         }
 
+    def new_stream_versions(self) -> StreamVersions:
+        """Return the record of the software versions that began streams."""
+        writer = StreamRecordWriter(
+            clock=self.clock,
+            metrics=self.metrics,
+            store=self.store,
+            instance=self.settings.instance,
+            incarnation=self.identity.incarnation,
+        )
+        return StreamVersions(
+            clock=self.clock,
+            peers=self.peers,
+            instance=self.settings.instance,
+            recent_instances=self.recent_instances,
+            writer=writer,
+            reader=StreamRecordReader(self.store),
+        )
+
     def new_member(self, cell: CellId, cells: int) -> CellMember:
         """Return this instance's membership of one cell."""
         return CellMember(
@@ -265,6 +281,7 @@
             self.cells.watch_rows,
             self.update_instance_count,
             self.stream_versions.send_periodically,
+            self.stream_versions.writer.run,
             self.quarantine.run,
             self.reach.run,
         ):
--- a/tests/platform/fake_store.py
+++ b/tests/platform/fake_store.py
@@ -41,7 +41,7 @@
         self.rows = dict(rows)
         self.era += 1
 
-    def apply(self, writes):
+    def apply(self, writes, removals=()):
         """Apply writes whose conditions hold; they are judged by number alone."""
         for write in writes:
             _, version = self.rows.get((write.table, write.key), (b"", 0))
@@ -50,6 +50,8 @@
         self.version += 1
         for write in writes:
             self.rows[write.table, write.key] = (write.value, self.version)
+        for removal in removals:
+            self.rows.pop((removal.table, removal.key), None)
         for follower in self.followers:
             if not follower.done():
                 follower.set_result(None)
@@ -58,8 +60,8 @@
 
     def apply_delayed(self):
         """Apply the delayed writes whose expected versions still match."""
-        for writes in self.delayed:
-            self.apply(writes)
+        for writes, removals in self.delayed:
+            self.apply(writes, removals)
         self.delayed.clear()
 
 
@@ -100,7 +102,7 @@
         version = version_in_era(self.era, self.store.version)
         return Ok(RowsRead(tuple(rows), version, whole=True))
 
-    async def commit(self, writes):
+    async def commit(self, writes, *, removals=()):
         self.store.calls += 1
         if self.store.down:
             return Error(Failure(ErrorKind.TABLE_UNAVAILABLE, "down"))
@@ -109,9 +111,9 @@
             return Error(Failure(ErrorKind.CONFLICT, "the row is of another era"))
         if self.store.delay_next:
             self.store.delay_next = False
-            self.store.delayed.append(writes)
+            self.store.delayed.append((writes, removals))
             return unknown()
-        done = self.store.apply(writes)
+        done = self.store.apply(writes, removals)
         if self.store.lose_next:
             self.store.lose_next = False
             return unknown()
--- a/tests/unit/test_stream_versions.py
+++ b/tests/unit/test_stream_versions.py
@@ -5,35 +5,24 @@
 
 from expression import Ok
 
-from magnoliatrail.backends import BackendServer, ServerState
 from magnoliatrail.clock import ManualClock, SystemClock
-from magnoliatrail.forwarding.stream_versions import (
-    COPIES,
-    MAX_STREAMS,
-    STREAM_LIFETIME,
-    StreamVersions,
-    VersionSource,
-)
+from magnoliatrail.forwarding.stream_begin import VersionSource
+from magnoliatrail.forwarding.stream_versions import COPIES, StreamVersions
 from magnoliatrail.generated.cells import StreamVersionAnswer
-from magnoliatrail.ids import FailureDomain, InstanceId, ServerId
-from magnoliatrail.membership.fleet_view import FleetView
+from magnoliatrail.ids import InstanceId, new_incarnation
 from magnoliatrail.membership.recent_instances import (
     INSTANCE_MEMORY,
     RecentInstances,
 )
-
-OLD_SERVER = BackendServer(
-    id=ServerId("old"),
-    born=1,
-    service="models",
-    address="10.0.1.1:1",
-    failure_domain=FailureDomain("zone-a"),
-    batch_slots=8,
-    state=ServerState.READY,
-    models=(),
-    orders_accepted=0,
-    software_version="v1",
+from magnoliatrail.membership.stream_records import (
+    MAX_STREAMS,
+    STREAM_LIFETIME,
+    StreamRecordReader,
+    StreamRecordWriter,
 )
+from magnoliatrail.metrics_text import TextMetrics
+from tests.platform.fake_store import FakeRows
+
 ADDRESSES = {f"i{number}": f"10.0.0.{number}:1" for number in range(9)}
 
 
@@ -46,19 +35,27 @@
 
 def versions(clock=None, instance="i0", addresses=ADDRESSES):
     clock = clock or ManualClock()
+    store = FakeRows().client()
     return StreamVersions(
         clock=clock,
         peers=NoPeers(),
-        view=FleetView(clock),
         instance=InstanceId(instance),
         recent_instances=RecentInstances(clock, lambda: addresses),
+        writer=StreamRecordWriter(
+            clock=clock,
+            metrics=TextMetrics(),
+            store=store,
+            instance=InstanceId(instance),
+            incarnation=new_incarnation(),
+        ),
+        reader=StreamRecordReader(store),
     )
 
 
 def test_a_recorded_version_is_found_without_asking(run):
     known = versions()
     known.record("r1", "v1")
-    found = run(known.find("models", "r1"))
+    found = run(known.find("r1"))
     assert (found.software_version, found.source) == ("v1", VersionSource.RECORDED)
 
 
@@ -102,8 +99,9 @@
 
     class Peers:
         async def ask(self, url, message, answer_type, limits):
-            sent.append((url, [stream.request for stream in message.streams]))
-            return Ok(answer_type(kept=len(message.streams)))
+            streams = [*message.streams, *message.to_write]
+            sent.append((url, [stream.request for stream in streams]))
+            return Ok(answer_type(kept=len(streams), writes=True))
 
     async def scenario():
         known = versions(SystemClock(), addresses=(addresses := {}))
@@ -136,7 +134,7 @@
             while len(known.unsent) > 1:
                 clock.advance(timedelta(milliseconds=1))
                 await asyncio.sleep(0)
-            assert known.unsent[0].request == "r2"
+            assert known.unsent[0].stream.request == "r2"
             clock.advance(STREAM_LIFETIME)
             while known.wake.is_set():
                 clock.advance(timedelta(milliseconds=1))
@@ -158,8 +156,9 @@
             if "10.0.0.1:" in url:
                 self.open += 1
                 await asyncio.Event().wait()
-            self.sent.extend(stream.request for stream in message.streams)
-            return Ok(answer_type(kept=len(message.streams)))
+            streams = [*message.streams, *message.to_write]
+            self.sent.extend(stream.request for stream in streams)
+            return Ok(answer_type(kept=len(streams), writes=True))
 
     async def scenario():
         addresses = {"i1": "10.0.0.1:1", "i2": "10.0.0.2:1"}
@@ -190,8 +189,8 @@
     assert known.holders("r1", COPIES) == []
 
 
-# Guards against an instance with an old list of servers, which takes the only version
-# on it for the one that began a stream that another instance recorded.
+# Guards against a version that is taken from an old list of servers, though another
+# instance recorded the one that began the stream.
 def test_a_record_of_another_instance_counts_and_not_the_list(run):
     class Peers:
         async def ask(self, url, message, answer_type, limits):
@@ -203,7 +202,6 @@
 
     known = versions()
     known.peers = Peers()
-    known.view.servers[OLD_SERVER.id] = OLD_SERVER
-    found = run(known.find("models", "r1"))
+    found = run(known.find("r1"))
     assert (found.software_version, found.source) == ("v1.1", VersionSource.INSTANCE)
     assert (found.instance, found.age) == ("i3", timedelta(milliseconds=50))
