Let resumed streams come first in the queue, and forecast only what they wait for

Cause: the owner forecast the wait of a resumed stream from the engines of its version alone, but behind all waiting requests of the service, also those that other engines take or that need another version, and with the demand of all against it. Its caller, which has waited before and has a part of the answer, stood behind new callers.

Now resumed streams come first, and the forecast counts only requests that compete for the same engines.

--- a/src/magnoliatrail/cells/forecast.py
+++ b/src/magnoliatrail/cells/forecast.py
@@ -117,14 +117,15 @@
     """Forecast the wait of a request behind the more urgent ones.
 
     Later requests stay behind it until its latency goal has passed. After that, only
-    the capacity that they leave is left for it.
+    the capacity that they leave is left for it. They stay behind a resumed stream also
+    then.
     """
     key = urgency(request, now)
     ahead = [item for item in waiting if item is not request]
     before = [item for item in ahead if urgency(item, now) <= key]
     rate = max(1.0, capacity.prefill_tokens_per_second)
     wait = timedelta(seconds=sum(prompt_tokens(item) for item in before) / rate)
-    if now + wait > request.goal_at:
+    if now + wait > request.goal_at and not request.is_resumed:
         spare = max(rate * MIN_SPARE_SHARE, rate - demand)
         tokens = prompt_tokens(request) + sum(
             prompt_tokens(item) for item in ahead if item.goal_at <= request.goal_at
--- a/src/magnoliatrail/cells/queue.py
+++ b/src/magnoliatrail/cells/queue.py
@@ -92,7 +92,7 @@
 
     def lacks_software_version(self, request: WaitingRequest) -> bool:
         """Return whether a resumed stream has no engine that may go on with it."""
-        return bool(request.message.software_version) and not any(
+        return request.is_resumed and not any(
             may_serve(engine, request) for engine in self.engines()
         )
 
@@ -119,7 +119,9 @@
         if not engines:
             return timedelta()
         waiting = [
-            other for other in self.waiting.values() if other.message.service == service
+            other
+            for other in self.waiting.values()
+            if other.message.service == service and other.competes_with(request)
         ]
         capacity = capacity_of(
             engines, typical=mean_size(waiting), pause=self.pause_goal(), now=now
--- a/src/magnoliatrail/cells/waiting.py
+++ b/src/magnoliatrail/cells/waiting.py
@@ -52,6 +52,16 @@
         """Return whether an engine may be kept for the request, so long did it wait."""
         return now - self.enqueued_at > self.max_wait * RESERVE_WAIT_SHARE
 
+    @property
+    def is_resumed(self) -> bool:
+        """Return whether the request resumes a stream."""
+        return bool(self.message.software_version)
+
+    def competes_with(self, other: "WaitingRequest") -> bool:
+        """Return whether some engine may have the software version for both."""
+        versions = {self.message.software_version, other.message.software_version}
+        return len(versions - {""}) <= 1
+
     @property
     def max_wait(self) -> timedelta:
         """Return the longest time that the request may wait."""
@@ -70,14 +80,17 @@
     )
 
 
-def urgency(request: WaitingRequest, now: timedelta) -> tuple[bool, timedelta]:
+def urgency(request: WaitingRequest, now: timedelta) -> tuple[bool, bool, timedelta]:
     """Return the sort key of the queue, the most urgent first.
 
-    Requests that can still meet their latency goal come before late ones. Both groups
-    are sorted by the time of the goal, with a head start for more urgent routes.
+    Resumed streams come first, because their callers have waited before and have a part
+    of the answer. Of the others, those that can still meet their latency goal come
+    before late ones. All groups are sorted by the time of the goal, with a head start
+    for more urgent routes.
     """
     head_start = PRIORITY_STEP * request.message.priority
-    return request.goal_at < now, request.goal_at + head_start
+    late = request.goal_at < now
+    return not request.is_resumed, late, request.goal_at + head_start
 
 
 def refusal(
