Take a record that does not name one version for no record

Each time a resumed stream was answered 200 at a version that had not begun it.

Now a stream without a name, or of a server without a version, has no record, and a name of streams of two versions stands for none: what resumes them is refused.

--- a/src/magnoliatrail/forwarding/context.py
+++ b/src/magnoliatrail/forwarding/context.py
@@ -85,7 +85,7 @@
             "stream_resumed",
             request=routed.request.id,
             resumes=routed.resumes,
-            software_version=begin.software_version or "",
+            software_version=begin.software_version,
             source=begin.source,
             began_at=begin.instance,
             informant=begin.informant,
@@ -93,7 +93,7 @@
             listed=count_software_versions(self.view.usable(routed.service)),
         )
         self.metrics.count(f"resumed_streams.{begin.source.value}")
-        return begin.software_version
+        return begin.software_version or None
 
     async def served_elsewhere(self, routed: "RoutedRequest") -> bool:
         """Answer a request through another instance if this one reaches no server.
--- a/src/magnoliatrail/forwarding/stream_begin.py
+++ b/src/magnoliatrail/forwarding/stream_begin.py
@@ -6,6 +6,9 @@
 from datetime import timedelta
 from enum import Enum
 
+# In place of the version where streams of several versions have one name.
+AMBIGUOUS = ""
+
 
 class VersionSource(Enum):
     """How the version that began a stream is known."""
@@ -30,8 +33,8 @@
     """What is known about the begin of a stream that a request resumes."""
 
     source: VersionSource
-    # None if it cannot be known.
-    software_version: str | None = None
+    # AMBIGUOUS if it cannot be known.
+    software_version: str = AMBIGUOUS
     # The instance that relayed the stream, empty if it is not known.
     instance: str = ""
     # Address of the instance that remembered it, or name of the one that wrote it.
--- a/src/magnoliatrail/forwarding/stream_versions.py
+++ b/src/magnoliatrail/forwarding/stream_versions.py
@@ -14,6 +14,7 @@
 from magnoliatrail.clock import Clock
 from magnoliatrail.errors import Failure
 from magnoliatrail.forwarding.stream_begin import (
+    AMBIGUOUS,
     UNKNOWN_BEGIN,
     RecordedStream,
     StreamBegin,
@@ -113,7 +114,12 @@
         self.questions: set[asyncio.Task[StreamBegin | None]] = set()
 
     def record(self, request: str, version: str) -> None:
-        """Record the version that sent the first event of a stream."""
+        """Record the version that sent the first event of a stream.
+
+        A stream without a name, or of a server that names no version, has no record.
+        """
+        if not (request and version):
+            return
         stream = BegunStream(
             request=request, software_version=version, instance=self.instance
         )
@@ -127,9 +133,16 @@
         self.wake.set()
 
     def keep(self, stream: BegunStream) -> None:
-        """Keep the version of a stream, and forget those that ended."""
+        """Keep the version of a stream, and forget those that ended.
+
+        Two streams with one name make it ambiguous, unless one version began both.
+        """
+        known = self.known.get(stream.request)
+        version = stream.software_version
+        if known and known.software_version != version:
+            version = AMBIGUOUS
         self.known[stream.request] = RecordedStream(
-            stream.software_version, stream.instance, self.clock.monotonic()
+            version, stream.instance, self.clock.monotonic()
         )
         self.known.move_to_end(stream.request)
         self.forget_ended()
@@ -148,6 +161,8 @@
 
         Other instances are asked first, and the store if they don't know in time.
         """
+        if not request:
+            return UNKNOWN_BEGIN
         found = self.known.get(request)
         if found:
             return StreamBegin(
@@ -156,8 +171,6 @@
                 found.instance,
                 age=self.clock.monotonic() - found.at,
             )
-        if not request:
-            return UNKNOWN_BEGIN
         asked = {
             self.start_question(self.ask(address, request))
             for address in self.holders(request, INSTANCES_ASKED)
--- a/src/magnoliatrail/membership/stream_records.py
+++ b/src/magnoliatrail/membership/stream_records.py
@@ -214,11 +214,15 @@
 
     def look_up(self, digest: str) -> tuple[str, str] | None:
         """Return the version and the writer of a stream in the rows that are known."""
-        for row in self.rows.values():
-            for version in row.versions:
-                if digest in version.streams:
-                    return version.software_version, row.writer
-        return None
+        found = [
+            (version.software_version, row.writer)
+            for row in self.rows.values()
+            for version in row.versions
+            if digest in version.streams
+        ]
+        versions = {version for version, _ in found}
+        # Streams of several versions may have one name.
+        return found[0] if len(versions) == 1 else None
 
     async def refresh(self) -> Result[None, Failure]:
         """Wait for the read in progress, or else for a new one."""
--- a/tests/unit/test_stream_versions.py
+++ b/tests/unit/test_stream_versions.py
@@ -3,12 +3,13 @@
 import asyncio
 from datetime import timedelta
 
+import pytest
 from expression import Ok
 
 from magnoliatrail.clock import ManualClock, SystemClock
-from magnoliatrail.forwarding.stream_begin import VersionSource
+from magnoliatrail.forwarding.stream_begin import AMBIGUOUS, VersionSource
 from magnoliatrail.forwarding.stream_versions import COPIES, StreamVersions
-from magnoliatrail.generated.cells import StreamVersionAnswer
+from magnoliatrail.generated.cells import BegunStream, StreamVersionAnswer
 from magnoliatrail.ids import InstanceId, new_incarnation
 from magnoliatrail.membership.recent_instances import (
     INSTANCE_MEMORY,
@@ -205,3 +206,38 @@
     found = run(known.find("r1"))
     assert (found.software_version, found.source) == ("v1.1", VersionSource.INSTANCE)
     assert (found.instance, found.age) == ("i3", timedelta(milliseconds=50))
+
+
+# Guards against a stream that goes on at the version of another one with its name.
+def test_a_name_of_streams_of_two_versions_is_of_no_version(run):
+    known = versions()
+    known.record("r1", "v1")
+    known.record("r1", "v1")
+    assert run(known.find("r1")).software_version == "v1"
+    known.record("r1", "v1.1")
+    assert run(known.find("r1")).software_version == AMBIGUOUS
+
+
+# Guards against a stored record of one of two streams with one name.
+def test_a_stored_name_of_streams_of_two_versions_is_of_no_version(run):
+    async def scenario():
+        known = versions()
+        for version in ("v1", "v1.1"):
+            known.writer.add(
+                [BegunStream(request="r1", software_version=version, instance="i1")]
+            )
+            assert await known.writer.write_row()
+        assert (await known.reader.find("r1")).ok is None
+
+    run(scenario())
+
+
+# Guards against streams without a name, or of servers without a version, that go on at
+# any version.
+@pytest.mark.parametrize(("request_id", "version"), [("", "v1"), ("r1", "")])
+def test_what_has_no_name_or_no_version_has_no_record(run, request_id, version):
+    known = versions(addresses={})
+    known.record(request_id, version)
+    assert not known.known
+    assert not known.writer.pending
+    assert run(known.find(request_id)).source is VersionSource.UNKNOWN
