Keep a stream at its version also if its route is no longer resumable

Found by the review: a configuration that drops resumable between a stream's begin and the request that resumes it let the request go to any version (200 at v1.1, began at v1; the test fails so on the code before). What resumes a stream needs its version on every streaming route.

--- a/src/magnoliatrail/forwarding/context.py
+++ b/src/magnoliatrail/forwarding/context.py
@@ -21,7 +21,7 @@
 from magnoliatrail.peers.quarantine_exchange import QuarantineExchange
 from magnoliatrail.peers.reach_monitor import ReachMonitor
 from magnoliatrail.platform.settings_file import Bounds
-from magnoliatrail.routes import Route
+from magnoliatrail.routes import Route, RouteKind
 
 log = EventLog("forwarding")
 
@@ -154,8 +154,12 @@
 
     @property
     def resumes(self) -> str | None:
-        """Return which request began the stream that this one resumes, if any."""
-        return self.request.resumes if self.route.resumable else None
+        """Return which request began the stream that this one resumes, if any.
+
+        The stream may have begun while the route allowed to resume it.
+        """
+        streams = self.route.resumable or self.route.kind is RouteKind.STREAMING
+        return self.request.resumes if streams else None
 
 
 def count_software_versions(servers: list[BackendServer]) -> str:
--- a/tests/platform/test_streams_after_restart.py
+++ b/tests/platform/test_streams_after_restart.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.platform.rig import close, is_settled, running
+from tests.platform.rig import close, configuration, is_settled, route, running
 from tests.platform.test_stream_versions import (
     begin,
     engine,
@@ -77,3 +77,23 @@
             assert went_on >= STREAMS / 2
 
     run(scenario())
+
+
+# Guards against a stream that goes on at any version, because its route may no longer
+# be resumed.
+def test_a_stream_keeps_its_version_if_its_route_is_no_longer_resumable(run):
+    async def scenario():
+        async with running() as rig:
+            (daemon,) = rig.daemons
+            await listed(rig, "engine-0")
+            await begin(rig, daemon, "r0")
+            other = engine("other", "v1.1", "a7")
+            await replace_engine(rig, other)
+            routes = [route("stream", "/stream/", "streaming", "models")]
+            rig.store.put_json("op", "config", configuration(3, routes))
+            await rig.until(lambda: daemon.view.routes.version == 3)
+            answer = await resume(rig, daemon, "r1", "r0")
+            assert answer.status == 503
+            assert other.ran == []
+
+    run(scenario())
