Take a refusal of an unknown kind for a failure of the peer

An instance of a newer release may refuse a message with a kind that this one doesn't know. The ValueError ended the task that sends the versions of begun streams, and lost what it was sending (found by the review; the test raises on the code before).

--- a/src/magnoliatrail/peers/client.py
+++ b/src/magnoliatrail/peers/client.py
@@ -36,7 +36,7 @@
             return decode(content, answer_type)
         match decode(content, PeerRefusal):
             case Result(tag="ok", ok=refusal):
-                return Error(Failure(ErrorKind(refusal.kind), refusal.message))
+                return Error(Failure(kind_of(refusal.kind), refusal.message))
             case _:
                 text = f"a peer answered {answer.code}"
                 return Error(Failure(ErrorKind.PEER_UNAVAILABLE, text))
@@ -44,3 +44,11 @@
     def close(self) -> None:
         """Close the connections to all peers."""
         self.connections.close()
+
+
+def kind_of(name: str) -> ErrorKind:
+    """Return the kind of error that a peer named, which may be of a newer release."""
+    try:
+        return ErrorKind(name)
+    except ValueError:
+        return ErrorKind.PEER_UNAVAILABLE
--- a/tests/unit/test_connections.py
+++ b/tests/unit/test_connections.py
@@ -3,13 +3,16 @@
 
 import pytest
 from expression import Ok
+from tornado.web import Application, RequestHandler
 
+from magnoliatrail.errors import ErrorKind
+from magnoliatrail.generated.membership import PeerRefusal
 from magnoliatrail.generated.permits import HeldPermits, HeldPermitsRequest
 from magnoliatrail.listeners import listen
 from magnoliatrail.peers.client import PeerClient
 from magnoliatrail.peers.connections import PersistentConnections
 from magnoliatrail.peers.server import PeerRoute, peer_application
-from magnoliatrail.wire import CallFailed, CallLimits
+from magnoliatrail.wire import CallFailed, CallLimits, encode
 
 TOKEN = "token-for-tests-only"
 LIMITS = CallLimits(timedelta(seconds=5), timedelta(seconds=10))
@@ -57,6 +60,30 @@
     run(scenario())
 
 
+# Guards against an exception where an instance of a newer release refuses a message.
+def test_a_refusal_of_an_unknown_kind_is_a_failure_of_the_peer(run):
+    class NewerInstance(RequestHandler):
+        def post(self):
+            self.set_status(400)
+            self.finish(encode(PeerRefusal(kind="newer_kind", message="no")))
+
+    async def scenario():
+        application = Application([("/peer/held", NewerInstance)])
+        listener = listen(application, host="127.0.0.1")
+        client = PeerClient(TOKEN)
+        result = await client.ask(
+            f"{listener.url}/peer/held",
+            HeldPermitsRequest(engine="e"),
+            HeldPermits,
+            LIMITS,
+        )
+        assert result.error.kind is ErrorKind.PEER_UNAVAILABLE
+        client.close()
+        await listener.close()
+
+    run(scenario())
+
+
 def test_a_silent_kept_connection_is_replaced_by_a_new_one(run):
     async def scenario():
         connections = 0
