Bound what writing and reading the versions of streams costs the store

Now writers wait twice as long after each failed attempt, up to 5 s; reads begin at most ten times a second and are shared; an instance that cannot write lets another write its streams; and a writer looks each second whether the store was restored. The four tests cover one each.

--- a/src/magnoliatrail/forwarding/stream_versions.py
+++ b/src/magnoliatrail/forwarding/stream_versions.py
@@ -124,7 +124,7 @@
             request=request, software_version=version, instance=self.instance
         )
         self.keep(stream)
-        if self.ranking(request)[0] == self.instance:
+        if self.ranking(request)[0] == self.instance and not self.writer.failing:
             self.writer.add([stream])
             self.unsent.append(UnsentStream(stream))
         else:
--- a/src/magnoliatrail/membership/stream_records.py
+++ b/src/magnoliatrail/membership/stream_records.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import hashlib
+import random
 from base64 import urlsafe_b64encode
 from collections import defaultdict, deque
 from collections.abc import Iterable
@@ -35,7 +36,13 @@
 MAX_STREAMS = 50_000
 # Streams that begin within this time before all instances end may go unrecorded.
 WRITE_INTERVAL = timedelta(milliseconds=50)
-WRITE_RETRY_DELAY = timedelta(milliseconds=600)
+# Delays between attempts while the store cannot be written, doubled each time.
+MIN_RETRY_DELAY = timedelta(milliseconds=300)
+MAX_RETRY_DELAY = timedelta(seconds=5)
+# How often a writer looks whether the store came back from a copy.
+ERA_CHECK_INTERVAL = timedelta(seconds=1)
+# Reads that requests for unknown streams cause begin no faster than this.
+READ_INTERVAL = timedelta(milliseconds=100)
 # Keeps the value of a row well under the store's limit of 64 KB.
 MAX_STREAMS_A_ROW = 2_000
 # A transaction has at most 100 entries, two of which are the row that it adds.
@@ -74,8 +81,10 @@
         store: RowStore,
         instance: InstanceId,
         incarnation: Incarnation,
+        generator: random.Random,
     ) -> None:
         self.clock = clock
+        self.generator = generator
         self.metrics = metrics
         self.store = store
         self.instance = instance
@@ -105,10 +114,30 @@
 
     async def run(self) -> None:
         """Write what is added, one row at a time, until cancelled."""
+        delay = MIN_RETRY_DELAY
         while True:
             await self.wake.wait()
-            written = await self.write_row()
-            await self.clock.sleep(WRITE_INTERVAL if written else WRITE_RETRY_DELAY)
+            if await self.write_row():
+                delay = MIN_RETRY_DELAY
+                await self.clock.sleep(WRITE_INTERVAL)
+            else:
+                # All instances may come to write while the store is away.
+                await self.clock.sleep(delay * self.generator.uniform(0.5, 1))
+                delay = min(delay * 2, MAX_RETRY_DELAY)
+
+    async def watch_era(self) -> None:
+        """Write again what was written, if the store came back from a copy."""
+        while True:
+            await self.clock.sleep(ERA_CHECK_INTERVAL)
+            self.forget_ended()
+            if self.written and self.store.era > self.era:
+                self.wake.set()
+
+    def forget_ended(self) -> None:
+        """Forget what was written longer ago than a stream lasts."""
+        oldest = self.clock.monotonic() - STREAM_LIFETIME
+        while self.written and self.written[0][0] < oldest:
+            self.written.popleft()
 
     async def write_row(self) -> bool:
         """Write the streams that were added as one row; return whether it is written.
@@ -141,8 +170,7 @@
         self.metrics.count("stream_records", len(self.row))
         now = self.clock.monotonic()
         self.written.append((now, self.row))
-        while now - self.written[0][0] > STREAM_LIFETIME:
-            self.written.popleft()
+        self.forget_ended()
         self.row = []
         self.rows_written += 1
         self.rows[key] = now
@@ -187,12 +215,15 @@
 class StreamRecordReader:
     """Find the recorded version of a stream in the store."""
 
-    def __init__(self, store: RowStore) -> None:
+    def __init__(self, store: RowStore, clock: Clock) -> None:
         self.store = store
+        self.clock = clock
         # Versions by digest of each row, complete up to a version of the store.
         self.rows: dict[str, StreamRecordRow] = {}
         self.version = 0
         self.reading: asyncio.Task[Result[None, Failure]] | None = None
+        # When the next read may begin.
+        self.next_read_at = clock.monotonic()
 
     async def find(self, request: str) -> Result[tuple[str, str] | None, Failure]:
         """Return the version that began a stream and the instance that recorded it.
@@ -232,6 +263,10 @@
 
     async def read(self) -> Result[None, Failure]:
         """Read the changes of the table, or all of it."""
+        await self.clock.sleep(
+            max(timedelta(), self.next_read_at - self.clock.monotonic())
+        )
+        self.next_read_at = self.clock.monotonic() + READ_INTERVAL
         if self.version:
             match await self.store.changes(STREAMS_TABLE, self.version, timedelta()):
                 case Result(tag="ok", ok=RowsRead() as changes):
--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -228,6 +228,7 @@
             store=self.store,
             instance=self.settings.instance,
             incarnation=self.identity.incarnation,
+            generator=self.generator,
         )
         return StreamVersions(
             clock=self.clock,
@@ -235,7 +236,7 @@
             instance=self.settings.instance,
             recent_instances=self.recent_instances,
             writer=writer,
-            reader=StreamRecordReader(self.store),
+            reader=StreamRecordReader(self.store, self.clock),
         )
 
     def new_member(self, cell: CellId, cells: int) -> CellMember:
@@ -282,6 +283,7 @@
             self.update_instance_count,
             self.stream_versions.send_periodically,
             self.stream_versions.writer.run,
+            self.stream_versions.writer.watch_era,
             self.quarantine.run,
             self.reach.run,
         ):
--- a/tests/unit/test_stream_versions.py
+++ b/tests/unit/test_stream_versions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from datetime import timedelta
+from random import Random
 
 import pytest
 from expression import Ok
@@ -34,9 +35,10 @@
         raise AssertionError(f"unexpected message to {url}")
 
 
-def versions(clock=None, instance="i0", addresses=ADDRESSES):
-    clock = clock or ManualClock()
-    store = FakeRows().client()
+def versions(clock=None, instance="i0", addresses=ADDRESSES, rows=None):
+    clock, rows = clock or ManualClock(), rows or FakeRows()
+    rows.clock = clock
+    store = rows.client()
     return StreamVersions(
         clock=clock,
         peers=NoPeers(),
@@ -48,8 +50,9 @@
             store=store,
             instance=InstanceId(instance),
             incarnation=new_incarnation(),
+            generator=Random(1),
         ),
-        reader=StreamRecordReader(store),
+        reader=StreamRecordReader(store, clock),
     )
 
 
@@ -241,3 +244,88 @@
     assert not known.known
     assert not known.writer.pending
     assert run(known.find(request_id)).source is VersionSource.UNKNOWN
+
+
+# Guards against records that a store which came back from a copy has lost for good,
+# as no stream began since.
+def test_records_are_written_again_after_a_restore_without_new_streams(run):
+    async def scenario():
+        clock, rows = ManualClock(), FakeRows()
+        known = versions(clock, addresses={}, rows=rows)
+        copied = rows.copy()
+        tasks = [
+            asyncio.ensure_future(known.writer.run()),
+            asyncio.ensure_future(known.writer.watch_era()),
+        ]
+        known.record("r1", "v1")
+        await settle(clock)
+        assert (await known.reader.find("r1")).ok is not None
+        rows.restore(copied)
+        known.writer.store.record_era(rows.era)
+        await settle(clock)
+        assert (await known.reader.find("r1")).ok is not None
+        for task in tasks:
+            task.cancel()
+
+    run(scenario())
+
+
+# Guards against more calls than the store allows, from instances that all write
+# while it is away.
+def test_writers_call_a_store_that_is_away_less_and_less(run):
+    async def scenario():
+        clock, rows = ManualClock(), FakeRows()
+        rows.down = True
+        known = versions(clock, addresses={}, rows=rows)
+        writing = asyncio.ensure_future(known.writer.run())
+        known.record("r1", "v1")
+        await settle(clock, seconds=10)
+        before = rows.calls
+        await settle(clock, seconds=10)
+        assert rows.calls - before <= 5
+        rows.down = False
+        await settle(clock, seconds=6)
+        assert (await known.reader.find("r1")).ok is not None
+        writing.cancel()
+
+    run(scenario())
+
+
+# Guards against a writer that keeps its own streams to itself while it cannot write.
+def test_an_instance_that_cannot_write_lets_another_write_its_streams(run):
+    known = versions(addresses={"i1": "10.0.0.1:1"}, instance="i0")
+    request = next(
+        f"r{number}" for number in range(99) if known.ranking(f"r{number}")[0] == "i0"
+    )
+    known.record(request, "v1")
+    known.writer.failing = True
+    known.record(request, "v1")
+    assert len(known.writer.pending) == 1
+    assert [item.writers_tried for item in known.unsent] == [None, 0]
+
+
+# Guards against reads of the store that callers cause without bound.
+def test_requests_for_unknown_streams_share_reads_of_the_store(run):
+    async def scenario():
+        clock, rows = ManualClock(), FakeRows()
+        known = versions(clock, addresses={}, rows=rows)
+        for number in range(5):
+            found = asyncio.ensure_future(known.reader.find(f"r{number}"))
+            others = [
+                asyncio.ensure_future(known.reader.find(f"r{number}-{other}"))
+                for other in range(20)
+            ]
+            await settle(clock, seconds=0.5)
+            assert (await found).ok is None
+            assert [(await other).ok for other in others] == [None] * len(others)
+        assert rows.calls <= 2 * 5
+
+    run(scenario())
+
+
+async def settle(clock, seconds=3.0):
+    """Let time pass in small steps."""
+    for _ in range(round(seconds / 0.05)):
+        for _ in range(10):
+            await asyncio.sleep(0)
+        clock.advance(timedelta(seconds=0.05))
