Test that an engine that restarted gets no stream before its row is read

An engine that starts again holds nothing, its owner drops what it knew at the first report with another start time, and it denies what it does not hold: both cases pass on this code. They guard; they did not fail before. A plain server with a resumable route is not protected so.

--- a/tests/platform/test_streams_after_restart.py
+++ b/tests/platform/test_streams_after_restart.py
@@ -4,7 +4,15 @@
 
 import pytest
 
-from tests.platform.rig import close, configuration, is_settled, route, running
+from tests.platform.rig import (
+    MODEL,
+    close,
+    configuration,
+    is_settled,
+    model,
+    route,
+    running,
+)
 from tests.platform.test_stream_versions import (
     begin,
     engine,
@@ -15,6 +23,7 @@
 )
 
 STREAMS = 12
+BASE = {"name": MODEL, "version": 1, "adapters": []}
 
 
 async def restart_all(rig):
@@ -97,3 +106,32 @@
             assert other.ran == []
 
     run(scenario())
+
+
+# Guards against streams that begin, or go on, at an engine that started again under its
+# id and address with another version, before its row says so. It holds nothing then.
+@pytest.mark.parametrize("begun", ["", "r0"])
+def test_an_engine_that_restarted_gets_no_stream_before_its_row_is_read(run, begun):
+    async def scenario():
+        async with running() as rig:
+            (daemon,) = rig.daemons
+            await listed(rig, "engine-0")
+            await begin(rig, daemon, "r0")
+            (state,) = rig.engines
+            state.born, state.version, state.break_after_events = 2, "v1.1", None
+            state.orders_accepted, state.ran = 0, []
+            state.models, state.adapters = set(), set()
+            fields = {"Last-Event-Id": "1", "Resumes": begun} if begun else {}
+            answer = await rig.send(
+                daemon, "/stream/x", request="r1", headers={**model("a7"), **fields}
+            )
+            assert answer.status == 503
+            assert state.ran == []
+            row = {**state.row, "address": daemon.view.servers["engine-0"].address}
+            rig.store.put_json("servers", "engine-0", {**row, "models": [BASE]})
+            state.models.add(MODEL)
+            await rig.until(lambda: daemon.view.servers["engine-0"].born == state.born)
+            again = await resume(rig, daemon, "r2", "r0")
+            assert (again.status, state.ran) == (503, [])
+
+    run(scenario())
