--- a/tests/platform/test_streams_after_restart.py
+++ b/tests/platform/test_streams_after_restart.py
@@ -13,6 +13,7 @@
     route,
     running,
 )
+from tests.platform.test_cut_from_servers import Cut, CutForm
 from tests.platform.test_stream_versions import (
     begin,
     engine,
@@ -135,3 +136,36 @@
             assert (again.status, state.ran) == (503, [])
 
     run(scenario())
+
+
+# Guards against resumed streams that go on at another version, or are refused, because
+# an instance that reaches no server lets another one serve them.
+def test_a_cut_instance_lets_a_stream_go_on_at_its_version(run):
+    async def scenario():
+        async with running(instances=3) as rig:
+            await listed(rig, "engine-0")
+            await introduced(rig)
+            await begin(rig, rig.daemons[0], "r0")
+            same, other = engine("same", "v1", "a7"), engine("other", "v1.1", "a7")
+            await replace_engine(rig, same, other)
+            cut = Cut(rig.daemons[1], CutForm.RESET)
+            await cut.begin()
+            try:
+                requests = (f"n{number}" for number in range(100))
+                while not rig.daemons[1].reach.is_cut:
+                    request = next(requests)
+                    await rig.send(
+                        rig.daemons[1],
+                        "/stream/x",
+                        request=request,
+                        headers=model("a7"),
+                    )
+                other.ran = []
+                answer = await resume(rig, rig.daemons[1], "r1", "r0")
+                assert (answer.status, answer.whole) == (200, True)
+                assert "r1" in same.ran
+                assert other.ran == []
+            finally:
+                await cut.end()
+
+    run(scenario())
