--- a/src/magnoliatrail/membership/stream_records.py
+++ b/src/magnoliatrail/membership/stream_records.py
@@ -218,8 +218,10 @@
     def __init__(self, store: RowStore, clock: Clock) -> None:
         self.store = store
         self.clock = clock
-        # Versions by digest of each row, complete up to a version of the store.
+        # The rows of the table, complete up to a version of the store, and from them
+        # the writer of each stream's record by digest and software version.
         self.rows: dict[str, StreamRecordRow] = {}
+        self.streams: defaultdict[str, dict[str, str]] = defaultdict(dict)
         self.version = 0
         self.reading: asyncio.Task[Result[None, Failure]] | None = None
         # When the next read may begin.
@@ -245,15 +247,9 @@
 
     def look_up(self, digest: str) -> tuple[str, str] | None:
         """Return the version and the writer of a stream in the rows that are known."""
-        found = [
-            (version.software_version, row.writer)
-            for row in self.rows.values()
-            for version in row.versions
-            if digest in version.streams
-        ]
-        versions = {version for version, _ in found}
+        found = list(self.streams.get(digest, {}).items())
         # Streams of several versions may have one name.
-        return found[0] if len(versions) == 1 else None
+        return found[0] if len(found) == 1 else None
 
     async def refresh(self) -> Result[None, Failure]:
         """Wait for the read in progress, or else for a new one."""
@@ -287,13 +283,29 @@
             return
         if read.whole:
             self.rows.clear()
+            self.streams.clear()
         for row in read.rows:
-            if row.value is None:
-                self.rows.pop(row.key, None)
-                continue
-            match decode(row.value, StreamRecordRow):
-                case Result(tag="ok", ok=decoded):
-                    self.rows[row.key] = decoded
-                case Result(error=failure):
-                    log.warning("row_unreadable", key=row.key, reason=failure.message)
+            self.remove(row.key)
+            if row.value is not None:
+                self.add(row.key, row.value)
         self.version = max(self.version, read.version)
+
+    def add(self, key: str, value: bytes) -> None:
+        """Add the streams of a row."""
+        match decode(value, StreamRecordRow):
+            case Result(tag="ok", ok=row):
+                self.rows[key] = row
+                for version in row.versions:
+                    for digest in version.streams:
+                        self.streams[digest][version.software_version] = row.writer
+            case Result(error=failure):
+                log.warning("row_unreadable", key=key, reason=failure.message)
+
+    def remove(self, key: str) -> None:
+        """Remove the streams of a row, if it is known."""
+        row = self.rows.pop(key, None)
+        for version in row.versions if row else []:
+            for digest in version.streams:
+                self.streams[digest].pop(version.software_version, None)
+                if not self.streams[digest]:
+                    del self.streams[digest]
