--- a/src/magnoliatrail/membership/stream_records.py
+++ b/src/magnoliatrail/membership/stream_records.py
@@ -39,8 +39,7 @@
 # Delays between attempts while the store cannot be written, doubled each time.
 MIN_RETRY_DELAY = timedelta(milliseconds=300)
 MAX_RETRY_DELAY = timedelta(seconds=5)
-# How often a writer looks whether the store came back from a copy.
-ERA_CHECK_INTERVAL = timedelta(seconds=1)
+RESTORATION_CHECK_INTERVAL = timedelta(seconds=1)
 # Reads that requests for unknown streams cause begin no faster than this.
 READ_INTERVAL = timedelta(milliseconds=100)
 # Keeps the value of a row well under the store's limit of 64 KB.
@@ -114,6 +113,20 @@
 
     async def run(self) -> None:
         """Write what is added, one row at a time, until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.watch_era())
+            await self.write_rows()
+
+    async def watch_era(self) -> None:
+        """Write again what a restoration removed, also if no stream begins after it."""
+        while True:
+            await self.clock.sleep(RESTORATION_CHECK_INTERVAL)
+            self.forget_ended()
+            if self.store.era > self.era and self.written:
+                self.wake.set()
+
+    async def write_rows(self) -> None:
+        """Write what is added, one row at a time."""
         delay = MIN_RETRY_DELAY
         while True:
             await self.wake.wait()
@@ -125,14 +138,6 @@
                 await self.clock.sleep(delay * self.generator.uniform(0.5, 1))
                 delay = min(delay * 2, MAX_RETRY_DELAY)
 
-    async def watch_era(self) -> None:
-        """Write again what was written, if the store came back from a copy."""
-        while True:
-            await self.clock.sleep(ERA_CHECK_INTERVAL)
-            self.forget_ended()
-            if self.written and self.store.era > self.era:
-                self.wake.set()
-
     def forget_ended(self) -> None:
         """Forget what was written longer ago than a stream lasts."""
         oldest = self.clock.monotonic() - STREAM_LIFETIME
@@ -147,9 +152,14 @@
         """
         if self.store.era > self.era:
             self.era = self.store.era
+            self.forget_ended()
             again = [stream for _, streams in self.written for stream in streams]
             self.pending = [*again, *self.pending]
             self.written.clear()
+        if not (self.row or self.pending):
+            # What was to be written again has ended meanwhile.
+            self.wake.clear()
+            return True
         if not self.row:
             self.row = self.pending[:MAX_STREAMS_A_ROW]
             del self.pending[: len(self.row)]
--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -283,7 +283,6 @@
             self.update_instance_count,
             self.stream_versions.send_periodically,
             self.stream_versions.writer.run,
-            self.stream_versions.writer.watch_era,
             self.quarantine.run,
             self.reach.run,
         ):
--- a/tests/unit/test_stream_versions.py
+++ b/tests/unit/test_stream_versions.py
@@ -253,10 +253,7 @@
         clock, rows = ManualClock(), FakeRows()
         known = versions(clock, addresses={}, rows=rows)
         copied = rows.copy()
-        tasks = [
-            asyncio.ensure_future(known.writer.run()),
-            asyncio.ensure_future(known.writer.watch_era()),
-        ]
+        writing = asyncio.ensure_future(known.writer.run())
         known.record("r1", "v1")
         await settle(clock)
         assert (await known.reader.find("r1")).ok is not None
@@ -264,8 +261,7 @@
         known.writer.store.record_era(rows.era)
         await settle(clock)
         assert (await known.reader.find("r1")).ok is not None
-        for task in tasks:
-            task.cancel()
+        writing.cancel()
 
     run(scenario())
 
