--- a/tests/platform/test_streams_after_restart.py
+++ b/tests/platform/test_streams_after_restart.py
@@ -14,6 +14,7 @@
     running,
 )
 from tests.platform.test_cut_from_servers import Cut, CutForm
+from tests.platform.test_server_notices import plain_server
 from tests.platform.test_stream_versions import (
     begin,
     engine,
@@ -169,3 +170,46 @@
                 await cut.end()
 
     run(scenario())
+
+
+# Guards against a stream of a plain service that goes on at another version, because
+# the server that began it had restarted under its id before its row said so.
+def test_a_plain_server_that_restarted_begins_no_stream_of_its_former_version(run):
+    async def scenario():
+        async with running() as rig:
+            (daemon,) = rig.daemons
+            ran = []
+            routes = [route("plain", "/plain/", "streaming", "desk", resumable=True)]
+            rig.store.put_json("op", "config", configuration(2, routes))
+            server = await rig.add_plain("first", plain_server(ran))
+            address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+            row = {"service": "desk", "zone": "zone-a", "state": "ready"}
+            first = {**row, "address": address, "born": 1, "version": "v1"}
+            rig.store.put_json("servers", "first", first)
+            await rig.until(
+                lambda: (
+                    "first" in daemon.view.servers
+                    and daemon.view.servers["first"].software_version == "v1"
+                    and daemon.view.routes.version == 2
+                )
+            )
+            # The answer is of the next run already, whose row is not written yet.
+            begun = await rig.send(daemon, "/plain/x", request="r0")
+            assert (begun.status, ran) == (200, ["r0"])
+            restarted = {**first, "born": 2, "version": "v1.1"}
+            rig.store.put_json("servers", "first", restarted)
+            other_ran = []
+            other = await rig.add_plain("other", plain_server(other_ran))
+            address = f"127.0.0.1:{other.sockets[0].getsockname()[1]}"
+            rig.store.put_json("servers", "other", {**first, "address": address})
+            await rig.until(
+                lambda: (
+                    daemon.view.servers["first"].born == 2
+                    and "other" in daemon.view.servers
+                )
+            )
+            fields = {"Last-Event-Id": "1", "Resumes": "r0"}
+            await rig.send(daemon, "/plain/x", request="r1", headers=fields)
+            assert other_ran == []
+
+    run(scenario())
