--- a/tests/platform/fake_store.py
+++ b/tests/platform/fake_store.py
@@ -22,6 +22,10 @@
         self.delay_next = False
         self.delayed = []
         self.calls = 0
+        # The version at which each removed row was removed, and up to which version
+        # the changes are forgotten.
+        self.removed = {}
+        self.forgotten = 0
         # Times the long polls.
         self.clock = None
         # Resolved at the next change.
@@ -39,6 +43,8 @@
         """Come back from a copy: later writes are lost, and versions go back."""
         rows, self.version = copied
         self.rows = dict(rows)
+        self.removed.clear()
+        self.forgotten = self.version
         self.era += 1
 
     def apply(self, writes, removals=()):
@@ -50,8 +56,10 @@
         self.version += 1
         for write in writes:
             self.rows[write.table, write.key] = (write.value, self.version)
+            self.removed.pop((write.table, write.key), None)
         for removal in removals:
-            self.rows.pop((removal.table, removal.key), None)
+            if self.rows.pop((removal.table, removal.key), None):
+                self.removed[removal.table, removal.key] = self.version
         for follower in self.followers:
             if not follower.done():
                 follower.set_result(None)
@@ -78,7 +86,9 @@
     async def changes(self, table, after, wait):
         """Answer with the next change, or when the wait is over."""
         self.store.calls += 1
-        if number_of(after) >= self.store.version:
+        if self.store.down:
+            return Error(Failure(ErrorKind.TABLE_UNAVAILABLE, "down"))
+        if wait and number_of(after) >= self.store.version:
             follower = asyncio.get_running_loop().create_future()
             self.store.followers.append(follower)
             waited = asyncio.ensure_future(self.store.clock.sleep(wait))
@@ -86,8 +96,19 @@
             waited.cancel()
         read = await self.read(table)
         self.store.calls -= 1
-        rows = tuple(row for row in read.ok.rows if row.version > after)
-        return Ok(RowsRead(rows, read.ok.version, whole=False))
+        if read.is_error():
+            return read
+        if era_of(read.ok.version) != era_of(after):
+            return Ok(None)
+        if number_of(after) < self.store.forgotten:
+            return Ok(None)
+        rows = [row for row in read.ok.rows if row.version > after]
+        rows += [
+            StoredRow(key, version_in_era(self.era, version), None)
+            for (name, key), version in self.store.removed.items()
+            if name == table and version > number_of(after)
+        ]
+        return Ok(RowsRead(tuple(rows), read.ok.version, whole=False))
 
     async def read(self, table):
         self.store.calls += 1
