Write stream records again after a restoration also if no stream begins

A writer noticed that the store came back from a copy only when it wrote its next row. While no stream began, or none of its group, the records of the last minute were gone from the store, and a restart of all instances left those streams unknown: they were refused. A writer that waits for streams now looks at the era once a second, without a call to the store, and writes again what has not ended.

test_a_restoration_is_noticed_without_a_new_stream failed before (None instead of v1) and passes.

--- a/src/magnoliatrail/membership/stream_records.py
+++ b/src/magnoliatrail/membership/stream_records.py
@@ -37,6 +37,7 @@
 WRITE_RETRY_DELAY = timedelta(milliseconds=600)
 # Keeps the value of a row well under the store's limit of 64 KB.
 MAX_STREAMS_A_ROW = 2_000
+RESTORATION_CHECK_INTERVAL = timedelta(seconds=1)
 # A transaction has at most 100 entries, two of which are the row that it adds.
 MAX_REMOVALS = 90
 DIGEST_BYTES = 12
@@ -104,6 +105,20 @@
 
     async def run(self) -> None:
         """Write what is added, one row at a time, until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.watch_era())
+            await self.write_rows()
+
+    async def watch_era(self) -> None:
+        """Write again what a restoration removed, also if no stream begins after it."""
+        while True:
+            await self.clock.sleep(RESTORATION_CHECK_INTERVAL)
+            self.forget_ended()
+            if self.store.era > self.era and self.written:
+                self.wake.set()
+
+    async def write_rows(self) -> None:
+        """Write what is added, one row at a time."""
         while True:
             await self.wake.wait()
             written = await self.write_row()
@@ -117,9 +132,14 @@
         """
         if self.store.era > self.era:
             self.era = self.store.era
+            self.forget_ended()
             again = [stream for _, streams in self.written for stream in streams]
             self.pending = [*again, *self.pending]
             self.written.clear()
+        if not (self.row or self.pending):
+            # What was to be written again has ended meanwhile.
+            self.wake.clear()
+            return True
         if not self.row:
             self.row = self.pending[:MAX_STREAMS_A_ROW]
             del self.pending[: len(self.row)]
@@ -140,8 +160,7 @@
         self.metrics.count("stream_records", len(self.row))
         now = self.clock.monotonic()
         self.written.append((now, self.row))
-        while now - self.written[0][0] > STREAM_LIFETIME:
-            self.written.popleft()
+        self.forget_ended()
         self.row = []
         self.rows_written += 1
         self.rows[key] = now
@@ -152,6 +171,12 @@
         await self.list_rows()
         return True
 
+    def forget_ended(self) -> None:
+        """Forget what was written about streams that have ended."""
+        oldest = self.clock.monotonic() - STREAM_LIFETIME
+        while self.written and self.written[0][0] < oldest:
+            self.written.popleft()
+
     def expired_rows(self) -> list[str]:
         """Return the rows that only name streams that have ended."""
         oldest = self.clock.monotonic() - STREAM_LIFETIME
--- a/tests/unit/test_stream_records.py
+++ b/tests/unit/test_stream_records.py
@@ -181,6 +181,38 @@
             await asyncio.sleep(0)
 
 
+def test_streams_that_ended_before_a_restoration_are_not_written_again(run, records):
+    async def scenario():
+        writing = asyncio.ensure_future(records.writer.run())
+        records.writer.add([begun("r1")])
+        await pass_time(records.clock, 1)
+        records.clock.advance(STREAM_LIFETIME)
+        records.rows.restore(({}, 0))
+        records.writer.store.record_era(1)
+        await pass_time(records.clock, 2)
+        writing.cancel()
+        assert not records.rows.rows
+
+    run(scenario())
+
+
+# Guards against records that are lost with a restoration at a time without new streams.
+def test_a_restoration_is_noticed_without_a_new_stream(run, records):
+    async def scenario():
+        copied = records.rows.copy()
+        writing = asyncio.ensure_future(records.writer.run())
+        records.writer.add([begun("r1")])
+        await pass_time(records.clock, 1)
+        records.rows.restore(copied)
+        # Another call of the instance names the new era.
+        records.writer.store.record_era(1)
+        await pass_time(records.clock, 2)
+        writing.cancel()
+        assert await records.find("r1") == "v1"
+
+    run(scenario())
+
+
 def test_rows_are_removed_once_their_streams_have_ended(run, records):
     async def scenario():
         await records.write("r1")
