--- a/src/magnoliatrail/membership/stream_records.py
+++ b/src/magnoliatrail/membership/stream_records.py
@@ -269,9 +269,9 @@
 
     async def read(self) -> Result[None, Failure]:
         """Read the changes of the table, or all of it."""
-        await self.clock.sleep(
-            max(timedelta(), self.next_read_at - self.clock.monotonic())
-        )
+        wait = self.next_read_at - self.clock.monotonic()
+        if wait > timedelta():
+            await self.clock.sleep(wait)
         self.next_read_at = self.clock.monotonic() + READ_INTERVAL
         if self.version:
             match await self.store.changes(STREAMS_TABLE, self.version, timedelta()):
