Let the instance list and stand-in engines name a software version

An entry of the instance list may have a software version, and a stand-in engine names its own in the head of each answer (X-Software-Version).

--- a/src/magnoliatrail/cli/standin.py
+++ b/src/magnoliatrail/cli/standin.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 import click
+from msgspec.structs import replace
 from tornado.httpclient import HTTPRequest
 from tornado.web import Application
 
@@ -123,6 +124,9 @@
 @click.option("--batch-slots", type=click.IntRange(1), default=8, show_default=True)
 @click.option("--token-milliseconds", type=click.FloatRange(0), default=5.0)
 @click.option("--checks-fencing/--ignores-fencing", default=False)
+@click.option(
+    "--software-version", default="", help="Named on the list and in answers."
+)
 def engine(
     port: int,
     name: str,
@@ -133,6 +137,7 @@
     batch_slots: int,
     token_milliseconds: float,
     checks_fencing: bool,
+    software_version: str,
 ) -> None:
     """Run a model engine."""
     limits = EngineLimits(
@@ -144,9 +149,12 @@
 
     async def run() -> None:
         fetch = fetch_over_http(new_http_client(), weights_url)
-        fake = FakeEngine(SystemClock(), limits, fetch)
+        fake = FakeEngine(
+            SystemClock(), limits, fetch, software_version=software_version
+        )
         listener = listen(engine_application(fake), host=HOST, port=port)
         entry = entry_of(name, ListedKind.ENGINE, BASE_MODEL, listener, failure_domain)
+        entry = replace(entry, software_version=software_version)
         await register(entry, instance_list_url)
         print_address(listener)
         await asyncio.Event().wait()
--- a/src/magnoliatrail/standins/engine.py
+++ b/src/magnoliatrail/standins/engine.py
@@ -81,10 +81,19 @@
 class FakeEngine:
     """A batching engine that generates deterministic text on loaded adapters."""
 
-    def __init__(self, clock: Clock, limits: EngineLimits, fetch: Fetch) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        limits: EngineLimits,
+        fetch: Fetch,
+        *,
+        software_version: str = "",
+    ) -> None:
         self.clock = clock
         self.limits = limits
         self.fetch = fetch
+        # Named in the head of each answer, unless it is empty.
+        self.software_version = software_version
         self.faults = Faults()
         self.violations: list[str] = []
         self.loads = 0
--- a/src/magnoliatrail/standins/engine_streams.py
+++ b/src/magnoliatrail/standins/engine_streams.py
@@ -17,6 +17,11 @@
 class StreamHandler(EngineHandler):
     """Write generated answers, streamed or as one body."""
 
+    def name_software_version(self) -> None:
+        """Name the software version in the head of an answer."""
+        if self.engine.software_version:
+            self.set_header("X-Software-Version", self.engine.software_version)
+
     async def write_answer(
         self, answer: GeneratedAnswer, position: int, *, stream: bool
     ) -> None:
@@ -111,6 +116,7 @@
             return
         if self.consume_fault("wrong_adapter"):
             answer.handle = "another@1~0"
+        self.name_software_version()
         await self.write_answer(answer, 0, stream=order.stream)
 
 
@@ -125,6 +131,7 @@
             return
         last = int(self.request.headers.get("Last-Event-ID", "-1"))
         stream = self.request.headers.get("Accept") != "application/json"
+        self.name_software_version()
         if not stream:
             self.set_header("Content-Type", "application/json")
             await self.flush()
--- a/src/magnoliatrail/standins/environment.py
+++ b/src/magnoliatrail/standins/environment.py
@@ -49,6 +49,8 @@
     adapters: int = 48
     failure_domains: int = 3
     engine: EngineLimits = DEFAULT_ENGINE_LIMITS
+    # Versions of the engines' software, which they take in turn.
+    software_versions: tuple[str, ...] = ("",)
     weights: WeightStoreLimits = NASSAR
     first_port: int = 0
 
@@ -101,12 +103,15 @@
     serve("weights", weights_application(environment.weights))
     serve("instance-list", instance_list_application(environment.instances))
     for number in range(size.engines):
-        engine = FakeEngine(clock, size.engine, fetch_from(weights))
+        version = size.software_versions[number % len(size.software_versions)]
+        engine = FakeEngine(
+            clock, size.engine, fetch_from(weights), software_version=version
+        )
         environment.engines.append(engine)
         name = f"engine-{number}"
         listener = serve(name, engine_application(engine))
         add_to_instance_list(
-            environment, name, ListedKind.ENGINE, listener, number, size
+            environment, name, ListedKind.ENGINE, listener, number, size, version
         )
     for number in range(size.services):
         service = FakeService("bookings")
@@ -126,6 +131,7 @@
     listener: Listener,
     number: int,
     size: EnvironmentSize,
+    software_version: str = "",
 ) -> None:
     """Put a backend server on the instance list."""
     entry = ListedInstance(
@@ -135,6 +141,7 @@
         url=listener.url,
         failure_domain=f"domain-{number % size.failure_domains}",
         state=ListedState.LIVE,
+        software_version=software_version,
     )
     environment.instances.put(entry)
 
