Finish a stream of serve only at the software version that began it

What callers saw: a stream at /v1 whose engine broke off was finished by an engine of another software version, or by the same engine after it had started again with another one, and ended whole with [DONE]. Both parts came as one answer.

Cause: another run was compared by digest with what the caller already had, which says nothing of the text that follows; versions of the engines' software were not known.

Now the call keeps the version that began its answer, from the first event on. Another run is sent only to engines that may have it, and the head of the engine's answer is checked before any event passes. The head counts for more than the list, which may be older than the program. An engine that turns out to have another version is cancelled and not asked again for this answer; without an engine in time, the stream ends with event: error. A resumed run is the same process, unless its head names another version.

Engines without a version count as one version if no engine is listed with one, so that fleets that name none work as before; the tests of failover are unchanged. Beside engines that are listed with one, an unnamed engine may be of any version: only its own run goes on, and no other is waited for. The same holds if its entry changed as it was asked.

Not restricted: whole answers, which are of one run, and streams without an event yet.

--- a/benchmarks/entry_chunk_cost.py
+++ b/benchmarks/entry_chunk_cost.py
@@ -39,6 +39,7 @@
 from magnoliatrail.generated.settings import Settings
 from magnoliatrail.ids import AdapterVersion, EngineId, Handle, InstanceId, RequestId
 from magnoliatrail.listeners import listen
+from magnoliatrail.membership.servers import ServerView
 from magnoliatrail.metrics import RecordedMetrics
 from magnoliatrail.peers.client import PeerClient
 from magnoliatrail.peers.quarantine_exchange import QuarantineExchange
@@ -241,6 +242,7 @@
         client=client,
         permits=permits,
         quarantine=quarantine,
+        servers=ServerView(clock),
     )
     search: Any = FixedPermitSearch(permits, source)
     configuration = ConfigurationInForce(clock)
--- a/src/magnoliatrail/daemon.py
+++ b/src/magnoliatrail/daemon.py
@@ -220,6 +220,7 @@
             client=self.client,
             permits=self.permits,
             quarantine=self.quarantine,
+            servers=self.fleet.servers,
         )
         return Dispatcher(
             clock=self.clock,
--- a/src/magnoliatrail/entry/engine_call.py
+++ b/src/magnoliatrail/entry/engine_call.py
@@ -25,8 +25,10 @@
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.generated.settings import Settings
 from magnoliatrail.logs import EventLog
+from magnoliatrail.membership.servers import ServerView
 from magnoliatrail.peers.quarantine_exchange import QuarantineExchange
-from magnoliatrail.requests import CompletionCall
+from magnoliatrail.requests import AnswerOrigin, CompletionCall, RunVersion
+from magnoliatrail.routing.answer_origin import listed_run_version, may_go_on
 from magnoliatrail.settings import control_limits
 from magnoliatrail.wire import CallFailed
 
@@ -54,11 +56,13 @@
         client: AsyncHTTPClient,
         permits: PermitHolder,
         quarantine: QuarantineExchange,
+        servers: ServerView,
     ) -> None:
         self.settings = settings
         self.clock = clock
         self.quarantine = quarantine
         self.permits = permits
+        self.servers = servers
         self.limits = StreamLimits(
             connect=timedelta(seconds=settings.connect_timeout_seconds),
             idle=timedelta(seconds=settings.idle_timeout_seconds),
@@ -72,10 +76,14 @@
     ) -> Result[None, Failure]:
         """Run a request under a permit, or continue an answer from another engine."""
         context = request.context
+        if not may_go_on(self.servers, request.origin, permit.engine):
+            return Error(other_version(permit))
+        request_id = run_id(context.request_id, sink.progress.runs)
         run = EngineRun(
             request,
             permit,
-            run_id(context.request_id, sink.progress.runs),
+            request_id,
+            listed_run_version(self.servers, permit.engine, request_id),
             sent_at=self.clock.monotonic(),
         )
         sink.progress.runs += 1
@@ -117,7 +125,8 @@
             result = await self.run_whole(run, sink)
         match result:
             case Result(tag="error", error=failure):
-                return Error(limit_interruptions(failure, sink.progress))
+                origin = run.request.origin
+                return Error(limit_interruptions(failure, sink.progress, origin))
             case _:
                 return result
 
@@ -136,6 +145,7 @@
         def record_events() -> None:
             run.last_event_at = self.clock.monotonic()
             run.began_at = run.began_at or run.last_event_at
+            run.request.origin.version = run.version
 
         async def relay_answer(stream: EngineStream) -> RelayFailure | None:
             return await relay_events(stream, check, sink, on_events=record_events)
@@ -213,11 +223,52 @@
                 return Error(Failure(ErrorKind.BACKEND_UNREACHABLE, str(error)))
             return Ok(None) if error.sent else Error(interrupted(str(error)))
         if stream.status == HTTP_OK:
-            return Ok(stream)
+            failure = self.version_failure(run, stream)
+            if failure is None:
+                return Ok(stream)
+            stream.close()
+            return Error(failure)
         stream.close()
         run.may_be_running = stream.status >= HTTP_SERVER_ERROR
         return Error(self.refusal_failure(run, stream, starting=starting))
 
+    def version_failure(self, run: EngineRun, stream: EngineStream) -> Failure | None:
+        """Return a failure if an answer is of another version than its beginning.
+
+        The head of an answer is newer than the list.
+        """
+        named = stream.software_version
+        if run.head_seen:
+            if named in ("", run.version.name):
+                return None
+            # Another program has taken the place of the one that ran the request.
+            self.refuse_version(run, named)
+            return interrupted(f"the engine answers with software version {named}")
+        run.head_seen = True
+        engine = run.permit.engine
+        if named:
+            run.version = RunVersion(named)
+        elif engine in self.servers.listed and run.version != listed_run_version(
+            self.servers, engine, run.request_id
+        ):
+            # The list changed meanwhile: either version may have answered.
+            run.version = RunVersion(only_run=run.request_id)
+        if run.request.origin.version in (None, run.version):
+            return None
+        self.refuse_version(run, run.version.name)
+        return other_version(run.permit)
+
+    def refuse_version(self, run: EngineRun, version: str) -> None:
+        """Ask an engine no more for the rest of an answer."""
+        origin = run.request.origin
+        origin.refused.add(run.permit.engine)
+        log.warning(
+            "software_version_differs",
+            **run.log_fields(),
+            version=version,
+            began=origin.version.name if origin.version else "",
+        )
+
     def refusal_failure(
         self, run: EngineRun, stream: EngineStream, *, starting: bool
     ) -> Failure:
@@ -247,11 +298,22 @@
     return Failure(ErrorKind.ANSWER_INTERRUPTED, message)
 
 
-def limit_interruptions(failure: Failure, progress: StreamProgress) -> Failure:
-    """Count an interruption, and make it final after MAX_INTERRUPTIONS."""
+def other_version(permit: Permit) -> Failure:
+    """Return the failure of an engine that cannot go on with an answer."""
+    message = f"engine {permit.engine} has not the software version of the answer"
+    return Failure(ErrorKind.NO_BACKEND_SERVER, message)
+
+
+def limit_interruptions(
+    failure: Failure, progress: StreamProgress, origin: AnswerOrigin
+) -> Failure:
+    """Count an interruption, and make it final if no other run may go on."""
     if failure.kind is not ErrorKind.ANSWER_INTERRUPTED:
         return failure
     progress.interruptions += 1
+    if origin.version and origin.version.only_run:
+        message = f"{failure.message}; its software version is not known"
+        return Failure(ErrorKind.ANSWER_INVALID, message)
     if progress.interruptions < MAX_INTERRUPTIONS:
         return failure
     return Failure(ErrorKind.ANSWER_INVALID, failure.message)
--- a/src/magnoliatrail/entry/engine_run.py
+++ b/src/magnoliatrail/entry/engine_run.py
@@ -9,7 +9,7 @@
 from magnoliatrail.entry.engine_stream import EngineRequest
 from magnoliatrail.generated.permits import RequestClass
 from magnoliatrail.ids import RequestId, ServerId
-from magnoliatrail.requests import CompletionCall
+from magnoliatrail.requests import CompletionCall, RunVersion
 from magnoliatrail.routing.crash_evidence import MAX_CRASH_DELAY, ServerRun
 from magnoliatrail.wire import JSON_TYPE, encode
 
@@ -24,6 +24,9 @@
     request: CompletionCall
     permit: Permit
     request_id: RequestId
+    # According to the list until the head of an answer has come.
+    version: RunVersion
+    head_seen: bool = False
     may_be_running: bool = False
     # When the run was sent, and when its first and last events came.
     sent_at: timedelta = timedelta()
--- a/src/magnoliatrail/entry/engine_stream.py
+++ b/src/magnoliatrail/entry/engine_stream.py
@@ -28,6 +28,7 @@
 MAX_FREQUENT_READ_GAP_SECONDS = 0.025
 MAX_REFUSAL_BYTES = 1024 * 1024
 HTTP_PORT = 80
+SOFTWARE_VERSION_HEADER = "X-Software-Version"
 
 ContentHandler = Callable[[bytes], Awaitable[None] | None]
 
@@ -90,6 +91,7 @@
     def __init__(self, head: AnswerHead, source: IOStream, idle: timedelta) -> None:
         self.status = head.status
         self.refusal = bytes(head.refusal)
+        self.software_version = head.headers.get(SOFTWARE_VERSION_HEADER, "")
         self.source = source
         self.body = body_decoder(head.headers)
         # Set by take_over_socket; from then on, reads bypass Tornado.
--- a/src/magnoliatrail/membership/servers.py
+++ b/src/magnoliatrail/membership/servers.py
@@ -34,6 +34,7 @@
         self.leaving_reports: dict[str, timedelta] = {}
         self.leaving: frozenset[str] = frozenset()
         self.instances_seen: set[str] = set()
+        self.names_software_versions = False
 
     def apply_list(self, instances: InstanceList, asked_at: timedelta) -> bool:
         """Apply a list, and return whether a server began to leave."""
@@ -52,6 +53,11 @@
         self.listed_leaving = frozenset(
             item.id for item in instances.instances if item.state is ListedState.LEAVING
         )
+        self.names_software_versions = any(
+            item.software_version
+            for item in instances.instances
+            if item.kind is ListedKind.ENGINE
+        )
         self.instances_seen.update(
             item.id for item in instances.instances if item.kind is ListedKind.INSTANCE
         )
@@ -61,6 +67,16 @@
         item = self.listed.get(server)
         return item is not None and item.state is ListedState.LIVE
 
+    def software_version(self, server: str) -> str | None:
+        """Return the listed version of an engine's software.
+
+        Empty if no engine is listed with one, None if others are, but not this one.
+        """
+        item = self.listed.get(server)
+        if item and item.software_version:
+            return item.software_version
+        return None if self.names_software_versions else ""
+
     def merge_peer_view(
         self, leaving: list[LeavingServer], list_age: timedelta
     ) -> bool:
--- a/src/magnoliatrail/requests.py
+++ b/src/magnoliatrail/requests.py
@@ -1,14 +1,14 @@
 """Callers' requests after parsing."""
 
 import hashlib
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 import msgspec
 
 from magnoliatrail.clock import Clock
 from magnoliatrail.generated.permits import RequestClass
-from magnoliatrail.ids import AdapterVersion, CallerId, PartId, RequestId
+from magnoliatrail.ids import AdapterVersion, CallerId, EngineId, PartId, RequestId
 
 # No part of a prompt that a caller names contains a colon, so that no prompt can have
 # the fingerprint of another caller's request as its part.
@@ -52,6 +52,29 @@
         return max(self.deadline - clock.monotonic(), timedelta())
 
 
+@dataclass(frozen=True, slots=True)
+class RunVersion:
+    """Version of the engine's software at which a run generates.
+
+    `name` is empty if no engine names a version.
+    `only_run` is set if the version is not known: no other run certainly has it.
+    """
+
+    name: str = ""
+    only_run: RequestId | None = None
+
+
+@dataclass(slots=True)
+class AnswerOrigin:
+    """The version that began an answer, and engines whose answers had another.
+
+    `version` is None until the caller has a part of the answer.
+    """
+
+    version: RunVersion | None = None
+    refused: set[EngineId] = field(default_factory=set)
+
+
 @dataclass(frozen=True, slots=True)
 class CompletionCall:
     """A caller's request for a completion."""
@@ -63,3 +86,4 @@
     fields: dict[str, msgspec.Raw]
     # Parts of the prompt that other requests may have too, and the fingerprint.
     parts: tuple[PartId, ...] = ()
+    origin: AnswerOrigin = field(default_factory=AnswerOrigin)
--- a/src/magnoliatrail/routing/permit_search.py
+++ b/src/magnoliatrail/routing/permit_search.py
@@ -12,6 +12,7 @@
 from magnoliatrail.engines.permits import Permit, PermitHolder
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.generated.permits import PermitGrant, PermitRequest
+from magnoliatrail.generated.platform import ListedInstance
 from magnoliatrail.ids import AdapterVersion, EngineId, InstanceId
 from magnoliatrail.logs import EventLog
 from magnoliatrail.membership.fleet import Fleet
@@ -19,7 +20,8 @@
 from magnoliatrail.placement.batch_slot_shares import HolderDemand
 from magnoliatrail.placement.catalogue import AdapterCatalogue
 from magnoliatrail.placement.popularity import Popularity, PopularitySettings
-from magnoliatrail.requests import CompletionCall
+from magnoliatrail.requests import AnswerOrigin, CompletionCall
+from magnoliatrail.routing.answer_origin import may_go_on
 from magnoliatrail.routing.candidates import CandidateIndex
 from magnoliatrail.routing.circuit import Circuits, CircuitSettings
 from magnoliatrail.routing.engine_choice import (
@@ -88,8 +90,11 @@
         """Return a held permit, or request one from the candidates' owners in turn."""
         started = self.clock.monotonic()
         self.state.popularity.record(request.model, started)
-        candidates = self.candidates(request.model)
-        failure = Failure(ErrorKind.NO_BACKEND_SERVER, "no live engine answers")
+        candidates = self.candidates(request.model, request.origin)
+        message = "no live engine answers"
+        if request.origin.version:
+            message = "no live engine of the software version of the answer"
+        failure = Failure(ErrorKind.NO_BACKEND_SERVER, message)
         while candidates:
             choice = self.choose(request.model, candidates)
             permit = self.held_permit(request.model, choice.engine)
@@ -107,14 +112,33 @@
             candidates.remove(choice.engine)
         return Error(failure)
 
-    def candidates(self, model: AdapterVersion) -> list[EngineId]:
-        """Return the live engines that may serve an adapter, best first.
+    def candidates(self, model: AdapterVersion, origin: AnswerOrigin) -> list[EngineId]:
+        """Return the live engines that may serve a request, best first.
 
         Engines with an open circuit are left out, unless all circuits are open.
         """
         # The adapter may have been removed from the catalogue since the request came.
         base_model = self.catalogue.base_models.get(model, "")
         engines = self.fleet.live_engines(base_model)
+        names = self.index(base_model, engines, origin).candidates(
+            str(model), MAX_CANDIDATES
+        )
+        now = self.clock.monotonic()
+        usable = [name for name in names if self.state.circuits.allows(name, now)]
+        return usable or names
+
+    def index(
+        self, base_model: str, engines: list[ListedInstance], origin: AnswerOrigin
+    ) -> CandidateIndex:
+        """Return the index of the engines that may run a request."""
+        if origin.version:
+            # Answers that broke off are rare, so the usual index stays the kept one.
+            servers = self.fleet.servers
+            return CandidateIndex(
+                item
+                for item in engines
+                if may_go_on(servers, origin, EngineId(item.id))
+            )
         key = (base_model, *(item.id for item in engines))
         if key not in self.indexes:
             self.indexes = {
@@ -123,10 +147,7 @@
                 if known[0] != base_model
             }
             self.indexes[key] = CandidateIndex(engines)
-        names = self.indexes[key].candidates(str(model), MAX_CANDIDATES)
-        now = self.clock.monotonic()
-        usable = [name for name in names if self.state.circuits.allows(name, now)]
-        return usable or names
+        return self.indexes[key]
 
     def choose(self, model: AdapterVersion, candidates: list[EngineId]) -> Choice:
         """Choose an engine by the known state of the candidates."""
--- a/tests/unit/entry_rig.py
+++ b/tests/unit/entry_rig.py
@@ -18,7 +18,14 @@
 from magnoliatrail.entry.parts import EntryParts
 from magnoliatrail.generated.membership import MemberRecord, MemberState
 from magnoliatrail.generated.permits import PermitGrant
-from magnoliatrail.generated.platform import Catalogue, CatalogueEntry
+from magnoliatrail.generated.platform import (
+    Catalogue,
+    CatalogueEntry,
+    InstanceList,
+    ListedInstance,
+    ListedKind,
+    ListedState,
+)
 from magnoliatrail.generated.settings import Settings
 from magnoliatrail.ids import AdapterVersion
 from magnoliatrail.listeners import listen
@@ -46,7 +53,9 @@
 class Rig:
     """Run an entry whose permits alternate between the engines in order."""
 
-    def __init__(self, *, engines=2, token_seconds=0.002, **settings):
+    def __init__(
+        self, *, engines=2, token_seconds=0.002, listed=(), answered=(), **settings
+    ):
         self.settings = Settings(
             **{
                 "instance_id": "one",
@@ -63,7 +72,8 @@
         clock = SystemClock()
         limits = EngineLimits(token_time=timedelta(seconds=token_seconds))
         self.engines = [
-            FakeEngine(clock, limits, fetch_nothing) for _ in range(engines)
+            FakeEngine(clock, limits, fetch_nothing, software_version=version)
+            for version in answered or [""] * engines
         ]
         self.listeners = [
             listen(engine_application(engine), host="127.0.0.1")
@@ -77,12 +87,15 @@
         self.obtained = 0
         self.quarantine = lone_quarantine(clock)
         self.client = new_http_client()
+        self.fleet = Fleet(clock, member_record())
+        self.list_versions(listed or [""] * engines)
         caller = EngineCaller(
             settings=self.settings,
             clock=clock,
             client=self.client,
             permits=holder,
             quarantine=self.quarantine,
+            servers=self.fleet.servers,
         )
         metrics = RecordedMetrics()
         configuration = ConfigurationInForce(clock)
@@ -94,7 +107,7 @@
             clock=clock,
             metrics=metrics,
             client=self.client,
-            fleet=Fleet(clock, member_record()),
+            fleet=self.fleet,
             configuration=configuration,
             catalogue=catalogue,
             dispatcher=Dispatcher(
@@ -111,6 +124,26 @@
         )
         self.entry = listen(caller_application(parts), host="127.0.0.1")
 
+    def list_versions(self, versions):
+        """Apply a list whose engines have these versions; None takes one off."""
+        entries = [
+            ListedInstance(
+                id=f"engine-{number}",
+                kind=ListedKind.ENGINE,
+                name="base",
+                url=listener.url,
+                failure_domain="domain-0",
+                state=ListedState.LIVE,
+                software_version=version,
+            )
+            for number, (listener, version) in enumerate(
+                zip(self.listeners, versions, strict=True)
+            )
+            if version is not None
+        ]
+        now = self.fleet.clock.monotonic()
+        self.fleet.servers.apply_list(InstanceList(instances=entries), now)
+
     async def obtain(self, request):
         """Return the permit of the next engine."""
         self.obtained += 1
