Let long streams that break off wait for an engine as young ones do

Cause: how long a request had been without an engine was counted from its arrival, also for the time in which an engine ran it.

Now it is counted from the last failure of an engine that had the request, and from the arrival if there was none. A request that no engine can serve ends as early as before. The waits stay bounded by the deadline, and runs after a failure by the retry budget.

The new test failed before with no_backend_server, and passes.

--- a/src/magnoliatrail/entry/dispatch.py
+++ b/src/magnoliatrail/entry/dispatch.py
@@ -109,14 +109,17 @@
         """Run a request, and retry it within its deadline and the retry budget."""
         self.budget.earn()
         delays = backoff_delays(RETRY_BACKOFF, self.generator)
+        without_engine_since = request.context.started
         while True:
             match await self.try_once(request, sink):
                 case Result(tag="ok"):
                     return Ok(None)
                 case Result(error=failure):
                     pass
+            if failure.kind in ENGINE_AT_FAULT:
+                without_engine_since = self.clock.monotonic()
             delay = next(delays, timedelta.max)
-            if not self.may_retry(request, failure, delay):
+            if not self.may_retry(request, failure, delay, without_engine_since):
                 return Error(failure)
             self.metrics.count("retries")
             log.info(
@@ -129,14 +132,18 @@
             await self.clock.sleep(delay)
 
     def may_retry(
-        self, request: CompletionCall, failure: Failure, delay: timedelta
+        self,
+        request: CompletionCall,
+        failure: Failure,
+        delay: timedelta,
+        without_engine_since: timedelta,
     ) -> bool:
         """Return whether a failed request may be retried after `delay`."""
         if not failure.may_run_again or is_final(failure):
             return False
         if delay >= request.context.time_left(self.clock):
             return False
-        waited = self.clock.monotonic() - request.context.started
+        waited = self.clock.monotonic() - without_engine_since
         if failure.kind is ErrorKind.NO_BACKEND_SERVER and waited > MAX_TAKEOVER_WAIT:
             return False
         return failure.kind not in ENGINE_AT_FAULT or self.budget.spend()
--- a/tests/unit/test_dispatch.py
+++ b/tests/unit/test_dispatch.py
@@ -1,12 +1,13 @@
 from datetime import timedelta
 from random import Random
 
-from expression import Error
+from expression import Error, Ok
 
 from magnoliatrail.clock import ManualClock
+from magnoliatrail.engines.permits import Permit
 from magnoliatrail.entry.dispatch import MAX_TAKEOVER_WAIT, Dispatcher
 from magnoliatrail.errors import ErrorKind, Failure
-from magnoliatrail.generated.permits import RequestClass
+from magnoliatrail.generated.permits import PermitGrant, RequestClass
 from magnoliatrail.ids import AdapterVersion, CallerId, RequestId
 from magnoliatrail.metrics import NoMetrics
 from magnoliatrail.requests import CompletionCall, RequestContext
@@ -32,9 +33,43 @@
         return Error(self.failure)
 
 
-def dispatched(run, kind):
-    """Return the failure of a request, and the time at which it failed."""
-    clock = SteppingClock()
+class LateSearch:
+    """Find an engine at once, and after an interruption only at the third search."""
+
+    def __init__(self):
+        grant = PermitGrant(
+            engine="engine",
+            engine_url="http://127.0.0.1:1",
+            handle="a@1~1",
+            adapter="a",
+            version="1",
+            fencing_number=1,
+            places=8,
+        )
+        refusal = Error(Failure(ErrorKind.NO_BACKEND_SERVER, "refused"))
+        self.results = [Ok(Permit(grant)), refusal, refusal, Ok(Permit(grant))]
+
+    async def obtain(self, request):
+        return self.results.pop(0)
+
+
+class InterruptedOnce:
+    """Break off after the time of a long answer, and finish it at the next run."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.runs = 0
+
+    async def run(self, request, permit, sink):
+        self.runs += 1
+        if self.runs > 1:
+            return Ok(None)
+        await self.clock.sleep(2 * MAX_TAKEOVER_WAIT)
+        return Error(Failure(ErrorKind.ANSWER_INTERRUPTED, "cut"))
+
+
+def dispatch(run, clock, search, caller=None):
+    """Return the result of a request."""
     context = RequestContext(
         request_id=RequestId("r"),
         caller=CallerId("c"),
@@ -49,12 +84,18 @@
     dispatcher = Dispatcher(
         clock=clock,
         metrics=NoMetrics(),
-        search=FailingSearch(kind),
-        caller=None,
+        search=search,
+        caller=caller,
         quarantine=lone_quarantine(clock),
         generator=Random(1),
     )
-    result = run(dispatcher.dispatch(request, None))
+    return run(dispatcher.dispatch(request, None))
+
+
+def dispatched(run, kind):
+    """Return the failure of a request, and the time at which it failed."""
+    clock = SteppingClock()
+    result = dispatch(run, clock, FailingSearch(kind))
     return result.error, clock.monotonic()
 
 
@@ -69,3 +110,11 @@
     failure, at = dispatched(run, ErrorKind.DEADLINE_UNREACHABLE)
     assert failure.kind is ErrorKind.DEADLINE_UNREACHABLE
     assert at == timedelta()
+
+
+# Guards against a long stream that ends at once, as no engine is ready for a moment.
+def test_a_long_answer_that_breaks_off_waits_for_an_engine_as_a_new_request(run):
+    clock = SteppingClock()
+    caller = InterruptedOnce(clock)
+    assert dispatch(run, clock, LateSearch(), caller).is_ok()
+    assert caller.runs == 2
