Let the rig's instances find a stored layout instead of discovering engines

A rig played a first start of the fleet: its instances waited 3 to 5 s until no more engines appeared, then for the first claim. Instances count as settled only once they know both tables.

--- a/tests/platform/rig.py
+++ b/tests/platform/rig.py
@@ -8,8 +8,11 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+from magnoliatrail.cells.fleet_layout import LAYOUT_KEY
+from magnoliatrail.generated.cells import LayoutRow
 from magnoliatrail.ids import FailureDomain, InstanceId
 from magnoliatrail.listeners import listen
+from magnoliatrail.platform.protocol import CELLS_TABLE
 from magnoliatrail.platform.settings_file import Bounds, InstanceSettings
 from magnoliatrail.platform_daemon import PlatformDaemon
 from magnoliatrail.standins.platform_engine import (
@@ -17,6 +20,7 @@
     platform_engine_application,
 )
 from magnoliatrail.standins.row_store import RowStoreState, row_store_application
+from magnoliatrail.wire import encode
 
 BOUNDS = Bounds(
     propagation=timedelta(seconds=2),
@@ -29,6 +33,8 @@
     retry_window=timedelta(seconds=10),
 )
 MODEL = "base"
+# As many as a first start decides for the few engines of a rig.
+CELLS = 1
 WAIT_SECONDS = 20
 START_ATTEMPTS = 5
 
@@ -40,7 +46,7 @@
         return found.getsockname()[1]
 
 
-def settings(number, store_address):
+def settings(number, store_address, *, first_start=True):
     """Return the settings of one instance, with free ports."""
     port = free_port()
     return InstanceSettings(
@@ -55,7 +61,7 @@
         file_descriptors=4096,
         cores=1.0,
         link_mbps=1000.0,
-        first_start=True,
+        first_start=first_start,
         bounds=BOUNDS,
         metrics_port=0,
     )
@@ -115,6 +121,7 @@
 @dataclass
 class Rig:
     store: RowStoreState
+    first_start: bool = False
     daemons: list = field(default_factory=list)
     engines: list = field(default_factory=list)
     listeners: list = field(default_factory=list)
@@ -122,7 +129,9 @@
     async def start_instance(self, number, store_address):
         """Start an instance, with other ports if a process took one of its ports."""
         for attempt in range(1, START_ATTEMPTS + 1):
-            daemon = PlatformDaemon(settings(number, store_address))
+            daemon = PlatformDaemon(
+                settings(number, store_address, first_start=self.first_start)
+            )
             # Longer than a window ago, so that the retry budget has its slack.
             daemon.forwarding_context.started_at -= BOUNDS.retry_window
             try:
@@ -214,12 +223,18 @@
 
 
 @asynccontextmanager
-async def running(*, instances=1, engines=1):
-    """Run instances with a stand-in store and engines."""
+async def running(*, instances=1, engines=1, first_start=False):
+    """Run instances with a stand-in store and engines.
+
+    The fleet started before, so its layout is stored: a first start first waits for
+    seconds until no more engines appear.
+    """
     store = RowStoreState()
     listener = listen(row_store_application(store), host="127.0.0.1")
-    rig = Rig(store, listeners=[listener])
+    rig = Rig(store, first_start, listeners=[listener])
     store.put_json("op", "config", configuration())
+    if not first_start:
+        store.put(CELLS_TABLE, LAYOUT_KEY, encode(LayoutRow(cells=CELLS)))
     for number in range(engines):
         rig.add_engine(
             PlatformEngineState(
@@ -240,11 +255,11 @@
 
 
 def is_settled(daemon):
-    """Return whether an instance knows a configuration, and all owners answer it."""
+    """Return whether an instance knows both tables, and all owners answer it."""
     members = daemon.cells.members.values()
-    knows_configuration = daemon.view.routes is not None
+    knows_tables = daemon.view.routes is not None and daemon.view.lists_servers
     alive = all(item.link.is_alive for item in members)
-    return knows_configuration and bool(members) and alive
+    return knows_tables and bool(members) and alive
 
 
 async def close(daemon):
