Give each instance of a soak run three different ports

Each port was closed before the next was asked for, so the kernel could give the same one twice, and the instance would never start. All are now bound at once; the address is the instance's own, so nobody else takes them.

--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import time
+from contextlib import ExitStack
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -47,12 +48,16 @@
     return f"127.{1 + (own >> 8) % 250}.{own % 256}.{number}"
 
 
-def free_port(ip: str) -> int:
-    """Return a port that is free at an address."""
-    with socket.socket() as found:
-        found.bind((ip, 0))
-        port: int = found.getsockname()[1]
-        return port
+def free_ports(ip: str, count: int) -> list[int]:
+    """Return different ports that are free at an address.
+
+    All are bound at once: the kernel may give a port again that was closed.
+    """
+    with ExitStack() as stack:
+        found = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for item in found:
+            item.bind((ip, 0))
+        return [item.getsockname()[1] for item in found]
 
 
 @dataclass
@@ -88,9 +93,8 @@
         """Choose the addresses."""
         self.name = f"instance-{self.number}"
         self.ip = own_address()
-        self.callers_port = free_port(self.ip)
-        self.ready_port = free_port(self.ip)
-        self.peer_port = free_port(self.ip)
+        # Nobody else listens at this address, so the ports stay free for the restarts.
+        self.callers_port, self.ready_port, self.peer_port = free_ports(self.ip, 3)
         self.path = self.directory / f"{self.name}.toml"
         self.log = self.directory / f"{self.name}.log"
 
