Say why a repeat was refused when the fault matrix fails

In one of two whole runs on 4 workers, beside other load (load average 13), 'table answer lost at claim + table request lost at claim' failed: a repeat after the faults got table_unavailable. The message of the refusal was not printed; now it is. Nothing else changes.

--- a/tests/outcomes/harness.py
+++ b/tests/outcomes/harness.py
@@ -71,6 +71,11 @@
     def kind(self) -> str:
         return self.refusal.error.kind if self.refusal else str(self.status)
 
+    @property
+    def reason(self) -> str:
+        message = f": {self.refusal.error.message}" if self.refusal else ""
+        return f"{self.kind}{message}"
+
     @property
     def is_complete(self) -> bool:
         try:
--- a/tests/outcomes/test_matrix.py
+++ b/tests/outcomes/test_matrix.py
@@ -143,7 +143,7 @@
         after = [await final_answer(harness, "key") for _ in range(2)]
         check_outcomes(counts, case, "key", harness, [first, *during, *after])
         if first.status == 200 and any(got.body != first.body for got in after):
-            counts.wrong.append(f"{case}: a repeat got {[got.kind for got in after]}")
+            counts.wrong.append(f"{case}: a repeat got {[got.reason for got in after]}")
 
 
 async def run_cases(cases: list[tuple[str, ...]]) -> OutcomeCounts:
