Let the stand-in engine go on after Last-Event-Id

What callers saw: a stream that was taken up again at the stand-in began anew at event 1, so that no test could see a gap or a repeat.

Streams now go on after the event that the request names, and break off at once if they would have broken off before it. A state may override the data of events.

The new test fails with the stand-in of before (events 1 to 3 instead of 2 and 3).

--- a/src/magnoliatrail/standins/platform_engine.py
+++ b/src/magnoliatrail/standins/platform_engine.py
@@ -124,6 +124,15 @@
         )
         return 202
 
+    def event_data(self, number: int, body: bytes) -> bytes:
+        """Return the data of an event of the stream for a body."""
+        del number
+        return body
+
+    def breaks_before(self, number: int) -> bool:
+        """Return whether streams are cut off before an event."""
+        return self.break_after_events is not None and number > self.break_after_events
+
     def crash(self) -> None:
         """Break off all answers; later requests find no server."""
         self.ended = True
@@ -244,13 +253,13 @@
         if self.state.unframed:
             await self.write_unframed()
             return
-        for number in range(1, self.state.events + 1):
+        for number in self.event_numbers():
             if self.caller_disconnected:
                 self.state.abandoned.append(request)
                 return
             if self.state.ended:
                 return
-            if self.state.break_after_events == number - 1:
+            if self.state.breaks_before(number):
                 if self.state.break_inside_event:
                     self.write(self.event(number)[:-1])
                     await self.flush()
@@ -262,7 +271,13 @@
 
     def event(self, number: int) -> bytes:
         """Return one event of a stream."""
-        return b"id: %d\ndata: %s\n\n" % (number, self.request.body)
+        data = self.state.event_data(number, self.request.body)
+        return b"id: %d\ndata: %s\n\n" % (number, data)
+
+    def event_numbers(self) -> range:
+        """Return the numbers of the events that the caller does not have yet."""
+        last = int(self.request.headers.get("Last-Event-Id", "0"))
+        return range(last + 1, self.state.events + 1)
 
     async def write_unframed(self) -> None:
         """Write a stream that ends with its connection."""
@@ -270,8 +285,8 @@
         stream = self.detach()
         try:
             await stream.write(f"HTTP/1.1 200 OK\r\n{fields}\r\n".encode())
-            for number in range(1, self.state.events + 1):
-                if self.state.break_after_events == number - 1:
+            for number in self.event_numbers():
+                if self.state.breaks_before(number):
                     if self.state.break_inside_event:
                         await stream.write(self.event(number)[:-1])
                     return
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -84,6 +84,23 @@
     run(scenario())
 
 
+# Guards against a stand-in that begins anew, which hides gaps and repeats from callers.
+def test_a_resumed_stream_goes_on_after_the_last_event(run):
+    async def scenario():
+        async with running() as rig:
+            await listed(rig, "engine-0")
+            await begin(rig, rig.daemons[0], "r0")
+            rig.engines[0].break_after_events = None
+            answer = await resume(rig, rig.daemons[0], "r1", "r0")
+            lines = answer.body.split(b"\n")
+            assert [line for line in lines if line.startswith(b"id:")] == [
+                b"id: 2",
+                b"id: 3",
+            ]
+
+    run(scenario())
+
+
 # Guards against streams that go on at another software version than began them.
 def test_a_stream_whose_software_version_is_gone_is_refused_at_once(run):
     async def scenario():
