Release software versions in the soak, and check streams over all tries

Events now tell the version of their engine. The faults release and kill_all_during_release, drawn apart from the others, replace engines; the second kills all instances while two versions serve, or as the old one leaves, with streams that outlive the interval in which their versions are written. Callers take a stream up again after its last event, with the request that began it, until it is whole or its deadline has passed. Events must be 1 to 12 in order, of one version, with the data that was asked for.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -54,6 +54,7 @@
             )
         click.echo(
             f"seed {seed}: {report.requests} requests, {report.served} served, "
+            f"{report.went_on} of {report.resumed} resumed streams went on, "
             f"{len(report.faults)} faults, {len(report.violations)} violations"
         )
         if report.violations:
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -6,6 +6,7 @@
 
 from tests.soak.processes import Exit
 from tests.soak.servers import OrderSeen
+from tests.soak.stream_checks import disordered_streams
 from tests.soak.traffic import Ending, Exchange, RequestKind
 
 HTTP_OK = 200
@@ -61,6 +62,7 @@
     """Return every broken promise as a line."""
     return [
         *wrong_answers(seen.exchanges),
+        *disordered_streams(seen.exchanges),
         *repeated_runs(seen.exchanges, seen.ran),
         *false_refusals(seen.exchanges, seen.ran),
         *missing_answers(seen.exchanges, seen.disturbed),
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -29,6 +29,10 @@
     CRASHING_PART = "crashing_part"
     # An engine names a limit of requests a second.
     ENGINE_LIMITED = "engine_limited"
+    # Engines of another software version replace some or all, one after the other.
+    RELEASE = "release"
+    # All instances are killed while two versions serve, or as the old one leaves.
+    KILL_ALL_DURING_RELEASE = "kill_all_during_release"
 
 
 # How often each kind is drawn, and the longest time that it lasts in seconds.
@@ -77,6 +81,31 @@
 }
 
 
+# Faults with several software versions: the chance that a run has one, and the longest
+# time that it lasts in seconds.
+RELEASE_FAULTS = {
+    FaultKind.RELEASE: (0.6, 4.0),
+    FaultKind.KILL_ALL_DURING_RELEASE: (0.6, 1.0),
+}
+
+
+def draw_release_faults(generator: Random, *, seconds: float) -> list[Fault]:
+    """Return the releases of a run; they begin in its first half.
+
+    They are drawn apart, so that a seed keeps its other faults.
+    """
+    return [
+        Fault(
+            kind,
+            generator.uniform(0, seconds / 2),
+            generator.uniform(SHORTEST_SECONDS, longest),
+            generator.randrange(1000),
+        )
+        for kind, (chance, longest) in RELEASE_FAULTS.items()
+        if generator.random() < chance
+    ]
+
+
 def draw_load_faults(generator: Random, *, seconds: float) -> list[Fault]:
     """Return the faults of load of a run; they begin in its first half."""
     return [
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -20,16 +20,23 @@
     Observations,
     violations,
 )
-from tests.soak.faults import Fault, FaultKind, draw_faults, draw_load_faults
+from tests.soak.faults import (
+    Fault,
+    FaultKind,
+    draw_faults,
+    draw_load_faults,
+    draw_release_faults,
+)
 from tests.soak.links import FaultyLink, LinkState
 from tests.soak.processes import Exit, Instance
+from tests.soak.releases import DRAIN_SECONDS, Releases
 from tests.soak.servers import CheckedEngine, Server
+from tests.soak.stream_checks import resumed_streams
 from tests.soak.traffic import HANG_SECONDS, Caller, Ending, Exchange, RequestKind
 
 HTTP_OK = 200
 START_LIMIT_SECONDS = 60.0
 SETTLE_LIMIT_SECONDS = 60.0
-DRAIN_SECONDS = 2.5
 SLOW_SECONDS = 0.3
 CRASHING_REQUEST_INTERVAL_SECONDS = 0.2
 LIMIT_PER_SECOND = 3.0
@@ -58,6 +65,9 @@
     violations: list[str]
     requests: int
     served: int
+    # Streams that were taken up again, and those of them that were answered.
+    resumed: int
+    went_on: int
 
 
 @dataclass
@@ -78,6 +88,10 @@
     configuration_version: int = 1
     limits: list[NamedLimit] = field(default_factory=list)
 
+    def __post_init__(self) -> None:
+        """Prepare the releases."""
+        self.releases = Releases(self.servers, self.store)
+
     async def run(self) -> Report:
         """Run the fleet, inject the faults, and check what was seen."""
         settings = self.settings
@@ -88,6 +102,9 @@
         faults += draw_load_faults(
             Random(f"{settings.seed}-load"), seconds=settings.fault_seconds
         )
+        faults += draw_release_faults(
+            Random(f"{settings.seed}-release"), seconds=settings.fault_seconds
+        )
         listener = listen(row_store_application(self.store), host="127.0.0.1")
         try:
             await self.start(listener.port)
@@ -104,17 +121,20 @@
             for instance in self.instances:
                 instance.signal(signal.SIGCONT)
                 instance.kill()
-            for server in self.servers:
+            for server in self.releases.all_servers:
                 server.close()
             self.store_link.close()
             listener.server.stop()
         seen = self.observations()
+        resumed, went_on = resumed_streams(seen.exchanges)
         return Report(
             seed=settings.seed,
             faults=[str(item) for item in faults],
             violations=[*self.extra, *violations(seen)],
             requests=len(seen.exchanges),
             served=sum(item.status == HTTP_OK for item in seen.exchanges),
+            resumed=resumed,
+            went_on=went_on,
         )
 
     async def start(self, store_port: int) -> None:
@@ -198,6 +218,8 @@
             FaultKind.CONFIGURATION: self.change_configuration,
             FaultKind.CRASHING_PART: self.send_crashing_part,
             FaultKind.ENGINE_LIMITED: self.limit_engine,
+            FaultKind.RELEASE: self.release,
+            FaultKind.KILL_ALL_DURING_RELEASE: self.kill_all_during_release,
         }
 
     def instance(self, fault: Fault) -> Instance:
@@ -302,7 +324,7 @@
         await asyncio.sleep(fault.seconds)
         self.store.restore(rows, version)
         self.write_configuration()
-        for server in self.servers:
+        for server in self.releases.all_servers:
             server.list_as(server.listed)
 
     async def reset_link(self, fault: Fault) -> None:
@@ -386,9 +408,22 @@
             instance = caller.generator.choice(self.instances)
             await caller.send(instance, RequestKind.STREAM)
             await asyncio.sleep(CRASHING_REQUEST_INTERVAL_SECONDS)
-        for engine in engines:
+        for engine in self.releases.all_servers:
             engine.set_crashing_part("")
 
+    async def release(self, fault: Fault) -> None:
+        """Replace engines by those of another software version."""
+        await self.releases.release(fault.target, fault.seconds)
+
+    async def kill_all_during_release(self, fault: Fault) -> None:
+        """Kill all instances while two software versions serve, or one leaves."""
+        at_once = bool(fault.target % 2)
+        async with self.releases.lock:
+            share = 1.0 if at_once else 0.5
+            old = await self.releases.start_beside(fault.target, share)
+            kill = asyncio.create_task(self.kill_all(fault))
+            await self.releases.leave_around(old, kill, at_once=at_once)
+
     async def limit_engine(self, fault: Fault) -> None:
         """Let the current run of an engine name a limit for a while."""
         engines = [server for server in self.servers if server.is_engine]
@@ -414,7 +449,7 @@
             limits=self.limits,
             crashing_parts={caller.part for caller in self.callers if caller.part},
         )
-        for server in self.servers:
+        for server in self.releases.all_servers:
             for state in server.runs:
                 seen.ran.update(state.ran)
                 if isinstance(state, CheckedEngine):
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -19,6 +19,7 @@
 
 MODEL = "base"
 EVENTS = 12
+EVENT_SECONDS = 0.01
 FENCED = 412
 CRASH_SECONDS = 0.5
 
@@ -41,6 +42,10 @@
     crashed_by_part_at: float | None = None
     on_crash: Callable[[], None] = lambda: None
 
+    def event_data(self, number: int, body: bytes) -> bytes:
+        """Return data that tells the engine's software version."""
+        return event_data(self.version, number, body)
+
     def crash(self) -> None:
         """Crash by a part of a prompt, and let the engine be restarted."""
         if not self.ended:
@@ -109,20 +114,30 @@
     return hashlib.sha256(body).hexdigest().encode()
 
 
-def stream_answer(body: bytes) -> bytes:
-    """Return the whole stream that an engine sends for a body."""
+def event_data(version: str, number: int, body: bytes) -> bytes:
+    """Return the data of one event of the stream for a body."""
+    return b"%s %d %s" % (version.encode(), number, body)
+
+
+def stream_answer(body: bytes, version: str = "v1", *, after: int = 0) -> bytes:
+    """Return the stream that an engine sends for a body after an event."""
     return b"".join(
-        b"id: %d\ndata: %s\n\n" % (number, body) for number in range(1, EVENTS + 1)
+        b"id: %d\ndata: %s\n\n" % (number, event_data(version, number, body))
+        for number in range(after + 1, EVENTS + 1)
     )
 
 
 class Server:
     """A backend server with a fixed address, whose runs follow each other."""
 
-    def __init__(self, name: str, store: RowStoreState, *, engine: bool) -> None:
+    def __init__(
+        self, name: str, store: RowStoreState, *, engine: bool, version: str = "v1"
+    ) -> None:
         self.name = name
         self.store = store
         self.is_engine = engine
+        self.version = version
+        self.event_seconds = EVENT_SECONDS
         self.link = FaultyLink()
         self.runs: list[CheckedEngine | PlainState] = []
         self.listener: Listener | None = None
@@ -146,7 +161,8 @@
                 adapter_slots=4,
                 models={MODEL},
                 events=EVENTS,
-                event_seconds=0.01,
+                event_seconds=self.event_seconds,
+                version=self.version,
                 crashing_part=self.crashing_part,
                 on_crash=self.restart_crashed,
             )
@@ -170,6 +186,13 @@
         if isinstance(state, CheckedEngine):
             state.crashing_part = part
 
+    def set_event_seconds(self, seconds: float) -> None:
+        """Set the time between events of this and later runs of an engine."""
+        self.event_seconds = seconds
+        state = self.runs[-1]
+        if isinstance(state, CheckedEngine):
+            state.event_seconds = seconds
+
     def restart_crashed(self) -> None:
         """End the crashed run, and start the next one after a while."""
         task = asyncio.create_task(self.restart_after(CRASH_SECONDS))
--- a/tests/soak/test_faults.py
+++ b/tests/soak/test_faults.py
@@ -4,11 +4,13 @@
 from random import Random
 
 from tests.soak.faults import (
+    RELEASE_FAULTS,
     SHORTEST_SECONDS,
     WEIGHTS,
     FaultKind,
     draw_faults,
     draw_load_faults,
+    draw_release_faults,
 )
 
 
@@ -37,4 +39,24 @@
     drawn = draw_faults(Random(1), seconds=600)
     for seed in range(20):
         drawn += draw_load_faults(Random(seed), seconds=12)
+        drawn += draw_release_faults(Random(seed), seconds=12)
     assert {fault.kind for fault in drawn} == set(FaultKind)
+
+
+# Guards against releases that are still going on when a run of twelve seconds ends.
+def test_releases_begin_in_the_first_half_of_a_run_and_last_as_long_as_allowed():
+    drawn = [
+        fault
+        for seed in range(50)
+        for fault in draw_release_faults(Random(seed), seconds=12)
+    ]
+    assert drawn
+    for fault in drawn:
+        assert 0 <= fault.at <= 6
+        assert SHORTEST_SECONDS <= fault.seconds <= RELEASE_FAULTS[fault.kind][1]
+
+
+# Guards against a seed whose earlier faults change as a kind is added to the releases.
+def test_releases_are_not_drawn_with_the_other_faults():
+    kinds = {fault.kind for fault in draw_faults(Random(1), seconds=600)}
+    assert not kinds & set(RELEASE_FAULTS)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,7 +6,9 @@
 
 pytestmark = pytest.mark.processes
 
-SEEDS = [1, 2]
+# Seed 3 kills all instances as the engines of a software version leave, seed 2 while
+# those of two versions serve.
+SEEDS = [1, 2, 3]
 # Seeds that failed once, with the cause.
 REGRESSION_SEEDS = [
     # A process that had just started ended by SIGTERM or SIGHUP.
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -6,15 +6,21 @@
 from enum import Enum
 from random import Random
 
+from tests.soak.events import last_event, version_of
 from tests.soak.processes import Instance
 from tests.soak.servers import MODEL, plain_answer, stream_answer
 
+HTTP_OK = 200
 DEADLINE_SECONDS = 8.0
 # A caller without an answer for so long reports a hang.
 HANG_SECONDS = 30.0
 ADAPTERS = 12
 PAUSE_SECONDS = 0.05
 SHARED_PART = "shared"
+# Tries to take a stream up again that an instance may answer, and the pause after one
+# that none did.
+RESUMING_TRIES = 5
+UNANSWERED_PAUSE_SECONDS = 0.2
 
 
 class RequestKind(Enum):
@@ -55,6 +61,13 @@
     status: int = 0
     body: bytes = b""
     expected: bytes = b""
+    # The headers that depend on the kind, and the body.
+    fields: dict[str, str] = field(default_factory=dict)
+    asked: bytes = b""
+    # Of a request that takes a stream up again: what began it, and the last event.
+    resumes: str = ""
+    after: int = 0
+    retry_after: float = 0.0
 
 
 @dataclass
@@ -84,39 +97,85 @@
         while not self.stopped:
             kind = self.generator.choices(list(SHARES), list(SHARES.values()))[0]
             exchange = await self.send(self.generator.choice(self.instances), kind)
-            broke = exchange.ending in (Ending.TRUNCATED, Ending.CLOSED)
-            if kind is RequestKind.STREAM and broke and self.generator.random() < 0.7:
-                again = self.generator.choice(self.instances)
-                await self.send(again, kind, resumes=exchange.request)
+            if kind is RequestKind.STREAM and exchange.ending is Ending.TRUNCATED:
+                await self.take_up(exchange)
             await asyncio.sleep(self.generator.uniform(0, 2 * PAUSE_SECONDS))
         for connection in self.connections.values():
             connection.writer.close()
 
+    async def take_up(self, first: Exchange) -> None:
+        """Take a stream that broke off up again, at any instance, until it is whole.
+
+        A stream without an event has nothing to go on from.
+        """
+        after = last_event(first.body)
+        until, tries = first.sent_at + DEADLINE_SECONDS, RESUMING_TRIES
+        while after and tries and time.monotonic() < until and not self.stopped:
+            sent = await self.send(
+                self.generator.choice(self.instances),
+                RequestKind.STREAM,
+                first=first,
+                after=after,
+            )
+            if sent.status == HTTP_OK:
+                after = last_event(sent.body) or after
+                if sent.ending is Ending.WHOLE:
+                    return
+            tries -= bool(sent.status)
+            await asyncio.sleep(sent.retry_after or UNANSWERED_PAUSE_SECONDS)
+
     async def send(
-        self, instance: Instance, kind: RequestKind, *, resumes: str = ""
+        self,
+        instance: Instance,
+        kind: RequestKind,
+        *,
+        first: Exchange | None = None,
+        after: int = 0,
     ) -> Exchange:
-        """Send one request, and record what came back."""
+        """Send one request, and record what came back.
+
+        It takes the stream of a first one up again after an event, if there is one.
+        """
         request = f"{self.name}-{len(self.exchanges)}"
-        body = request.encode() * self.generator.randint(1, 40)
-        answer = stream_answer if kind is RequestKind.STREAM else plain_answer
+        if first:
+            body, fields = first.asked, first.fields
+        else:
+            body = request.encode() * self.generator.randint(1, 40)
+            fields = self.head(kind)
         now = time.monotonic()
         exchange = Exchange(
-            request, kind, instance.name, now, now, expected=answer(body)
+            request,
+            kind,
+            instance.name,
+            now,
+            now,
+            fields=fields,
+            asked=body,
+            resumes=first.request if first else "",
+            after=after,
         )
         self.exchanges.append(exchange)
+        sent = dict(fields)
+        if first:
+            sent |= {"Resumes": first.request, "Last-Event-Id": str(after)}
         try:
             async with asyncio.timeout(HANG_SECONDS):
-                await self.exchange(instance, exchange, self.head(kind, resumes), body)
+                await self.exchange(instance, exchange, sent, body)
         except TimeoutError:
             exchange.ending = Ending.HUNG
         except (OSError, asyncio.IncompleteReadError, ValueError):
             exchange.ending = Ending.TRUNCATED if exchange.status else Ending.CLOSED
         exchange.ended_at = time.monotonic()
+        if kind is RequestKind.STREAM:
+            version = version_of(exchange.body)
+            exchange.expected = stream_answer(body, version, after=after)
+        else:
+            exchange.expected = plain_answer(body)
         if exchange.ending is not Ending.WHOLE:
             self.forget(instance)
         return exchange
 
-    def head(self, kind: RequestKind, resumes: str) -> dict[str, str]:
+    def head(self, kind: RequestKind) -> dict[str, str]:
         """Return the headers that depend on the kind of a request."""
         fields = {}
         if kind is RequestKind.STREAM:
@@ -126,9 +185,6 @@
             parts = [SHARED_PART, self.part or self.name, f"own{len(self.exchanges)}"]
             prefix = ",".join(f"{part}:30" for part in parts)
             fields["Magnoliatrail-Prompt-Prefix"] = prefix
-        if resumes:
-            fields["Resumes"] = resumes
-            fields["Last-Event-Id"] = "1"
         return fields
 
     async def exchange(
@@ -175,6 +231,7 @@
         exchange.status = int(lines[0].split()[1])
         fields = dict(line.split(": ", 1) for line in lines[1:] if line)
         fields = {name.lower(): value for name, value in fields.items()}
+        exchange.retry_after = float(fields.get("retry-after", "0"))
         if fields.get("transfer-encoding") == "chunked":
             while size := int(await reader.readline(), 16):
                 exchange.body += await reader.readexactly(size)
