--- a/tests/soak/releases.py
+++ b/tests/soak/releases.py
@@ -52,8 +52,8 @@
         old = self.servers[place]
         if old.listener is None or old.listed != "ready":
             return None
-        new = Server(f"engine-{place}-{version}", self.store, engine=True)
-        new.version = version
+        name = f"engine-{place}-{version}"
+        new = Server(name, self.store, engine=True, version=version)
         new.crashing_part = old.crashing_part
         new.event_seconds = old.event_seconds
         await new.start()
