--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -13,6 +13,7 @@
 from magnoliatrail.listeners import listen
 from magnoliatrail.standins.row_store import RowStoreState, row_store_application
 from tests.platform.rig import configuration, route
+from tests.soak import lost_streams
 from tests.soak.checks import (
     ORDER_DELAY_SECONDS,
     Interval,
@@ -20,16 +21,25 @@
     Observations,
     violations,
 )
-from tests.soak.faults import Fault, FaultKind, draw_faults, draw_load_faults
+from tests.soak.faults import (
+    SHORTEST_SECONDS,
+    Fault,
+    FaultKind,
+    draw_faults,
+    draw_load_faults,
+    draw_release_faults,
+)
 from tests.soak.links import FaultyLink, LinkState
+from tests.soak.lost_streams import TakenUp
 from tests.soak.processes import Exit, Instance
-from tests.soak.servers import CheckedEngine, Server
+from tests.soak.releases import DRAIN_SECONDS, Releases
+from tests.soak.servers import EVENT_SECONDS, CheckedEngine, Server
+from tests.soak.stream_checks import resumed_streams
 from tests.soak.traffic import HANG_SECONDS, Caller, Ending, Exchange, RequestKind
 
 HTTP_OK = 200
 START_LIMIT_SECONDS = 60.0
 SETTLE_LIMIT_SECONDS = 60.0
-DRAIN_SECONDS = 2.5
 SLOW_SECONDS = 0.3
 CRASHING_REQUEST_INTERVAL_SECONDS = 0.2
 LIMIT_PER_SECOND = 3.0
@@ -47,6 +57,9 @@
     callers: int = 12
     fault_seconds: float = 12.0
     mean_gap: float = 0.8
+    # Whether all instances are restarted once more after the faults, and streams that
+    # began before are taken up.
+    take_up: bool = False
 
 
 @dataclass
@@ -58,6 +71,11 @@
     violations: list[str]
     requests: int
     served: int
+    # Streams that were taken up again, and those of them that were answered.
+    resumed: int
+    went_on: int
+    # Those that were taken up after the faults, None if the run did not do so.
+    taken_up: TakenUp | None = None
 
 
 @dataclass
@@ -78,6 +96,10 @@
     configuration_version: int = 1
     limits: list[NamedLimit] = field(default_factory=list)
 
+    def __post_init__(self) -> None:
+        """Prepare the releases."""
+        self.releases = Releases(self.servers, self.store)
+
     async def run(self) -> Report:
         """Run the fleet, inject the faults, and check what was seen."""
         settings = self.settings
@@ -88,6 +110,9 @@
         faults += draw_load_faults(
             Random(f"{settings.seed}-load"), seconds=settings.fault_seconds
         )
+        faults += draw_release_faults(
+            Random(f"{settings.seed}-release"), seconds=settings.fault_seconds
+        )
         listener = listen(row_store_application(self.store), host="127.0.0.1")
         try:
             await self.start(listener.port)
@@ -99,22 +124,27 @@
             for caller in self.callers:
                 caller.stopped = True
             await asyncio.gather(*traffic)
+            after_faults = await self.take_up() if settings.take_up else None
             await asyncio.gather(*(self.terminate(item) for item in self.instances))
         finally:
             for instance in self.instances:
                 instance.signal(signal.SIGCONT)
                 instance.kill()
-            for server in self.servers:
+            for server in self.releases.all_servers:
                 server.close()
             self.store_link.close()
             listener.server.stop()
         seen = self.observations()
+        resumed, went_on = resumed_streams(seen.exchanges)
         return Report(
             seed=settings.seed,
             faults=[str(item) for item in faults],
             violations=[*self.extra, *violations(seen)],
             requests=len(seen.exchanges),
             served=sum(item.status == HTTP_OK for item in seen.exchanges),
+            resumed=resumed,
+            went_on=went_on,
+            taken_up=after_faults,
         )
 
     async def start(self, store_port: int) -> None:
@@ -198,6 +228,8 @@
             FaultKind.CONFIGURATION: self.change_configuration,
             FaultKind.CRASHING_PART: self.send_crashing_part,
             FaultKind.ENGINE_LIMITED: self.limit_engine,
+            FaultKind.RELEASE: self.release,
+            FaultKind.KILL_ALL_DURING_RELEASE: self.kill_all_during_release,
         }
 
     def instance(self, fault: Fault) -> Instance:
@@ -302,7 +334,7 @@
         await asyncio.sleep(fault.seconds)
         self.store.restore(rows, version)
         self.write_configuration()
-        for server in self.servers:
+        for server in self.releases.all_servers:
             server.list_as(server.listed)
 
     async def reset_link(self, fault: Fault) -> None:
@@ -386,9 +418,22 @@
             instance = caller.generator.choice(self.instances)
             await caller.send(instance, RequestKind.STREAM)
             await asyncio.sleep(CRASHING_REQUEST_INTERVAL_SECONDS)
-        for engine in engines:
+        for engine in self.releases.all_servers:
             engine.set_crashing_part("")
 
+    async def release(self, fault: Fault) -> None:
+        """Replace engines by those of another software version."""
+        await self.releases.release(fault.target, fault.seconds)
+
+    async def kill_all_during_release(self, fault: Fault) -> None:
+        """Kill all instances while two software versions serve, or one leaves."""
+        at_once = bool(fault.target % 2)
+        async with self.releases.lock:
+            share = 1.0 if at_once else 0.5
+            old = await self.releases.start_beside(fault.target, share)
+            kill = asyncio.create_task(self.kill_all(fault))
+            await self.releases.leave_around(old, kill, at_once=at_once)
+
     async def limit_engine(self, fault: Fault) -> None:
         """Let the current run of an engine name a limit for a while."""
         engines = [server for server in self.servers if server.is_engine]
@@ -402,6 +447,27 @@
         until = time.monotonic()
         self.limits.append(NamedLimit(name, since, until, LIMIT_PER_SECOND))
 
+    async def take_up(self) -> TakenUp:
+        """Kill all instances once more, and take up the streams that broke off."""
+        callers = [
+            Caller(
+                f"t{number}", self.instances, Random(f"{self.settings.seed}-t{number}")
+            )
+            for number in range(lost_streams.STREAMS)
+        ]
+        self.callers.extend(callers)
+
+        async def restart() -> None:
+            await self.kill(self.instances, SHORTEST_SECONDS)
+            self.releases.set_pace(self.servers, EVENT_SECONDS)
+            await self.until_all_serve("a kill of all instances")
+
+        self.releases.set_pace(self.servers, lost_streams.EVENT_SECONDS)
+        tries = await lost_streams.take_up_after_restart(callers, restart)
+        found = lost_streams.taken_up(tries, self.servers)
+        self.extra.extend(found.violations())
+        return found
+
     def observations(self) -> Observations:
         """Return what callers, servers and logs saw."""
         exchanges: list[Exchange] = []
@@ -414,7 +480,7 @@
             limits=self.limits,
             crashing_parts={caller.part for caller in self.callers if caller.part},
         )
-        for server in self.servers:
+        for server in self.releases.all_servers:
             for state in server.runs:
                 seen.ran.update(state.ran)
                 if isinstance(state, CheckedEngine):
