Run the tests on half of the cores, with pytest-xdist

make test ran one test after the other, and nearly all of its time was waiting: 951 s, about 260 s of processor time. It now runs on half of the cores; WORKERS says otherwise, and 0 runs all in one process.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,8 @@
 	soak bench-configuration bench-chunks bench-together plots
 VENV := .venv
 SEEDS ?= 10
+# Workers of `make test`: auto is half of the cores, 0 runs all tests in one process.
+WORKERS ?= auto
 PYTHON ?= $(VENV)/bin/python
 export PYTHONPATH := src
 
@@ -9,7 +11,7 @@
 	$(PYTHON) -m magnoliatrail demo
 
 test: $(VENV)/ready
-	$(PYTHON) -m pytest
+	$(PYTHON) -m pytest -n $(WORKERS)
 
 lint: $(VENV)/ready
 	$(PYTHON) -m ruff format --check .
