--- a/src/magnoliatrail/forwarding/context.py
+++ b/src/magnoliatrail/forwarding/context.py
@@ -80,20 +80,20 @@
         """
         if routed.resumes is None:
             return ""
-        begin = await self.stream_versions.find(routed.resumes)
+        origin = await self.stream_versions.find(routed.resumes)
         log.info(
             "stream_resumed",
             request=routed.request.id,
             resumes=routed.resumes,
-            software_version=begin.software_version,
-            source=begin.source,
-            began_at=begin.instance,
-            informant=begin.informant,
-            age=begin.age,
+            software_version=origin.software_version,
+            source=origin.source,
+            began_at=origin.instance,
+            informant=origin.informant,
+            age=origin.age,
             listed=count_software_versions(self.view.usable(routed.service)),
         )
-        self.metrics.count(f"resumed_streams.{begin.source.value}")
-        return begin.software_version or None
+        self.metrics.count(f"resumed_streams.{origin.source.value}")
+        return origin.software_version or None
 
     async def served_elsewhere(self, routed: "RoutedRequest") -> bool:
         """Answer a request through another instance if this one reaches no server.
--- a/src/magnoliatrail/forwarding/stream_begin.py
+++ b/src/magnoliatrail/forwarding/stream_origin.py
@@ -1,4 +1,4 @@
-"""What is known about the begin of a stream that a caller resumes."""
+"""What is known about the origin of a stream that a caller resumes."""
 
 import asyncio
 from contextlib import suppress
@@ -29,7 +29,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StreamBegin:
+class StreamOrigin:
     """What is known about the begin of a stream that a request resumes."""
 
     source: VersionSource
@@ -42,17 +42,17 @@
     age: timedelta = timedelta()
 
 
-UNKNOWN_BEGIN = StreamBegin(VersionSource.UNKNOWN)
+UNKNOWN_ORIGIN = StreamOrigin(VersionSource.UNKNOWN)
 
 
 async def first_found(
-    questions: set[asyncio.Task[StreamBegin | None]], patience: timedelta
-) -> StreamBegin | None:
+    questions: set[asyncio.Task[StreamOrigin | None]], patience: timedelta
+) -> StreamOrigin | None:
     """Return the first answer that knows a stream, None if none does in time."""
     with suppress(TimeoutError):
         async with asyncio.timeout(patience.total_seconds()):
             for answered in asyncio.as_completed(questions):
-                begin = await answered
-                if begin is not None:
-                    return begin
+                origin = await answered
+                if origin is not None:
+                    return origin
     return None
--- a/src/magnoliatrail/forwarding/stream_versions.py
+++ b/src/magnoliatrail/forwarding/stream_versions.py
@@ -13,11 +13,11 @@
 
 from magnoliatrail.clock import Clock
 from magnoliatrail.errors import Failure
-from magnoliatrail.forwarding.stream_begin import (
+from magnoliatrail.forwarding.stream_origin import (
     AMBIGUOUS,
-    UNKNOWN_BEGIN,
+    UNKNOWN_ORIGIN,
     RecordedStream,
-    StreamBegin,
+    StreamOrigin,
     VersionSource,
     first_found,
 )
@@ -111,7 +111,7 @@
         self.sending: set[str] = set()
         self.wake = asyncio.Event()
         # Questions that may be answered after a stream has been found.
-        self.questions: set[asyncio.Task[StreamBegin | None]] = set()
+        self.questions: set[asyncio.Task[StreamOrigin | None]] = set()
 
     def record(self, request: str, version: str) -> None:
         """Record the version that sent the first event of a stream.
@@ -156,16 +156,16 @@
                 break
             self.known.popitem(last=False)
 
-    async def find(self, request: str) -> StreamBegin:
-        """Return what is known about the begin of a stream.
+    async def find(self, request: str) -> StreamOrigin:
+        """Return what is known about the origin of a stream.
 
         Other instances are asked first, and the store if they don't know in time.
         """
         if not request:
-            return UNKNOWN_BEGIN
+            return UNKNOWN_ORIGIN
         found = self.known.get(request)
         if found:
-            return StreamBegin(
+            return StreamOrigin(
                 VersionSource.RECORDED,
                 found.software_version,
                 found.instance,
@@ -175,23 +175,23 @@
             self.start_question(self.ask(address, request))
             for address in self.holders(request, INSTANCES_ASKED)
         }
-        begin = await first_found(asked, STORE_READ_DELAY)
-        if begin is None:
+        origin = await first_found(asked, STORE_READ_DELAY)
+        if origin is None:
             asked = {question for question in asked if not question.done()}
             asked.add(self.start_question(self.read_record(request)))
-            begin = await first_found(asked, MAX_LOOKUP_TIME)
-        return begin or UNKNOWN_BEGIN
+            origin = await first_found(asked, MAX_LOOKUP_TIME)
+        return origin or UNKNOWN_ORIGIN
 
     def start_question(
-        self, question: Coroutine[Any, Any, StreamBegin | None]
-    ) -> asyncio.Task[StreamBegin | None]:
+        self, question: Coroutine[Any, Any, StreamOrigin | None]
+    ) -> asyncio.Task[StreamOrigin | None]:
         """Start a question, which is not cancelled if its answer is not needed."""
         task = asyncio.create_task(question)
         self.questions.add(task)
         task.add_done_callback(self.questions.discard)
         return task
 
-    async def ask(self, address: str, request: str) -> StreamBegin | None:
+    async def ask(self, address: str, request: str) -> StreamOrigin | None:
         """Ask another instance for the version of a stream."""
         match await self.peers.ask(
             f"http://{address}{STREAM_VERSION_PATH}",
@@ -200,7 +200,7 @@
             PEER_LIMITS,
         ):
             case Result(tag="ok", ok=StreamVersionAnswer(known=True) as found):
-                return StreamBegin(
+                return StreamOrigin(
                     VersionSource.INSTANCE,
                     found.software_version,
                     found.instance,
@@ -216,11 +216,11 @@
                 )
         return None
 
-    async def read_record(self, request: str) -> StreamBegin | None:
+    async def read_record(self, request: str) -> StreamOrigin | None:
         """Read the version of a stream from the store."""
         match await self.reader.find(request):
             case Result(tag="ok", ok=(version, writer)):
-                return StreamBegin(VersionSource.STORE, version, informant=writer)
+                return StreamOrigin(VersionSource.STORE, version, informant=writer)
             case Result(tag="error", error=failure):
                 log.info(
                     "stream_records_unreadable",
@@ -272,12 +272,12 @@
             self.wake.clear()
             begun, self.unsent = self.unsent, []
             for item in begun:
-                self.address(item)
+                self.choose_recipients(item)
             for address in set(self.outgoing) - self.sending:
                 self.sending.add(address)
                 group.create_task(self.send_outgoing(address))
 
-    def address(self, item: UnsentStream) -> None:
+    def choose_recipients(self, item: UnsentStream) -> None:
         """Choose the instances that a stream is sent to, one of which writes it."""
         if item.writers_tried is None:
             for address in self.holders(item.stream.request, COPIES):
--- a/tests/load/stream_fleet.py
+++ b/tests/load/stream_fleet.py
@@ -9,7 +9,7 @@
 from expression import Error
 
 from magnoliatrail.errors import ErrorKind, Failure
-from magnoliatrail.forwarding.stream_begin import AMBIGUOUS
+from magnoliatrail.forwarding.stream_origin import AMBIGUOUS
 from magnoliatrail.forwarding.stream_versions import StreamVersions
 from magnoliatrail.ids import InstanceId, new_incarnation
 from magnoliatrail.membership.recent_instances import RecentInstances
--- a/tests/load/test_stream_records.py
+++ b/tests/load/test_stream_records.py
@@ -5,7 +5,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from magnoliatrail.forwarding.stream_begin import VersionSource
+from magnoliatrail.forwarding.stream_origin import VersionSource
 from magnoliatrail.membership.stream_records import STREAM_LIFETIME
 from tests.load.stream_fleet import StreamFleet, run_virtually
 from tests.load.stream_writes import count_writes
--- a/tests/unit/test_stream_records.py
+++ b/tests/unit/test_stream_records.py
@@ -284,7 +284,7 @@
 
 def test_a_stream_has_a_writer_also_if_there_are_few_instances(run, records):
     known = versions(records, instances=2)
-    known.address(UnsentStream(begun("r1"), writers_tried=1))
+    known.choose_recipients(UnsentStream(begun("r1"), writers_tried=1))
     assert [stream.request for stream in records.writer.pending] == ["r1"]
 
 
--- a/tests/unit/test_stream_versions.py
+++ b/tests/unit/test_stream_versions.py
@@ -8,7 +8,7 @@
 from expression import Ok
 
 from magnoliatrail.clock import ManualClock, SystemClock
-from magnoliatrail.forwarding.stream_begin import AMBIGUOUS, VersionSource
+from magnoliatrail.forwarding.stream_origin import AMBIGUOUS, VersionSource
 from magnoliatrail.forwarding.stream_versions import COPIES, StreamVersions
 from magnoliatrail.generated.cells import BegunStream, StreamVersionAnswer
 from magnoliatrail.ids import InstanceId, new_incarnation
