--- a/src/magnoliatrail/forwarding/stream_versions.py
+++ b/src/magnoliatrail/forwarding/stream_versions.py
@@ -124,7 +124,8 @@
             request=request, software_version=version, instance=self.instance
         )
         self.keep(stream)
-        if self.ranking(request)[0] == self.instance and not self.writer.failing:
+        first, *others = self.ranking(request)
+        if first == self.instance and not (self.writer.failing and others):
             self.writer.add([stream])
             self.unsent.append(UnsentStream(stream))
         else:
--- a/tests/unit/test_stream_versions.py
+++ b/tests/unit/test_stream_versions.py
@@ -300,6 +300,14 @@
     assert [item.writers_tried for item in known.unsent] == [None, 0]
 
 
+# Guards against streams that nobody writes, as an instance alone leaves them to others.
+def test_an_instance_alone_writes_its_streams_once_it_can(run):
+    known = versions(addresses={})
+    known.writer.failing = True
+    known.record("r1", "v1")
+    assert [stream.request for stream in known.writer.pending] == ["r1"]
+
+
 # Guards against reads of the store that callers cause without bound.
 def test_requests_for_unknown_streams_share_reads_of_the_store(run):
     async def scenario():
