--- a/src/magnoliatrail/cells/link.py
+++ b/src/magnoliatrail/cells/link.py
@@ -248,7 +248,12 @@
                 self.unreported.started[:0] = events.started
                 self.unreported.ended[:0] = events.ended
                 self.reports = 0
-                log.warning("report_failed", owner=self.owner, reason=failure.message)
+                log.warning(
+                    "report_failed",
+                    owner=self.owner,
+                    took=self.clock.monotonic() - sent_at,
+                    reason=failure.message,
+                )
         return None
 
     def apply_answer(self, answer: ReportAnswer) -> None:
--- a/src/magnoliatrail/cells/member.py
+++ b/src/magnoliatrail/cells/member.py
@@ -22,7 +22,7 @@
 from magnoliatrail.cells.orders import MAX_ORDER_DURATION, EngineOrders, OrderingRights
 from magnoliatrail.cells.owner import CellOwner
 from magnoliatrail.cells.reported_limits import reported_limits
-from magnoliatrail.cells.table_updates import apply_updates, updates_since
+from magnoliatrail.cells.table_updates import TableUpdateSender, apply_updates
 from magnoliatrail.clock import Clock
 from magnoliatrail.connections import ConnectionPool
 from magnoliatrail.generated.cells import (
@@ -88,6 +88,7 @@
         self.clock = clock
         self.metrics = metrics
         self.view = view
+        self.updates = TableUpdateSender(view, clock, metrics)
         self.pool = pool
         self.identity = identity
         self.generator = generator
@@ -349,9 +350,7 @@
         return ReportAnswer(
             owner=owner is not None and (self.lease.is_held or self.lease.may_reclaim),
             row_version=self.lease.row_version,
-            news=updates_since(self.view, message.versions, self.clock)
-            if self.sends_updates
-            else [],
+            news=self.updates.since(message.versions) if self.sends_updates else [],
             engines=owner.summary() if owner and detailed else [],
             instances=[] if digest == message.instances_digest else instances,
             instances_digest=digest,
--- a/src/magnoliatrail/cells/table_updates.py
+++ b/src/magnoliatrail/cells/table_updates.py
@@ -1,32 +1,43 @@
 """Table updates of the store that an owner passes on to other instances."""
 
+from dataclasses import dataclass
 from datetime import timedelta
 
 from magnoliatrail.clock import Clock
 from magnoliatrail.generated.cells import RowUpdate, TableUpdate
 from magnoliatrail.membership.fleet_view import FleetView
+from magnoliatrail.metrics import Metrics
 from magnoliatrail.platform.rows import RowsRead, StoredRow
 
 # Maps each byte to one character, so that undecodable rows pass through unchanged.
 BYTE_ENCODING = "latin-1"
 
 
-def updates_since(
-    view: FleetView, versions: dict[str, int], clock: Clock
-) -> list[TableUpdate]:
-    """Return the table updates since the versions that a peer has."""
-    now = clock.monotonic()
-    found = []
-    for name, table in view.tables.items():
-        if table.fresh_at is None:
-            continue
-        read = table.since(versions.get(name, 0))
-        age = table.age(now).total_seconds() * 1000
-        rows = [row_update(row) for row in read.rows]
-        found.append(
-            TableUpdate(table=name, version=read.version, age_ms=age, rows=rows)
-        )
-    return found
+@dataclass(frozen=True, slots=True)
+class TableUpdateSender:
+    """Make the table updates for other instances."""
+
+    view: FleetView
+    clock: Clock
+    metrics: Metrics
+
+    def since(self, versions: dict[str, int]) -> list[TableUpdate]:
+        """Return the table updates since the versions that a peer has."""
+        now = self.clock.monotonic()
+        found = []
+        for name, table in self.view.tables.items():
+            if table.fresh_at is None:
+                continue
+            read = table.since(versions.get(name, 0))
+            age = table.age(now).total_seconds() * 1000
+            rows = [row_update(row) for row in read.rows]
+            sent = sum(len(row.value) for row in rows)
+            if sent:
+                self.metrics.count("table_updates.bytes", sent)
+            found.append(
+                TableUpdate(table=name, version=read.version, age_ms=age, rows=rows)
+            )
+        return found
 
 
 def row_update(row: StoredRow) -> RowUpdate:
--- a/src/magnoliatrail/forwarding/handler.py
+++ b/src/magnoliatrail/forwarding/handler.py
@@ -59,7 +59,7 @@
         """Match the route of a request, and let it be served."""
         started = request.received_at
         await self.context.ensure_fresh()
-        routes = self.context.view.routes
+        routes, table_age = self.context.view.routes, self.context.view.age()
         if routes is None:
             await request.answer_error(
                 503, "no configuration is known yet", STARTUP_RETRY_AFTER
@@ -81,6 +81,8 @@
         took = self.context.clock.monotonic() - started
         self.context.metrics.count(f"answers.{request.status}")
         self.context.metrics.timing("answer.time", took)
+        if routes is not None:
+            self.context.metrics.timing("answer.table_age", table_age)
         log.info(
             "answered",
             request=request.id,
@@ -88,5 +90,6 @@
             whole=request.answer_finished,
             took=took,
             configuration=routes.version if routes else 0,
+            table_age=table_age if routes else "",
             relayed=request.origin is not None,
         )
--- a/src/magnoliatrail/membership/fleet_view.py
+++ b/src/magnoliatrail/membership/fleet_view.py
@@ -99,7 +99,7 @@
         updates = view.apply(read, asked_at)
         for row in updates:
             if table == OPERATOR_TABLE:
-                self.apply_operator_row(row, source)
+                self.apply_operator_row(row, asked_at, source)
             else:
                 self.apply_server_row(
                     row, store_was_unavailable=unavailable, source=source
@@ -121,12 +121,14 @@
         failed = failed_at is not None and failed_at >= fresh_at
         return failed and asked_at - fresh_at > STORE_OUTAGE_THRESHOLD
 
-    def apply_operator_row(self, row: StoredRow, source: str) -> None:
+    def apply_operator_row(
+        self, row: StoredRow, asked_at: timedelta, source: str
+    ) -> None:
         """Apply a configuration row or an adapter version row."""
         if row.value is None:
             return
         if row.key == CONFIG_KEY:
-            self.apply_configuration(row, source)
+            self.apply_configuration(row, asked_at, source)
             return
         version = decode_version(row.key, row.value)
         if version is None:
@@ -142,9 +144,12 @@
                 source=source,
             )
 
-    def apply_configuration(self, row: StoredRow, source: str) -> None:
+    def apply_configuration(
+        self, row: StoredRow, asked_at: timedelta, source: str
+    ) -> None:
         """Activate a configuration unless a newer one is active."""
         assert row.value is not None
+        received_at = self.clock.monotonic()
         match decode_configuration(row.value):
             case Result(tag="ok", ok=routes):
                 if self.routes is None or routes.version > self.routes.version:
@@ -154,6 +159,9 @@
                         version=routes.version,
                         row_version=row.version,
                         routes=len(routes.routes),
+                        bytes=len(row.value),
+                        age=received_at - asked_at,
+                        decoded_in=self.clock.monotonic() - received_at,
                         source=source,
                     )
             case Result(error=failure):
--- a/src/magnoliatrail/membership/store_reader.py
+++ b/src/magnoliatrail/membership/store_reader.py
@@ -83,6 +83,15 @@
         match read:
             case Result(tag="ok", ok=rows):
                 self.record_success(table)
+                if table == OPERATOR_TABLE and rows.rows:
+                    log.info(
+                        "operator_rows_read",
+                        version=rows.version,
+                        rows=len(rows.rows),
+                        bytes=size_of(rows),
+                        whole=rows.whole,
+                        took=self.clock.monotonic() - asked_at,
+                    )
                 # Without changes, the store answered only when the wait was over.
                 waited = wait if not (rows.rows or rows.whole) else timedelta()
                 self.view.apply(table, rows, asked_at + waited, "store")
@@ -141,6 +150,11 @@
             log.warning("store_unreadable", table=table, reason=reason, age=age)
 
 
+def size_of(read: RowsRead) -> int:
+    """Return the size of all values of a read in bytes."""
+    return sum(len(row.value or b"") for row in read.rows)
+
+
 def require_rows(read: RowsRead | None) -> RowsRead:
     """Return the rows of a read that had its change history."""
     assert read is not None, "without its change history, a table is read as a whole"
--- a/src/magnoliatrail/metrics_text.py
+++ b/src/magnoliatrail/metrics_text.py
@@ -54,6 +54,16 @@
         "first_event_seconds",
         "Time from a request to its first event.",
     ),
+    "answer.table_age": MetricDeclaration(
+        MetricKind.HISTOGRAM,
+        "request_table_age_seconds",
+        "Age of the older table that a request was routed by.",
+    ),
+    "table_updates.bytes": MetricDeclaration(
+        MetricKind.COUNTER,
+        "table_update_bytes_total",
+        "Bytes of row values in table updates for other instances, as sent.",
+    ),
     "orders.": MetricDeclaration(
         MetricKind.COUNTER,
         "engine_orders_total",
