--- a/src/magnoliatrail/cells/member.py
+++ b/src/magnoliatrail/cells/member.py
@@ -126,11 +126,6 @@
         self.running: list[asyncio.Task[None]] = []
         self.view.on_change.append(self.view_changed)
 
-    @property
-    def sends_updates(self) -> bool:
-        """Return whether the owner of this cell passes on table updates."""
-        return self.cell == STORE_READER_CELL
-
     def view_changed(self) -> None:
         """Synchronize the owner's engines with the changed view."""
         if self.owner:
@@ -314,23 +309,28 @@
         """Report to the owner and apply the table updates of its answers."""
         while True:
             await self.link.wait_until_due()
-            requested_at = self.clock.monotonic()
-            versions = {name: table.version for name, table in self.view.tables.items()}
-            store_answers = self.store_answers()
-            if not store_answers:
-                self.takeover.outage_reported_at = requested_at
-            answer = await self.link.report(
-                versions,
-                store_answers=store_answers,
-                leaving=self.stopping,
-                limits=reported_limits(self.view.request_limits),
-            )
-            if answer is None:
+            if not await self.report():
                 await self.clock.sleep(IDLE_POLL_INTERVAL)
-                continue
-            apply_updates(self.view, answer.news, requested_at, self.link.owner)
-            if answer.owner and answer.row_version > self.lease.row_version:
-                self.lease.apply_row(self.lease.row, answer.row_version)
+
+    async def report(self) -> bool:
+        """Report to the owner once; return whether it answered."""
+        requested_at = self.clock.monotonic()
+        versions = {name: table.version for name, table in self.view.tables.items()}
+        store_answers = self.store_answers()
+        if not store_answers:
+            self.takeover.outage_reported_at = requested_at
+        answer = await self.link.report(
+            versions,
+            store_answers=store_answers,
+            leaving=self.stopping,
+            limits=reported_limits(self.view.request_limits),
+        )
+        if answer is None:
+            return False
+        apply_updates(self.view, answer.news, requested_at, self.link.owner)
+        if answer.owner and answer.row_version > self.lease.row_version:
+            self.lease.apply_row(self.lease.row, answer.row_version)
+        return True
 
     def handle_report(self, message: InstanceReport) -> ReportAnswer:
         """Apply an instance's report, and answer with updates."""
@@ -350,7 +350,9 @@
         return ReportAnswer(
             owner=owner is not None and (self.lease.is_held or self.lease.may_reclaim),
             row_version=self.lease.row_version,
-            news=self.updates.since(message.versions) if self.sends_updates else [],
+            news=self.updates.since(message.versions)
+            if self.cell == STORE_READER_CELL
+            else [],
             engines=owner.summary() if owner and detailed else [],
             instances=[] if digest == message.instances_digest else instances,
             instances_digest=digest,
