Send large rows between instances as differences, paced to the link

Cause: the owner that reads the store put the whole configuration, 10 to 270 KB, into each answer to a report that lacked it, for each of 90 instances and each change. Links have 10 Mbit/s; what came after it was lost, and asked for again.

A report now names the version of each large row that its instance holds (held_rows). The row is sent as the difference from it (changed JSON objects, checked by CRC-32), or compressed; an instance of the release before names none and gets the row whole. What is large is paced to a share of the sender's link, and waits for the next report otherwise, so that small messages pass. A difference that does not fit changes neither the table's version nor its age, and the row is requested in full.

--- a/src/magnoliatrail/cells/fleet_cells.py
+++ b/src/magnoliatrail/cells/fleet_cells.py
@@ -15,10 +15,10 @@
 from magnoliatrail.cells.lease import Identity
 from magnoliatrail.cells.link import REPORT_PATH, SLOT_PATH, OwnerLink
 from magnoliatrail.cells.member import (
-    OWNER_STATUS_PATH,
     STORE_READER_CELL,
     CellMember,
 )
+from magnoliatrail.cells.owner_status import OWNER_STATUS_PATH
 from magnoliatrail.clock import Clock
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.generated.cells import (
--- a/src/magnoliatrail/cells/link.py
+++ b/src/magnoliatrail/cells/link.py
@@ -206,6 +206,7 @@
         self,
         versions: dict[str, int],
         *,
+        held_rows: dict[str, int],
         store_answers: bool,
         leaving: bool,
         limits: list[ServerLimit],
@@ -228,6 +229,7 @@
             store_answers=store_answers,
             leaving=leaving,
             versions=versions,
+            held_rows=held_rows,
             instances_digest=self.instances_digest,
             limits=limits,
         )
--- a/src/magnoliatrail/cells/member.py
+++ b/src/magnoliatrail/cells/member.py
@@ -6,8 +6,6 @@
 from contextlib import suppress
 from datetime import timedelta
 
-from expression import Result
-
 from magnoliatrail.cells.announcement import OwnershipAnnouncer
 from magnoliatrail.cells.claim_turn import claim_turn
 from magnoliatrail.cells.layout import cell_of
@@ -21,17 +19,18 @@
 from magnoliatrail.cells.link import OwnerLink
 from magnoliatrail.cells.orders import MAX_ORDER_DURATION, EngineOrders, OrderingRights
 from magnoliatrail.cells.owner import CellOwner
+from magnoliatrail.cells.owner_status import request_owner_status
 from magnoliatrail.cells.reported_limits import reported_limits
-from magnoliatrail.cells.table_updates import TableUpdateSender, apply_updates
+from magnoliatrail.cells.table_updates import (
+    TableUpdateReceiver,
+    TableUpdateSender,
+)
 from magnoliatrail.clock import Clock
 from magnoliatrail.connections import ConnectionPool
 from magnoliatrail.generated.cells import (
     AnnouncementAnswer,
     InstanceReport,
-    OwnerRow,
     OwnershipAnnouncement,
-    OwnerStatus,
-    OwnerStatusRequest,
     ReportAnswer,
 )
 from magnoliatrail.ids import CellId
@@ -42,7 +41,6 @@
 from magnoliatrail.periodic import PeriodicTasks
 from magnoliatrail.platform.rows import RowsRead, RowStore
 from magnoliatrail.platform.store_versions import era_of
-from magnoliatrail.wire import CallLimits
 
 log = EventLog("cells")
 
@@ -51,12 +49,8 @@
 REPORTS_PER_SUMMARY = 4
 # The queue is also processed without events, as prefill capacity frees up with time.
 QUEUE_POLL_SECONDS = 0.02
-OWNER_STATUS_PATH = "/cell/standing"
 # The owner of this cell reads the store for all instances.
 STORE_READER_CELL = CellId("0")
-OWNER_STATUS_LIMITS = CallLimits(
-    timedelta(milliseconds=200), timedelta(milliseconds=300)
-)
 RECLAIM_RETRY_DELAY = timedelta(milliseconds=100)
 # Shortest interval, for renewals that are tried early.
 MIN_RENEWAL_INTERVAL = timedelta(milliseconds=200)
@@ -84,11 +78,13 @@
         confirm_layout: Callable[[], Awaitable[bool]],
         quarantined: Callable[[], list[list[str]]],
         may_own: Callable[[], bool],
+        update_sender: TableUpdateSender,
     ) -> None:
         self.clock = clock
         self.metrics = metrics
         self.view = view
-        self.updates = TableUpdateSender(view, clock, metrics)
+        self.update_sender = update_sender
+        self.update_receiver = TableUpdateReceiver(view)
         self.pool = pool
         self.identity = identity
         self.generator = generator
@@ -115,7 +111,9 @@
             clock=clock,
             lease=self.lease,
             acknowledged_at=lambda: self.link.acknowledged_at,
-            ask=self.request_owner_status,
+            ask=lambda row: request_owner_status(
+                peers, cell, row, self.lease.row_version
+            ),
         )
         self.owner: CellOwner | None = None
         # Set while this instance runs the owner.
@@ -208,22 +206,6 @@
             self.tasks.once(lambda: self.takeover.poll_last_owner(row))
         self.apply_lease()
 
-    async def request_owner_status(self, row: OwnerRow) -> OwnerStatus | None:
-        """Request the status of the owner that a row names."""
-        request = OwnerStatusRequest(cell=self.cell, row_version=self.lease.row_version)
-        url = f"http://{row.address}{OWNER_STATUS_PATH}"
-        match await self.peers.ask(url, request, OwnerStatus, OWNER_STATUS_LIMITS):
-            case Result(tag="ok", ok=status):
-                log.info(
-                    "owner_status_requested", owner=row.owner, orders=status.orders
-                )
-                return status
-            case Result(error=failure):
-                log.info(
-                    "owner_status_requested", owner=row.owner, reason=failure.message
-                )
-        return None
-
     def may_claim(self) -> bool:
         """Return whether the lease is free for this instance to claim."""
         may_hold = self.may_own() and not self.stopping
@@ -321,13 +303,14 @@
             self.takeover.outage_reported_at = requested_at
         answer = await self.link.report(
             versions,
+            held_rows=self.update_receiver.held_rows(),
             store_answers=store_answers,
             leaving=self.stopping,
             limits=reported_limits(self.view.request_limits),
         )
         if answer is None:
             return False
-        apply_updates(self.view, answer.news, requested_at, self.link.owner)
+        self.update_receiver.apply(answer.news, requested_at, self.link.owner)
         if answer.owner and answer.row_version > self.lease.row_version:
             self.lease.apply_row(self.lease.row, answer.row_version)
         return True
@@ -350,7 +333,7 @@
         return ReportAnswer(
             owner=owner is not None and (self.lease.is_held or self.lease.may_reclaim),
             row_version=self.lease.row_version,
-            news=self.updates.since(message.versions)
+            news=self.update_sender.since(message)
             if self.cell == STORE_READER_CELL
             else [],
             engines=owner.summary() if owner and detailed else [],
--- a/src/magnoliatrail/cells/table_updates.py
+++ b/src/magnoliatrail/cells/table_updates.py
@@ -1,37 +1,98 @@
-"""Table updates of the store that an owner passes on to other instances."""
+"""Table updates of the store that an owner passes on to other instances.
 
-from dataclasses import dataclass
+Large rows are sent as the difference from the version that the receiver holds, or
+compressed, so that a change costs the links of a large fleet little.
+"""
+
+import binascii
+import zlib
+from base64 import b64decode, b64encode
+from collections import OrderedDict
 from datetime import timedelta
 
+from expression import Error, Ok, Result
+from msgspec import UnsetType
+
+from magnoliatrail.cells.value_differences import (
+    BYTE_ENCODING,
+    apply_difference,
+    difference_of,
+)
 from magnoliatrail.clock import Clock
-from magnoliatrail.generated.cells import RowUpdate, TableUpdate
+from magnoliatrail.errors import ErrorKind, Failure
+from magnoliatrail.generated.cells import (
+    InstanceReport,
+    RowUpdate,
+    TableUpdate,
+)
+from magnoliatrail.logs import EventLog
 from magnoliatrail.membership.fleet_view import FleetView
+from magnoliatrail.membership.table_view import LARGE_VALUE_BYTES, TableView
 from magnoliatrail.metrics import Metrics
 from magnoliatrail.platform.rows import RowsRead, StoredRow
 
-# Maps each byte to one character, so that undecodable rows pass through unchanged.
-BYTE_ENCODING = "latin-1"
+log = EventLog("cells")
+
+# Encoded rows to keep: most instances hold one of the last few versions.
+MAX_ENCODED_ROWS = 16
+# Bound on the decompressed size of a row.
+MAX_VALUE_BYTES = 16 * 1024 * 1024
+
+# Share of the link that large updates may use, and how much of it may be queued.
+LARGE_MESSAGE_SHARE = 0.8
+MAX_QUEUED = timedelta(milliseconds=100)
+BYTES_PER_MEGABIT = 125_000
+# Updates up to this size are not paced.
+SMALL_UPDATE_BYTES = 2048
+
+
+class LinkPace:
+    """Keep large messages from filling a network link."""
+
+    def __init__(self, clock: Clock, link_mbps: float) -> None:
+        self.clock = clock
+        self.bytes_per_second = link_mbps * BYTES_PER_MEGABIT * LARGE_MESSAGE_SHARE
+        # When the messages so far are sent, at the pace.
+        self.free_at = timedelta()
+
+    def try_send(self, size: int) -> bool:
+        """Count a message if it need not wait for long; return whether it is sent."""
+        now = self.clock.monotonic()
+        if self.free_at > now + MAX_QUEUED:
+            return False
+        duration = timedelta(seconds=size / self.bytes_per_second)
+        self.free_at = max(now, self.free_at) + duration
+        return True
 
 
-@dataclass(frozen=True, slots=True)
 class TableUpdateSender:
     """Make the table updates for other instances."""
 
-    view: FleetView
-    clock: Clock
-    metrics: Metrics
+    def __init__(
+        self, view: FleetView, clock: Clock, metrics: Metrics, *, link_mbps: float
+    ) -> None:
+        self.view = view
+        self.pace = LinkPace(clock, link_mbps)
+        self.clock = clock
+        self.metrics = metrics
+        # Encoded rows by their table, key, version and the version they differ from.
+        self.encoded: OrderedDict[tuple[str, str, int, int], RowUpdate] = OrderedDict()
 
-    def since(self, versions: dict[str, int]) -> list[TableUpdate]:
-        """Return the table updates since the versions that a peer has."""
+    def since(self, report: InstanceReport) -> list[TableUpdate]:
+        """Return the table updates since the versions that an instance reports."""
         now = self.clock.monotonic()
         found = []
         for name, table in self.view.tables.items():
             if table.fresh_at is None:
                 continue
-            read = table.since(versions.get(name, 0))
+            read = table.since(report.versions.get(name, 0))
             age = table.age(now).total_seconds() * 1000
-            rows = [row_update(row) for row in read.rows]
-            sent = sum(len(row.value) for row in rows)
+            rows = [self.update_of(name, row, report) for row in read.rows]
+            sent = sum(size_of(row) for row in rows)
+            if sent > SMALL_UPDATE_BYTES and not self.pace.try_send(sent):
+                # The instance's next report gets it; its table keeps its age.
+                self.metrics.count("table_updates.postponed")
+                continue
             if sent:
                 self.metrics.count("table_updates.bytes", sent)
             found.append(
@@ -39,8 +100,91 @@
             )
         return found
 
+    def update_of(
+        self, table: str, row: StoredRow, report: InstanceReport
+    ) -> RowUpdate:
+        """Return a row in the most compact form that an instance can read."""
+        held = report.held_rows
+        if (
+            isinstance(held, UnsetType)
+            or row.value is None
+            or len(row.value) < LARGE_VALUE_BYTES
+        ):
+            return whole_update(row)
+        base = held.get(row_name(table, row.key), 0)
+        name = table, row.key, row.version, base
+        if name not in self.encoded:
+            earlier = self.view.tables[table].value_at(row.key, base)
+            self.encoded[name] = encoded_update(row, row.value, base, earlier)
+            if len(self.encoded) > MAX_ENCODED_ROWS:
+                self.encoded.popitem(last=False)
+        self.encoded.move_to_end(name)
+        return self.encoded[name]
+
+
+class TableUpdateReceiver:
+    """Apply the table updates of other instances."""
+
+    def __init__(self, view: FleetView) -> None:
+        self.view = view
+        # Rows whose last difference did not fit; they are requested in full.
+        self.requested_in_full: set[str] = set()
+
+    def held_rows(self) -> dict[str, int]:
+        """Return the versions of the large rows held here, for a report."""
+        return {
+            name: version
+            for table_name, table in self.view.tables.items()
+            for key, version in table.large_rows()
+            if (name := row_name(table_name, key)) not in self.requested_in_full
+        }
 
-def row_update(row: StoredRow) -> RowUpdate:
+    def apply(
+        self, updates: list[TableUpdate], requested_at: timedelta, source: str
+    ) -> None:
+        """Apply table updates, dated back to when they were requested."""
+        for update in updates:
+            table = self.view.tables.get(update.table)
+            # An older version doesn't show how fresh the newer local one is.
+            if table is None or update.version < table.version:
+                continue
+            match self.read_of(update, table):
+                case Result(tag="ok", ok=read):
+                    known_at = requested_at - timedelta(milliseconds=update.age_ms)
+                    self.view.apply(update.table, read, known_at, source)
+                case Result(error=failure):
+                    # Without all rows, the table keeps its version and its age.
+                    log.warning(
+                        "table_update_unusable",
+                        table=update.table,
+                        version=update.version,
+                        source=source,
+                        reason=failure.message,
+                    )
+
+    def read_of(
+        self, update: TableUpdate, table: TableView
+    ) -> Result[RowsRead, Failure]:
+        """Decode all rows of an update."""
+        rows = []
+        for row in update.rows:
+            name = row_name(update.table, row.key)
+            match stored_row(row, table):
+                case Result(tag="ok", ok=stored):
+                    rows.append(stored)
+                    self.requested_in_full.discard(name)
+                case Result(error=failure):
+                    self.requested_in_full.add(name)
+                    return Error(failure)
+        return Ok(RowsRead(tuple(rows), update.version, whole=False))
+
+
+def row_name(table: str, key: str) -> str:
+    """Return the name by which reports list a row."""
+    return f"{table}/{key}"
+
+
+def whole_update(row: StoredRow) -> RowUpdate:
     """Convert a stored row to its message form."""
     value = "" if row.value is None else row.value.decode(BYTE_ENCODING)
     return RowUpdate(
@@ -48,22 +192,71 @@
     )
 
 
-def apply_updates(
-    view: FleetView, updates: list[TableUpdate], requested_at: timedelta, source: str
-) -> None:
-    """Apply a peer's table updates, dated back to when they were requested."""
-    for table in updates:
-        if table.table not in view.tables:
-            continue
-        rows = tuple(stored_row(row) for row in table.rows)
-        read = RowsRead(rows, table.version, whole=False)
-        known_at = requested_at - timedelta(milliseconds=table.age_ms)
-        # An older version doesn't show how fresh the newer local one is.
-        if table.version >= view.tables[table.table].version:
-            view.apply(table.table, read, known_at, source)
+def encoded_update(
+    row: StoredRow, value: bytes, base: int, earlier: bytes | None
+) -> RowUpdate:
+    """Convert a large row to the smaller one of its compact forms."""
+    compressed = RowUpdate(
+        key=row.key,
+        version=row.version,
+        value="",
+        removed=False,
+        compressed=b64encode(zlib.compress(value)).decode(),
+    )
+    if earlier is None:
+        return compressed
+    difference = RowUpdate(
+        key=row.key,
+        version=row.version,
+        value="",
+        removed=False,
+        difference=difference_of(base, earlier, value),
+    )
+    return min(difference, compressed, key=size_of)
+
+
+def size_of(row: RowUpdate) -> int:
+    """Return the bytes of a row's value in the form in which it is sent."""
+    if isinstance(row.compressed, str):
+        return len(row.compressed)
+    if not isinstance(row.difference, UnsetType):
+        return sum(len(piece.text) for piece in row.difference.pieces)
+    return len(row.value)
 
 
-def stored_row(row: RowUpdate) -> StoredRow:
+def stored_row(row: RowUpdate, table: TableView) -> Result[StoredRow, Failure]:
     """Convert a row from its message form."""
-    value = None if row.removed else row.value.encode(BYTE_ENCODING)
-    return StoredRow(row.key, row.version, value)
+    if row.removed:
+        return Ok(StoredRow(row.key, row.version, None))
+    if not isinstance(row.difference, UnsetType):
+        earlier = table.value_at(row.key, row.difference.base)
+        if earlier is None:
+            message = f"version {row.difference.base} of {row.key} is not held here"
+            return Error(Failure(ErrorKind.MALFORMED_REQUEST, message))
+        value = apply_difference(row.difference, earlier)
+    elif isinstance(row.compressed, str):
+        value = decompress(row.compressed)
+    else:
+        value = encode_bytes(row.value)
+    return value.map(lambda content: StoredRow(row.key, row.version, content))
+
+
+def encode_bytes(text: str) -> Result[bytes, Failure]:
+    """Convert text with one character per byte."""
+    try:
+        return Ok(text.encode(BYTE_ENCODING))
+    except UnicodeEncodeError as error:
+        return Error(Failure(ErrorKind.MALFORMED_REQUEST, str(error)))
+
+
+def decompress(text: str) -> Result[bytes, Failure]:
+    """Decompress a value from base64, up to the bound on its size."""
+    reader = zlib.decompressobj()
+    try:
+        value = reader.decompress(b64decode(text, validate=True), MAX_VALUE_BYTES)
+    except (binascii.Error, zlib.error) as error:
+        return Error(Failure(ErrorKind.MALFORMED_REQUEST, str(error)))
+    if not reader.eof:
+        message = f"a row is incomplete or has more than {MAX_VALUE_BYTES} bytes"
+        return Error(Failure(ErrorKind.MALFORMED_REQUEST, message))
+    return Ok(value)
--- a/src/magnoliatrail/membership/table_view.py
+++ b/src/magnoliatrail/membership/table_view.py
@@ -1,11 +1,17 @@
 """One instance's view of one table of the store; versions never decrease."""
 
+from collections import defaultdict, deque
 from collections.abc import Iterable
 from datetime import timedelta
 
 from magnoliatrail.platform.rows import RowsRead, StoredRow
 from magnoliatrail.platform.store_versions import era_of
 
+# Values from this size on are sent to peers in a compact form.
+LARGE_VALUE_BYTES = 2048
+# Earlier values of a large row to keep, as the base of differences.
+MAX_EARLIER_VALUES = 8
+
 
 class TableView:
     """The newest version of every row, from any source."""
@@ -16,6 +22,10 @@
         self.version = 0
         # Version at which a row last changed in fields that peers need, where tracked.
         self.changed_at: dict[str, int] = {}
+        # The last values that large rows had before.
+        self.earlier: dict[str, deque[StoredRow]] = defaultdict(
+            lambda: deque(maxlen=MAX_EARLIER_VALUES)
+        )
         # When the view was last certain to be complete; None before the first read.
         self.fresh_at: timedelta | None = None
         # When this instance last failed to read the table from the store.
@@ -37,12 +47,31 @@
             listed = {row.key for row in read.rows}
             updates.extend(self.removals(listed, read.version))
         for row in updates:
-            self.rows[row.key] = row
+            self.replace(row)
         self.version = max(self.version, read.version)
         if self.fresh_at is None or asked_at > self.fresh_at:
             self.fresh_at = asked_at
         return updates
 
+    def replace(self, row: StoredRow) -> None:
+        """Replace a row, and keep its value if it is large."""
+        known = self.rows.get(row.key)
+        if known is not None and is_large(known):
+            self.earlier[row.key].append(known)
+        if row.value is None:
+            self.earlier.pop(row.key, None)
+        self.rows[row.key] = row
+
+    def value_at(self, key: str, version: int) -> bytes | None:
+        """Return the value that a large row had at a version, None if it is unknown."""
+        known = self.rows.get(key)
+        rows = [*self.earlier.get(key, ()), *([known] if known else [])]
+        return next((row.value for row in rows if row.version == version), None)
+
+    def large_rows(self) -> Iterable[tuple[str, int]]:
+        """Yield the key and version of each row with a large value."""
+        return ((row.key, row.version) for row in self.rows.values() if is_large(row))
+
     def is_newer(self, row: StoredRow) -> bool:
         """Return whether a row is newer than the known one."""
         known = self.rows.get(row.key)
@@ -66,3 +95,8 @@
             and self.changed_at.get(row.key, row.version) > version
         ]
         return RowsRead(tuple(rows), self.version, whole=False)
+
+
+def is_large(row: StoredRow) -> bool:
+    """Return whether a row's value is sent to peers in a compact form."""
+    return row.value is not None and len(row.value) >= LARGE_VALUE_BYTES
--- a/src/magnoliatrail/metrics_text.py
+++ b/src/magnoliatrail/metrics_text.py
@@ -64,6 +64,11 @@
         "table_update_bytes_total",
         "Bytes of row values in table updates for other instances, as sent.",
     ),
+    "table_updates.postponed": MetricDeclaration(
+        MetricKind.COUNTER,
+        "table_updates_postponed_total",
+        "Large table updates that waited until the link was free.",
+    ),
     "orders.": MetricDeclaration(
         MetricKind.COUNTER,
         "engine_orders_total",
--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -14,6 +14,7 @@
 from magnoliatrail.cells.fleet_cells import FleetCells
 from magnoliatrail.cells.lease import Identity
 from magnoliatrail.cells.member import CellMember
+from magnoliatrail.cells.table_updates import TableUpdateSender
 from magnoliatrail.clock import Clock, SystemClock
 from magnoliatrail.connections import ConnectionPool
 from magnoliatrail.forwarding.context import ForwardingContext
@@ -260,6 +261,12 @@
             confirm_layout=self.cells.layout.confirm,
             quarantined=self.quarantine.rules.rows,
             may_own=lambda: not self.reach.is_cut,
+            update_sender=TableUpdateSender(
+                self.view,
+                self.clock,
+                self.metrics,
+                link_mbps=self.settings.link_mbps,
+            ),
         )
 
     async def start(self) -> None:
--- a/tests/load/test_configuration_spread.py
+++ b/tests/load/test_configuration_spread.py
@@ -12,6 +12,7 @@
 from magnoliatrail.cells.lease import Identity
 from magnoliatrail.cells.link import REPORT_GAP_PER_INSTANCE
 from magnoliatrail.cells.member import CellMember
+from magnoliatrail.cells.table_updates import TableUpdateSender
 from magnoliatrail.clock import ManualClock
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.ids import CellId
@@ -97,11 +98,12 @@
             member.link.use_owner("owner", "owner:1")
 
     def member(self, name):
+        view = FleetView(self.clock)
         return CellMember(
             clock=self.clock,
             metrics=RecordedMetrics(),
             store=FakeRows().client(),
-            view=FleetView(self.clock),
+            view=view,
             pool=None,
             peers=self.peers,
             identity=Identity(name, f"{name}-1", f"{name}:1"),
@@ -114,6 +116,12 @@
             confirm_layout=None,
             quarantined=list,
             may_own=lambda: False,
+            update_sender=TableUpdateSender(
+                view,
+                self.clock,
+                RecordedMetrics(),
+                link_mbps=LINK_BYTES_PER_SECOND * 8 / 1e6,
+            ),
         )
 
     def fail(self, reason):
