Refuse requests while the tables are older than the bound, and date reads by what they show

ensure_fresh now says whether a request may be routed: not if a table is older than its bound and its read has neither ended nor failed. A read counts as complete up to when a newer version was learned; while reads lag, the bound is wider by outer_bound_ms. A table that is behind is read at once, not with a long poll, so that a store that hangs is known sooner. The wait of the long poll was overwritten by that of an idle reader (0.1 to 0.4 s instead of 0.8 s); it is 0.4 s now, as it was in effect.

--- a/src/magnoliatrail/forwarding/context.py
+++ b/src/magnoliatrail/forwarding/context.py
@@ -26,6 +26,7 @@
 log = EventLog("forwarding")
 
 SHUTTING_DOWN = "the instance ends"
+OUTDATED = "the configuration known here is too old"
 UNKNOWN_VERSION = "the software version that began the stream is not known"
 SHUTDOWN_RETRY_AFTER = timedelta(milliseconds=100)
 
@@ -40,9 +41,9 @@
     pool: ConnectionPool
     bounds: Bounds
     generator: random.Random
-    # Waits until the views of configuration and servers are as fresh as the bounds
-    # demand, provided that the store answers.
-    ensure_fresh: Callable[[], Awaitable[None]]
+    # Waits for a read if the views of configuration and servers are nearly too old;
+    # returns whether a request may be routed by them.
+    ensure_fresh: Callable[[], Awaitable[bool]]
     stream_versions: StreamVersions
     quarantine: QuarantineExchange
     reach: ReachMonitor
--- a/src/magnoliatrail/forwarding/handler.py
+++ b/src/magnoliatrail/forwarding/handler.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 
 from magnoliatrail.forwarding.context import (
+    OUTDATED,
     SHUTDOWN_RETRY_AFTER,
     SHUTTING_DOWN,
     ForwardingContext,
@@ -17,6 +18,7 @@
 log = EventLog("forwarding")
 
 STARTUP_RETRY_AFTER = timedelta(milliseconds=500)
+OUTDATED_RETRY_AFTER = timedelta(milliseconds=300)
 
 
 class ForwardingHandler:
@@ -42,8 +44,10 @@
             return
         self.relayed += 1
         try:
-            await self.context.ensure_fresh()
-            reason = SHUTTING_DOWN if self.refuses_relayed else None
+            fresh = await self.context.ensure_fresh()
+            reason = None if fresh else OUTDATED
+            if self.refuses_relayed:
+                reason = SHUTTING_DOWN
             reason = reason or refusal_of(
                 request.origin, self.context, relayed=self.relayed
             )
@@ -58,12 +62,14 @@
     async def route(self, request: CallerRequest) -> None:
         """Match the route of a request, and let it be served."""
         started = request.received_at
-        await self.context.ensure_fresh()
+        fresh = await self.context.ensure_fresh()
         routes, table_age = self.context.view.routes, self.context.view.age()
         if routes is None:
             await request.answer_error(
                 503, "no configuration is known yet", STARTUP_RETRY_AFTER
             )
+        elif not fresh:
+            await request.answer_error(503, OUTDATED, OUTDATED_RETRY_AFTER)
         elif self.refuses_all:
             await request.answer_error(503, SHUTTING_DOWN, SHUTDOWN_RETRY_AFTER)
         else:
--- a/src/magnoliatrail/membership/store_reader.py
+++ b/src/magnoliatrail/membership/store_reader.py
@@ -1,7 +1,8 @@
 """Reads of the store that update an instance's view of the fleet."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from datetime import timedelta
 
 from expression import Result
@@ -15,17 +16,29 @@
 log = EventLog("membership")
 
 # Longest time that the store holds a read open for the operators' next write.
-OPERATOR_LONG_POLL_TIMEOUT = timedelta(seconds=0.8)
+OPERATOR_LONG_POLL_TIMEOUT = timedelta(seconds=0.4)
 # Interval between reads of the servers table, whose rows change constantly.
 SERVERS_POLL_INTERVAL = timedelta(seconds=0.7)
 READ_RETRY_DELAY = timedelta(seconds=0.3)
-# Longest wait for a read of stale tables before a request uses their last state.
+# Longest wait of a request for a read of tables that are nearly too old.
 STALE_READ_TIMEOUT = timedelta(milliseconds=300)
 # Bounds on the wait of an inactive reader before it checks its tables' age again.
 MIN_IDLE_WAIT = timedelta(seconds=0.1)
 MAX_IDLE_WAIT = timedelta(seconds=0.4)
 
 
+@dataclass(frozen=True, slots=True)
+class TableBounds:
+    """Bounds on the age of the tables by which a request is routed."""
+
+    # Tables above this age are read before a request is routed.
+    read_above: timedelta
+    # Requests are refused above these ages, by table.
+    max_ages: Mapping[str, timedelta]
+    # Added to these ages while the store gives reads that lag behind.
+    extension: timedelta
+
+
 class StoreReader:
     """Follow the tables of the store while this instance should read them."""
 
@@ -43,6 +56,8 @@
         # Time until a table is due for a read, given the age of its last state.
         self.read_due_in = read_due_in
         self.failing: set[str] = set()
+        # When a read of a table last lagged behind what the store had said before.
+        self.outdated_at: dict[str, timedelta] = {}
         # Reads in progress that requests wait for, by table.
         self.urgent_reads: dict[str, asyncio.Task[bool]] = {}
 
@@ -57,11 +72,13 @@
         """Follow one table."""
         view = self.view.tables[table]
         while True:
-            due_in = self.read_due_in(view.age(self.clock.monotonic()))
+            age = view.age(self.clock.monotonic())
+            due_in = self.read_due_in(age)
             if due_in > timedelta():
-                wait = min(MAX_IDLE_WAIT, max(MIN_IDLE_WAIT, due_in))
-                await self.clock.sleep(wait)
-            elif await self.read_once(table, wait):
+                idle = min(MAX_IDLE_WAIT, max(MIN_IDLE_WAIT, due_in))
+                await self.clock.sleep(idle)
+            # A table that is behind is read at once, not at the next change.
+            elif await self.read_once(table, wait if age <= wait else timedelta()):
                 await self.clock.sleep(pause)
             else:
                 await self.clock.sleep(READ_RETRY_DELAY)
@@ -94,18 +111,77 @@
                     )
                 # Without changes, the store answered only when the wait was over.
                 waited = wait if not (rows.rows or rows.whole) else timedelta()
-                self.view.apply(table, rows, asked_at + waited, "store")
+                complete_at = self.completion_of(table, rows, asked_at, waited)
+                self.view.apply(table, rows, complete_at, "store")
                 return True
             case Result(error=failure):
                 self.record_failure(table, failure.message)
         return False
 
-    async def ensure_fresh(self, oldest: timedelta) -> None:
-        """Read the tables older than `oldest`, except those whose last read failed.
+    def completion_of(
+        self, table: str, read: RowsRead, asked_at: timedelta, waited: timedelta
+    ) -> timedelta:
+        """Return the last time at which a read is known to have been complete.
 
-        Updates normally arrive in time; only an instance that was paused, or the one
-        that sends the updates, finds its tables too old when it is about to use them.
+        The store may answer from a copy that lags behind what it has said before.
         """
+        learned = [
+            item.fresh_at
+            for item in self.view.tables.values()
+            if item.version > read.version and item.fresh_at is not None
+        ]
+        from_store = self.store.superseded_at(read.version)
+        superseded_at = min(
+            [*learned, *([] if from_store is None else [from_store])], default=None
+        )
+        if superseded_at is None:
+            return asked_at + waited
+        if superseded_at < asked_at:
+            self.outdated_at[table] = self.clock.monotonic()
+            log.warning(
+                "outdated_read",
+                table=table,
+                version=read.version,
+                age=asked_at - superseded_at,
+            )
+        return min(asked_at + waited, superseded_at)
+
+    async def ensure_fresh(self, bounds: TableBounds) -> bool:
+        """Return whether the tables are fresh enough to route a request by them.
+
+        Tables that are nearly too old are read first. Updates normally arrive in time;
+        only an instance that was paused, whose updates are late, or that sends them
+        finds its tables too old when it is about to use them. While the store cannot be
+        read, what is known is used whatever its age.
+        """
+        received_at = self.clock.monotonic()
+        await self.read_tables_older_than(bounds.read_above)
+        outdated = [
+            name
+            for name, table in self.view.tables.items()
+            if name not in self.failing
+            and table.age(received_at) > self.max_age(name, bounds)
+        ]
+        if outdated:
+            log.warning(
+                "tables_outdated",
+                tables=sorted(outdated),
+                age=max(self.view.tables[name].age(received_at) for name in outdated),
+            )
+        return not outdated
+
+    def max_age(self, table: str, bounds: TableBounds) -> timedelta:
+        """Return the age from which a table is not used.
+
+        The bound is wider while the store gives reads that lag behind.
+        """
+        seen_at = self.outdated_at.get(table)
+        now = self.clock.monotonic()
+        lags = seen_at is not None and now - seen_at < bounds.extension
+        return bounds.max_ages[table] + (bounds.extension if lags else timedelta())
+
+    async def read_tables_older_than(self, oldest: timedelta) -> None:
+        """Read the tables above an age, except those whose last read failed."""
         now = self.clock.monotonic()
         stale = [
             name
@@ -115,9 +191,12 @@
         if not stale:
             return
         reads = [self.start_read(name) for name in stale]
-        _, pending = await asyncio.wait(
-            reads, timeout=STALE_READ_TIMEOUT.total_seconds()
-        )
+        timeout = asyncio.ensure_future(self.clock.sleep(STALE_READ_TIMEOUT))
+        pending = set(reads)
+        while pending and not timeout.done():
+            await asyncio.wait({*pending, timeout}, return_when="FIRST_COMPLETED")
+            pending = {read for read in pending if not read.done()}
+        timeout.cancel()
         log.info(
             "stale_tables_awaited",
             tables=sorted(stale),
--- a/src/magnoliatrail/membership/table_view.py
+++ b/src/magnoliatrail/membership/table_view.py
@@ -36,20 +36,26 @@
         return timedelta.max if self.fresh_at is None else now - self.fresh_at
 
     def apply(self, read: RowsRead, asked_at: timedelta) -> list[StoredRow]:
-        """Apply rows and return those that were newer.
+        """Apply rows that were complete at a time, and return those that were newer.
 
-        What was read before the store came back from a copy changes nothing.
+        What was read before the store came back from a copy changes nothing. An older
+        version does not show how fresh this one is.
         """
         if era_of(read.version) < era_of(self.version):
             return []
-        updates = [row for row in read.rows if self.is_newer(row)]
+        current = read.version >= self.version
+        # A read may have several versions of a row.
+        newest = {
+            row.key: row for row in sorted(read.rows, key=lambda row: row.version)
+        }
+        updates = [row for row in newest.values() if self.is_newer(row)]
         if read.whole:
             listed = {row.key for row in read.rows}
             updates.extend(self.removals(listed, read.version))
         for row in updates:
             self.replace(row)
         self.version = max(self.version, read.version)
-        if self.fresh_at is None or asked_at > self.fresh_at:
+        if current and (self.fresh_at is None or asked_at > self.fresh_at):
             self.fresh_at = asked_at
         return updates
 
--- a/src/magnoliatrail/platform/rows.py
+++ b/src/magnoliatrail/platform/rows.py
@@ -1,6 +1,7 @@
 """Client of the platform's versioned row store: read, follow and write tables."""
 
 import base64
+from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass
 from datetime import timedelta
@@ -26,6 +27,8 @@
 # Statuses that mean that the store changed nothing.
 NOT_COMMITTED_STATUSES = {429, 503}
 NO_LONG_POLL = timedelta()
+# Versions of the store of which the time is kept at which this instance learned them.
+MAX_LEARNED_VERSIONS = 512
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +103,21 @@
         self.limits = limits
         # The newest era that an answer, or another instance, named.
         self.era = 0
+        # The newest versions that answers named, rising, and when they were learned.
+        self.learned: deque[tuple[int, timedelta]] = deque(maxlen=MAX_LEARNED_VERSIONS)
+
+    def superseded_at(self, version: int) -> timedelta | None:
+        """Return when this instance learned that the store has a newer version.
+
+        None if it has learned of none. A read that gives this version is no newer.
+        """
+        times = (at for learned, at in self.learned if learned > version)
+        return next(times, None)
+
+    def record_version(self, version: int) -> None:
+        """Record the store's newest version, as an answer names it."""
+        if not self.learned or version > self.learned[-1][0]:
+            self.learned.append((version, self.pool.monotonic()))
 
     def record_era(self, era: int) -> None:
         """Record an era of the store."""
@@ -244,7 +262,9 @@
             message = f"an answer of era {era} came after the store was restored"
             return Error(Failure(kind, message))
         self.record_era(era)
-        return Ok((answer.code, in_era(found, era)))
+        found = in_era(found, era)
+        self.record_version(found.row_version)
+        return Ok((answer.code, found))
 
 
 def in_era(answer: WireRows, era: int) -> WireRows:
--- a/src/magnoliatrail/platform/settings_file.py
+++ b/src/magnoliatrail/platform/settings_file.py
@@ -30,6 +30,8 @@
     retry_ratio: float
     retry_slack: float
     retry_window: timedelta
+    # Added to the bound on configurations while the store is disturbed.
+    unstable_store: timedelta = timedelta()
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +108,7 @@
         retry_ratio=float(fields["budget_ratio"]),
         retry_slack=float(fields["budget_slack"]),
         retry_window=timedelta(seconds=float(fields["budget_window_s"])),
+        unstable_store=milliseconds(fields.get("outer_bound_ms", 0)),
     )
 
 
--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -33,7 +33,7 @@
 from magnoliatrail.membership.fleet_view import FleetView
 from magnoliatrail.membership.recent_instances import RecentInstances
 from magnoliatrail.membership.server_reach import ServerReach
-from magnoliatrail.membership.store_reader import StoreReader
+from magnoliatrail.membership.store_reader import StoreReader, TableBounds
 from magnoliatrail.membership.stream_records import (
     StreamRecordReader,
     StreamRecordWriter,
@@ -45,7 +45,11 @@
 from magnoliatrail.peers.reach_monitor import ReachMonitor
 from magnoliatrail.peers.server import peer_application
 from magnoliatrail.periodic import PeriodicTasks
-from magnoliatrail.platform.protocol import READY_PATH
+from magnoliatrail.platform.protocol import (
+    OPERATOR_TABLE,
+    READY_PATH,
+    SERVERS_TABLE,
+)
 from magnoliatrail.platform.rows import RowStore
 from magnoliatrail.platform.settings_file import InstanceSettings
 from magnoliatrail.wire import CallLimits
@@ -66,8 +70,8 @@
 LISTENER_CLOSE_TIMEOUT_SECONDS = 0.3
 DRAIN_END_BEFORE_KILL = timedelta(seconds=0.7)
 
-# Requests are routed on table updates up to this share of the freshness bounds; the
-# rest covers the transfer to the server.
+# Tables above this share of the freshness bounds are read before a request is routed;
+# the rest covers the read.
 UPDATE_AGE_SHARE = 0.85
 # Instances with fewer cores or a slower link claim leases later.
 RECOMMENDED_OWNER_CORES = 1.0
@@ -82,10 +86,14 @@
     return CLAIM_DELAY_PER_RESOURCE * (cores + link)
 
 
-def max_request_update_age(settings: InstanceSettings) -> timedelta:
-    """Return the maximum age of table updates on which a request is routed."""
+def table_bounds(settings: InstanceSettings) -> TableBounds:
+    """Return the bounds on the age of the tables by which a request is routed."""
     bounds = settings.bounds
-    return min(bounds.propagation, bounds.drain) * UPDATE_AGE_SHARE
+    return TableBounds(
+        read_above=min(bounds.propagation, bounds.drain) * UPDATE_AGE_SHARE,
+        max_ages={OPERATOR_TABLE: bounds.propagation, SERVERS_TABLE: bounds.drain},
+        extension=bounds.unstable_store,
+    )
 
 
 class BootClock(SystemClock):
@@ -183,9 +191,7 @@
             pool=self.pool,
             bounds=settings.bounds,
             generator=self.generator,
-            ensure_fresh=partial(
-                self.reader.ensure_fresh, max_request_update_age(settings)
-            ),
+            ensure_fresh=partial(self.reader.ensure_fresh, table_bounds(settings)),
             stream_versions=self.stream_versions,
             quarantine=self.quarantine,
             reach=self.reach,
--- a/tests/platform/fake_store.py
+++ b/tests/platform/fake_store.py
@@ -83,6 +83,9 @@
     def record_era(self, era):
         self.era = max(self.era, era)
 
+    def superseded_at(self, version):
+        """Return None: all reads are of the newest version."""
+
     async def changes(self, table, after, wait):
         """Answer with the next change, or when the wait is over."""
         self.store.calls += 1
--- a/tests/platform/test_views.py
+++ b/tests/platform/test_views.py
@@ -68,6 +68,21 @@
     assert view.rows["a"].value == b"x"
 
 
+def test_a_read_of_an_older_version_does_not_make_the_table_fresh():
+    view = TableView()
+    view.apply(read(StoredRow("a", 12, b"x")), NOW)
+    view.apply(RowsRead((), 9, whole=False), NOW * 2)
+    assert view.fresh_at == NOW
+    view.apply(RowsRead((), 12, whole=False), NOW * 3)
+    assert view.fresh_at == NOW * 3
+
+
+def test_only_the_newest_version_of_a_row_in_a_read_is_an_update():
+    view = TableView()
+    rows = [StoredRow("a", 3, b"x"), StoredRow("a", 5, b"z"), StoredRow("a", 4, b"y")]
+    assert view.apply(read(*rows), NOW) == [StoredRow("a", 5, b"z")]
+
+
 def test_rows_with_only_counter_changes_are_not_sent_to_peers():
     view = FleetView(ManualClock())
     view.apply(SERVERS_TABLE, read(server_row(3, sequence=1)), NOW, "store")
