Pass over odd rows and list entries, and move a table's version when its rows are applied

Here decode_server raised for deep nesting, also in a field that isn't read, for a duration of 1e300 and for a version of 5,000 digits, and accepted ports out of range, other digits, names and control characters as hosts, and numbers beyond 64 bits; decode_configuration raised for the first two. The table's version had moved on before, so all rows behind the odd one were skipped; the two followers of the store were gathered, so each raise left one more reader behind; a peer that passed the row on raised at its receivers. An impossible address went through the pool as OverflowError or TypeError to the request.

Rows are decoded within stated ranges and never raise; what reaches the pool is an IPv4 address with a port. The version moves with the rows. The followers are a task group. A row of the system's own table that can't be read names no layout, and no owner whose lease could be taken at once.

--- a/src/magnoliatrail/cells/fleet_layout.py
+++ b/src/magnoliatrail/cells/fleet_layout.py
@@ -4,11 +4,10 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-import msgspec
 from expression import Result
 
 from magnoliatrail.cells.engine_discovery import EngineDiscovery
-from magnoliatrail.cells.layout import cell_count
+from magnoliatrail.cells.layout import MAX_CELLS, cell_count
 from magnoliatrail.cells.lease import Identity
 from magnoliatrail.cells.lease_takeover import MAX_OWNERSHIP
 from magnoliatrail.clock import Clock
@@ -18,7 +17,7 @@
 from magnoliatrail.platform.protocol import CELLS_TABLE
 from magnoliatrail.platform.rows import RowsRead, RowStore, RowWrite
 from magnoliatrail.platform.store_versions import era_of
-from magnoliatrail.wire import encode
+from magnoliatrail.wire import decode, encode
 
 log = EventLog("cells")
 
@@ -139,5 +138,11 @@
     """Return the number of cells of the stored layout, None if there is none."""
     for row in read.rows:
         if row.key == LAYOUT_KEY and row.value is not None:
-            return msgspec.json.decode(row.value, type=LayoutRow).cells
+            match decode(row.value, LayoutRow):
+                case Result(tag="ok", ok=layout) if 0 < layout.cells <= MAX_CELLS:
+                    return layout.cells
+                case Result(tag="ok", ok=layout):
+                    log.error("layout_unreadable", cells=layout.cells)
+                case Result(error=failure):
+                    log.error("layout_unreadable", reason=failure.message)
     return None
--- a/src/magnoliatrail/cells/lease.py
+++ b/src/magnoliatrail/cells/lease.py
@@ -16,7 +16,7 @@
 from magnoliatrail.platform.protocol import CELLS_TABLE
 from magnoliatrail.platform.rows import RowsRead, RowStore, RowWrite
 from magnoliatrail.platform.store_versions import era_of, number_of, version_in_era
-from magnoliatrail.wire import encode
+from magnoliatrail.wire import decode, encode
 
 log = EventLog("cells")
 
@@ -187,7 +187,8 @@
         if self.row_seen_at is None:
             return False
         if self.is_claimed or self.era == 0:
-            if self.row is None or self.row.released:
+            # A claimed row without content could not be read.
+            if self.row.released if self.row else not self.is_claimed:
                 return True
         elif self.held_at_restore:
             return True
@@ -319,5 +320,10 @@
         found = rows.get(owner_key(cell, earlier))
         if found is not None and found.value is not None:
             version = found.version if earlier == era else version_in_era(era, 0)
-            return msgspec.json.decode(found.value, type=OwnerRow), version
+            match decode(found.value, OwnerRow):
+                case Result(tag="ok", ok=row):
+                    return row, version
+                case Result(error=failure):
+                    log.error("owner_row_unreadable", cell=cell, reason=failure.message)
+                    return None, version
     return None, version_in_era(era, 0)
--- a/src/magnoliatrail/connections.py
+++ b/src/magnoliatrail/connections.py
@@ -107,7 +107,8 @@
         try:
             async with asyncio.timeout(max(0.001, limit.total_seconds())):
                 await stream.connect((host, int(port)))
-        except (OSError, ValueError, TimeoutError) as error:
+        # The last two are raised for an address that cannot exist.
+        except (OSError, ValueError, TimeoutError, OverflowError, TypeError) as error:
             stream.close()
             self.on_open(address, False)
             reason = str(error) or f"no connection within {limit.total_seconds():.2f} s"
--- a/src/magnoliatrail/entry/engine_stream.py
+++ b/src/magnoliatrail/entry/engine_stream.py
@@ -244,7 +244,7 @@
         async with asyncio.timeout(limits.connect.total_seconds()):
             # Backend servers have IP addresses, so there is no name to resolve.
             await source.connect((address.hostname or "", address.port or HTTP_PORT))
-    except (OSError, TimeoutError) as error:
+    except (OSError, TimeoutError, ValueError, OverflowError) as error:
         source.close()
         raise CallFailed(str(error), sent=False) from error
     except asyncio.CancelledError:
--- a/src/magnoliatrail/membership/fleet_view.py
+++ b/src/magnoliatrail/membership/fleet_view.py
@@ -96,7 +96,7 @@
         if restored:
             log.warning("table_restored", table=table, source=source)
         unavailable = restored or self.store_was_unavailable(table, asked_at)
-        updates = view.apply(read, asked_at)
+        updates = view.updates_in(read)
         for row in updates:
             if table == OPERATOR_TABLE:
                 self.apply_operator_row(row, asked_at, source)
@@ -104,6 +104,8 @@
                 self.apply_server_row(
                     row, store_was_unavailable=unavailable, source=source
                 )
+        # Only now, so that a row that fails to apply is read again.
+        view.record(read, updates, asked_at)
         self.expire_lapsed()
         if updates:
             for notify in self.on_change:
--- a/src/magnoliatrail/membership/store_reader.py
+++ b/src/magnoliatrail/membership/store_reader.py
@@ -63,10 +63,13 @@
 
     async def run(self) -> None:
         """Follow both tables until cancelled."""
-        await asyncio.gather(
-            self.follow(OPERATOR_TABLE, OPERATOR_LONG_POLL_TIMEOUT, timedelta()),
-            self.follow(SERVERS_TABLE, timedelta(), SERVERS_POLL_INTERVAL),
-        )
+        async with asyncio.TaskGroup() as followers:
+            followers.create_task(
+                self.follow(OPERATOR_TABLE, OPERATOR_LONG_POLL_TIMEOUT, timedelta())
+            )
+            followers.create_task(
+                self.follow(SERVERS_TABLE, timedelta(), SERVERS_POLL_INTERVAL)
+            )
 
     async def follow(self, table: str, wait: timedelta, pause: timedelta) -> None:
         """Follow one table."""
--- a/src/magnoliatrail/membership/table_view.py
+++ b/src/magnoliatrail/membership/table_view.py
@@ -36,28 +36,43 @@
         return timedelta.max if self.fresh_at is None else now - self.fresh_at
 
     def apply(self, read: RowsRead, asked_at: timedelta) -> list[StoredRow]:
-        """Apply rows that were complete at a time, and return those that were newer.
+        """Apply rows that were complete at a time, and return those that were newer."""
+        updates = self.updates_in(read)
+        self.record(read, updates, asked_at)
+        return updates
+
+    def updates_in(self, read: RowsRead) -> list[StoredRow]:
+        """Return the rows of a read that are newer than the known ones.
 
-        What was read before the store came back from a copy changes nothing. An older
-        version does not show how fresh this one is.
+        What was read before the store came back from a copy changes nothing.
         """
         if era_of(read.version) < era_of(self.version):
             return []
-        current = read.version >= self.version
         # A read may have several versions of a row.
         newest = {
             row.key: row for row in sorted(read.rows, key=lambda row: row.version)
         }
         updates = [row for row in newest.values() if self.is_newer(row)]
         if read.whole:
-            listed = {row.key for row in read.rows}
-            updates.extend(self.removals(listed, read.version))
+            updates.extend(self.removals(set(newest), read.version))
+        return updates
+
+    def record(
+        self, read: RowsRead, updates: Iterable[StoredRow], asked_at: timedelta
+    ) -> None:
+        """Record the newer rows of a read, its version, and when it was complete.
+
+        An older version does not show how fresh this one is.
+        """
+        if era_of(read.version) < era_of(self.version):
+            return
         for row in updates:
             self.replace(row)
-        self.version = max(self.version, read.version)
-        if current and (self.fresh_at is None or asked_at > self.fresh_at):
+        if read.version < self.version:
+            return
+        self.version = read.version
+        if self.fresh_at is None or asked_at > self.fresh_at:
             self.fresh_at = asked_at
-        return updates
 
     def replace(self, row: StoredRow) -> None:
         """Replace a row, and keep its value if it is large."""
--- a/src/magnoliatrail/platform/configuration_rows.py
+++ b/src/magnoliatrail/platform/configuration_rows.py
@@ -1,9 +1,11 @@
 """Decoding of the operators' rows: configuration and adapter versions."""
 
 from datetime import timedelta
+from typing import Annotated
 
 import msgspec
 from expression import Error, Ok, Result
+from msgspec import Meta
 
 from magnoliatrail.backends import LoadedAdapter
 from magnoliatrail.errors import ErrorKind, Failure
@@ -17,8 +19,15 @@
     Service,
     ServiceShare,
 )
+from magnoliatrail.wire import decode
 
 DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024
+# Bounds beyond any use; what exceeds them makes the document invalid.
+MAX_SECONDS = 1e6
+MAX_INTEGER = 2**63 - 1
+
+Milliseconds = Annotated[float, Meta(ge=0, le=MAX_SECONDS * 1000)]
+Integer = Annotated[int, Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 
 
 class WireShare(msgspec.Struct):
@@ -35,14 +44,14 @@
     host: str
     prefix: str
     kind: RouteKind
-    timeout_ms: float
+    timeout_ms: Milliseconds
     service: str = ""
     split: list[WireShare] = []
-    latency_goal_ms: float = 0
-    priority: int = 0
-    attempts: int = 1
+    latency_goal_ms: Milliseconds = 0
+    priority: Integer = 0
+    attempts: Integer = 1
     resumable: bool = False
-    gap_target_ms: float = 0
+    gap_target_ms: Milliseconds = 0
 
 
 class WireModel(msgspec.Struct):
@@ -50,7 +59,7 @@
 
     name: str
     weights_mb: float
-    load_time_s: float = 0
+    load_time_s: Annotated[float, Meta(ge=0, le=MAX_SECONDS)] = 0
     adapter_mb: float = 0
 
 
@@ -84,7 +93,7 @@
 class WireConfiguration(msgspec.Struct):
     """The configuration row."""
 
-    version: int
+    version: Integer
     routes: list[WireRoute]
     services: list[WireService]
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
@@ -94,24 +103,24 @@
     """A row that publishes a version of an adapter."""
 
     model: str
-    version: int
+    version: Integer
     adapter: str = ""
 
 
 def decode_configuration(value: bytes) -> Result[RouteTable, Failure]:
     """Decode the configuration row into a route table."""
-    try:
-        found = msgspec.json.decode(value, type=WireConfiguration)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Error(Failure(ErrorKind.INVALID_CONFIGURATION, str(error)))
-    return Ok(
-        RouteTable(
-            version=found.version,
-            routes=tuple(route_of(route) for route in found.routes),
-            services={item.name: service_of(item) for item in found.services},
-            max_body_bytes=found.limits.body_bytes,
-        )
-    )
+    match decode(value, WireConfiguration):
+        case Result(tag="ok", ok=found):
+            return Ok(
+                RouteTable(
+                    version=found.version,
+                    routes=tuple(route_of(route) for route in found.routes),
+                    services={item.name: service_of(item) for item in found.services},
+                    max_body_bytes=found.limits.body_bytes,
+                )
+            )
+        case Result(error=failure):
+            return Error(Failure(ErrorKind.INVALID_CONFIGURATION, failure.message))
 
 
 def route_of(route: WireRoute) -> Route:
@@ -169,8 +178,7 @@
     """Decode an adapter version row; return None for any other row."""
     if not key.startswith(VERSION_PREFIX):
         return None
-    try:
-        found = msgspec.json.decode(value, type=WireAdapterVersion)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return None
-    return LoadedAdapter(found.model, found.adapter, found.version)
+    match decode(value, WireAdapterVersion):
+        case Result(tag="ok", ok=found):
+            return LoadedAdapter(found.model, found.adapter, found.version)
+    return None
--- a/src/magnoliatrail/platform/engine_calls.py
+++ b/src/magnoliatrail/platform/engine_calls.py
@@ -20,11 +20,12 @@
 from magnoliatrail.platform.protocol import EXPECT_INSTANCE, ORDER_PATH, REPORT_PATH
 from magnoliatrail.platform.request_headers import server_notice
 from magnoliatrail.platform.server_rows import (
+    Count,
     WireLoadedModel,
     loaded_model,
     parse_adapter,
 )
-from magnoliatrail.wire import JSON_TYPE, CallFailed, CallLimits, encode
+from magnoliatrail.wire import JSON_TYPE, CallFailed, CallLimits, decode, encode
 
 HTTP_OK = 200
 
@@ -98,15 +99,15 @@
 class WireReport(msgspec.Struct):
     """The body of a report; items of `incoming` have the form MODEL/NAME@VERSION."""
 
-    sequence: int = 0
+    sequence: Count = 0
     busy: bool = False
     models: list[WireLoadedModel] = []
     incoming: list[str] = []
-    running: int = 0
-    waiting: int = 0
+    running: Count = 0
+    waiting: Count = 0
     kv_cache_used: float = 0
     kv_cache_total: float = 0
-    born: int | None = None
+    born: Count | None = None
 
 
 def order_body(order: Order) -> dict[str, object]:
@@ -166,10 +167,10 @@
     if answer.code != HTTP_OK:
         message = f"the engine answered {answer.code}"
         return Error(Failure(ErrorKind.BACKEND_FAILED, message))
-    try:
-        found = msgspec.json.decode(answer.body, type=WireReport)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Error(Failure(ErrorKind.ANSWER_INVALID, str(error)))
+    decoded = decode(bytes(answer.body), WireReport)
+    if decoded.is_error():
+        return Error(Failure(ErrorKind.ANSWER_INVALID, decoded.error.message))
+    found = decoded.ok
     return Ok(
         EngineReport(
             born=found.born,
--- a/src/magnoliatrail/platform/rows.py
+++ b/src/magnoliatrail/platform/rows.py
@@ -17,7 +17,7 @@
 from magnoliatrail.logs import EventLog
 from magnoliatrail.platform.protocol import STORE_ERA
 from magnoliatrail.platform.store_versions import era_of, number_of, version_in_era
-from magnoliatrail.wire import JSON_TYPE, CallFailed, CallLimits, encode
+from magnoliatrail.wire import JSON_TYPE, CallFailed, CallLimits, decode, encode
 
 log = EventLog("platform")
 
@@ -252,12 +252,15 @@
         )
         try:
             era = int(answer.headers.get(STORE_ERA, "0"))
-            if answer.code not in (HTTP_OK, HTTP_CONDITION_FAILED):
-                found = WireRows()
-            else:
-                found = msgspec.json.decode(answer.body, type=WireRows)
-        except (msgspec.DecodeError, ValueError) as error:
-            return Error(Failure(kind, f"unreadable answer of the store: {error}"))
+        except ValueError as error:
+            return Error(Failure(kind, f"unreadable era of the store: {error}"))
+        found = WireRows()
+        if answer.code in (HTTP_OK, HTTP_CONDITION_FAILED):
+            decoded = decode(bytes(answer.body), WireRows)
+            if decoded.is_error():
+                message = f"unreadable answer of the store: {decoded.error.message}"
+                return Error(Failure(kind, message))
+            found = decoded.ok
         if era < self.era:
             message = f"an answer of era {era} came after the store was restored"
             return Error(Failure(kind, message))
--- a/src/magnoliatrail/platform/server_rows.py
+++ b/src/magnoliatrail/platform/server_rows.py
@@ -1,9 +1,12 @@
 """Decoding of the rows that backend servers write about themselves."""
 
 from datetime import timedelta
+from ipaddress import IPv4Address
+from typing import Annotated
 
 import msgspec
 from expression import Error, Ok, Result
+from msgspec import Meta
 
 from magnoliatrail.backends import (
     BackendServer,
@@ -13,15 +16,25 @@
 )
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.ids import FailureDomain, ServerId
+from magnoliatrail.wire import decode
 
 STATES = {"ready": ServerState.READY, "draining": ServerState.LEAVING}
+MAX_PORT = 65_535
+# Rows also come from writers that are no servers; what no server says is refused.
+MAX_SLOTS = 65_536
+MAX_INTEGER = 2**63 - 1
+MAX_DURATION_MS = 1e9
+# Digits of the largest version of an adapter.
+MAX_VERSION_DIGITS = 18
+
+Count = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
 
 
 class WireLoadedModel(msgspec.Struct):
     """Base weights in a server's row; adapters have the form NAME@VERSION."""
 
     name: str
-    version: int = 0
+    version: Count = 0
     adapters: list[str] = []
 
 
@@ -32,25 +45,35 @@
     address: str
     zone: str
     state: str
-    born: int
-    slots: int = 1
-    sequence: int = 0
+    born: Count
+    slots: Annotated[int, Meta(ge=1, le=MAX_SLOTS)] = 1
+    sequence: Count = 0
     models: list[WireLoadedModel] = []
-    remaining_ms: float | None = None
+    remaining_ms: Annotated[float, Meta(ge=0, le=MAX_DURATION_MS)] | None = None
     version: str = ""
 
 
 def decode_server(key: str, value: bytes) -> Result[BackendServer, Failure]:
     """Decode a server's row; an invalid row is an error."""
-    try:
-        found = msgspec.json.decode(value, type=WireServer)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Error(Failure(ErrorKind.MALFORMED_REQUEST, f"server row {key}: {error}"))
+    match decode(value, WireServer):
+        case Result(tag="ok", ok=found):
+            return server_of(key, found)
+        case Result(error=failure):
+            return Error(invalid_row(key, failure.message))
+
+
+def invalid_row(key: str, reason: str) -> Failure:
+    """Build the failure for a row that describes no usable server."""
+    return Failure(ErrorKind.MALFORMED_REQUEST, f"server row {key}: {reason}")
+
+
+def server_of(key: str, found: WireServer) -> Result[BackendServer, Failure]:
+    """Convert a server's row to the internal form."""
     state = STATES.get(found.state)
-    host, _, port = found.address.rpartition(":")
-    if state is None or not host or not port.isdecimal():
-        message = f"server row {key}: state {found.state!r}, address {found.address!r}"
-        return Error(Failure(ErrorKind.MALFORMED_REQUEST, message))
+    if state is None:
+        return Error(invalid_row(key, f"state {found.state[:80]!r}"))
+    if not is_address(found.address):
+        return Error(invalid_row(key, f"address {found.address[:80]!r}"))
     left = found.remaining_ms
     return Ok(
         BackendServer(
@@ -69,6 +92,18 @@
     )
 
 
+def is_address(text: str) -> bool:
+    """Return whether a text is an IPv4 address and a port, HOST:PORT."""
+    host, _, port = text.rpartition(":")
+    if not (port.isascii() and port.isdecimal() and len(port) <= len(str(MAX_PORT))):
+        return False
+    try:
+        IPv4Address(host)
+    except ValueError:
+        return False
+    return 0 < int(port) <= MAX_PORT
+
+
 def loaded_model(model: WireLoadedModel) -> LoadedModel:
     """Convert loaded base weights to the internal form."""
     adapters = tuple(parse_adapter(model.name, text) for text in model.adapters)
@@ -76,6 +111,7 @@
 
 
 def parse_adapter(model: str, text: str) -> LoadedAdapter:
-    """Parse NAME@VERSION; a name alone means version 0."""
+    """Parse NAME@VERSION; without a usable version it is 0."""
     name, _, version = text.partition("@")
-    return LoadedAdapter(model, name, int(version) if version.isdecimal() else 0)
+    usable = version.isdecimal() and len(version) <= MAX_VERSION_DIGITS
+    return LoadedAdapter(model, name, int(version) if usable else 0)
--- a/src/magnoliatrail/wire.py
+++ b/src/magnoliatrail/wire.py
@@ -75,7 +75,7 @@
     """Decode a message, or return what is wrong with it."""
     try:
         return Ok(msgspec.json.decode(body, type=message_type))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         return Error(Failure(ErrorKind.MALFORMED_REQUEST, str(error)))
 
 
@@ -98,7 +98,7 @@
         raise CallFailed(str(error), sent="during request" in str(error)) from error
     except ConnectionRefusedError as error:
         raise CallFailed(str(error), sent=False) from error
-    except (HTTPClientError, OSError, ValueError) as error:
+    except (HTTPClientError, OSError, ValueError, OverflowError) as error:
         raise CallFailed(str(error), sent=True) from error
 
 
--- a/tests/load/test_configuration_freshness.py
+++ b/tests/load/test_configuration_freshness.py
@@ -17,6 +17,8 @@
 from magnoliatrail.platform.rows import RowsRead, StoredRow
 from tests.platform.rig import configuration
 
+# An object whose unread field is nested too deeply to be decoded.
+NESTED = b'{"version": 1, "x": ' + b"[" * 5000 + b"]" * 5000 + b"}"
 STEP = timedelta(milliseconds=50)
 READ_TIMEOUT = timedelta(seconds=1.2)
 ANSWER_TIME = timedelta(milliseconds=4)
@@ -93,7 +95,7 @@
         seen = self.version_at(now - (LAG if mode is StoreMode.LAGS else timedelta()))
         rows = [
             *(operator_row(at, value) for at, value in self.written.items()),
-            *(StoredRow("config", at, b"[" * 5000) for at in self.odd),
+            *(StoredRow("config", at, NESTED) for at in self.odd),
         ]
         rows = [row for row in rows if after < row.version <= seen]
         found = tuple(rows) if table == OPERATOR_TABLE else ()
