Take no refusal that comes again for the answer to the next send

Another operator's faulty replica wrote an earlier refusal once more on a kept connection: clients were told 'not run, try again' for requests that a replica had run (REFUSED), or these ran twice (TWICE). It happens here: the second send of a request to the same server may use the connection that carried the refusal, and a copy has the request's own id. Orders, reports and writes have no ids at all, and share connections with requests; a copy of a 503 was also believed as news of its server.

A pooled connection remembers the requests whose refusals it has carried, and is not reused for them. An answer to a request that names none is invalid: servers always echo the id. Our own errors to an instance that relays name the request too.

--- a/src/magnoliatrail/connections.py
+++ b/src/magnoliatrail/connections.py
@@ -21,6 +21,8 @@
 DEFAULT_KEEP_ALIVE = timedelta(seconds=20)
 # Idle connections are closed this long before the server would close them.
 KEEP_ALIVE_MARGIN = timedelta(seconds=1)
+# A connection that has carried refusals of more requests is closed.
+MAX_REFUSED_REQUESTS = 64
 # Limit on the body of an answer that is kept in memory; a relayed stream has none.
 MAX_BUFFERED_BODY_BYTES = 16 * 1024 * 1024
 
@@ -35,6 +37,8 @@
 
     idle_since = timedelta()
     keep_alive = DEFAULT_KEEP_ALIVE
+    # Ids of the requests whose refusals the connection has carried.
+    refused: frozenset[str] = frozenset()
 
     def is_reusable(self) -> bool:
         """Return whether the peer neither closed the connection nor sent more data."""
@@ -68,34 +72,50 @@
         self.on_open: Callable[[str, bool], None] = lambda address, opened: None
 
     async def acquire(
-        self, address: str, connect: timedelta, *, max_idle: timedelta | None = None
+        self,
+        address: str,
+        connect: timedelta,
+        *,
+        max_idle: timedelta | None = None,
+        request_id: str = "",
     ) -> AcquiredConnection:
         """Return an idle connection, or a new one.
 
-        `max_idle` limits how long a reused one may have been idle. Raises CallFailed
-        if no connection can be opened.
+        `max_idle` limits how long a reused one may have been idle. One that has carried
+        a refusal of `request_id` is not reused for it: the refusal might come again,
+        and could not be told from the next answer. Raises CallFailed if no connection
+        can be opened.
         """
-        idle_stream = self.acquire_idle(address, max_idle)
+        idle_stream = self.acquire_idle(address, max_idle, request_id)
         if idle_stream:
             return AcquiredConnection(idle_stream, reused=True)
         return AcquiredConnection(await self.open(address, connect), reused=False)
 
     def acquire_idle(
-        self, address: str, max_idle: timedelta | None = None
+        self, address: str, max_idle: timedelta | None = None, request_id: str = ""
     ) -> PooledStream | None:
         """Return the most recently used idle connection, None if there is none."""
         now = self.monotonic()
         streams = self.idle[address]
-        while streams:
+        # Connections that carried a refusal of the request, kept for others.
+        skipped: list[PooledStream] = []
+        found = None
+        while streams and found is None:
             stream = streams.pop()
             idle = now - stream.idle_since
-            if idle < stream.keep_alive - KEEP_ALIVE_MARGIN and stream.is_reusable():
-                if max_idle is None or idle <= max_idle:
-                    return stream
-                streams.append(stream)
-                return None
-            stream.close()
-        return None
+            if idle >= stream.keep_alive - KEEP_ALIVE_MARGIN or (
+                not stream.is_reusable()
+            ):
+                stream.close()
+            elif request_id and request_id in stream.refused:
+                skipped.append(stream)
+            elif max_idle is None or idle <= max_idle:
+                found = stream
+            else:
+                skipped.append(stream)
+                break
+        streams.extend(reversed(skipped))
+        return found
 
     async def open(self, address: str, limit: timedelta) -> PooledStream:
         """Open a connection.
@@ -133,7 +153,10 @@
         """
         server_closes = "close" in answer_headers.get("Connection", "").lower()
         streams = self.idle[address]
-        full = len(streams) >= MAX_IDLE_PER_ADDRESS
+        full = (
+            len(streams) >= MAX_IDLE_PER_ADDRESS
+            or len(stream.refused) > MAX_REFUSED_REQUESTS
+        )
         if server_closes or full or not stream.is_reusable():
             stream.close()
             return
--- a/src/magnoliatrail/exchange.py
+++ b/src/magnoliatrail/exchange.py
@@ -1,6 +1,7 @@
 """A request and its complete answer over a pooled connection."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
 from http import HTTPStatus
@@ -117,6 +118,18 @@
         self.finished = True
 
 
+# Returns by its headers whether an answer belongs to the request.
+AnswerFilter = Callable[[HTTPHeaders], bool]
+
+
+@dataclass(frozen=True, slots=True)
+class ExchangeRules:
+    """Which answer belongs to a request, and which connections are kept."""
+
+    is_answer: AnswerFilter
+    keep_refused: bool
+
+
 async def exchange(
     pool: ConnectionPool,
     address: str,
@@ -124,26 +137,34 @@
     limits: CallLimits,
     *,
     retry_if_silent: bool = False,
+    is_answer: AnswerFilter = lambda headers: True,
+    keep_refused: bool = True,
 ) -> BufferedAnswer:
     """Send a request and return its complete answer.
 
     With `retry_if_silent`, a request without an answer on a reused connection is sent
-    again over a new one, so use it only for idempotent requests. Raises CallFailed.
+    again over a new one, so use it only for idempotent requests. `is_answer` tells by
+    its headers an answer to this request from a late one to another. Without
+    `keep_refused`, a connection that has carried a refusal is closed, as the refusal
+    might come again and be taken for the next answer. Raises CallFailed.
     """
+    rules = ExchangeRules(is_answer, keep_refused)
     started = pool.monotonic()
     if retry_if_silent:
         idle_stream = pool.acquire_idle(address)
         if idle_stream:
             try:
                 limit = min(limits.total / 2, SILENT_CONNECTION_TIMEOUT)
-                return await exchange_on(pool, address, idle_stream, request, limit)
+                return await exchange_on(
+                    pool, address, idle_stream, request, limit, rules
+                )
             except CallFailed:
                 pool.close_address(address)
         stream = await pool.open(address, limits.connect)
     else:
         stream = (await pool.acquire(address, limits.connect)).stream
     rest = limits.total - (pool.monotonic() - started)
-    return await exchange_on(pool, address, stream, request, rest)
+    return await exchange_on(pool, address, stream, request, rest, rules)
 
 
 async def exchange_on(
@@ -152,6 +173,7 @@
     stream: PooledStream,
     request: OutgoingRequest,
     limit: timedelta,
+    rules: ExchangeRules,
 ) -> BufferedAnswer:
     """Send a request over a connection and return its complete answer."""
     answer = BufferedAnswer(AnswerBounds(stream))
@@ -171,7 +193,13 @@
     if not answer.finished or answer.bounds.reason or stream.error is not None:
         cause = answer.bounds.cause or "the connection was closed"
         raise CallFailed(cause, sent=True)
-    pool.release(address, stream, answer.headers)
+    if not rules.is_answer(answer.headers):
+        stream.close()
+        raise CallFailed("an answer to another request came first", sent=True)
+    if answer.code >= HTTPStatus.MULTIPLE_CHOICES and not rules.keep_refused:
+        stream.close()
+    else:
+        pool.release(address, stream, answer.headers)
     return answer
 
 
--- a/src/magnoliatrail/forwarding/request.py
+++ b/src/magnoliatrail/forwarding/request.py
@@ -20,6 +20,7 @@
     deadline_of,
     headers_for_caller,
     model_work_of,
+    name_request,
     request_id_of,
     resumed_request_of,
     shared_parts_of,
@@ -192,6 +193,9 @@
         fields = HTTPHeaders(
             {"Content-Type": JSON_TYPE, "Content-Length": str(len(body))}
         )
+        if self.origin is not None:
+            # The instance that relays the request takes no answer without its id.
+            name_request(fields, self.id)
         if retry_after is not None:
             fields["Retry-After"] = f"{retry_after.total_seconds():.2f}"
         await self.send_head(status, fields)
--- a/src/magnoliatrail/forwarding/server_call.py
+++ b/src/magnoliatrail/forwarding/server_call.py
@@ -131,6 +131,8 @@
         self.headers = HTTPHeaders()
         self.status = 0
         self.is_stray = False
+        # Whether the answer names the request, None if it names none.
+        self.names_request: bool | None = None
         self.relays = False
         self.finished = False
         self.buffered: list[bytes] = []
@@ -147,18 +149,21 @@
             self.bounds.interim_answers += 1
             return None
         self.status, self.headers = start_line.code, headers
-        self.is_stray = not answers_request(headers, self.request_id)
+        self.names_request = answers_request(headers, self.request_id)
+        self.is_stray = self.names_request is False
         if self.is_stray:
             self.bounds.check_head(headers)
             return None
         self.attempt.status, self.attempt.headers = self.status, headers
         self.attempt.framing = framing_of(headers)
         server = self.attempt.server
-        self.notice(
-            server, server_notice(server, self.status, headers, to_request=True)
-        )
+        if self.names_request:
+            self.notice(
+                server, server_notice(server, self.status, headers, to_request=True)
+            )
         self.relays = (
-            not not_executed(self.status, headers)
+            bool(self.names_request)
+            and not not_executed(self.status, headers)
             and is_signed(headers)
             and HTTPStatus.OK <= self.status < HTTPStatus.MULTIPLE_CHOICES
         )
@@ -245,6 +250,7 @@
             server.address,
             connect,
             max_idle=MAX_IDLE_NON_IDEMPOTENT if only_recently_used else None,
+            request_id=request.id,
         )
     except CallFailed as error:
         attempt.outcome, attempt.reason = AttemptOutcome.NOT_RUN, str(error)
@@ -267,6 +273,8 @@
         if not reusable:
             lent.stream.close()
     if reusable:
+        if attempt.status >= HTTPStatus.MULTIPLE_CHOICES:
+            lent.stream.refused |= {request.id}
         pool.release(server.address, lent.stream, attempt.headers)
     return attempt
 
@@ -341,6 +349,10 @@
     if not complete or (stream.closed() and stream.error is not None):
         attempt.outcome = AttemptOutcome.BROKEN
         attempt.reason = reader.bounds.cause or attempt.reason or "the answer broke off"
+    elif reader.names_request is None:
+        # It may be an earlier answer that the server sent once more.
+        attempt.outcome = AttemptOutcome.INVALID
+        attempt.reason = f"an answer {attempt.status} that names no request"
     elif not_executed(attempt.status, attempt.headers):
         attempt.outcome = AttemptOutcome.NOT_RUN
         attempt.reason = f"the server answered {attempt.status}, not executed"
--- a/src/magnoliatrail/platform/engine_calls.py
+++ b/src/magnoliatrail/platform/engine_calls.py
@@ -18,7 +18,7 @@
 from magnoliatrail.exchange import OutgoingRequest, exchange
 from magnoliatrail.ids import FencingNumber, InstanceId
 from magnoliatrail.platform.protocol import EXPECT_INSTANCE, ORDER_PATH, REPORT_PATH
-from magnoliatrail.platform.request_headers import server_notice
+from magnoliatrail.platform.request_headers import names_no_request, server_notice
 from magnoliatrail.platform.server_rows import (
     Count,
     WireLoadedModel,
@@ -137,7 +137,14 @@
     headers = HTTPHeaders({EXPECT_INSTANCE: server.id, "Content-Type": JSON_TYPE})
     call = OutgoingRequest("POST", ORDER_PATH, headers, encode(order_body(order)))
     try:
-        answer = await exchange(pool, server.address, call, limits)
+        answer = await exchange(
+            pool,
+            server.address,
+            call,
+            limits,
+            is_answer=names_no_request,
+            keep_refused=False,
+        )
     except CallFailed as error:
         if not error.sent:
             return OrderOutcome.CONFLICT, str(error)
@@ -159,7 +166,13 @@
     )
     try:
         answer = await exchange(
-            pool, server.address, call, limits, retry_if_silent=True
+            pool,
+            server.address,
+            call,
+            limits,
+            retry_if_silent=True,
+            is_answer=names_no_request,
+            keep_refused=False,
         )
     except CallFailed as error:
         return Error(Failure(ErrorKind.BACKEND_UNREACHABLE, str(error)))
--- a/src/magnoliatrail/platform/request_headers.py
+++ b/src/magnoliatrail/platform/request_headers.py
@@ -38,6 +38,12 @@
     return headers.get(protocol.REQUEST_ID, "")
 
 
+def name_request(fields: HTTPHeaders, request_id: str) -> None:
+    """Add the id of the request to an answer."""
+    if request_id:
+        fields[protocol.REQUEST_ID] = request_id
+
+
 def caller_of(headers: HTTPHeaders) -> str:
     """Return the credentials by which callers are told apart, empty without any.
 
@@ -206,9 +212,17 @@
     return timedelta(seconds=seconds)
 
 
-def answers_request(headers: HTTPHeaders, request_id: str) -> bool:
-    """Return whether an answer has the request's id, or none."""
-    return headers.get(protocol.REQUEST_ID, request_id) == request_id
+def answers_request(headers: HTTPHeaders, request_id: str) -> bool | None:
+    """Return whether an answer names a request, None if it names none."""
+    if not request_id and protocol.REQUEST_ID not in headers:
+        return True
+    named = headers.get(protocol.REQUEST_ID)
+    return None if named is None else named == request_id
+
+
+def names_no_request(headers: HTTPHeaders) -> bool:
+    """Return whether an answer can be that to a call without a request id."""
+    return protocol.REQUEST_ID not in headers
 
 
 def headers_for_caller(headers: HTTPHeaders) -> HTTPHeaders:
--- a/src/magnoliatrail/platform/rows.py
+++ b/src/magnoliatrail/platform/rows.py
@@ -237,7 +237,10 @@
         call = OutgoingRequest(method, target, headers, body)
         limits = CallLimits(self.limits.connect, self.limits.total + wait)
         try:
-            answer = await exchange(self.pool, self.address, call, limits)
+            # Without ids, a refusal that came again would pass for the next answer.
+            answer = await exchange(
+                self.pool, self.address, call, limits, keep_refused=False
+            )
         except CallFailed as error:
             unknown = error.sent and method == "POST"
             kind = (
