Read a large configuration whole while it changes often, and share reads in progress

Cause: the store's changes hold each version of a row, 330 KB each; on a link of 10 Mbit/s the versions of a series take longer than the limit of a read (1.2 s), each failed read makes the next one longer, and the owner that reads for all never caught up. A request's read and the follower's own one ran side by side, each in full.

After a read that brought a changed large row, or a failed one, the table is read whole, which has only the newest version, and rests for as long as the read took. A follower that is behind shares the read that requests wait for.

--- a/src/magnoliatrail/membership/store_reader.py
+++ b/src/magnoliatrail/membership/store_reader.py
@@ -1,7 +1,7 @@
 """Reads of the store that update an instance's view of the fleet."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -11,7 +11,7 @@
 from magnoliatrail.logs import EventLog
 from magnoliatrail.membership.fleet_view import FleetView
 from magnoliatrail.platform.protocol import OPERATOR_TABLE, SERVERS_TABLE
-from magnoliatrail.platform.rows import RowsRead, RowStore
+from magnoliatrail.platform.rows import RowsRead, RowStore, StoredRow
 
 log = EventLog("membership")
 
@@ -20,6 +20,8 @@
 # Interval between reads of the servers table, whose rows change constantly.
 SERVERS_POLL_INTERVAL = timedelta(seconds=0.7)
 READ_RETRY_DELAY = timedelta(seconds=0.3)
+# Of rows from this size on, only the newest version is read if they change often.
+COSTLY_ROW_BYTES = 64 * 1024
 # Longest wait of a request for a read of tables that are nearly too old.
 STALE_READ_TIMEOUT = timedelta(milliseconds=300)
 # Bounds on the wait of an inactive reader before it checks its tables' age again.
@@ -58,6 +60,8 @@
         self.failing: set[str] = set()
         # When a read of a table last lagged behind what the store had said before.
         self.outdated_at: dict[str, timedelta] = {}
+        # Tables that are read whole next, not by their changes.
+        self.reads_whole: set[str] = set()
         # Reads in progress that requests wait for, by table.
         self.urgent_reads: dict[str, asyncio.Task[bool]] = {}
 
@@ -80,17 +84,33 @@
             if due_in > timedelta():
                 idle = min(MAX_IDLE_WAIT, max(MIN_IDLE_WAIT, due_in))
                 await self.clock.sleep(idle)
+                continue
+            began_at = self.clock.monotonic()
             # A table that is behind is read at once, not at the next change.
-            elif await self.read_once(table, wait if age <= wait else timedelta()):
-                await self.clock.sleep(pause)
-            else:
+            if not await self.read_shared(table, wait if age <= wait else timedelta()):
                 await self.clock.sleep(READ_RETRY_DELAY)
+            elif table in self.reads_whole:
+                # Leaves half of a slow link to other messages.
+                took = self.clock.monotonic() - began_at
+                await self.clock.sleep(max(pause, took))
+            else:
+                await self.clock.sleep(pause)
+
+    async def read_shared(self, table: str, wait: timedelta) -> bool:
+        """Read a table, or wait for the read that requests wait for."""
+        reading = self.urgent_reads.get(table)
+        if reading is None or reading.done():
+            if wait:
+                return await self.read_once(table, wait)
+            reading = self.start_read(table)
+        await asyncio.wait({reading})
+        return reading.result()
 
     async def read_once(self, table: str, wait: timedelta) -> bool:
         """Read the changes, or the whole table if the change history is missing."""
         view = self.view.tables[table]
         asked_at = self.clock.monotonic()
-        if view.fresh_at is None:
+        if view.fresh_at is None or table in self.reads_whole:
             read = await self.store.read(table)
         else:
             changes = await self.store.changes(table, view.version, wait)
@@ -103,6 +123,7 @@
         match read:
             case Result(tag="ok", ok=rows):
                 self.record_success(table)
+                self.choose_next_read(table, rows)
                 if table == OPERATOR_TABLE and rows.rows:
                     log.info(
                         "operator_rows_read",
@@ -119,8 +140,20 @@
                 return True
             case Result(error=failure):
                 self.record_failure(table, failure.message)
+                if has_costly_row(view.rows.values()):
+                    self.reads_whole.add(table)
         return False
 
+    def choose_next_read(self, table: str, read: RowsRead) -> None:
+        """Choose to read a table whole next if its large rows change.
+
+        The changes hold each version of a large row, a whole read only the newest.
+        """
+        if has_costly_row(self.view.tables[table].updates_in(read)):
+            self.reads_whole.add(table)
+        else:
+            self.reads_whole.discard(table)
+
     def completion_of(
         self, table: str, read: RowsRead, asked_at: timedelta, waited: timedelta
     ) -> timedelta:
@@ -232,6 +265,11 @@
             log.warning("store_unreadable", table=table, reason=reason, age=age)
 
 
+def has_costly_row(rows: Iterable[StoredRow]) -> bool:
+    """Return whether reading several versions of one of the rows takes long."""
+    return any(row.value and len(row.value) >= COSTLY_ROW_BYTES for row in rows)
+
+
 def size_of(read: RowsRead) -> int:
     """Return the size of all values of a read in bytes."""
     return sum(len(row.value or b"") for row in read.rows)
