--- a/src/magnoliatrail/entry/engine_call.py
+++ b/src/magnoliatrail/entry/engine_call.py
@@ -223,6 +223,9 @@
                 return Error(Failure(ErrorKind.BACKEND_UNREACHABLE, str(error)))
             return Ok(None) if error.sent else Error(interrupted(str(error)))
         if stream.status == HTTP_OK:
+            if run.request.stream and not stream.is_event_stream:
+                stream.close()
+                return Error(interrupted("the engine's answer is no event stream"))
             failure = self.version_failure(run, stream)
             if failure is None:
                 return Ok(stream)
--- a/src/magnoliatrail/entry/engine_run.py
+++ b/src/magnoliatrail/entry/engine_run.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from magnoliatrail.engines.permits import Permit
-from magnoliatrail.entry.engine_stream import EngineRequest
+from magnoliatrail.entry.engine_stream import EVENT_STREAM, EngineRequest
 from magnoliatrail.generated.permits import RequestClass
 from magnoliatrail.ids import RequestId, ServerId
 from magnoliatrail.requests import CompletionCall, RunVersion
@@ -14,7 +14,6 @@
 from magnoliatrail.wire import JSON_TYPE, encode
 
 PRIORITIES = {RequestClass.INTERACTIVE: 0, RequestClass.BATCH: 1}
-EVENT_STREAM = "text/event-stream"
 
 
 @dataclass
--- a/src/magnoliatrail/entry/engine_stream.py
+++ b/src/magnoliatrail/entry/engine_stream.py
@@ -28,6 +28,7 @@
 MAX_FREQUENT_READ_GAP_SECONDS = 0.025
 MAX_REFUSAL_BYTES = 1024 * 1024
 HTTP_PORT = 80
+EVENT_STREAM = "text/event-stream"
 SOFTWARE_VERSION_HEADER = "X-Software-Version"
 
 ContentHandler = Callable[[bytes], Awaitable[None] | None]
@@ -91,6 +92,8 @@
     def __init__(self, head: AnswerHead, source: IOStream, idle: timedelta) -> None:
         self.status = head.status
         self.refusal = bytes(head.refusal)
+        media_type = head.headers.get("Content-Type", "").partition(";")[0]
+        self.is_event_stream = media_type.strip().lower() == EVENT_STREAM
         self.software_version = head.headers.get(SOFTWARE_VERSION_HEADER, "")
         self.source = source
         self.body = body_decoder(head.headers)
