Let small machines claim leases only after all turns of large ones

A small machine waited 0.5 s where the turns of the others take 0.7 s, and the one that discovers the engines of a starting fleet knows the rows about a second before the rest.

The delay for few cores or a slow link is 1 s times what is lacking, and a small machine that discovers the engines waits until the others have read the rows.

--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -11,7 +11,7 @@
 from tornado.httputil import HTTPServerConnectionDelegate
 from tornado.web import Application, RequestHandler
 
-from magnoliatrail.cells.fleet_cells import FleetCells
+from magnoliatrail.cells.fleet_cells import FIRST_OWNER_READ, FleetCells
 from magnoliatrail.cells.lease import Identity
 from magnoliatrail.cells.member import CellMember
 from magnoliatrail.cells.table_updates import TableUpdateSender
@@ -73,10 +73,11 @@
 # Tables above this share of the freshness bounds are read before a request is routed;
 # the rest covers the read.
 UPDATE_AGE_SHARE = 0.85
-# Instances with fewer cores or a slower link claim leases later.
+# Instances with fewer cores or a slower link claim leases later, if they lack much of
+# either after all turns of the others.
 RECOMMENDED_OWNER_CORES = 1.0
 RECOMMENDED_OWNER_LINK_MBPS = 50.0
-CLAIM_DELAY_PER_RESOURCE = timedelta(milliseconds=400)
+CLAIM_DELAY_PER_RESOURCE = timedelta(milliseconds=1000)
 
 
 def resource_claim_delay(settings: InstanceSettings) -> timedelta:
@@ -260,9 +261,7 @@
             tasks=self.tasks,
             cell=cell,
             cells=cells,
-            owner_claim_delay=lambda: (
-                self.cells.owner_claim_delay() + resource_claim_delay(self.settings)
-            ),
+            owner_claim_delay=self.owner_claim_delay,
             store_answers=lambda: not self.reader.failing,
             confirm_layout=self.cells.layout.confirm,
             quarantined=self.quarantine.rules.rows,
@@ -275,6 +274,14 @@
             ),
         )
 
+    def owner_claim_delay(self) -> timedelta:
+        """Return how long this instance delays its claims behind those of others."""
+        delay = resource_claim_delay(self.settings)
+        if delay and self.cells.layout.discovers:
+            # The others read the rows of a starting fleet later.
+            delay += FIRST_OWNER_READ
+        return self.cells.owner_claim_delay() + delay
+
     async def start(self) -> None:
         """Open the listeners and start the tasks.
 
