--- a/src/magnoliatrail/platform/configuration_rows.py
+++ b/src/magnoliatrail/platform/configuration_rows.py
@@ -1,6 +1,7 @@
 """Decoding of the operators' rows: configuration and adapter versions."""
 
 from datetime import timedelta
+from functools import lru_cache
 from typing import Annotated
 
 import msgspec
@@ -26,6 +27,9 @@
 MAX_SECONDS = 1e6
 MAX_INTEGER = 2**63 - 1
 
+# Routes to keep decoded, above the size of a large configuration.
+CACHED_ROUTES = 4096
+
 Milliseconds = Annotated[float, Meta(ge=0, le=MAX_SECONDS * 1000)]
 Integer = Annotated[int, Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 
@@ -94,7 +98,7 @@
     """The configuration row."""
 
     version: Integer
-    routes: list[WireRoute]
+    routes: list[msgspec.Raw]
     services: list[WireService]
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
 
@@ -111,18 +115,37 @@
     """Decode the configuration row into a route table."""
     match decode(value, WireConfiguration):
         case Result(tag="ok", ok=found):
-            return Ok(
-                RouteTable(
-                    version=found.version,
-                    routes=tuple(route_of(route) for route in found.routes),
-                    services={item.name: service_of(item) for item in found.services},
-                    max_body_bytes=found.limits.body_bytes,
-                )
-            )
+            return route_table_of(found)
         case Result(error=failure):
             return Error(Failure(ErrorKind.INVALID_CONFIGURATION, failure.message))
 
 
+def route_table_of(found: WireConfiguration) -> Result[RouteTable, Failure]:
+    """Convert a configuration to the internal form."""
+    routes = []
+    for number, raw in enumerate(found.routes):
+        match decode_route(bytes(raw)):
+            case Result(tag="ok", ok=route):
+                routes.append(route)
+            case Result(error=failure):
+                message = f"route {number}: {failure.message}"
+                return Error(Failure(ErrorKind.INVALID_CONFIGURATION, message))
+    return Ok(
+        RouteTable(
+            version=found.version,
+            routes=tuple(routes),
+            services={item.name: service_of(item) for item in found.services},
+            max_body_bytes=found.limits.body_bytes,
+        )
+    )
+
+
+@lru_cache(maxsize=CACHED_ROUTES)
+def decode_route(raw: bytes) -> Result[Route, Failure]:
+    """Decode a route; most are the same from one configuration to the next."""
+    return decode(raw, WireRoute).map(route_of)
+
+
 def route_of(route: WireRoute) -> Route:
     """Convert a route to the internal form."""
     parts = [ServiceShare(part.service, part.weight) for part in route.split]
--- a/src/magnoliatrail/routes.py
+++ b/src/magnoliatrail/routes.py
@@ -1,6 +1,6 @@
 """Routes from callers' hosts and paths to services, from the configuration."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
@@ -112,31 +112,47 @@
     routes: tuple[Route, ...]
     services: Mapping[str, Service]
     max_body_bytes: int
-    by_host: dict[str, list[Route]] = field(init=False, repr=False)
+    by_host: dict[str, "PrefixIndex"] = field(init=False, repr=False, compare=False)
+    pause_goals: dict[str, timedelta] = field(init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
-        """Index the routes by host, longest prefix first."""
-        index: dict[str, list[Route]] = {}
+        """Index what each request looks up, as there may be many routes."""
+        hosts: dict[str, list[Route]] = {}
+        goals: dict[str, timedelta] = {}
         for route in self.routes:
-            index.setdefault(route.host.lower(), []).append(route)
-        for routes in index.values():
-            routes.sort(key=lambda route: len(route.prefix), reverse=True)
+            hosts.setdefault(route.host.lower(), []).append(route)
+            if not route.pause_goal:
+                continue
+            for share in route.shares:
+                known = goals.get(share.service, route.pause_goal)
+                goals[share.service] = min(known, route.pause_goal)
+        index = {host: PrefixIndex(routes) for host, routes in hosts.items()}
         object.__setattr__(self, "by_host", index)
+        object.__setattr__(self, "pause_goals", goals)
 
     def pause_goal(self, service: str) -> timedelta:
         """Return the shortest pause goal of a service's routes, 0 if none has one."""
-        pauses = [
-            route.pause_goal
-            for route in self.routes
-            if route.pause_goal
-            and any(share.service == service for share in route.shares)
-        ]
-        return min(pauses, default=timedelta())
+        return self.pause_goals.get(service, timedelta())
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix, None if none matches."""
-        name = host.partition(":")[0].lower()
-        for route in self.by_host.get(name, ()):
-            if path.startswith(route.prefix):
+        index = self.by_host.get(host.partition(":")[0].lower())
+        return index.match(path) if index else None
+
+
+class PrefixIndex:
+    """Find the longest prefix of a path among many routes."""
+
+    def __init__(self, routes: Iterable[Route]) -> None:
+        self.routes: dict[str, Route] = {}
+        for route in routes:
+            self.routes.setdefault(route.prefix, route)
+        self.lengths = sorted({len(prefix) for prefix in self.routes}, reverse=True)
+
+    def match(self, path: str) -> Route | None:
+        """Return the route with the longest matching prefix, None if none matches."""
+        for length in self.lengths:
+            route = self.routes.get(path[:length])
+            if route is not None:
                 return route
         return None
