Play configuration storms, odd rows and repeated refusals in the soak

Configurations of 400 routes change each 0.33 s and add a route; each is requested at each instance 2 s later, and must not be answered 404 unless the instance or the store was disturbed. Another writer leaves odd rows; plain servers refuse every third request and write the refusal once more.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -10,6 +10,7 @@
 from tests.soak.traffic import Ending, Exchange, RequestKind
 
 HTTP_OK = 200
+HTTP_NOT_FOUND = 404
 # Statuses of answers that say that the request was not run.
 NOT_RUN_STATUSES = {404, 429, 503}
 ERROR_MARKS = ("event=task_failed", "event=request_failed", "Traceback")
@@ -34,6 +35,17 @@
     per_second: float
 
 
+@dataclass(frozen=True)
+class RouteProbe:
+    """A request on a route that was added some time before."""
+
+    route: str
+    instance: str
+    written_at: float
+    sent_at: float
+    status: int
+
+
 @dataclass
 class Observations:
     """All that was seen in a run."""
@@ -56,6 +68,9 @@
     crashing_parts: set[str] = field(default_factory=set)
     part_crashes: list[float] = field(default_factory=list)
     limits: list[NamedLimit] = field(default_factory=list)
+    route_probes: list[RouteProbe] = field(default_factory=list)
+    # Intervals in which the store or the link to it was disturbed.
+    store_disturbed: Sequence[Interval] = ()
 
 
 def violations(seen: Observations) -> list[str]:
@@ -71,6 +86,7 @@
         *bad_exits(seen.exits),
         *late_crashing_requests(seen),
         *exceeded_limits(seen),
+        *late_routes(seen),
         *(f"log: {line}" for line in seen.log_lines if is_error(line)),
     ]
 
@@ -209,6 +225,24 @@
     return found
 
 
+def late_routes(seen: Observations) -> list[str]:
+    """Return the routes that were unknown after their change had to be in force."""
+    found = []
+    for probe in seen.route_probes:
+        since = probe.written_at - STABILITY_SECONDS
+        if (
+            probe.status == HTTP_NOT_FOUND
+            and in_touch(seen, probe.instance, probe.sent_at, since)
+            and not overlaps((since, probe.sent_at), seen.store_disturbed)
+        ):
+            waited = probe.sent_at - probe.written_at
+            found.append(
+                f"{probe.instance} does not know {probe.route} {waited:.2f} s "
+                "after it was added"
+            )
+    return found
+
+
 def in_touch(
     seen: Observations, instance: str, at: float, since: float | None = None
 ) -> bool:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -31,6 +31,12 @@
     ENGINE_LIMITED = "engine_limited"
     # Engines of another software version replace some or all, one after the other.
     RELEASE = "release"
+    # Many routes, and a series of changes that each add one.
+    CONFIGURATION_STORM = "configuration_storm"
+    # Another writer leaves odd rows among those of the servers.
+    ODD_ROWS = "odd_rows"
+    # Plain servers refuse requests, and write each refusal once more later.
+    REPEATED_REFUSALS = "repeated_refusals"
     # All instances are killed while two versions serve, or as the old one leaves.
     KILL_ALL_DURING_RELEASE = "kill_all_during_release"
 
@@ -89,6 +95,32 @@
 }
 
 
+# Faults of what other writers and servers send: the chance that a run has one, and the
+# longest time that it lasts in seconds.
+SENDER_FAULTS = {
+    FaultKind.CONFIGURATION_STORM: (0.6, 4.0),
+    FaultKind.ODD_ROWS: (0.6, 4.0),
+    FaultKind.REPEATED_REFUSALS: (0.6, 8.0),
+}
+
+
+def draw_sender_faults(generator: Random, *, seconds: float) -> list[Fault]:
+    """Return the faults of other senders of a run; they begin in its first half.
+
+    They are drawn apart, so that a seed keeps its other faults.
+    """
+    return [
+        Fault(
+            kind,
+            generator.uniform(0, seconds / 2),
+            generator.uniform(SHORTEST_SECONDS, longest),
+            generator.randrange(1000),
+        )
+        for kind, (chance, longest) in SENDER_FAULTS.items()
+        if generator.random() < chance
+    ]
+
+
 def draw_release_faults(generator: Random, *, seconds: float) -> list[Fault]:
     """Return the releases of a run; they begin in its first half.
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -4,15 +4,14 @@
 import signal
 import time
 from collections import Counter, defaultdict
-from collections.abc import Awaitable, Callable
-from contextlib import suppress
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
 
 from magnoliatrail.listeners import listen
 from magnoliatrail.standins.row_store import RowStoreState, row_store_application
-from tests.platform.rig import configuration, route
 from tests.soak import lost_streams
 from tests.soak.checks import (
     ORDER_DELAY_SECONDS,
@@ -21,6 +20,7 @@
     Observations,
     violations,
 )
+from tests.soak.configurations import Configurations
 from tests.soak.faults import (
     SHORTEST_SECONDS,
     Fault,
@@ -28,12 +28,13 @@
     draw_faults,
     draw_load_faults,
     draw_release_faults,
+    draw_sender_faults,
 )
 from tests.soak.links import FaultyLink, LinkState
 from tests.soak.lost_streams import TakenUp
 from tests.soak.processes import Exit, Instance
 from tests.soak.releases import DRAIN_SECONDS, Releases
-from tests.soak.servers import EVENT_SECONDS, CheckedEngine, Server
+from tests.soak.servers import EVENT_SECONDS, ODD_ROWS, CheckedEngine, Server
 from tests.soak.stream_checks import resumed_streams
 from tests.soak.traffic import HANG_SECONDS, Caller, Ending, Exchange, RequestKind
 
@@ -43,6 +44,8 @@
 SLOW_SECONDS = 0.3
 CRASHING_REQUEST_INTERVAL_SECONDS = 0.2
 LIMIT_PER_SECOND = 3.0
+# The longest fault of a link.
+LONGEST_HOLD_SECONDS = 4.0
 
 
 @dataclass(frozen=True)
@@ -93,11 +96,13 @@
         default_factory=lambda: defaultdict(list)
     )
     extra: list[str] = field(default_factory=list)
-    configuration_version: int = 1
     limits: list[NamedLimit] = field(default_factory=list)
+    # Intervals in which the store or the link to it is disturbed.
+    store_disturbed: list[Interval] = field(default_factory=list)
 
     def __post_init__(self) -> None:
-        """Prepare the releases."""
+        """Prepare the releases and the configurations."""
+        self.configurations = Configurations(self.store)
         self.releases = Releases(self.servers, self.store)
 
     async def run(self) -> Report:
@@ -110,6 +115,9 @@
         faults += draw_load_faults(
             Random(f"{settings.seed}-load"), seconds=settings.fault_seconds
         )
+        faults += draw_sender_faults(
+            Random(f"{settings.seed}-sender"), seconds=settings.fault_seconds
+        )
         faults += draw_release_faults(
             Random(f"{settings.seed}-release"), seconds=settings.fault_seconds
         )
@@ -151,7 +159,7 @@
         """Start the backend servers, the instances and the callers."""
         settings = self.settings
         await self.store_link.open(store_port)
-        self.write_configuration()
+        self.configurations.write()
         for number in range(settings.engines):
             self.servers.append(Server(f"engine-{number}", self.store, engine=True))
         for number in range(settings.plain_servers):
@@ -169,20 +177,6 @@
             for number in range(settings.callers)
         ]
 
-    def write_configuration(self) -> None:
-        """Write the configuration as the operator does."""
-        routes = [
-            route(
-                "stream", "/stream/", "streaming", "models", attempts=2, resumable=True
-            ),
-            route("plain", "/plain/", "unsafe", "desk"),
-            route("lookup", "/lookup/", "safe", "desk", attempts=2),
-        ]
-        version = self.configuration_version
-        if version > 1:
-            routes.append(route(f"v{version}", f"/v{version}/", "safe", "desk"))
-        self.store.put_json("op", "config", configuration(version, routes))
-
     async def until_all_serve(self, after: str) -> None:
         """Wait until every instance serves every kind of request again."""
         probe = Caller(f"probe after {after}", self.instances, Random(0))
@@ -228,6 +222,9 @@
             FaultKind.CONFIGURATION: self.change_configuration,
             FaultKind.CRASHING_PART: self.send_crashing_part,
             FaultKind.ENGINE_LIMITED: self.limit_engine,
+            FaultKind.CONFIGURATION_STORM: self.change_often,
+            FaultKind.ODD_ROWS: self.write_odd_rows,
+            FaultKind.REPEATED_REFUSALS: self.repeat_refusals,
             FaultKind.RELEASE: self.release,
             FaultKind.KILL_ALL_DURING_RELEASE: self.kill_all_during_release,
         }
@@ -318,25 +315,37 @@
 
     async def store_down(self, fault: Fault) -> None:
         """Refuse all calls to the store."""
-        self.store.down = True
-        await asyncio.sleep(fault.seconds)
-        self.store.down = False
+        with self.disturbing_store():
+            self.store.down = True
+            await asyncio.sleep(fault.seconds)
+            self.store.down = False
 
     async def store_loses_answers(self, fault: Fault) -> None:
         """Commit writes without an answer."""
-        self.store.lose_answers = True
-        await asyncio.sleep(fault.seconds)
-        self.store.lose_answers = False
+        with self.disturbing_store():
+            self.store.lose_answers = True
+            await asyncio.sleep(fault.seconds)
+            self.store.lose_answers = False
 
     async def restore_store(self, fault: Fault) -> None:
         """Let the store come back from a copy of some seconds ago."""
         rows, version = self.store.copy_rows()
         await asyncio.sleep(fault.seconds)
-        self.store.restore(rows, version)
-        self.write_configuration()
+        with self.disturbing_store():
+            self.store.restore(rows, version)
+            self.configurations.write()
         for server in self.releases.all_servers:
             server.list_as(server.listed)
 
+    @contextmanager
+    def disturbing_store(self) -> Iterator[None]:
+        """Record that the store is disturbed meanwhile."""
+        since = time.monotonic()
+        try:
+            yield
+        finally:
+            self.store_disturbed.append((since, time.monotonic()))
+
     async def reset_link(self, fault: Fault) -> None:
         """Reset all connections to a server or to the store."""
         self.link(fault).reset()
@@ -367,6 +376,8 @@
     def record_delay(self, name: str, since: float | None = None) -> None:
         """Record that orders may have been held up, by default until now."""
         now = time.monotonic()
+        if name == self.store_link.address:
+            self.store_disturbed.append((since or now - LONGEST_HOLD_SECONDS, now))
         self.delays[name].append((since or now, now + ORDER_DELAY_SECONDS))
 
     async def restart_server(self, fault: Fault) -> None:
@@ -402,8 +413,30 @@
     async def change_configuration(self, fault: Fault) -> None:
         """Write a newer configuration."""
         del fault
-        self.configuration_version += 1
-        self.write_configuration()
+        self.configurations.change()
+
+    async def change_often(self, fault: Fault) -> None:
+        """Add many routes, and more of them in quick succession."""
+        await self.configurations.change_often(
+            fault.seconds, self.instances, self.callers
+        )
+
+    async def write_odd_rows(self, fault: Fault) -> None:
+        """Let another writer leave odd rows, and remove them after a while."""
+        for number, value in enumerate(ODD_ROWS):
+            self.store.put("servers", f"odd-{number}", value)
+        await asyncio.sleep(fault.seconds)
+        for number in range(len(ODD_ROWS)):
+            self.store.put("servers", f"odd-{number}", None)
+
+    async def repeat_refusals(self, fault: Fault) -> None:
+        """Let plain servers refuse requests, and write refusals once more."""
+        plain = [server for server in self.servers if not server.is_engine]
+        for server in plain:
+            server.set_repeating_refusals(True)
+        await asyncio.sleep(fault.seconds)
+        for server in plain:
+            server.set_repeating_refusals(False)
 
     async def send_crashing_part(self, fault: Fault) -> None:
         """Let engines crash on a part, and send requests with it to all instances."""
@@ -478,6 +511,8 @@
             ran=Counter(),
             delays=self.delays,
             limits=self.limits,
+            route_probes=self.configurations.probes,
+            store_disturbed=self.store_disturbed,
             crashing_parts={caller.part for caller in self.callers if caller.part},
         )
         for server in self.releases.all_servers:
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -5,8 +5,10 @@
 import json
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, cast
 
+from tornado.http1connection import HTTP1Connection
+from tornado.iostream import IOStream
 from tornado.web import Application, RequestHandler
 
 from magnoliatrail.listeners import Listener, listen
@@ -22,6 +24,17 @@
 EVENT_SECONDS = 0.01
 FENCED = 412
 CRASH_SECONDS = 0.5
+# What another writer may leave among the rows of the servers.
+ODD_ROW = {"service": "desk", "zone": "zone-a", "state": "ready", "born": 1}
+ODD_ROWS = [
+    b"\xff",
+    b"[" * 100_000,
+    b'{"x": ' + b"[" * 100_000 + b"]" * 100_000 + b"}",
+    json.dumps({**ODD_ROW, "address": "127.0.0.1:99999"}).encode(),
+    json.dumps({**ODD_ROW, "address": "no\0host:80"}).encode(),
+    json.dumps({**ODD_ROW, "address": "127.0.0.1:1", "remaining_ms": 1e300}).encode(),
+    json.dumps({**ODD_ROW, "address": "127.0.0.1:1", "slots": -5}).encode(),
+]
 
 
 @dataclass(frozen=True)
@@ -74,6 +87,11 @@
     seconds: float = 0.1
     # Runs requests, then closes their connections without an answer.
     loses_answers: bool = False
+    # Refuses every third request, and writes refusals once more on their connections.
+    repeats_refusals: bool = False
+    received: int = 0
+    # The last refusal that each connection carried.
+    refusals: dict[IOStream, bytes] = field(default_factory=dict)
 
     @property
     def row(self) -> dict[str, object]:
@@ -99,6 +117,8 @@
         """Answer a request after it has run."""
         del path
         request = self.request.headers.get("Magnoliatrail-Request-Id", "")
+        if self.state.repeats_refusals and await self.refuse(request):
+            return
         self.state.ran.append(request)
         await asyncio.sleep(self.state.seconds)
         if self.state.loses_answers:
@@ -108,6 +128,24 @@
         self.set_header("Magnoliatrail-Response-Signature", f"signed-{request}")
         self.finish(plain_answer(self.request.body))
 
+    async def refuse(self, request: str) -> bool:
+        """Write the connection's last refusal again; refuse every third request."""
+        stream = cast(HTTP1Connection, self.request.connection).stream
+        earlier = self.state.refusals.get(stream)
+        if earlier:
+            await stream.write(earlier)
+        self.state.received += 1
+        if self.state.received % 3:
+            return False
+        head = f"Magnoliatrail-Request-Id: {request}\r\nMagnoliatrail-Not-Executed: 1"
+        refusal = f"HTTP/1.1 503 Busy\r\n{head}\r\nContent-Length: 0\r\n\r\n"
+        self.state.refusals[stream] = refusal.encode()
+        self.set_status(503)
+        self.set_header("Magnoliatrail-Request-Id", request)
+        self.set_header("Magnoliatrail-Not-Executed", "1")
+        self.finish()
+        return True
+
 
 def plain_answer(body: bytes) -> bytes:
     """Return the answer of a plain server to a body."""
@@ -186,6 +224,12 @@
         if isinstance(state, CheckedEngine):
             state.crashing_part = part
 
+    def set_repeating_refusals(self, repeats: bool) -> None:
+        """Let this run of a plain server refuse and repeat its refusals, or not."""
+        state = self.runs[-1]
+        if isinstance(state, PlainState):
+            state.repeats_refusals = repeats
+
     def set_event_seconds(self, seconds: float) -> None:
         """Set the time between events of this and later runs of an engine."""
         self.event_seconds = seconds
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -2,7 +2,9 @@
 
 from collections import Counter
 
-from tests.soak.checks import NamedLimit, Observations, violations
+import pytest
+
+from tests.soak.checks import NamedLimit, Observations, RouteProbe, violations
 from tests.soak.processes import Exit
 from tests.soak.servers import OrderSeen
 from tests.soak.traffic import Ending, Exchange, RequestKind
@@ -173,3 +175,18 @@
 def test_requests_that_a_link_held_up_are_allowed():
     arrived = [5 + number / 10 for number in range(12)]
     assert found_at_limit(*arrived, delays={"engine": [(4.0, 7.0)]}) == []
+
+
+def probe(*, status=404, written_at=10.0):
+    return RouteProbe("added-1", "one", written_at, written_at + 2.0, status)
+
+
+def test_a_route_that_is_unknown_after_the_bound_is_found():
+    assert len(found(route_probes=[probe()])) == 1
+    assert found(route_probes=[probe(status=503)]) == []
+
+
+@pytest.mark.parametrize("disturbed", [(7.5, 8.0), (11.0, 20.0)])
+def test_an_instance_or_store_that_was_disturbed_excuses_an_unknown_route(disturbed):
+    for more in ({"disturbed": {"one": [disturbed]}}, {"store_disturbed": [disturbed]}):
+        assert found(route_probes=[probe()], **more) == []
--- a/tests/soak/test_faults.py
+++ b/tests/soak/test_faults.py
@@ -11,6 +11,7 @@
     draw_faults,
     draw_load_faults,
     draw_release_faults,
+    draw_sender_faults,
 )
 
 
@@ -40,6 +41,7 @@
     for seed in range(20):
         drawn += draw_load_faults(Random(seed), seconds=12)
         drawn += draw_release_faults(Random(seed), seconds=12)
+        drawn += draw_sender_faults(Random(seed), seconds=12)
     assert {fault.kind for fault in drawn} == set(FaultKind)
 
 
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -68,6 +68,8 @@
     resumes: str = ""
     after: int = 0
     retry_after: float = 0.0
+    # The path, empty for that of the kind.
+    path: str = ""
 
 
 @dataclass
@@ -135,6 +137,7 @@
         *,
         first: Exchange | None = None,
         after: int = 0,
+        path: str = "",
     ) -> Exchange:
         """Send one request, and record what came back.
 
@@ -157,6 +160,7 @@
             asked=body,
             resumes=first.request if first else "",
             after=after,
+            path=path,
         )
         self.exchanges.append(exchange)
         sent = dict(fields)
@@ -219,7 +223,7 @@
             **fields,
         }
         lines = "".join(f"{name}: {value}\r\n" for name, value in sent.items())
-        path = f"/{exchange.kind.value}/x"
+        path = exchange.path or f"/{exchange.kind.value}/x"
         connection.writer.write(f"POST {path} HTTP/1.1\r\n{lines}\r\n".encode() + body)
         answered = await self.read(connection.reader, exchange)
         exchange.ending = Ending.WHOLE
