Date a read by when a newer version was learned, not by how old that one was

Two reads of the store that overlap may end in the other order of their versions; the later one was then taken for a read that lags, which widens the bound on the age of the tables. Found by reading; the test fails before (dated 0.5 s too early, and the store taken for lagging).

--- a/src/magnoliatrail/membership/fleet_view.py
+++ b/src/magnoliatrail/membership/fleet_view.py
@@ -105,6 +105,8 @@
                     row, store_was_unavailable=unavailable, source=source
                 )
         # Only now, so that a row that fails to apply is read again.
+        if read.version > view.version:
+            view.learned_at = self.clock.monotonic()
         view.record(read, updates, asked_at)
         self.expire_lapsed()
         if updates:
--- a/src/magnoliatrail/membership/store_reader.py
+++ b/src/magnoliatrail/membership/store_reader.py
@@ -162,9 +162,9 @@
         The store may answer from a copy that lags behind what it has said before.
         """
         learned = [
-            item.fresh_at
+            item.learned_at
             for item in self.view.tables.values()
-            if item.version > read.version and item.fresh_at is not None
+            if item.version > read.version
         ]
         from_store = self.store.superseded_at(read.version)
         superseded_at = min(
--- a/src/magnoliatrail/membership/table_view.py
+++ b/src/magnoliatrail/membership/table_view.py
@@ -20,6 +20,8 @@
         self.rows: dict[str, StoredRow] = {}
         # The view includes all changes up to this version of the store.
         self.version = 0
+        # When this instance learned of that version.
+        self.learned_at = timedelta()
         # Version at which a row last changed in fields that peers need, where tracked.
         self.changed_at: dict[str, int] = {}
         # The last values that large rows had before.
--- a/tests/platform/test_freshness.py
+++ b/tests/platform/test_freshness.py
@@ -164,6 +164,26 @@
     run(scenario())
 
 
+# Guards against a store taken for lagging, as two of its reads overlapped.
+def test_a_version_that_was_learned_after_a_read_was_asked_for_does_not_date_it(run):
+    async def scenario():
+        fixture = ReaderFixture()
+        fixture.clock.advance(timedelta(seconds=1))
+        asked_at = fixture.clock.monotonic()
+        other_asked_at = asked_at - timedelta(seconds=0.5)
+        newer = RowsRead((), 9, whole=False)
+        fixture.clock.advance(timedelta(seconds=0.2))
+        fixture.view.apply(SERVERS_TABLE, newer, other_asked_at, "store")
+        read = RowsRead((), 8, whole=False)
+        dated = fixture.reader.completion_of(
+            OPERATOR_TABLE, read, asked_at, timedelta()
+        )
+        assert dated == asked_at
+        assert not fixture.reader.outdated_at
+
+    run(scenario())
+
+
 def test_lagging_reads_widen_the_bound_by_the_extension_only(run):
     async def scenario():
         fixture = ReaderFixture()
