--- a/tests/unit/test_call_failures.py
+++ b/tests/unit/test_call_failures.py
@@ -28,12 +28,15 @@
         self.received = b""
 
     async def serve(self, reader, writer):
-        while b"\r\n\r\nbody" not in self.received:
-            chunk = await reader.read(1000)
-            if not chunk:
-                break
-            self.received += chunk
-        await self.act(writer)
+        try:
+            while b"\r\n\r\nbody" not in self.received:
+                chunk = await reader.read(1000)
+                if not chunk:
+                    break
+                self.received += chunk
+            await self.act(writer)
+        finally:
+            writer.close()
 
 
 @asynccontextmanager
--- a/tests/unit/test_connections.py
+++ b/tests/unit/test_connections.py
@@ -92,12 +92,15 @@
             nonlocal connections
             connections += 1
             silent_after = 1 if connections == 1 else 10
-            for _ in range(silent_after):
-                await reader.readuntil(b"\r\n\r\n")
-                await reader.readexactly(2)
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
-            await reader.read(1000)
-            await asyncio.Event().wait()
+            try:
+                for _ in range(silent_after):
+                    await reader.readuntil(b"\r\n\r\n")
+                    await reader.readexactly(2)
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+                await reader.read(1000)
+                await asyncio.Event().wait()
+            finally:
+                writer.close()
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
