Index the large rows of a table, and name them to the owner that sends updates only

Each report of each cell looked through all rows of both tables for large ones: work that grows with rows x cells, for a list that only the owner of cell 0 uses.

--- a/src/magnoliatrail/cells/member.py
+++ b/src/magnoliatrail/cells/member.py
@@ -303,7 +303,9 @@
             self.takeover.outage_reported_at = requested_at
         answer = await self.link.report(
             versions,
-            held_rows=self.update_receiver.held_rows(),
+            held_rows=self.update_receiver.held_rows()
+            if self.cell == STORE_READER_CELL
+            else {},
             store_answers=store_answers,
             leaving=self.stopping,
             limits=reported_limits(self.view.request_limits),
--- a/src/magnoliatrail/cells/table_updates.py
+++ b/src/magnoliatrail/cells/table_updates.py
@@ -135,7 +135,7 @@
         return {
             name: version
             for table_name, table in self.view.tables.items()
-            for key, version in table.large_rows()
+            for key, version in table.large_rows.items()
             if (name := row_name(table_name, key)) not in self.requested_in_full
         }
 
--- a/src/magnoliatrail/membership/store_reader.py
+++ b/src/magnoliatrail/membership/store_reader.py
@@ -140,7 +140,7 @@
                 return True
             case Result(error=failure):
                 self.record_failure(table, failure.message)
-                if has_costly_row(view.rows.values()):
+                if has_costly_row(view.rows[key] for key in view.large_rows):
                     self.reads_whole.add(table)
         return False
 
--- a/src/magnoliatrail/membership/table_view.py
+++ b/src/magnoliatrail/membership/table_view.py
@@ -24,6 +24,8 @@
         self.learned_at = timedelta()
         # Version at which a row last changed in fields that peers need, where tracked.
         self.changed_at: dict[str, int] = {}
+        # Versions of the rows with a large value.
+        self.large_rows: dict[str, int] = {}
         # The last values that large rows had before.
         self.earlier: dict[str, deque[StoredRow]] = defaultdict(
             lambda: deque(maxlen=MAX_EARLIER_VALUES)
@@ -78,11 +80,13 @@
 
     def replace(self, row: StoredRow) -> None:
         """Replace a row, and keep its value if it is large."""
-        known = self.rows.get(row.key)
-        if known is not None and is_large(known):
-            self.earlier[row.key].append(known)
+        if row.key in self.large_rows:
+            self.earlier[row.key].append(self.rows[row.key])
+            del self.large_rows[row.key]
         if row.value is None:
             self.earlier.pop(row.key, None)
+        elif len(row.value) >= LARGE_VALUE_BYTES:
+            self.large_rows[row.key] = row.version
         self.rows[row.key] = row
 
     def value_at(self, key: str, version: int) -> bytes | None:
@@ -91,10 +95,6 @@
         rows = [*self.earlier.get(key, ()), *([known] if known else [])]
         return next((row.value for row in rows if row.version == version), None)
 
-    def large_rows(self) -> Iterable[tuple[str, int]]:
-        """Yield the key and version of each row with a large value."""
-        return ((row.key, row.version) for row in self.rows.values() if is_large(row))
-
     def is_newer(self, row: StoredRow) -> bool:
         """Return whether a row is newer than the known one."""
         known = self.rows.get(row.key)
@@ -118,8 +118,3 @@
             and self.changed_at.get(row.key, row.version) > version
         ]
         return RowsRead(tuple(rows), self.version, whole=False)
-
-
-def is_large(row: StoredRow) -> bool:
-    """Return whether a row's value is sent to peers in a compact form."""
-    return row.value is not None and len(row.value) >= LARGE_VALUE_BYTES
--- a/tests/platform/test_table_updates.py
+++ b/tests/platform/test_table_updates.py
@@ -22,7 +22,7 @@
 from magnoliatrail.platform.rows import RowsRead, StoredRow
 from magnoliatrail.wire import decode, encode
 from tests.platform.rig import configuration, route
-from tests.platform.test_views import server_row
+from tests.platform.test_views import read, server_row
 
 HELD = f"{OPERATOR_TABLE}/config"
 
@@ -185,6 +185,20 @@
     )
 
 
+# Guards against work in each report that grows with the rows of a table.
+def test_a_table_knows_its_large_rows_without_a_search():
+    pair = Pair()
+    table = pair.source.tables[OPERATOR_TABLE]
+    pair.write(2)
+    pair.write(3)
+    assert table.large_rows == {"config": 3}
+    now = pair.clock.monotonic()
+    for version, value in ((4, b"{}"), (5, b"x" * 5000), (6, None)):
+        row = StoredRow("config", version, value)
+        pair.source.apply(OPERATOR_TABLE, read(row), now, "store")
+        assert bool(table.large_rows) == (version == 5)
+
+
 def test_small_rows_and_removals_are_sent_whole():
     pair = Pair()
     gone = StoredRow("s2", 6, None)
