Specify client accounts, shared quotas and bounded memory, with their types

Callers are told apart by nothing that the system checks, quotas are not known, and nothing bounds what clients make a process hold. Behaviour is unchanged.

--- /dev/null
+++ b/src/magnoliatrail/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Client accounts: who calls, and what each may use over all instances."""
--- a/src/magnoliatrail/platform/settings_file.py
+++ b/src/magnoliatrail/platform/settings_file.py
@@ -32,6 +32,11 @@
     retry_window: timedelta
     # Added to the bound on configurations while the store is disturbed.
     unstable_store: timedelta = timedelta()
+    # An account's quota is judged over this window. The tolerance is this share of it,
+    # and so much in the unit of the quota.
+    quota_window: timedelta = timedelta(seconds=8)
+    quota_overage: float = 0.1
+    quota_slack: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +58,8 @@
     link_mbps: float
     first_start: bool
     bounds: Bounds
+    # Memory of the process; beyond it the platform kills the process.
+    memory_mb: float = 256.0
     # Port of the metrics, the same on every instance; 0 lets the kernel choose.
     metrics_port: int = METRICS_PORT
 
@@ -92,6 +99,7 @@
         file_descriptors=int(limits.get("file_descriptors", 4096)),
         cores=float(limits.get("cpu_share", 1)) * float(limits.get("cores", 1)),
         link_mbps=float(limits.get("link_mbps", 1000)),
+        memory_mb=float(limits.get("memory_mb", 256)),
         first_start=bool(fields.get("bootstrap", False)),
         bounds=bounds_of(fields["bounds"]),
     )
@@ -109,6 +117,9 @@
         retry_slack=float(fields["budget_slack"]),
         retry_window=timedelta(seconds=float(fields["budget_window_s"])),
         unstable_store=milliseconds(fields.get("outer_bound_ms", 0)),
+        quota_window=timedelta(seconds=float(fields.get("quota_window_s", 8))),
+        quota_overage=float(fields.get("quota_overage", 0.1)),
+        quota_slack=float(fields.get("quota_slack", 0)),
     )
 
 
--- a/src/magnoliatrail/routes.py
+++ b/src/magnoliatrail/routes.py
@@ -5,6 +5,8 @@
 from datetime import timedelta
 from enum import Enum
 
+from magnoliatrail.accounts.accounts import AccountTable
+
 # The platform's lower bound on the wait for the first event of a stream.
 MIN_FIRST_EVENT_TIMEOUT = timedelta(seconds=2)
 
@@ -44,6 +46,8 @@
     resumable: bool
     # Longest pause between two events of a stream that meets the goal; 0 for none.
     pause_goal: timedelta = timedelta()
+    # Whether callers need no key where accounts are in force.
+    public: bool = False
 
     @property
     def first_event_timeout(self) -> timedelta:
@@ -112,6 +116,8 @@
     routes: tuple[Route, ...]
     services: Mapping[str, Service]
     max_body_bytes: int
+    # The client accounts, None if the configuration has none.
+    accounts: AccountTable | None = None
     by_host: dict[str, "PrefixIndex"] = field(init=False, repr=False, compare=False)
     pause_goals: dict[str, timedelta] = field(init=False, repr=False, compare=False)
 
