--- /dev/null
+++ b/tests/unit/test_quota_bound.py
@@ -0,0 +1,247 @@
+"""The bound on an account's uses in each window, whatever fails meanwhile.
+
+Each test names the load that its decisions answer. The bound is the requirement:
+(rate x window + burst) x 1.1 + slack over any 8 s, and without failures exactly
+rate x window + burst.
+"""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from magnoliatrail.accounts.accounts import QuotaUnit
+
+from .quota_fleet import Load, QuotaFleet, account_of, terms_of
+
+NAMES = tuple(f"i{number}" for number in range(8))
+MORE_NAMES = tuple(f"j{number}" for number in range(6))
+ROUNDING = 1e-6
+
+
+def bound(quota, terms):
+    return terms.allowance(quota) + terms.tolerance(quota) + ROUNDING
+
+
+# Load: an account at its limit, at eight times its usual, and with few large requests
+# among many small ones; most accounts come to few instances.
+LOADS = {
+    "at its limit": lambda rate: [Load("a", rate / 500, (500.0,))],
+    "eight times": lambda rate: [Load("a", 8 * rate / 500, (500.0,))],
+    "large and small": lambda rate: [
+        Load("a", rate / 200, (100.0,)),
+        Load("a", 0.5, (2500.0,)),
+    ],
+    "few instances": lambda rate: [Load("a", 4 * rate / 300, (300.0,), NAMES[:2])],
+    "two groups of callers": lambda rate: [
+        Load("a", 3 * rate / 300, (300.0,), NAMES[:2], ends=9),
+        Load("a", 3 * rate / 300, (300.0,), NAMES[4:6], begins=8),
+    ],
+    "not run": lambda rate: [
+        Load("a", 4 * rate / 300, (300.0,), not_run=0.4, priorities=(0, 1, 2))
+    ],
+}
+FAULTS = (
+    "kill one",
+    "kill half",
+    "kill all",
+    "kill coordinator",
+    "kill for good",
+    "partition",
+    "flapping",
+    "freeze",
+    "freeze coordinator",
+    "lossy",
+    "late",
+    "join",
+    "planned change",
+    "leave",
+    "lower limit",
+)
+
+
+def add_fault(fleet, kind, at, size):
+    """Add one fault at a time; its size is between 0 and 1."""
+    generator = fleet.generator
+
+    def some(share):
+        names = list(fleet.nodes)
+        return generator.sample(names, max(1, int(len(names) * share)) if names else 0)
+
+    def play():
+        if not fleet.nodes:
+            return
+        match kind:
+            case "kill one":
+                fleet.kill(some(0.01), 2 + 2 * size)
+            case "kill half":
+                fleet.kill(some(0.5), 2 + 2 * size)
+            case "kill all":
+                fleet.kill(list(fleet.nodes), 2 + 2 * size)
+            case "kill coordinator":
+                fleet.kill([fleet.host] if fleet.host else [], 2 + 2 * size)
+            case "kill for good":
+                if len(fleet.nodes) > 2:
+                    fleet.kill(some(0.01), None)
+            case "partition":
+                fleet.partition(some(0.1 + 0.8 * size), 1 + 10 * size)
+            case "flapping":
+                names = some(0.5)
+                for number in range(5):
+                    fleet.at(
+                        fleet.now + number * 1.3,
+                        lambda: fleet.partition(names, 0.8 + 0.4 * size),
+                    )
+            case "freeze":
+                for name in some(0.3):
+                    fleet.freeze(name, 0.3 + 8 * size)
+            case "freeze coordinator":
+                if fleet.host:
+                    fleet.freeze(fleet.host, 0.3 + 4 * size)
+            case "lossy":
+                fleet.loss = 0.2 + 0.7 * size
+                fleet.at(fleet.now + 6, lambda: setattr(fleet, "loss", 0.0))
+            case "late":
+                fleet.delay = (0.05, 0.1 + 0.6 * size)
+                fleet.at(fleet.now + 6, lambda: setattr(fleet, "delay", (0.001, 0.008)))
+            case "join":
+                for name in MORE_NAMES:
+                    if name not in fleet.nodes:
+                        fleet.start(name)
+            case "planned change":
+                if fleet.host:
+                    fleet.end_coordinator(0.05 + 0.2 * size)
+            case "leave":
+                fleet.leave(generator.choice(list(fleet.nodes)))
+
+    fleet.at(fleet.began + at, play)
+
+
+faults = st.lists(
+    st.tuples(
+        st.sampled_from([kind for kind in FAULTS if kind != "lower limit"]),
+        st.floats(2, 22),
+        st.floats(0, 1),
+    ),
+    max_size=6,
+)
+
+
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(
+    load=st.sampled_from(sorted(LOADS)),
+    rate=st.sampled_from([1500.0, 6000.0, 20_000.0]),
+    burst_seconds=st.sampled_from([0.0, 0.5, 1.0, 3.0]),
+    slack=st.sampled_from([11_000.0, 11_000.0, 4000.0]),
+    faults=faults,
+    seed=st.integers(0, 2**16),
+)
+def test_no_interleaving_of_faults_exceeds_the_bound(
+    load, rate, burst_seconds, slack, faults, seed
+):
+    account = account_of(rate, rate * burst_seconds)
+    terms = terms_of(slack=slack)
+    fleet = QuotaFleet(NAMES, [account], terms, seed=seed, loads=LOADS[load](rate))
+    for kind, at, size in faults:
+        add_fault(fleet, kind, at, size)
+    fleet.run(26)
+    assert fleet.largest_window("a") <= bound(account.quota, terms)
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(
+    rate=st.sampled_from([2.0, 10.0, 40.0]),
+    burst_seconds=st.sampled_from([0.0, 1.0, 3.0]),
+    faults=faults,
+    seed=st.integers(0, 2**16),
+)
+def test_a_quota_in_requests_without_slack_holds_too(rate, burst_seconds, faults, seed):
+    # Load: a small account at four times its limit on a deployment with slack 0.
+    account = account_of(rate, rate * burst_seconds, unit=QuotaUnit.REQUESTS)
+    terms = terms_of(slack=0.0)
+    loads = [Load("a", 4 * rate, (1.0,))]
+    fleet = QuotaFleet(NAMES, [account], terms, seed=seed, loads=loads)
+    for kind, at, size in faults:
+        add_fault(fleet, kind, at, size)
+    fleet.run(26)
+    assert fleet.largest_window("a") <= bound(account.quota, terms)
+
+
+@pytest.mark.parametrize("load", sorted(LOADS))
+@pytest.mark.parametrize("burst_seconds", [0.0, 0.5, 1.0, 3.0])
+def test_without_failures_the_target_is_exact(load, burst_seconds):
+    # Load: each of the loads above, with all instances and messages in order.
+    rate = 6000.0
+    account = account_of(rate, rate * burst_seconds)
+    fleet = QuotaFleet(NAMES, [account], terms_of(), seed=1, loads=LOADS[load](rate))
+    fleet.run(24)
+    allowance = fleet.terms.allowance(account.quota)
+    assert fleet.largest_window("a") <= allowance + ROUNDING
+
+
+@pytest.mark.parametrize("burst_seconds", [0.5, 1.0, 3.0])
+@pytest.mark.parametrize("load", sorted(set(LOADS) - {"not run"}))
+def test_what_is_owed_is_admitted(load, burst_seconds):
+    # Load: each of the loads above; an account is owed its demand up to its rate.
+    rate = 6000.0
+    account = account_of(rate, rate * burst_seconds)
+    fleet = QuotaFleet(NAMES, [account], terms_of(), seed=2, loads=LOADS[load](rate))
+    fleet.run(24)
+    owed = min(fleet.tallies["a"].asked, rate * 24)
+    assert fleet.used("a") >= 0.9 * owed
+
+
+def test_other_accounts_get_what_they_are_owed_beside_a_hot_one():
+    # Load: one account at eight times its limit, four at 0.8 of theirs, all instances.
+    accounts = [account_of(3000.0, 3000.0, name=name) for name in "abcde"]
+    loads = [Load("a", 8 * 3000 / 500, (500.0,))]
+    loads += [Load(name, 0.8 * 3000 / 500, (500.0,)) for name in "bcde"]
+    fleet = QuotaFleet(NAMES, accounts, terms_of(), seed=3, loads=loads).run(24)
+    for name in "bcde":
+        assert fleet.used(name) >= 0.9 * fleet.tallies[name].asked
+
+
+def test_a_busy_fleet_grows_by_three_quarters_without_a_refusal_within_the_limit():
+    # Load: an account at 0.8 of its limit while 6 instances join 8.
+    account = account_of(6000.0, 6000.0)
+    loads = [Load("a", 0.8 * 6000 / 500, (500.0,))]
+    fleet = QuotaFleet(NAMES, [account], terms_of(), seed=4, loads=loads)
+    add_fault(fleet, "join", 8, 1)
+    fleet.run(24)
+    assert fleet.used("a") >= 0.9 * fleet.tallies["a"].asked
+
+
+def test_a_lowered_limit_binds_one_window_later():
+    # Load: an account at eight times its limit whose limit is lowered to a quarter.
+    account = account_of(6000.0, 6000.0)
+    lowered = account_of(1500.0, 1500.0)
+    loads = LOADS["eight times"](6000.0)
+    fleet = QuotaFleet(NAMES, [account], terms_of(), seed=5, loads=loads)
+    fleet.run(12)
+    fleet.accounts["a"] = lowered
+    fleet.run(20)
+    uses = [use for use in fleet.tallies["a"].uses if use[0] >= fleet.began + 20]
+    assert uses
+    fleet.tallies["a"].uses = uses
+    allowance = fleet.terms.allowance(lowered.quota)
+    assert fleet.largest_window("a") <= allowance + ROUNDING
+
+
+def test_a_part_without_its_coordinator_goes_on_with_its_fractions():
+    # Load: an account at half of its limit while half of the instances are cut off.
+    account = account_of(6000.0, 6000.0)
+    loads = [Load("a", 0.5 * 6000 / 200, (200.0,))]
+    fleet = QuotaFleet(NAMES, [account], terms_of(), seed=6, loads=loads)
+    cut = [name for name in NAMES if name != fleet.host][:4]
+    fleet.run(20, [(8, lambda: fleet.partition(cut, 10))])
+    asked = 0.5 * 6000 * 10
+    assert fleet.used("a", 8, 18) >= 0.7 * asked
+
+
+def test_a_returned_fleet_gets_its_quota_again():
+    # Load: an account at its limit while all instances are killed and come back.
+    account = account_of(6000.0, 6000.0)
+    loads = LOADS["at its limit"](6000.0)
+    fleet = QuotaFleet(NAMES, [account], terms_of(), seed=7, loads=loads)
+    add_fault(fleet, "kill all", 8, 0.5)
+    fleet.run(24)
+    assert fleet.used("a", 14, 24) >= 0.8 * 6000 * 10
