Decode client accounts, and check the key of each request

Callers could not be told apart by anything that the system checks.

The configuration's tenants are decoded one by one, with a cache by raw bytes; an invalid account is skipped and logged without its keys. The key of a request is looked up from its head, when it is whole, and right before it is written to a server or another instance. Magnoliatrail-Tenant is always the system's, a relayed request names its account in Relay-Account, and an isolated instance answers 503. Without accounts in the configuration, requests are forwarded as before, except that a caller's Magnoliatrail-Tenant is removed.

--- a/src/magnoliatrail/cells/fleet_cells.py
+++ b/src/magnoliatrail/cells/fleet_cells.py
@@ -66,6 +66,9 @@
 # are spread over the instances.
 OWNER_CLAIM_DELAY = timedelta(milliseconds=700)
 
+# Reports come at least every 0.7 s, and an owner is trusted for at most 1.54 s.
+REPORT_VALIDITY = timedelta(seconds=1.6)
+
 NewMember = Callable[[CellId, int], CellMember]
 
 
@@ -90,6 +93,9 @@
         self.view = view
         self.generator = generator
         self.new_member = new_member
+        self.identity = identity
+        # When another instance last reported to this one.
+        self.reported_at: timedelta | None = None
         # Applies what the rows say of the quarantine before this instance started.
         self.restore_quarantine = restore_quarantine
         self.quarantine_restored = False
@@ -227,6 +233,19 @@
         known = [len(member.link.instances) for member in self.members.values()]
         return max(known, default=1) or 1
 
+    def hears_others(self) -> bool:
+        """Return whether an owner answers or another instance reports.
+
+        That this instance owns a cell itself is no sign that it is not cut off.
+        """
+        now, reported_at = self.clock.monotonic(), self.reported_at
+        if reported_at is not None and now - reported_at < REPORT_VALIDITY:
+            return True
+        return any(
+            member.link.is_alive and member.link.owner != self.identity.instance
+            for member in self.members.values()
+        )
+
     def addresses(self) -> dict[str, str]:
         """Return the addresses of the known instances."""
         return {
@@ -289,6 +308,8 @@
         self, message: InstanceReport
     ) -> Result[ReportAnswer, Failure]:
         """Answer another instance's report."""
+        if message.instance != self.identity.instance:
+            self.reported_at = self.clock.monotonic()
         member = self.members.get(CellId(message.cell))
         if member is None:
             return Result.Error(unknown_cell(message.cell))
--- a/src/magnoliatrail/forwarding/context.py
+++ b/src/magnoliatrail/forwarding/context.py
@@ -10,6 +10,7 @@
 from magnoliatrail.backends import BackendServer, ServerNotice
 from magnoliatrail.clock import Clock
 from magnoliatrail.connections import ConnectionPool
+from magnoliatrail.forwarding.head_check import HeadAnswer
 from magnoliatrail.forwarding.request import CallerRequest
 from magnoliatrail.forwarding.request_paces import RequestPaces
 from magnoliatrail.forwarding.retry_budget import RetryBudget
@@ -17,6 +18,7 @@
 from magnoliatrail.forwarding.stream_versions import StreamVersions
 from magnoliatrail.logs import EventLog
 from magnoliatrail.membership.fleet_view import FleetView
+from magnoliatrail.membership.store_reader import KEYS_TABLE
 from magnoliatrail.metrics import Metrics
 from magnoliatrail.peers.quarantine_exchange import QuarantineExchange
 from magnoliatrail.peers.reach_monitor import ReachMonitor
@@ -25,10 +27,9 @@
 
 log = EventLog("forwarding")
 
-SHUTTING_DOWN = "the instance ends"
-OUTDATED = "the routes or servers known here are too old"
 UNKNOWN_VERSION = "the software version that began the stream is not known"
-SHUTDOWN_RETRY_AFTER = timedelta(milliseconds=100)
+# Statuses of a server's answer that promise that the request has not run.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
 @dataclass
@@ -48,6 +49,12 @@
     quarantine: QuarantineExchange
     reach: ReachMonitor
     paces: RequestPaces
+    # The same without a read.
+    is_fresh: Callable[[], bool] = lambda: True
+    # Whether the store answers the reads of the configuration.
+    store_answers: Callable[[], bool] = lambda: True
+    # Whether another instance answers this one, or reports to it.
+    hears_others: Callable[[], bool] = lambda: True
     # Number of instances that share the retry budget.
     instances: int = 1
     # Numbers of known instances of the last window, with their times.
@@ -74,6 +81,20 @@
             self.instance_counts.popleft()
         self.instances = max(count for _, count in self.instance_counts)
 
+    def is_isolated(self) -> bool:
+        """Return whether this instance may miss the withdrawal of a key.
+
+        While other instances answer, none of which can read the store, nobody can
+        withdraw a key.
+        """
+        bounds, now = self.bounds, self.clock.monotonic()
+        age = self.view.tables[KEYS_TABLE].age(now)
+        return (
+            age > bounds.propagation + bounds.unstable_store
+            and not self.store_answers()
+            and not self.hears_others()
+        )
+
     async def required_software_version(self, routed: "RoutedRequest") -> str | None:
         """Return the software version that must run a request, empty for any.
 
@@ -120,6 +141,7 @@
         known_sound: bool = False,
     ) -> None:
         """Record what an attempt says of its server and of what may crash it."""
+        self.record_run(routed.request, attempt)
         run, suspects = attempt.server.key, routed.request.suspects
         if attempt.outcome is AttemptOutcome.BROKEN and self.reach.is_cut:
             log.info("break_not_reported", request=routed.request.id, server=run[0])
@@ -130,6 +152,28 @@
             if attempt.status < HTTPStatus.MULTIPLE_CHOICES:
                 self.quarantine.record_sound(suspects)
 
+    def record_run(self, request: CallerRequest, attempt: Attempt) -> None:
+        """Take a run back that an attempt shows not to have taken place."""
+        refused = attempt.outcome is AttemptOutcome.NOT_RUN or (
+            attempt.outcome is AttemptOutcome.ANSWERED
+            and attempt.status in NOT_RUN_STATUSES
+        )
+        if attempt.sent and refused:
+            request.runs -= 1
+
+    def record_refused_key(self, request: CallerRequest, answer: HeadAnswer) -> None:
+        """Log and count a refused key, once for each request."""
+        if answer.key_problem is None or request.key_problem is not None:
+            return
+        request.key_problem = answer.key_problem
+        log.info(
+            "key_refused",
+            request=request.id,
+            reason=answer.key_problem,
+            account=request.account.name if request.account else "",
+        )
+        self.metrics.count(f"accounts.refused.{answer.key_problem.value}")
+
     def budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service."""
         if service not in self.budgets:
--- a/src/magnoliatrail/forwarding/engine_path.py
+++ b/src/magnoliatrail/forwarding/engine_path.py
@@ -21,6 +21,7 @@
 )
 from magnoliatrail.forwarding.event_times import EventTimes
 from magnoliatrail.forwarding.request import CallerRequest
+from magnoliatrail.forwarding.send_check import send_check
 from magnoliatrail.forwarding.server_call import (
     Attempt,
     AttemptOutcome,
@@ -93,6 +94,9 @@
             attempt = await self.attempt(engine_request, slot)
             log_attempt(routed, attempt, number)
             engine_request.attempts += 1
+            if attempt.withheld is not None:
+                await attempt.withheld.send(request)
+                return
             if attempt.outcome is not AttemptOutcome.NOT_RUN:
                 await self.answer(routed, attempt)
                 return
@@ -186,8 +190,10 @@
                     body=body,
                     notice=self.context.apply_notice,
                     max_relayed_bytes=None,
+                    check=send_check(self.context, engine_request.routed),
                 )
-            outcome = RUN_OUTCOMES[attempt.outcome]
+            if attempt.withheld is None:
+                outcome = RUN_OUTCOMES[attempt.outcome]
             self.context.record_attempt(
                 engine_request.routed, attempt, sent_at, known_sound=known_sound
             )
--- a/src/magnoliatrail/forwarding/engine_slots.py
+++ b/src/magnoliatrail/forwarding/engine_slots.py
@@ -8,13 +8,9 @@
 from magnoliatrail.cells.fleet_cells import FleetCells
 from magnoliatrail.cells.lease import Identity
 from magnoliatrail.cells.link import OwnerLink
-from magnoliatrail.forwarding.context import (
-    SHUTDOWN_RETRY_AFTER,
-    SHUTTING_DOWN,
-    ForwardingContext,
-    RoutedRequest,
-)
+from magnoliatrail.forwarding.context import ForwardingContext, RoutedRequest
 from magnoliatrail.forwarding.event_times import EventTimes
+from magnoliatrail.forwarding.head_check import SHUTDOWN_RETRY_AFTER, SHUTTING_DOWN
 from magnoliatrail.generated.cells import (
     EndedRun,
     RunningRequest,
--- a/src/magnoliatrail/forwarding/plain_path.py
+++ b/src/magnoliatrail/forwarding/plain_path.py
@@ -9,11 +9,13 @@
 from magnoliatrail.backends import BackendServer
 from magnoliatrail.connections import MAX_BUFFERED_BODY_BYTES
 from magnoliatrail.forwarding.context import (
+    NOT_RUN_STATUSES,
     UNKNOWN_VERSION,
     ForwardingContext,
     RoutedRequest,
     log_attempt,
 )
+from magnoliatrail.forwarding.send_check import send_check
 from magnoliatrail.forwarding.server_call import (
     Attempt,
     AttemptOutcome,
@@ -137,10 +139,15 @@
                 routed, server, self.attempt_timeout(routed, left, runs)
             )
             log_attempt(routed, last, number)
+            if last.withheld is not None and (
+                last_run is None or last.withheld.status not in NOT_RUN_STATUSES
+            ):
+                await last.withheld.send(request)
+                return
             if last.outcome is not AttemptOutcome.NOT_RUN:
                 runs += 1
                 last_run = last
-            if not self.may_retry(routed, last, runs):
+            if last.withheld is not None or not self.may_retry(routed, last, runs):
                 break
         # A later refusal does not mean that the request has not run.
         await self.answer(routed, last_run or last, no_attempt)
@@ -199,11 +206,13 @@
                     body=body,
                     notice=self.context.apply_notice,
                     max_relayed_bytes=MAX_BUFFERED_BODY_BYTES,
+                    check=send_check(self.context, routed),
                 )
         finally:
             self.in_flight[server.id] -= 1
         attempt.body = b"".join(chunks) or attempt.body
-        self.record_outcome(server, attempt)
+        if attempt.withheld is None:
+            self.record_outcome(server, attempt)
         self.context.record_attempt(routed, attempt, sent_at)
         return attempt
 
--- a/src/magnoliatrail/forwarding/relay.py
+++ b/src/magnoliatrail/forwarding/relay.py
@@ -11,20 +11,25 @@
 
 from tornado.httputil import HTTPHeaders
 
+from magnoliatrail.accounts.accounts import ClientAccount
 from magnoliatrail.backends import BackendServer, ServerNotice, ServerState
 from magnoliatrail.forwarding.context import (
+    NOT_RUN_STATUSES,
     ForwardingContext,
     RoutedRequest,
     break_off,
 )
+from magnoliatrail.forwarding.head_check import HeadAnswer
 from magnoliatrail.forwarding.request import RELAY_SERVER, RelayOrigin
+from magnoliatrail.forwarding.send_check import send_check
 from magnoliatrail.forwarding.server_call import (
     Attempt,
     AttemptOutcome,
     ForwardedRequest,
+    SendCheck,
     send_attempt,
 )
-from magnoliatrail.ids import InstanceId, ServerId
+from magnoliatrail.ids import AccountName, InstanceId, ServerId
 from magnoliatrail.logs import EventLog
 from magnoliatrail.peers.reach_monitor import Helper
 from magnoliatrail.platform.request_headers import (
@@ -39,9 +44,11 @@
 TOKEN = "Relay-Token"
 FINGERPRINT = "Relay-Fingerprint"
 CONFIGURATION = "Relay-Configuration"
+# The name of the caller's account, whose key and quota the sender has checked.
+ACCOUNT = "Relay-Account"
 SERVER = RELAY_SERVER
 REFUSED = "Relay-Refused"
-HEADERS = (TOKEN, FINGERPRINT, CONFIGURATION, SERVER, REFUSED)
+HEADERS = (TOKEN, FINGERPRINT, CONFIGURATION, ACCOUNT, SERVER, REFUSED)
 
 # Instances that are tried for one request.
 MAX_HELPERS = 3
@@ -80,6 +87,11 @@
                 status=attempt.status,
                 reason=attempt.reason,
             )
+            if attempt.withheld is not None:
+                await attempt.withheld.send(routed.request)
+                return True
+            if attempt.sent and (refused or is_refusal(attempt)):
+                routed.request.runs -= 1
             if not attempt.sent or refused:
                 self.context.reach.forget_helper(helper)
                 continue
@@ -131,6 +143,7 @@
                 body=body,
                 notice=ignore_notice,
                 max_relayed_bytes=None,
+                check=relay_check(self.context, routed),
             )
         finally:
             self.in_flight[helper.instance] -= 1
@@ -169,6 +182,25 @@
             await request.answer_error(502, attempt.reason)
 
 
+def relay_check(context: ForwardingContext, routed: RoutedRequest) -> SendCheck:
+    """Return the check of a request that is relayed, which names its account."""
+    check = send_check(context, routed)
+
+    def named(fields: HTTPHeaders) -> HeadAnswer | None:
+        refusal = check(fields)
+        fields.pop(ACCOUNT, None)
+        if refusal is None and routed.request.account is not None:
+            fields[ACCOUNT] = routed.request.account.name
+        return refusal
+
+    return named
+
+
+def is_refusal(attempt: Attempt) -> bool:
+    """Return whether another instance answered that a request has not run."""
+    return not attempt.started and attempt.status in NOT_RUN_STATUSES
+
+
 def ignore_notice(server: BackendServer, notice: ServerNotice) -> None:
     """Ignore the notice of a server, whose sender is another instance."""
     del server, notice
@@ -203,9 +235,23 @@
     return RelayOrigin(
         fingerprint=headers.get(FINGERPRINT, ""),
         configuration=int(version) if version.isdecimal() else 0,
+        account=headers.get(ACCOUNT, ""),
     )
 
 
+def account_of(origin: RelayOrigin, context: ForwardingContext) -> ClientAccount | None:
+    """Return the account that the sender of a relayed request names, if it does.
+
+    The sender has checked the key; this instance may not know the account any more.
+    """
+    if not origin.account:
+        return None
+    name = AccountName(origin.account)
+    routes = context.view.routes
+    table = routes.accounts if routes else None
+    return (table.accounts.get(name) if table else None) or ClientAccount(name)
+
+
 def refusal_of(
     request: RelayOrigin, context: ForwardingContext, *, relayed: int
 ) -> str | None:
--- a/src/magnoliatrail/forwarding/request.py
+++ b/src/magnoliatrail/forwarding/request.py
@@ -12,6 +12,8 @@
 from tornado.httputil import HTTPHeaders, ResponseStartLine
 from tornado.iostream import StreamClosedError
 
+from magnoliatrail.accounts.accounts import ClientAccount
+from magnoliatrail.accounts.keys import KeyProblem
 from magnoliatrail.backends import BackendServer
 from magnoliatrail.ids import PartId
 from magnoliatrail.platform.request_headers import (
@@ -47,6 +49,8 @@
     fingerprint: str
     # Version of the configuration that the instance routed it by.
     configuration: int
+    # Name of the caller's account, empty if it is not known.
+    account: str = ""
 
 
 @dataclass
@@ -66,6 +70,12 @@
     answer_finished: bool = False
     # Set if another instance relays the request.
     origin: RelayOrigin | None = None
+    # The caller's account, None if it is not known or accounts are not in force.
+    account: ClientAccount | None = None
+    # Why the key was refused.
+    key_problem: KeyProblem | None = None
+    # Number of servers that have run the request, or may have.
+    runs: int = 0
     # Further headers of the answer.
     answer_fields: dict[str, str] = field(default_factory=dict)
     # Whether the answer has neither a length nor chunks.
--- /dev/null
+++ b/src/magnoliatrail/forwarding/send_check.py
@@ -0,0 +1,45 @@
+"""The last check of a request, right before it is sent to a server."""
+
+from tornado.httputil import HTTPHeaders
+
+from magnoliatrail.forwarding.context import ForwardingContext, RoutedRequest
+from magnoliatrail.forwarding.head_check import (
+    OUTDATED,
+    OUTDATED_RETRY_AFTER,
+    HeadAnswer,
+    check_key,
+)
+from magnoliatrail.forwarding.server_call import SendCheck
+from magnoliatrail.platform.request_headers import set_account
+
+
+def send_check(context: ForwardingContext, routed: RoutedRequest) -> SendCheck:
+    """Return the check of a request, which also sets the headers about its account.
+
+    It decides by the configuration in force when the request is written, after the
+    wait for a batch slot and for a connection.
+    """
+
+    def check(fields: HTTPHeaders) -> HeadAnswer | None:
+        request = routed.request
+        routes = context.view.routes
+        accounts = routes.accounts if routes else None
+        refusal = None
+        if accounts is not None and request.origin is None and not context.is_fresh():
+            refusal = HeadAnswer(503, OUTDATED, OUTDATED_RETRY_AFTER)
+        refusal = refusal or check_key(
+            request, routed.route, accounts, is_isolated=context.is_isolated
+        )
+        if refusal is not None:
+            context.record_refused_key(request, refusal)
+            return refusal
+        account = request.account
+        set_account(
+            fields,
+            account.name if account else None,
+            in_force=accounts is not None or account is not None,
+        )
+        request.runs += 1
+        return None
+
+    return check
--- a/src/magnoliatrail/forwarding/server_call.py
+++ b/src/magnoliatrail/forwarding/server_call.py
@@ -23,6 +23,7 @@
     PooledStream,
 )
 from magnoliatrail.exchange import AnswerBounds, write_request
+from magnoliatrail.forwarding.head_check import HeadAnswer
 from magnoliatrail.platform.request_headers import (
     answers_request,
     is_signed,
@@ -76,6 +77,8 @@
     headers: HTTPHeaders = field(default_factory=HTTPHeaders)
     body: bytes = b""
     reason: str = ""
+    # Why the request was not sent after a last check.
+    withheld: HeadAnswer | None = None
     # Whether the request may have reached the server.
     sent: bool = False
     started: bool = False
@@ -105,6 +108,8 @@
 # Receive the status and headers of an answer, then each chunk of its body.
 HeadSink = Callable[[int, HTTPHeaders], Awaitable[None]]
 BodySink = Callable[[bytes], Awaitable[None]]
+# Completes the headers of a request right before it is written, or refuses it.
+SendCheck = Callable[[HTTPHeaders], HeadAnswer | None]
 
 
 class AnswerReader(HTTPMessageDelegate):
@@ -235,13 +240,15 @@
     body: BodySink,
     notice: NoticeSink,
     max_relayed_bytes: int | None,
+    check: SendCheck | None = None,
 ) -> Attempt:
     """Send a request to a server and relay its answer as it arrives.
 
     `notice` gets what the server says of itself as soon as the headers arrive.
     Only a signed 2xx answer is relayed through `head` and `body`; any other is buffered
     in the attempt. `max_relayed_bytes` bounds a relayed body, None if it is passed on
-    as it arrives. Other bodies are bounded always. Raises what `head` and `body` raise.
+    as it arrives. Other bodies are bounded always. `check` is asked once there is a
+    connection. Raises what `head` and `body` raise.
     """
     attempt = Attempt(server)
     connect = min(CONNECT_TIMEOUT, time_left)
@@ -256,6 +263,13 @@
         attempt.outcome, attempt.reason = AttemptOutcome.NOT_RUN, str(error)
         return attempt
     attempt.reused = lent.reused
+    if check is not None:
+        attempt.withheld = check(request.headers)
+    if attempt.withheld is not None:
+        lent.stream.close()
+        attempt.outcome = AttemptOutcome.NOT_RUN
+        attempt.reason = attempt.withheld.reason
+        return attempt
     bounds = AnswerBounds(lent.stream, has_body=request.method != "HEAD")
     reusable = False
     try:
--- a/src/magnoliatrail/membership/store_reader.py
+++ b/src/magnoliatrail/membership/store_reader.py
@@ -15,6 +15,9 @@
 
 log = EventLog("membership")
 
+# The table with the keys of client accounts, as part of the configuration.
+KEYS_TABLE = OPERATOR_TABLE
+
 # Longest time that the store holds a read open for the operators' next write.
 OPERATOR_LONG_POLL_TIMEOUT = timedelta(seconds=0.4)
 # Interval between reads of the servers table, whose rows change constantly.
@@ -192,12 +195,7 @@
         """
         received_at = self.clock.monotonic()
         await self.read_tables_older_than(bounds.read_above)
-        outdated = [
-            name
-            for name, table in self.view.tables.items()
-            if name not in self.failing
-            and table.age(received_at) > self.max_age(name, bounds)
-        ]
+        outdated = self.outdated_tables(bounds, received_at)
         if outdated:
             log.warning(
                 "tables_outdated",
@@ -206,6 +204,18 @@
             )
         return not outdated
 
+    def is_fresh(self, bounds: TableBounds) -> bool:
+        """Return the same as `ensure_fresh`, without a read."""
+        return not self.outdated_tables(bounds, self.clock.monotonic())
+
+    def outdated_tables(self, bounds: TableBounds, now: timedelta) -> list[str]:
+        """Return the tables that are too old, unless the store cannot be read."""
+        return [
+            name
+            for name, table in self.view.tables.items()
+            if name not in self.failing and table.age(now) > self.max_age(name, bounds)
+        ]
+
     def max_age(self, table: str, bounds: TableBounds) -> timedelta:
         """Return the age from which a table is not used.
 
--- a/src/magnoliatrail/metrics_text.py
+++ b/src/magnoliatrail/metrics_text.py
@@ -117,6 +117,12 @@
         "quarantined_groups_total",
         "Groups of prompt parts that this instance quarantined as a collector.",
     ),
+    "accounts.refused.": MetricDeclaration(
+        MetricKind.COUNTER,
+        "keys_refused_total",
+        "Requests refused for their key, by reason.",
+        "reason",
+    ),
     "log.dropped": MetricDeclaration(
         MetricKind.COUNTER, "log_lines_dropped_total", "Log lines over the budget."
     ),
@@ -137,8 +143,11 @@
         """Return the collector for an internal name, and the label's value."""
         if name in self.collectors:
             return self.collectors[name], ""
-        family, _, value = name.partition(".")
-        return self.collectors[f"{family}."], value
+        family = name.rpartition(".")[0]
+        # The longest declared prefix: the value of a label may have dots, too.
+        while family and f"{family}." not in self.collectors:
+            family = family.rpartition(".")[0]
+        return self.collectors[f"{family}."], name[len(family) + 1 :]
 
     def count(self, name: str, amount: int = 1) -> None:
         """Add to a counter."""
--- a/src/magnoliatrail/platform/configuration_rows.py
+++ b/src/magnoliatrail/platform/configuration_rows.py
@@ -10,6 +10,10 @@
 
 from magnoliatrail.backends import LoadedAdapter
 from magnoliatrail.errors import ErrorKind, Failure
+from magnoliatrail.platform.account_rows import (
+    AccountDecoder,
+    without_unreadable_accounts,
+)
 from magnoliatrail.platform.protocol import VERSION_PREFIX
 from magnoliatrail.routes import (
     EngineSpec,
@@ -29,6 +33,8 @@
 
 # Routes to keep decoded, above the size of a large configuration.
 CACHED_ROUTES = 4096
+# Keeps the accounts of the last configuration decoded, for the next one.
+ACCOUNTS = AccountDecoder()
 
 Milliseconds = Annotated[float, Meta(ge=0, le=MAX_SECONDS * 1000)]
 Integer = Annotated[int, Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
@@ -56,6 +62,7 @@
     attempts: Integer = 1
     resumable: bool = False
     gap_target_ms: Milliseconds = 0
+    public: bool = False
 
 
 class WireModel(msgspec.Struct):
@@ -101,6 +108,8 @@
     routes: list[msgspec.Raw]
     services: list[WireService]
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
+    # Client accounts; empty if the field is absent.
+    tenants: msgspec.Raw = msgspec.Raw(b"")
 
 
 class WireAdapterVersion(msgspec.Struct):
@@ -113,9 +122,12 @@
 
 def decode_configuration(value: bytes) -> Result[RouteTable, Failure]:
     """Decode the configuration row into a route table."""
-    match decode(value, WireConfiguration):
-        case Result(tag="ok", ok=found):
-            return route_table_of(found)
+    found = decode(value, WireConfiguration)
+    if found.is_error() and b"tenants" in value:
+        found = decode(without_unreadable_accounts(value), WireConfiguration)
+    match found:
+        case Result(tag="ok", ok=configuration):
+            return route_table_of(configuration)
         case Result(error=failure):
             return Error(Failure(ErrorKind.INVALID_CONFIGURATION, failure.message))
 
@@ -130,12 +142,20 @@
             case Result(error=failure):
                 message = f"route {number}: {failure.message}"
                 return Error(Failure(ErrorKind.INVALID_CONFIGURATION, message))
+    accounts = None
+    if field := bytes(found.tenants):
+        match ACCOUNTS.decode(field):
+            case Result(tag="ok", ok=table):
+                accounts = table
+            case Result(error=failure):
+                return Error(failure)
     return Ok(
         RouteTable(
             version=found.version,
             routes=tuple(routes),
             services={item.name: service_of(item) for item in found.services},
             max_body_bytes=found.limits.body_bytes,
+            accounts=accounts,
         )
     )
 
@@ -161,6 +181,7 @@
         attempts=route.attempts,
         resumable=route.resumable,
         pause_goal=timedelta(milliseconds=route.gap_target_ms),
+        public=route.public,
     )
 
 
--- a/src/magnoliatrail/platform/protocol.py
+++ b/src/magnoliatrail/platform/protocol.py
@@ -25,8 +25,12 @@
 RETRY_AFTER = "Retry-After"
 LENGTH_HINT = "Magnoliatrail-Length-Hint"
 PRIORITY = "Magnoliatrail-Request-Priority"
+# The key that names the caller's account, and nothing else.
+API_KEY = "Api-Key"
+# The name of the caller's account, for backend servers.
+TENANT = "Magnoliatrail-Tenant"
 # Name the caller, where the operators tell callers apart.
-CALLER_HEADERS = ("Api-Key", "Authorization")
+CALLER_HEADERS = (API_KEY, "Authorization")
 
 # Headers to a backend server that only the system may set.
 SYSTEM_HEADERS = frozenset(
@@ -35,6 +39,7 @@
         EXPECT_INSTANCE,
         EXPECT_VERSION,
         PRIORITY,
+        TENANT,
         NOT_EXECUTED,
         "Magnoliatrail-Hold",
         "Magnoliatrail-Pin-Milliseconds",
--- a/src/magnoliatrail/platform/request_headers.py
+++ b/src/magnoliatrail/platform/request_headers.py
@@ -8,8 +8,9 @@
 
 from tornado.httputil import HTTPHeaders
 
+from magnoliatrail.accounts.keys import KeyProblem, is_well_formed
 from magnoliatrail.backends import BackendServer, LoadedAdapter, ServerNotice
-from magnoliatrail.ids import PartId
+from magnoliatrail.ids import AccountName, PartId
 from magnoliatrail.platform import protocol
 from magnoliatrail.wire import HOP_BY_HOP, connection_options
 
@@ -19,6 +20,8 @@
 MAX_RETRY_AFTER = timedelta(hours=1)
 DEFAULT_DEADLINE = timedelta(seconds=30)
 HTTP_MISDIRECTED = 421
+# Longer numbers count no tokens.
+MAX_COUNT_DIGITS = 18
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +56,39 @@
     return "\n".join(named) if any(named) else ""
 
 
+def api_key_of(headers: HTTPHeaders) -> str | KeyProblem:
+    """Return the key of a request, or why it has none that can be looked up."""
+    values = headers.get_list(protocol.API_KEY)
+    if not values:
+        return KeyProblem.MISSING
+    if len(values) > 1:
+        return KeyProblem.REPEATED
+    return values[0] if is_well_formed(values[0]) else KeyProblem.MALFORMED
+
+
+def set_account(
+    fields: HTTPHeaders, account: AccountName | None, *, in_force: bool
+) -> None:
+    """Name the account of a request that is sent on; None if it is not known.
+
+    With accounts in force, the key is removed.
+    """
+    fields.pop(protocol.TENANT, None)
+    if account is not None:
+        fields[protocol.TENANT] = account
+    if in_force:
+        fields.pop(protocol.API_KEY, None)
+
+
+def token_count_of(headers: HTTPHeaders) -> int | None:
+    """Return the sum of both token counts, None unless a request states both."""
+    text = headers.get(protocol.TOKEN_COUNTS, "")
+    parts = [part.strip() for part in text.partition(",")[::2]]
+    if any(len(part) > MAX_COUNT_DIGITS or not part.isdecimal() for part in parts):
+        return None
+    return sum(map(int, parts))
+
+
 def resumed_request_of(headers: HTTPHeaders) -> str | None:
     """Return the id of the request that began a resumed stream, None for a new stream.
 
--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -33,7 +33,11 @@
 from magnoliatrail.membership.fleet_view import FleetView
 from magnoliatrail.membership.recent_instances import RecentInstances
 from magnoliatrail.membership.server_reach import ServerReach
-from magnoliatrail.membership.store_reader import StoreReader, TableBounds
+from magnoliatrail.membership.store_reader import (
+    KEYS_TABLE,
+    StoreReader,
+    TableBounds,
+)
 from magnoliatrail.membership.stream_records import (
     StreamRecordReader,
     StreamRecordWriter,
@@ -185,6 +189,7 @@
         )
         self.recent_instances = RecentInstances(self.clock, self.cells.addresses)
         self.stream_versions = self.new_stream_versions()
+        bounds = table_bounds(settings)
         self.forwarding_context = ForwardingContext(
             clock=self.clock,
             metrics=self.metrics,
@@ -192,7 +197,10 @@
             pool=self.pool,
             bounds=settings.bounds,
             generator=self.generator,
-            ensure_fresh=partial(self.reader.ensure_fresh, table_bounds(settings)),
+            ensure_fresh=partial(self.reader.ensure_fresh, bounds),
+            is_fresh=partial(self.reader.is_fresh, bounds),
+            store_answers=lambda: KEYS_TABLE not in self.reader.failing,
+            hears_others=self.cells.hears_others,
             stream_versions=self.stream_versions,
             quarantine=self.quarantine,
             reach=self.reach,
