Serve the accounts of a cell's queue by their shares of the work

An account that asks eight times its usual took room from all others: the queue knew only the goals and priorities of requests. Slot requests name the account of the caller; the owner keeps the granted and waiting work of each account, and makes requests of accounts above their fair share due later.

--- a/src/magnoliatrail/cells/forecast.py
+++ b/src/magnoliatrail/cells/forecast.py
@@ -128,7 +128,9 @@
     if now + wait > request.goal_at and not request.is_resumed:
         spare = max(rate * MIN_SPARE_SHARE, rate - demand)
         tokens = prompt_tokens(request) + sum(
-            prompt_tokens(item) for item in ahead if item.goal_at <= request.goal_at
+            prompt_tokens(item)
+            for item in ahead
+            if item.goal_at + item.lag <= request.goal_at + request.lag
         )
         wait = max(wait, timedelta(seconds=tokens / spare))
     without_slot = len(before) + 1 - capacity.free_slots
--- a/src/magnoliatrail/cells/owner.py
+++ b/src/magnoliatrail/cells/owner.py
@@ -268,6 +268,7 @@
         )
         engine.add_grant(grant)
         self.queue.remove(message.request)
+        self.queue.record_granted(request, request.work)
         self.loads.reserved[message.request] = request
         engine.reserved_tokens += message.prompt_tokens
         if residency is Residency.READY:
@@ -290,6 +291,8 @@
         )
         self.slots_in_use.granted[grant.request] = (engine, answer)
         self.metrics.timing("places.wait", now - request.enqueued_at)
+        if request.account:
+            self.metrics.count(f"granted_work.{request.account}", request.work)
         log.info(
             "place_granted",
             request=grant.request,
@@ -331,7 +334,8 @@
             request = self.loads.reserved.pop(grant.request, None)
             if request:
                 engine.reserved_tokens -= grant.prompt_tokens
-                self.queue.waiting[grant.request] = request
+                self.queue.record_granted(request, -request.work)
+                self.queue.put(request)
         self.queue.schedule()
 
     def apply_report(self, report: InstanceReport) -> None:
--- a/src/magnoliatrail/cells/queue.py
+++ b/src/magnoliatrail/cells/queue.py
@@ -15,12 +15,18 @@
     SchedulingPass,
     residency_of,
 )
-from magnoliatrail.cells.waiting import WaitingRequest, refusal, urgency
+from magnoliatrail.cells.waiting import (
+    WaitingRequest,
+    refusal,
+    update_lags,
+    urgency,
+)
 from magnoliatrail.clock import Clock
 from magnoliatrail.generated.cells import SlotAnswer
 from magnoliatrail.ids import ServerId
 from magnoliatrail.logs import EventLog
 from magnoliatrail.metrics import Metrics
+from magnoliatrail.routing.account_shares import AccountShares
 from magnoliatrail.routing.engine_scores import (
     RequestSize,
     Residency,
@@ -68,6 +74,7 @@
         self.request_limit = request_limit
         self.generator = generator
         self.waiting: dict[str, WaitingRequest] = {}
+        self.shares = AccountShares()
         self.demand: dict[str, Demand] = defaultdict(Demand)
         self.run_times = RunTimes()
         self.scheduled: asyncio.TimerHandle | None = None
@@ -76,10 +83,14 @@
         """Queue a request, and refuse it if its forecast wait is too long."""
         now = self.clock.monotonic()
         message = request.message
-        self.demand[message.service].record(message.prompt_tokens, now)
+        self.apply_standing(request, now)
+        if not request.lag or now <= request.late_at:
+            # Requests that are late by their lag go after late ones of others, so they
+            # leave them their capacity.
+            self.demand[message.service].record(message.prompt_tokens, now)
         key = urgency(request, now)
         ahead = sum(1 for other in self.waiting.values() if urgency(other, now) < key)
-        self.waiting[message.request] = request
+        self.put(request)
         if self.lacks_software_version(request):
             reason = f"no engine has the software version {message.software_version}"
             self.refuse(request, DEFAULT_WAIT_FORECAST, reason)
@@ -135,22 +146,46 @@
             now=now,
         )
 
-    def remove(self, request: str) -> None:
+    def apply_standing(self, request: WaitingRequest, now: timedelta) -> None:
+        """Set when a new request is due, behind all that its account has waiting."""
+        if request.account:
+            standing = self.shares.standing(request.account, request.account_rate, now)
+            request.apply_standing(standing, self.shares.waiting[request.account])
+
+    def put(self, request: WaitingRequest) -> None:
+        """Put a request into the queue."""
+        self.waiting[request.message.request] = request
+        self.record_waiting(request, request.work)
+
+    def remove(self, name: str) -> None:
         """Remove a request from the queue."""
-        self.waiting.pop(request, None)
+        request = self.waiting.pop(name, None)
+        if request:
+            self.record_waiting(request, -request.work)
+
+    def record_waiting(self, request: WaitingRequest, tokens: int) -> None:
+        """Record a change of the waiting work of a request's account."""
+        if request.account:
+            self.shares.record_waiting(request.account, tokens)
+            self.metrics.gauge_add(f"waiting_work.{request.account}", tokens)
+
+    def record_granted(self, request: WaitingRequest, tokens: int) -> None:
+        """Charge a request's account with work, or take a charge back."""
+        if request.account:
+            self.shares.record(request.account, tokens, self.clock.monotonic())
 
     def answer_all(self, answer: SlotAnswer) -> None:
         """Send all waiting requests the same answer, and clear the queue."""
-        for request in self.waiting.values():
+        for request in list(self.waiting.values()):
+            self.remove(request.message.request)
             if not request.answer.done():
                 request.answer.set_result(answer)
-        self.waiting.clear()
 
     def refuse(self, request: WaitingRequest, wait: timedelta, reason: str) -> None:
         """Refuse a request, with a time after which to retry."""
         now = self.clock.monotonic()
         answer = refusal(request, now, wait, reason, self.generator.random())
-        self.waiting.pop(request.message.request, None)
+        self.remove(request.message.request)
         self.metrics.count("places.refused")
         log.info(
             "place_refused",
@@ -177,11 +212,12 @@
         if not self.waiting:
             return
         now = self.clock.monotonic()
+        update_lags(self.waiting.values(), self.shares, now)
         waiting = sorted(self.waiting.values(), key=lambda item: urgency(item, now))
         scheduling_pass = self.new_pass(now)
         for request in waiting:
             if now >= request.deadline:
-                self.waiting.pop(request.message.request, None)
+                self.remove(request.message.request)
             elif now - request.enqueued_at > request.max_wait:
                 wait = max(self.forecast(request, now), DEFAULT_WAIT_FORECAST)
                 self.refuse(request, wait, self.wait_reason(request, scheduling_pass))
--- a/src/magnoliatrail/cells/waiting.py
+++ b/src/magnoliatrail/cells/waiting.py
@@ -1,12 +1,16 @@
 """Requests waiting for a batch slot: maximum wait, urgency and retry time."""
 
 import asyncio
+from collections import Counter
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from datetime import timedelta
 
 from magnoliatrail.backends import LoadedAdapter
 from magnoliatrail.cells.answers import slot_answer
 from magnoliatrail.generated.cells import SlotAnswer, SlotDecision, SlotRequest
+from magnoliatrail.ids import AccountName
+from magnoliatrail.routing.account_shares import AccountShares, Standing, work_of
 
 # A request waits for a slot at most this share of the time until its caller gives up.
 MAX_WAIT_SHARE = 0.7
@@ -36,6 +40,20 @@
     # The caller gives up at `deadline` if no event came, at `caller_deadline` anyway.
     deadline: timedelta
     caller_deadline: timedelta
+    # Time of the goal, with the head start of more urgent routes.
+    route_due_at: timedelta
+    # Account that the request belongs to, None if none is known.
+    account: AccountName | None = None
+    account_level: int = 0
+    account_rate: float = 0.0
+    # How much later the request is due because of what its account has used.
+    lag: timedelta = timedelta()
+    # When the request is due, with the lag and the head start of more urgent accounts.
+    due_at: timedelta = field(init=False)
+    # From when the request counts as late: its goal, or before it by the lag. Without
+    # the lag, the new requests of an account that has used more than its share would go
+    # before those of others that are late.
+    late_at: timedelta = field(init=False)
     # When the wait was last forecast.
     forecast_at: timedelta = timedelta()
     answer: asyncio.Future[SlotAnswer] = field(
@@ -50,7 +68,26 @@
 
     def was_passed_over(self, now: timedelta) -> bool:
         """Return whether an engine may be kept for the request, so long did it wait."""
-        return now - self.enqueued_at > self.max_wait * RESERVE_WAIT_SHARE
+        # Surplus work of an account must not keep engines from the other accounts.
+        return (
+            not self.lag and now - self.enqueued_at > self.max_wait * RESERVE_WAIT_SHARE
+        )
+
+    def __post_init__(self) -> None:
+        """Set when the request is due, without a lag."""
+        self.due_at, self.late_at = self.route_due_at, self.goal_at
+
+    @property
+    def work(self) -> int:
+        """Return the work of the request, as accounts are charged with it."""
+        return work_of(self.message.prompt_tokens, self.message.output_tokens)
+
+    def apply_standing(self, standing: Standing, ahead: float) -> None:
+        """Set when the request is due, behind so much waiting work of its account."""
+        self.lag = standing.lag(ahead)
+        level_delay = standing.level_delay(self.account_level, ahead)
+        self.due_at = self.route_due_at + level_delay + self.lag
+        self.late_at = self.goal_at - self.lag
 
     @property
     def is_resumed(self) -> bool:
@@ -70,13 +107,18 @@
 
 def waiting_request(message: SlotRequest, now: timedelta) -> WaitingRequest:
     """Build a waiting request from a slot request."""
+    goal_at = now + timedelta(milliseconds=message.goal_left_ms)
     return WaitingRequest(
         message=message,
         adapter=LoadedAdapter(message.model, message.adapter, message.version),
         enqueued_at=now,
-        goal_at=now + timedelta(milliseconds=message.goal_left_ms),
+        goal_at=goal_at,
         deadline=now + timedelta(milliseconds=message.time_left_ms),
         caller_deadline=now + timedelta(milliseconds=message.deadline_left_ms),
+        route_due_at=goal_at + PRIORITY_STEP * message.priority,
+        account=AccountName(message.account) if message.account else None,
+        account_level=message.account_priority or 0,
+        account_rate=message.account_rate or 0.0,
     )
 
 
@@ -86,11 +128,33 @@
     Resumed streams come first, because their callers have waited before and have a part
     of the answer. Of the others, those that can still meet their latency goal come
     before late ones. All groups are sorted by the time of the goal, with a head start
-    for more urgent routes.
+    for more urgent accounts and routes, and with the lag of the account.
     """
-    head_start = PRIORITY_STEP * request.message.priority
-    late = request.goal_at < now
-    return not request.is_resumed, late, request.goal_at + head_start
+    return not request.is_resumed, request.late_at < now, request.due_at
+
+
+def update_lags(
+    waiting: Collection[WaitingRequest], shares: AccountShares, now: timedelta
+) -> None:
+    """Set the lag of each waiting request anew, from what its account was granted."""
+    if not shares.waiting:
+        return
+    standings: dict[AccountName, Standing] = {}
+    ahead: Counter[AccountName] = Counter()
+    # The requests of one account keep the order that they have without a lag.
+    ordered = sorted(
+        (request for request in waiting if request.account),
+        key=lambda item: (not item.is_resumed, item.goal_at < now, item.route_due_at),
+    )
+    for request in ordered:
+        account = request.account
+        assert account is not None, "a request without an account was sorted"
+        standing = standings.get(account)
+        if standing is None:
+            standing = shares.standing(account, request.account_rate, now)
+            standings[account] = standing
+        request.apply_standing(standing, ahead[account])
+        ahead[account] += request.work
 
 
 def refusal(
--- a/src/magnoliatrail/forwarding/engine_path.py
+++ b/src/magnoliatrail/forwarding/engine_path.py
@@ -4,6 +4,7 @@
 
 from tornado.httputil import HTTPHeaders
 
+from magnoliatrail.accounts.accounts import ClientAccount
 from magnoliatrail.forwarding.context import (
     UNKNOWN_VERSION,
     ForwardingContext,
@@ -33,6 +34,7 @@
 from magnoliatrail.logs import EventLog
 from magnoliatrail.platform.request_headers import headers_for_server
 from magnoliatrail.routing import quarantine as quarantine_rules
+from magnoliatrail.routing.account_shares import engine_priority
 from magnoliatrail.routing.crash_evidence import MAX_CRASH_DELAY
 
 log = EventLog("forwarding")
@@ -167,7 +169,7 @@
                 slot.server,
                 left,
                 adapter_version=slot.adapter.version,
-                priority=route.priority,
+                priority=priority_at_engines(request.account, route.priority),
             ),
             body=request.body,
         )
@@ -227,3 +229,10 @@
             await request.answer_error(504, attempt.reason)
         else:
             await request.answer_error(502, attempt.reason)
+
+
+def priority_at_engines(account: ClientAccount | None, route_priority: int) -> int:
+    """Return the priority that an engine gets, that of the route without an account."""
+    if account is None:
+        return route_priority
+    return engine_priority(account.priority, route_priority)
--- a/src/magnoliatrail/forwarding/engine_slots.py
+++ b/src/magnoliatrail/forwarding/engine_slots.py
@@ -4,6 +4,9 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+import msgspec
+
+from magnoliatrail.accounts.accounts import ClientAccount, Quota, QuotaUnit
 from magnoliatrail.backends import BackendServer, LoadedAdapter, ServerState
 from magnoliatrail.cells.fleet_cells import FleetCells
 from magnoliatrail.cells.lease import Identity
@@ -193,6 +196,9 @@
             avoid=[*engine_request.avoid, *self.refusing_engines(engine_request)],
             software_version=engine_request.software_version,
         )
+        account = engine_request.routed.request.account
+        if account is not None:
+            message = with_account(message, account)
         try:
             return await engine_request.link.request_slot(message)
         except BaseException:
@@ -332,3 +338,23 @@
                 usual_pause_ms=usual.total_seconds() * 1000,
             )
         )
+
+
+def with_account(message: SlotRequest, account: ClientAccount) -> SlotRequest:
+    """Return a slot request that names the account of the caller's request."""
+    return msgspec.structs.replace(
+        message,
+        account=account.name,
+        account_priority=account.priority,
+        account_rate=tokens_per_second(account.quota),
+    )
+
+
+def tokens_per_second(quota: Quota | None) -> float:
+    """Return the rate of a quota in tokens, 0 without a limit."""
+    if quota is None:
+        return 0.0
+    if quota.unit is QuotaUnit.REQUESTS:
+        # The rates of accounts are compared, so they need one unit.
+        return quota.per_second * quota.plain_tokens
+    return quota.per_second
--- a/src/magnoliatrail/forwarding/request.py
+++ b/src/magnoliatrail/forwarding/request.py
@@ -12,6 +12,7 @@
 from tornado.httputil import HTTPHeaders, ResponseStartLine
 from tornado.iostream import StreamClosedError
 
+from magnoliatrail.accounts.accounts import ClientAccount
 from magnoliatrail.backends import BackendServer
 from magnoliatrail.ids import PartId
 from magnoliatrail.platform.request_headers import (
@@ -66,6 +67,8 @@
     answer_finished: bool = False
     # Set if another instance relays the request.
     origin: RelayOrigin | None = None
+    # Account that the request belongs to, None if none is known.
+    account: ClientAccount | None = None
     # Further headers of the answer.
     answer_fields: dict[str, str] = field(default_factory=dict)
     # Whether the answer has neither a length nor chunks.
--- a/src/magnoliatrail/metrics.py
+++ b/src/magnoliatrail/metrics.py
@@ -21,6 +21,9 @@
     def gauge(self, name: str, value: float) -> None:
         """Set a gauge."""
 
+    def gauge_add(self, name: str, amount: float) -> None:
+        """Add to a gauge that several parts of the instance share."""
+
 
 class NoMetrics:
     """Discard all metrics."""
@@ -34,6 +37,9 @@
     def gauge(self, name: str, value: float) -> None:
         """Discard a gauge."""
 
+    def gauge_add(self, name: str, amount: float) -> None:
+        """Discard a change of a gauge."""
+
 
 class StatsdMetrics:
     """Send all metrics to a statsd server."""
@@ -53,6 +59,10 @@
         """Set a gauge."""
         self.client.gauge(name, value)
 
+    def gauge_add(self, name: str, amount: float) -> None:
+        """Add to a gauge."""
+        self.client.gauge(name, amount, delta=True)
+
 
 class RecordedMetrics:
     """Keep all metrics in memory, for the demo and for tests."""
@@ -74,6 +84,11 @@
         """Record the new value of a gauge."""
         self.gauges.setdefault(name, []).append(value)
 
+    def gauge_add(self, name: str, amount: float) -> None:
+        """Record the sum of the last value of a gauge and an amount."""
+        values = self.gauges.setdefault(name, [])
+        values.append((values[-1] if values else 0.0) + amount)
+
 
 def metrics_from(settings: Settings, connect: Callable[..., StatsClient]) -> Metrics:
     """Return a statsd sink, or a no-op sink if no statsd host is set."""
--- a/src/magnoliatrail/metrics_text.py
+++ b/src/magnoliatrail/metrics_text.py
@@ -18,6 +18,9 @@
     *(0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8),
     *(1.0, 1.6, 3.0, 6.0, 12.0, 25.0),
 )
+# Values of a label that clients or operators choose, at most, so that the text stays
+# short. The other values share one series, whose label is empty.
+MAX_NAMED_VALUES = 200
 
 
 class MetricKind(Enum):
@@ -36,6 +39,8 @@
     name: str
     help: str
     label: str = ""
+    # Whether the label has as many values as clients or operators choose.
+    unbounded: bool = False
 
 
 # Keyed by the internal metric name. A key that ends with a dot matches every name with
@@ -85,6 +90,20 @@
         "place_wait_seconds",
         "Time that requests waited for a place.",
     ),
+    "granted_work.": MetricDeclaration(
+        MetricKind.COUNTER,
+        "account_granted_work_tokens_total",
+        "Work granted to an account: prompt tokens and ten for each output token.",
+        "account",
+        unbounded=True,
+    ),
+    "waiting_work.": MetricDeclaration(
+        MetricKind.GAUGE,
+        "account_waiting_work_tokens",
+        "Work of an account that waits for a place at the cells owned here.",
+        "account",
+        unbounded=True,
+    ),
     "loads.": MetricDeclaration(
         MetricKind.COUNTER,
         "adapter_loads_total",
@@ -132,13 +151,32 @@
             key: new_collector(declared, self.registry)
             for key, declared in METRIC_DECLARATIONS.items()
         }
+        # The values that have a series of their own, of each unbounded label.
+        self.named: dict[str, set[str]] = {
+            key: set()
+            for key, declared in METRIC_DECLARATIONS.items()
+            if declared.unbounded
+        }
 
     def find(self, name: str) -> tuple[Counter | Histogram | Gauge, str]:
         """Return the collector for an internal name, and the label's value."""
         if name in self.collectors:
             return self.collectors[name], ""
         family, _, value = name.partition(".")
-        return self.collectors[f"{family}."], value
+        key = f"{family}."
+        if key in self.named:
+            value = self.bounded(key, value)
+            # An empty label is one too, that of the values without a series.
+            return self.collectors[key].labels(value), ""
+        return self.collectors[key], value
+
+    def bounded(self, key: str, value: str) -> str:
+        """Return a label's value, or an empty one if too many others are named."""
+        named = self.named[key]
+        if value not in named and len(named) >= MAX_NAMED_VALUES:
+            return ""
+        named.add(value)
+        return value
 
     def count(self, name: str, amount: int = 1) -> None:
         """Add to a counter."""
@@ -158,6 +196,12 @@
         assert isinstance(collector, Gauge), f"{name} is not a gauge"
         collector.set(value)
 
+    def gauge_add(self, name: str, amount: float) -> None:
+        """Add to a gauge."""
+        collector, _ = self.find(name)
+        assert isinstance(collector, Gauge), f"{name} is not a gauge"
+        collector.inc(amount)
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/tests/load/cell.py
+++ b/tests/load/cell.py
@@ -126,6 +126,7 @@
         goal=800,
         time_left=3200.0,
         software_version="",
+        **fields,
     ):
         message = SlotRequest(
             cell="0",
@@ -137,13 +138,14 @@
             adapter=adapter,
             version=1,
             prompt_tokens=tokens,
-            output_tokens=172,
+            output_tokens=fields.pop("output_tokens", 172),
             priority=priority,
             goal_left_ms=goal,
             time_left_ms=time_left,
             deadline_left_ms=12000.0,
             avoid=[],
             software_version=software_version,
+            **fields,
         )
         return asyncio.ensure_future(self.owner.request_slot(message))
 
