--- a/src/magnoliatrail/routing/account_shares.py
+++ b/src/magnoliatrail/routing/account_shares.py
@@ -83,15 +83,14 @@
     def level_delay(self, level: int, ahead: float = 0.0) -> timedelta:
         """Return how much later a request is due because of its account's level.
 
-        The delay is smaller while the account has less than its fair share. Otherwise
-        accounts of more urgent levels could use up all engines.
+        Below the fair share the level counts less, and the account is up to one level
+        more urgent. Otherwise accounts of more urgent levels, or with much larger
+        shares, could use up all engines without a lag.
         """
         level = min(MAX_LEVEL, max(0, level))
-        if not level:
-            return NO_DELAY
         work = self.granted + ahead
         share = 1.0 if work >= self.fair else work / self.fair
-        return LEVEL_STEP * (level * share)
+        return LEVEL_STEP * ((level + 1) * share - 1)
 
 
 class AccountShares:
--- a/tests/load/cell.py
+++ b/tests/load/cell.py
@@ -117,7 +117,11 @@
         )
         self.orders.loaded.setdefault(name, set()).add(loaded)
 
-    def request_slot(
+    def request_slot(self, request, adapter, **fields):
+        message = self.slot_request(request, adapter, **fields)
+        return asyncio.ensure_future(self.owner.request_slot(message))
+
+    def slot_request(
         self,
         request,
         adapter,
@@ -126,9 +130,10 @@
         goal=800,
         time_left=3200.0,
         software_version="",
-        **fields,
+        output_tokens=172,
+        **account,
     ):
-        message = SlotRequest(
+        return SlotRequest(
             cell="0",
             instance="i",
             incarnation="i-1",
@@ -138,16 +143,15 @@
             adapter=adapter,
             version=1,
             prompt_tokens=tokens,
-            output_tokens=fields.pop("output_tokens", 172),
+            output_tokens=output_tokens,
             priority=priority,
             goal_left_ms=goal,
             time_left_ms=time_left,
             deadline_left_ms=12000.0,
             avoid=[],
             software_version=software_version,
-            **fields,
+            **account,
         )
-        return asyncio.ensure_future(self.owner.request_slot(message))
 
     async def pass_time(self, milliseconds):
         """Advance the clock, with a scheduling pass every 10 ms."""
