--- a/src/magnoliatrail/cells/owner.py
+++ b/src/magnoliatrail/cells/owner.py
@@ -20,7 +20,11 @@
 from magnoliatrail.cells.queue import CellQueue
 from magnoliatrail.cells.reported_limits import apply_reported_limits
 from magnoliatrail.cells.slots_in_use import SlotsInUse
-from magnoliatrail.cells.waiting import WaitingRequest, waiting_request
+from magnoliatrail.cells.waiting import (
+    WaitingRequest,
+    account_fields,
+    waiting_request,
+)
 from magnoliatrail.clock import Clock
 from magnoliatrail.generated.cells import (
     AdapterSpread,
@@ -310,6 +314,7 @@
                 engine.speed_estimate.speed(now).prefill_ms_per_token * 1000, 1
             ),
             step=engine.speed_estimate.speed(now).step_time(len(engine.grants)),
+            **account_fields(request),
         )
         if not request.answer.done():
             request.answer.set_result(answer)
--- a/src/magnoliatrail/cells/queue.py
+++ b/src/magnoliatrail/cells/queue.py
@@ -17,6 +17,7 @@
 )
 from magnoliatrail.cells.waiting import (
     WaitingRequest,
+    account_fields,
     refusal,
     update_lags,
     urgency,
@@ -39,6 +40,9 @@
 QUEUE_BATCHING_SECONDS = 0.008
 # Interval between forecasts for a request that is late.
 FORECAST_INTERVAL = timedelta(milliseconds=500)
+# Interval between updates of the lags of all waiting requests, which take as long as a
+# pass if thousands wait.
+LAG_INTERVAL = timedelta(milliseconds=25)
 DEFAULT_WAIT_FORECAST = timedelta(seconds=1)
 
 # Reserves a slot for a request on an engine, given the adapter's residency there.
@@ -75,6 +79,7 @@
         self.generator = generator
         self.waiting: dict[str, WaitingRequest] = {}
         self.shares = AccountShares()
+        self.lags_due_at = timedelta()
         self.demand: dict[str, Demand] = defaultdict(Demand)
         self.run_times = RunTimes()
         self.scheduled: asyncio.TimerHandle | None = None
@@ -196,6 +201,7 @@
             retry_after_ms=round(answer.retry_after_ms),
             queue=len(self.waiting),
             reason=reason,
+            **account_fields(request),
         )
         if not request.answer.done():
             request.answer.set_result(answer)
@@ -212,7 +218,9 @@
         if not self.waiting:
             return
         now = self.clock.monotonic()
-        update_lags(self.waiting.values(), self.shares, now)
+        if now >= self.lags_due_at:
+            self.lags_due_at = now + LAG_INTERVAL
+            update_lags(self.waiting.values(), self.shares, now)
         waiting = sorted(self.waiting.values(), key=lambda item: urgency(item, now))
         scheduling_pass = self.new_pass(now)
         for request in waiting:
--- a/src/magnoliatrail/cells/waiting.py
+++ b/src/magnoliatrail/cells/waiting.py
@@ -1,7 +1,6 @@
 """Requests waiting for a batch slot: maximum wait, urgency and retry time."""
 
 import asyncio
-from collections import Counter
 from collections.abc import Collection
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -54,6 +53,10 @@
     # the lag, the new requests of an account that has used more than its share would go
     # before those of others that are late.
     late_at: timedelta = field(init=False)
+    # Whether the request resumes a stream.
+    is_resumed: bool = field(init=False)
+    # Work that the account is charged with.
+    work: int = field(init=False)
     # When the wait was last forecast.
     forecast_at: timedelta = timedelta()
     answer: asyncio.Future[SlotAnswer] = field(
@@ -74,26 +77,19 @@
         )
 
     def __post_init__(self) -> None:
-        """Set when the request is due, without a lag."""
+        """Set what follows from the message, and when the request is due."""
+        message = self.message
+        self.is_resumed = bool(message.software_version)
+        self.work = work_of(message.prompt_tokens, message.output_tokens)
         self.due_at, self.late_at = self.route_due_at, self.goal_at
 
-    @property
-    def work(self) -> int:
-        """Return the work of the request, as accounts are charged with it."""
-        return work_of(self.message.prompt_tokens, self.message.output_tokens)
-
     def apply_standing(self, standing: Standing, ahead: float) -> None:
         """Set when the request is due, behind so much waiting work of its account."""
         self.lag = standing.lag(ahead)
         level_delay = standing.level_delay(self.account_level, ahead)
-        self.due_at = self.route_due_at + level_delay + self.lag
+        self.due_at = self.route_due_at + (level_delay + self.lag)
         self.late_at = self.goal_at - self.lag
 
-    @property
-    def is_resumed(self) -> bool:
-        """Return whether the request resumes a stream."""
-        return bool(self.message.software_version)
-
     def competes_with(self, other: "WaitingRequest") -> bool:
         """Return whether some engine may have the software version for both."""
         versions = {self.message.software_version, other.message.software_version}
@@ -133,6 +129,13 @@
     return not request.is_resumed, request.late_at < now, request.due_at
 
 
+def account_fields(request: WaitingRequest) -> dict[str, object]:
+    """Return what log lines name of a request's account, nothing without one."""
+    if request.account is None:
+        return {}
+    return {"account": request.account, "lag": request.lag}
+
+
 def update_lags(
     waiting: Collection[WaitingRequest], shares: AccountShares, now: timedelta
 ) -> None:
@@ -140,7 +143,7 @@
     if not shares.waiting:
         return
     standings: dict[AccountName, Standing] = {}
-    ahead: Counter[AccountName] = Counter()
+    ahead: dict[AccountName, int] = {}
     # The requests of one account keep the order that they have without a lag.
     ordered = sorted(
         (request for request in waiting if request.account),
@@ -153,8 +156,9 @@
         if standing is None:
             standing = shares.standing(account, request.account_rate, now)
             standings[account] = standing
-        request.apply_standing(standing, ahead[account])
-        ahead[account] += request.work
+        before = ahead.get(account, 0)
+        request.apply_standing(standing, before)
+        ahead[account] = before + request.work
 
 
 def refusal(
--- a/src/magnoliatrail/routing/account_shares.py
+++ b/src/magnoliatrail/routing/account_shares.py
@@ -19,6 +19,7 @@
 ACTIVE_TIME = timedelta(seconds=10)
 EXPIRY_INTERVAL = timedelta(seconds=1)
 MAX_LAG = timedelta(seconds=2)
+MAX_LAG_SECONDS = MAX_LAG.total_seconds()
 # An output token takes a part of a decode step, a prompt token a part of a prefill.
 WORK_PER_OUTPUT_TOKEN = 10
 # Head start of each account level before the next. It exceeds the 150 ms for each of
@@ -27,6 +28,7 @@
 # Least urgent level. Without a limit, the delay of a level would exceed the maximum lag
 # and the time that a request may wait.
 MAX_LEVEL = 2
+LEVEL_DELAYS = [LEVEL_STEP * level for level in range(MAX_LEVEL + 1)]
 NO_DELAY = timedelta()
 
 
@@ -78,7 +80,9 @@
         # maximum without reaching it, so that of two accounts with a surplus the one
         # with the larger surplus lags more.
         seconds = WORK_WINDOW_SECONDS * surplus / self.fair
-        return MAX_LAG * (seconds / (seconds + MAX_LAG.total_seconds()))
+        return timedelta(
+            seconds=MAX_LAG_SECONDS * seconds / (seconds + MAX_LAG_SECONDS)
+        )
 
     def level_delay(self, level: int, ahead: float = 0.0) -> timedelta:
         """Return how much later a request is due because of its account's level.
@@ -87,10 +91,11 @@
         more urgent. Otherwise accounts of more urgent levels, or with much larger
         shares, could use up all engines without a lag.
         """
-        level = min(MAX_LEVEL, max(0, level))
         work = self.granted + ahead
-        share = 1.0 if work >= self.fair else work / self.fair
-        return LEVEL_STEP * ((level + 1) * share - 1)
+        if work >= self.fair:
+            return LEVEL_DELAYS[min(MAX_LEVEL, max(0, level))]
+        level = min(MAX_LEVEL, max(0, level))
+        return LEVEL_STEP * ((level + 1) * work / self.fair - 1)
 
 
 class AccountShares:
