--- a/src/magnoliatrail/cells/owner.py
+++ b/src/magnoliatrail/cells/owner.py
@@ -20,7 +20,11 @@
 from magnoliatrail.cells.queue import CellQueue
 from magnoliatrail.cells.reported_limits import apply_reported_limits
 from magnoliatrail.cells.slots_in_use import SlotsInUse
-from magnoliatrail.cells.waiting import WaitingRequest, waiting_request
+from magnoliatrail.cells.waiting import (
+    WaitingRequest,
+    account_fields,
+    waiting_request,
+)
 from magnoliatrail.clock import Clock
 from magnoliatrail.generated.cells import (
     AdapterSpread,
@@ -268,6 +272,7 @@
         )
         engine.add_grant(grant)
         self.queue.remove(message.request)
+        self.queue.record_granted(request, request.work)
         self.loads.reserved[message.request] = request
         engine.reserved_tokens += message.prompt_tokens
         if residency is Residency.READY:
@@ -290,6 +295,8 @@
         )
         self.slots_in_use.granted[grant.request] = (engine, answer)
         self.metrics.timing("places.wait", now - request.enqueued_at)
+        if request.account:
+            self.metrics.count(f"granted_work.{request.account}", request.work)
         log.info(
             "place_granted",
             request=grant.request,
@@ -307,6 +314,7 @@
                 engine.speed_estimate.speed(now).prefill_ms_per_token * 1000, 1
             ),
             step=engine.speed_estimate.speed(now).step_time(len(engine.grants)),
+            **account_fields(request),
         )
         if not request.answer.done():
             request.answer.set_result(answer)
@@ -331,7 +339,8 @@
             request = self.loads.reserved.pop(grant.request, None)
             if request:
                 engine.reserved_tokens -= grant.prompt_tokens
-                self.queue.waiting[grant.request] = request
+                self.queue.record_granted(request, -request.work)
+                self.queue.put(request)
         self.queue.schedule()
 
     def apply_report(self, report: InstanceReport) -> None:
