Answer what was accepted before a planned stop closes connections

A stopping instance closed its listeners and all connections as soon as it was idle 2.6 s after SIGTERM. Requests on kept connections, connections in the queue of the listener, requests sent ahead and half-read bodies ended without an answer.

The instance stays until callers have closed their connections, accepts what is queued before it stops listening, and refuses what is left. Answers during the stop say Connection: close unless a request sent ahead is unread. serve does the same, but closes idle connections after 3 s.

--- a/src/magnoliatrail/daemon.py
+++ b/src/magnoliatrail/daemon.py
@@ -1,5 +1,7 @@
 """Assembly, background tasks and graceful shutdown of one instance."""
 
+import asyncio
+from datetime import timedelta
 from typing import Any
 
 from expression import Ok, Result
@@ -29,6 +31,7 @@
 from magnoliatrail.listeners import Listener, listen
 from magnoliatrail.logs import EventLog
 from magnoliatrail.metrics import Metrics, metrics_from
+from magnoliatrail.open_connections import OpenConnections, accept_queued
 from magnoliatrail.operations.parts import operation_parts
 from magnoliatrail.peers.client import PeerClient
 from magnoliatrail.peers.configuration import (
@@ -52,6 +55,10 @@
 log = EventLog("daemon")
 
 CATALOGUE_POLL_SECONDS = 5.0
+# A stopping instance answers on kept connections for this long at least. Balancers
+# that probe once a second have removed it by then.
+KEPT_CONNECTION_TIME = timedelta(seconds=3)
+STOP_POLL_SECONDS = 0.05
 
 
 class Daemon:
@@ -110,6 +117,9 @@
         )
         self.entry = self.new_entry()
         self.caller_listener: Listener | None = None
+        self.callers = OpenConnections(
+            BodyLimit(caller_application(self.entry), settings.max_body_bytes)
+        )
         self.peer_listener: Listener | None = None
 
     def create_platform_clients(self) -> None:
@@ -258,7 +268,7 @@
             port=settings.peer_port,
         )
         self.caller_listener = listen(
-            BodyLimit(caller_application(self.entry), settings.max_body_bytes),
+            self.callers,
             host=settings.host,
             port=settings.port,
             max_body_bytes=settings.max_body_bytes,
@@ -288,12 +298,15 @@
 
     async def shutdown(self) -> None:
         """Refuse new requests, hand engines over, drain, and leave the fleet."""
+        began = self.clock.monotonic()
         self.lifecycle.ready = False
         self.lifecycle.stopping = True
         log.info("stopping", in_flight=self.lifecycle.in_flight)
         await self.coordination.hand_over_engines()
         if self.caller_listener:
+            accept_queued(self.caller_listener.server)
             self.caller_listener.server.stop()
+        await self.answer_kept_connections(began)
         await self.lifecycle.idle.wait()
         await self.operations.drain()
         await self.coordination.announce_departure()
@@ -305,6 +318,18 @@
         self.peers.close()
         log.info("stopped", instance=self.instance)
 
+    async def answer_kept_connections(self, began: timedelta) -> None:
+        """Let callers use their kept connections once more, to learn of the stop."""
+        while (
+            self.callers.has_unread_input
+            or self.lifecycle.in_flight
+            or (
+                self.callers.count
+                and self.clock.monotonic() - began < KEPT_CONNECTION_TIME
+            )
+        ):
+            await asyncio.sleep(STOP_POLL_SECONDS)
+
     def other_peer_urls(self) -> dict[InstanceId, str]:
         """Return the URLs of the peer listeners of the other instances."""
         members = self.fleet.members
--- a/src/magnoliatrail/entry/handlers.py
+++ b/src/magnoliatrail/entry/handlers.py
@@ -1,8 +1,10 @@
 """Base class of the request handlers of the caller listener."""
 
-from typing import Any
+import asyncio
+from typing import Any, cast
 
 from expression import Result
+from tornado.http1connection import HTTP1Connection
 from tornado.web import RequestHandler
 
 from magnoliatrail.entry.context import read_context
@@ -10,6 +12,7 @@
 from magnoliatrail.errors import ErrorKind, Failure, answer_of, retry_after_of
 from magnoliatrail.ids import new_request_id
 from magnoliatrail.logs import EventLog
+from magnoliatrail.open_connections import has_unread_input
 from magnoliatrail.requests import RequestContext
 from magnoliatrail.wire import JSON_TYPE, encode
 
@@ -39,6 +42,16 @@
         """Remove the Server header, which has the server's version."""
         self.clear_header("Server")
 
+    def flush(self, include_footers: bool = False) -> "asyncio.Future[None]":
+        """Send what was written; the answers of an ending instance close connections.
+
+        After a close, a caller doesn't read the answers to requests sent ahead.
+        """
+        stream = cast(HTTP1Connection, self.request.connection).stream
+        if self.parts.lifecycle.stopping and not has_unread_input(stream):
+            self.set_header("Connection", "close")
+        return super().flush(include_footers)
+
     def refuse(self, failure: Failure) -> None:
         """Respond with a failure."""
         self.set_status(failure.rule.status)
--- a/src/magnoliatrail/forwarding/context.py
+++ b/src/magnoliatrail/forwarding/context.py
@@ -15,6 +15,7 @@
 from magnoliatrail.forwarding.retry_budget import RetryBudget
 from magnoliatrail.forwarding.server_call import Attempt, AttemptOutcome
 from magnoliatrail.forwarding.stream_versions import StreamVersions
+from magnoliatrail.forwarding.waiting_requests import WaitingRequests
 from magnoliatrail.logs import EventLog
 from magnoliatrail.membership.fleet_view import FleetView
 from magnoliatrail.metrics import Metrics
@@ -54,6 +55,8 @@
     instance_counts: deque[tuple[timedelta, int]] = field(default_factory=deque)
     # Refuse streams that have no batch slot yet, because the process is shutting down.
     refuses_streams: bool = False
+    # The requests that wait for a batch slot.
+    waiting: WaitingRequests = field(default_factory=WaitingRequests)
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
     # Answers a request through another instance; returns whether one took it.
     relay: "Callable[[RoutedRequest], Awaitable[bool]] | None" = None
--- a/src/magnoliatrail/forwarding/engine_path.py
+++ b/src/magnoliatrail/forwarding/engine_path.py
@@ -5,6 +5,8 @@
 from tornado.httputil import HTTPHeaders
 
 from magnoliatrail.forwarding.context import (
+    SHUTDOWN_RETRY_AFTER,
+    SHUTTING_DOWN,
     UNKNOWN_VERSION,
     ForwardingContext,
     RoutedRequest,
@@ -110,10 +112,18 @@
         if quarantine.refuses(parts):
             return refusal
         try:
-            async with asyncio.timeout(None) as timeout:
-                with quarantine.rules.waiting_request(timeout, parts):
+            async with (
+                asyncio.timeout(None) as ending,
+                asyncio.timeout(None) as timeout,
+            ):
+                with (
+                    self.context.waiting.track(ending),
+                    quarantine.rules.waiting_request(timeout, parts),
+                ):
                     slot = await self.slots.find(engine_request)
         except TimeoutError:
+            if ending.expired():
+                return NoBatchSlot(SHUTTING_DOWN, SHUTDOWN_RETRY_AFTER)
             if not timeout.expired():
                 raise
             return refusal
--- a/src/magnoliatrail/forwarding/request.py
+++ b/src/magnoliatrail/forwarding/request.py
@@ -3,6 +3,8 @@
 import asyncio
 import socket
 import struct
+from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from datetime import timedelta
 from functools import cached_property
@@ -14,6 +16,7 @@
 
 from magnoliatrail.backends import BackendServer
 from magnoliatrail.ids import PartId
+from magnoliatrail.open_connections import has_unread_input
 from magnoliatrail.platform.request_headers import (
     ModelWork,
     caller_of,
@@ -62,6 +65,8 @@
     body: bytes = b""
     # Close the connection after the answer.
     closes: bool = False
+    # Whether the listener closes each connection after its current answer.
+    listener_closes: Callable[[], bool] = lambda: False
     answer_started: bool = False
     answer_finished: bool = False
     # Set if another instance relays the request.
@@ -133,7 +138,9 @@
     async def send_head(self, status: int, fields: HTTPHeaders) -> None:
         """Send the status line and headers unchanged."""
         assert not self.answer_started, "the answer has already started"
-        if self.closes:
+        stream = self.connection.stream
+        # After a close, a caller doesn't read the answers to requests sent ahead.
+        if self.closes or (self.listener_closes() and not has_unread_input(stream)):
             fields["Connection"] = "close"
         fields.update(self.answer_fields)
         self.answer_started = True
@@ -189,6 +196,27 @@
         self, status: int, reason: str, retry_after: timedelta | None = None
     ) -> None:
         """Send an error that this instance generates."""
+        await self.send_error(status, reason, retry_after)
+        self.finish()
+
+    async def answer_early(
+        self, status: int, reason: str, retry_after: timedelta | None = None
+    ) -> None:
+        """Send an error before the whole body has arrived.
+
+        Reading goes on, as closing a connection with unread data would reset it before
+        the caller has read the answer.
+        """
+        self.closes = True
+        await self.send_error(status, reason, retry_after)
+        self.answer_finished = True
+        with suppress(OSError):
+            self.connection.stream.socket.shutdown(socket.SHUT_WR)
+
+    async def send_error(
+        self, status: int, reason: str, retry_after: timedelta | None
+    ) -> None:
+        """Send the head and the body of an error."""
         body = encode({"error": reason, "request": self.id})
         fields = HTTPHeaders(
             {"Content-Type": JSON_TYPE, "Content-Length": str(len(body))}
@@ -200,7 +228,6 @@
             fields["Retry-After"] = f"{retry_after.total_seconds():.2f}"
         await self.send_head(status, fields)
         await self.write(body)
-        self.finish()
 
 
 def reason_of(status: int) -> str:
--- a/src/magnoliatrail/forwarding/server.py
+++ b/src/magnoliatrail/forwarding/server.py
@@ -30,6 +30,8 @@
         self.clock = clock
         self.handle = handle
         self.tasks: set[asyncio.Task[None]] = set()
+        # Readers of requests whose bodies have not arrived completely.
+        self.partial: set[RequestReader] = set()
         # Close each connection after its current answer.
         self.closing = False
 
@@ -41,7 +43,7 @@
 
     def begin(self, request: CallerRequest) -> "asyncio.Task[None]":
         """Start the task that handles a complete request."""
-        request.closes = request.closes or self.closing
+        request.listener_closes = lambda: self.closing
         task = asyncio.create_task(self.run(request))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
@@ -71,6 +73,8 @@
         self.request: CallerRequest | None = None
         self.chunks: list[bytes] = []
         self.task: asyncio.Task[None] | None = None
+        # Whether the request was refused before it had arrived completely.
+        self.refused = False
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -85,6 +89,7 @@
             received_at=self.server.clock.monotonic(),
             http_version=start_line.version,
         )
+        self.server.partial.add(self)
 
     def data_received(self, chunk: bytes) -> None:
         """Buffer a chunk of the body."""
@@ -92,6 +97,9 @@
 
     def finish(self) -> None:
         """Start handling the request, which is complete."""
+        self.server.partial.discard(self)
+        if self.refused:
+            return
         assert self.request is not None, "request ended before its headers were read"
         self.request.body = b"".join(self.chunks)
         self.connection.set_close_callback(self.on_connection_close)
@@ -99,5 +107,6 @@
 
     def on_connection_close(self) -> None:
         """Cancel the request of a caller that disconnected."""
+        self.server.partial.discard(self)
         if self.task and not self.task.done():
             self.task.cancel()
--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -1,6 +1,5 @@
 """Assembly, background tasks and shutdown of one instance on the users' platform."""
 
-import asyncio
 import random
 import time
 from collections import Counter
@@ -22,6 +21,7 @@
 from magnoliatrail.forwarding.engine_slots import EngineSlots
 from magnoliatrail.forwarding.handler import ForwardingHandler
 from magnoliatrail.forwarding.plain_path import PlainPath
+from magnoliatrail.forwarding.planned_stop import PlannedStop
 from magnoliatrail.forwarding.relay import Relay
 from magnoliatrail.forwarding.relay_listener import RelayListener
 from magnoliatrail.forwarding.request_paces import RequestPaces
@@ -39,6 +39,7 @@
     StreamRecordWriter,
 )
 from magnoliatrail.metrics_text import TextMetrics
+from magnoliatrail.open_connections import OpenConnections
 from magnoliatrail.peers.client import PeerClient
 from magnoliatrail.peers.connections import PersistentConnections
 from magnoliatrail.peers.quarantine_exchange import QuarantineExchange
@@ -59,17 +60,6 @@
 STORE_LIMITS = CallLimits(timedelta(milliseconds=400), timedelta(milliseconds=1200))
 METRICS_PATH = "/metrics"
 MAX_BODY_BYTES = 8 * 1024 * 1024
-# The balancer probes readiness once a second and removes an instance after two
-# failed probes.
-BALANCER_REMOVAL_DELAY = timedelta(seconds=2.6)
-# New streams are refused this long after SIGTERM, because later ones could not finish
-# within the grace period.
-STREAM_CUTOFF_AFTER_SIGTERM = timedelta(seconds=2.4)
-# All other requests are accepted until this long before the process is killed.
-REQUEST_CUTOFF_BEFORE_KILL = timedelta(seconds=2)
-LISTENER_CLOSE_TIMEOUT_SECONDS = 0.3
-DRAIN_END_BEFORE_KILL = timedelta(seconds=0.7)
-
 # Tables above this share of the freshness bounds are read before a request is routed;
 # the rest covers the read.
 UPDATE_AGE_SHARE = 0.85
@@ -213,6 +203,10 @@
         self.forwarding_context.relay = relay.serve
         self.reach.relayed = lambda: self.handler.relayed
         self.listeners: list[Listener] = []
+        self.callers = OpenConnections(self.server)
+        self.peer_connections = OpenConnections(
+            RelayListener(self.peer_messages(), self.server, self.token)
+        )
         self.stopping = False
 
     def other_peer_urls(self) -> dict[InstanceId, str]:
@@ -288,10 +282,7 @@
         Raises OSError if an address is in use.
         """
         settings = self.settings
-        self.listen_at(
-            self.identity.address,
-            RelayListener(self.peer_messages(), self.server, self.token),
-        )
+        self.listen_at(self.identity.address, self.peer_connections)
         self.listen_at(
             settings.ready_address, text_application(READY_PATH, self.readiness)
         )
@@ -307,7 +298,7 @@
             self.reach.run,
         ):
             self.tasks.forever(work)
-        self.listen_at(settings.callers_address, self.server)
+        self.listen_at(settings.callers_address, self.callers)
         log.info(
             "started",
             instance=settings.instance,
@@ -365,24 +356,17 @@
 
     async def stop(self) -> None:
         """Become unready, drain the requests in flight, and close."""
-        began = self.clock.monotonic()
-        grace = self.settings.bounds.grace
         self.stopping = True
-        self.server.closing = True
-        self.handler.refuses_relayed = True
-        log.info("stopping", in_flight=len(self.server.tasks))
-        await self.cells.leave()
-        while self.clock.monotonic() - began < grace - DRAIN_END_BEFORE_KILL:
-            waited = self.clock.monotonic() - began
-            self.forwarding_context.refuses_streams = (
-                waited > STREAM_CUTOFF_AFTER_SIGTERM
-            )
-            self.handler.refuses_all = waited > grace - REQUEST_CUTOFF_BEFORE_KILL
-            if waited > BALANCER_REMOVAL_DELAY and not self.server.tasks:
-                break
-            await asyncio.sleep(0.05)
-        log.info("stopped", in_flight=len(self.server.tasks))
-        closing = [asyncio.create_task(item.close()) for item in self.listeners]
-        await asyncio.wait(closing, timeout=LISTENER_CLOSE_TIMEOUT_SECONDS)
+        stop = PlannedStop(
+            clock=self.clock,
+            grace=self.settings.bounds.grace,
+            server=self.server,
+            handler=self.handler,
+            callers=self.callers,
+            peers=self.peer_connections,
+            leave=self.cells.leave,
+        )
+        await stop.drain()
+        await stop.close(self.listeners)
         await self.tasks.cancel()
         self.pool.close()
