Carry each request id once on a connection, whatever its answer

A server may write an answer once more, late. Only refusals were remembered, so a second copy of a success reached the next request with the same id on that connection, and a request without an id got the copy of any answer without one. A copy of a report or of an order's answer could be taken for the answer to an order.

A connection now keeps a hash of each id that it has carried (2 KB at most, closed after 256 requests) and carries that id no more. Requests without an id and orders have a connection to themselves.

--- a/src/magnoliatrail/connections.py
+++ b/src/magnoliatrail/connections.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import sys
+from array import array
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -21,8 +22,9 @@
 DEFAULT_KEEP_ALIVE = timedelta(seconds=20)
 # Idle connections are closed this long before the server would close them.
 KEEP_ALIVE_MARGIN = timedelta(seconds=1)
-# A connection that has carried refusals of more requests is closed.
-MAX_REFUSED_REQUESTS = 64
+# A connection that has carried more requests is closed, which bounds what is kept of
+# them to 2 KB.
+MAX_CARRIED_REQUESTS = 256
 # Limit on the body of an answer that is kept in memory; a relayed stream has none.
 MAX_BUFFERED_BODY_BYTES = 16 * 1024 * 1024
 
@@ -37,8 +39,19 @@
 
     idle_since = timedelta()
     keep_alive = DEFAULT_KEEP_ALIVE
-    # Ids of the requests whose refusals or errors the connection has carried.
-    refused: frozenset[str] = frozenset()
+
+    def __init__(self, connection: socket.socket) -> None:
+        super().__init__(connection)
+        # Hashes of the ids of the requests that the connection has carried.
+        self.carried = array("q")
+
+    def record_carried(self, request_id: str) -> None:
+        """Record that the connection has carried a request, whatever its answer."""
+        self.carried.append(hash(request_id))
+
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether the connection may have carried a request with this id."""
+        return hash(request_id) in self.carried
 
     def is_reusable(self) -> bool:
         """Return whether the peer neither closed the connection nor sent more data."""
@@ -77,27 +90,33 @@
         connect: timedelta,
         *,
         max_idle: timedelta | None = None,
-        request_id: str = "",
+        request_id: str | None = None,
     ) -> AcquiredConnection:
         """Return an idle connection, or a new one.
 
         `max_idle` limits how long a reused one may have been idle. One that has carried
-        a refusal of `request_id` is not reused for it: the refusal might come again,
-        and could not be told from the next answer. Raises CallFailed if no connection
-        can be opened.
+        `request_id` is not reused for it: its answer might come again, and could not be
+        told from the next one. A request with an empty id gets a new connection; None
+        is for calls whose answers are told apart in another way. Raises CallFailed if
+        no connection can be opened.
         """
-        idle_stream = self.acquire_idle(address, max_idle, request_id)
+        idle_stream = None
+        if request_id != "":
+            idle_stream = self.acquire_idle(address, max_idle, request_id)
         if idle_stream:
             return AcquiredConnection(idle_stream, reused=True)
         return AcquiredConnection(await self.open(address, connect), reused=False)
 
     def acquire_idle(
-        self, address: str, max_idle: timedelta | None = None, request_id: str = ""
+        self,
+        address: str,
+        max_idle: timedelta | None = None,
+        request_id: str | None = None,
     ) -> PooledStream | None:
         """Return the most recently used idle connection, None if there is none."""
         now = self.monotonic()
         streams = self.idle[address]
-        # Connections that carried a refusal of the request, kept for others.
+        # Connections that carried the request before, kept for others.
         skipped: list[PooledStream] = []
         found = None
         while streams and found is None:
@@ -107,7 +126,7 @@
                 not stream.is_reusable()
             ):
                 stream.close()
-            elif request_id and request_id in stream.refused:
+            elif request_id is not None and stream.has_carried(request_id):
                 skipped.append(stream)
             elif max_idle is None or idle <= max_idle:
                 found = stream
@@ -155,7 +174,7 @@
         streams = self.idle[address]
         full = (
             len(streams) >= MAX_IDLE_PER_ADDRESS
-            or len(stream.refused) > MAX_REFUSED_REQUESTS
+            or len(stream.carried) >= MAX_CARRIED_REQUESTS
         )
         if server_closes or full or not stream.is_reusable():
             stream.close()
--- a/src/magnoliatrail/exchange.py
+++ b/src/magnoliatrail/exchange.py
@@ -128,6 +128,7 @@
 
     is_answer: AnswerFilter
     keep_refused: bool
+    keep: bool = True
 
 
 async def exchange(
@@ -139,6 +140,7 @@
     retry_if_silent: bool = False,
     is_answer: AnswerFilter = lambda headers: True,
     keep_refused: bool = True,
+    own_connection: bool = False,
 ) -> BufferedAnswer:
     """Send a request and return its complete answer.
 
@@ -146,9 +148,11 @@
     again over a new one, so use it only for idempotent requests. `is_answer` tells by
     its headers an answer to this request from a late one to another. Without
     `keep_refused`, a connection that has carried a refusal is closed, as the refusal
-    might come again and be taken for the next answer. Raises CallFailed.
+    might come again and be taken for the next answer. With `own_connection`, a new one
+    carries nothing but this request, so that no earlier answer can come on it. Raises
+    CallFailed.
     """
-    rules = ExchangeRules(is_answer, keep_refused)
+    rules = ExchangeRules(is_answer, keep_refused, keep=not own_connection)
     started = pool.monotonic()
     if retry_if_silent:
         idle_stream = pool.acquire_idle(address)
@@ -161,6 +165,8 @@
             except CallFailed:
                 pool.close_address(address)
         stream = await pool.open(address, limits.connect)
+    elif own_connection:
+        stream = await pool.open(address, limits.connect)
     else:
         stream = (await pool.acquire(address, limits.connect)).stream
     rest = limits.total - (pool.monotonic() - started)
@@ -196,7 +202,8 @@
     if not rules.is_answer(answer.headers):
         stream.close()
         raise CallFailed("an answer to another request came first", sent=True)
-    if answer.code >= HTTPStatus.MULTIPLE_CHOICES and not rules.keep_refused:
+    refused = answer.code >= HTTPStatus.MULTIPLE_CHOICES
+    if not rules.keep or (refused and not rules.keep_refused):
         stream.close()
     else:
         pool.release(address, stream, answer.headers)
--- a/src/magnoliatrail/forwarding/server_call.py
+++ b/src/magnoliatrail/forwarding/server_call.py
@@ -270,11 +270,11 @@
         attempt.outcome = AttemptOutcome.BROKEN
         attempt.reason = bounds.cause or str(error) or type(error).__name__
     finally:
-        if not reusable:
+        # A copy of an answer without an id could not be told from the next answer.
+        if not (reusable and request.id):
             lent.stream.close()
-    if reusable:
-        if attempt.status >= HTTPStatus.MULTIPLE_CHOICES:
-            lent.stream.refused |= {request.id}
+    if reusable and request.id:
+        lent.stream.record_carried(request.id)
         pool.release(server.address, lent.stream, attempt.headers)
     return attempt
 
--- a/src/magnoliatrail/platform/engine_calls.py
+++ b/src/magnoliatrail/platform/engine_calls.py
@@ -143,7 +143,7 @@
             call,
             limits,
             is_answer=names_no_request,
-            keep_refused=False,
+            own_connection=True,
         )
     except CallFailed as error:
         if not error.sent:
--- a/tests/platform/test_repeated_refusals.py
+++ b/tests/platform/test_repeated_refusals.py
@@ -8,7 +8,7 @@
 from tornado.httputil import HTTPHeaders
 
 from magnoliatrail.clock import SystemClock
-from magnoliatrail.connections import MAX_REFUSED_REQUESTS, ConnectionPool
+from magnoliatrail.connections import MAX_CARRIED_REQUESTS, ConnectionPool
 from magnoliatrail.forwarding.server_call import AttemptOutcome
 from magnoliatrail.ids import FencingNumber, InstanceId
 from magnoliatrail.platform.engine_calls import (
@@ -118,19 +118,20 @@
         async with raw_server(request_id="r1") as (state, target, pool):
             await attempt(target, pool)
             (stream,) = pool.idle[target.address]
-            assert "r1" in stream.refused
+            assert stream.has_carried("r1")
             assert pool.acquire_idle(target.address, request_id="r1") is None
             assert pool.acquire_idle(target.address, request_id="r2") is stream
 
     run(scenario())
 
 
-def test_a_connection_with_refusals_of_many_requests_is_closed(run):
+def test_a_connection_that_carried_many_requests_is_closed(run):
     async def scenario():
         async with raw_server(request_id="r1") as (_, target, pool):
             await attempt(target, pool)
             (stream,) = pool.idle.pop(target.address)
-            stream.refused = {f"r{n}" for n in range(MAX_REFUSED_REQUESTS + 1)}
+            while len(stream.carried) < MAX_CARRIED_REQUESTS:
+                stream.record_carried(f"r{len(stream.carried)}")
             pool.release(target.address, stream, HTTPHeaders())
             assert stream.closed()
 
