Pass streams of events on without the server's length

A stream whose Content-Length ends inside an event was found broken, but its caller had got the length and as many bytes, and took it for complete, also through the relay. The length is no longer passed on, so that the caller sees the missing end.

tests/platform/test_broken_answers.py: the two cases with a length failed before and pass now; the other framings, cut answers of plain servers and conflicting framings passed before.

--- a/src/magnoliatrail/forwarding/request.py
+++ b/src/magnoliatrail/forwarding/request.py
@@ -33,6 +33,7 @@
 
 # Header of an answer to another instance.
 RELAY_SERVER = "Relay-Server"
+EVENT_STREAM_TYPE = "text/event-stream"
 # A caller that reads nothing of its answer for this long counts as disconnected.
 STALLED_WRITE_TIMEOUT = timedelta(seconds=10)
 # SO_LINGER on, with a timeout of 0: closing the socket resets the connection.
@@ -133,7 +134,12 @@
 
     async def start(self, status: int, headers: HTTPHeaders) -> None:
         """Start the answer with the status and headers of a server's answer."""
-        await self.send_head(status, headers_for_caller(headers))
+        fields = headers_for_caller(headers)
+        if is_event_stream(headers) and self.method != "HEAD":
+            # A stream of this length may still stop inside an event. Without it, the
+            # caller sees that the stream is not ended.
+            fields.pop("Content-Length", None)
+        await self.send_head(status, fields)
 
     async def send_head(self, status: int, fields: HTTPHeaders) -> None:
         """Send the status line and headers unchanged."""
@@ -230,6 +236,12 @@
         await self.write(body)
 
 
+def is_event_stream(headers: HTTPHeaders) -> bool:
+    """Return whether the body of an answer is a stream of events."""
+    media_type = headers.get("Content-Type", "").partition(";")[0]
+    return media_type.strip().lower() == EVENT_STREAM_TYPE
+
+
 def reason_of(status: int) -> str:
     """Return the reason phrase of a status."""
     try:
--- a/src/magnoliatrail/forwarding/server_call.py
+++ b/src/magnoliatrail/forwarding/server_call.py
@@ -23,6 +23,7 @@
     PooledStream,
 )
 from magnoliatrail.exchange import AnswerBounds, write_request
+from magnoliatrail.forwarding.request import is_event_stream
 from magnoliatrail.platform.request_headers import (
     answers_request,
     is_signed,
@@ -40,7 +41,6 @@
 # A blank line ends an event; lines end with LF, CRLF or CR.
 EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
 LONGEST_EVENT_END = max(map(len, EVENT_ENDS))
-EVENT_STREAM_TYPE = "text/event-stream"
 
 
 class Framing(Enum):
@@ -328,12 +328,6 @@
             raise reader.sink_error
 
 
-def is_event_stream(headers: HTTPHeaders) -> bool:
-    """Return whether the body of an answer is a stream of events."""
-    media_type = headers.get("Content-Type", "").partition(";")[0]
-    return media_type.strip().lower() == EVENT_STREAM_TYPE
-
-
 def framing_of(headers: HTTPHeaders) -> Framing:
     """Return how the headers of an answer say that its body ends."""
     if "Transfer-Encoding" in headers:
--- a/src/magnoliatrail/standins/platform_engine.py
+++ b/src/magnoliatrail/standins/platform_engine.py
@@ -46,6 +46,9 @@
     break_after_events: int | None = None
     # Whether streams have neither a length nor chunks and end with their connection.
     unframed: bool = False
+    # Whether streams have the length of what is written of them, also if that is less
+    # than all events.
+    sized: bool = False
     # Whether all answers say that the engine leaves.
     leaving: bool = False
     # Time that refusals of all requests, orders and reports ask for; 0 for no refusal.
@@ -250,7 +253,7 @@
             await asyncio.sleep(self.state.event_seconds)
             self.state.crash()
             return
-        if self.state.unframed:
+        if self.state.unframed or self.state.sized:
             await self.write_unframed()
             return
         for number in self.event_numbers():
@@ -280,7 +283,9 @@
         return range(last + 1, self.state.events + 1)
 
     async def write_unframed(self) -> None:
-        """Write a stream that ends with its connection."""
+        """Write a stream that ends with its connection, and perhaps has a length."""
+        if self.state.sized:
+            self.set_header("Content-Length", str(len(self.sized_body())))
         fields = "".join(f"{name}: {value}\r\n" for name, value in self.headers_sent())
         stream = self.detach()
         try:
@@ -299,6 +304,15 @@
         finally:
             stream.close()
 
+    def sized_body(self) -> bytes:
+        """Return the events up to the one before which the stream is cut off."""
+        body = b""
+        for number in self.event_numbers():
+            if self.state.breaks_before(number):
+                return body + self.event(number)[:-1] * self.state.break_inside_event
+            body += self.event(number)
+        return body
+
     def headers_sent(self) -> list[tuple[str, str]]:
         """Return the headers of an answer that the handler writes itself."""
         return list(self._headers.get_all())
