--- a/src/magnoliatrail/forwarding/request.py
+++ b/src/magnoliatrail/forwarding/request.py
@@ -3,6 +3,8 @@
 import asyncio
 import socket
 import struct
+from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from datetime import timedelta
 from functools import cached_property
@@ -16,6 +18,7 @@
 from magnoliatrail.accounts.keys import KeyProblem
 from magnoliatrail.backends import BackendServer
 from magnoliatrail.ids import PartId
+from magnoliatrail.open_connections import has_unread_input
 from magnoliatrail.platform.request_headers import (
     ModelWork,
     caller_of,
@@ -32,6 +35,7 @@
 
 # Header of an answer to another instance.
 RELAY_SERVER = "Relay-Server"
+EVENT_STREAM_TYPE = "text/event-stream"
 # A caller that reads nothing of its answer for this long counts as disconnected.
 STALLED_WRITE_TIMEOUT = timedelta(seconds=10)
 # SO_LINGER on, with a timeout of 0: closing the socket resets the connection.
@@ -66,6 +70,8 @@
     body: bytes = b""
     # Close the connection after the answer.
     closes: bool = False
+    # Whether the listener closes each connection after its current answer.
+    listener_closes: Callable[[], bool] = lambda: False
     answer_started: bool = False
     answer_finished: bool = False
     # Set if another instance relays the request.
@@ -138,12 +144,19 @@
 
     async def start(self, status: int, headers: HTTPHeaders) -> None:
         """Start the answer with the status and headers of a server's answer."""
-        await self.send_head(status, headers_for_caller(headers))
+        fields = headers_for_caller(headers)
+        if is_event_stream(headers) and self.method != "HEAD":
+            # A stream of this length may still stop inside an event. Without it, the
+            # caller sees that the stream is not ended.
+            fields.pop("Content-Length", None)
+        await self.send_head(status, fields)
 
     async def send_head(self, status: int, fields: HTTPHeaders) -> None:
         """Send the status line and headers unchanged."""
         assert not self.answer_started, "the answer has already started"
-        if self.closes:
+        stream = self.connection.stream
+        # After a close, a caller doesn't read the answers to requests sent ahead.
+        if self.closes or (self.listener_closes() and not has_unread_input(stream)):
             fields["Connection"] = "close"
         fields.update(self.answer_fields)
         self.answer_started = True
@@ -199,6 +212,27 @@
         self, status: int, reason: str, retry_after: timedelta | None = None
     ) -> None:
         """Send an error that this instance generates."""
+        await self.send_error(status, reason, retry_after)
+        self.finish()
+
+    async def answer_early(
+        self, status: int, reason: str, retry_after: timedelta | None = None
+    ) -> None:
+        """Send an error before the whole body has arrived.
+
+        Reading goes on, as closing a connection with unread data would reset it before
+        the caller has read the answer.
+        """
+        self.closes = True
+        await self.send_error(status, reason, retry_after)
+        self.answer_finished = True
+        with suppress(OSError):
+            self.connection.stream.socket.shutdown(socket.SHUT_WR)
+
+    async def send_error(
+        self, status: int, reason: str, retry_after: timedelta | None
+    ) -> None:
+        """Send the head and the body of an error."""
         body = encode({"error": reason, "request": self.id})
         fields = HTTPHeaders(
             {"Content-Type": JSON_TYPE, "Content-Length": str(len(body))}
@@ -210,7 +244,12 @@
             fields["Retry-After"] = f"{retry_after.total_seconds():.2f}"
         await self.send_head(status, fields)
         await self.write(body)
-        self.finish()
+
+
+def is_event_stream(headers: HTTPHeaders) -> bool:
+    """Return whether the body of an answer is a stream of events."""
+    media_type = headers.get("Content-Type", "").partition(";")[0]
+    return media_type.strip().lower() == EVENT_STREAM_TYPE
 
 
 def reason_of(status: int) -> str:
--- a/src/magnoliatrail/forwarding/server_call.py
+++ b/src/magnoliatrail/forwarding/server_call.py
@@ -24,6 +24,7 @@
 )
 from magnoliatrail.exchange import AnswerBounds, write_request
 from magnoliatrail.forwarding.head_check import HeadAnswer
+from magnoliatrail.forwarding.request import is_event_stream
 from magnoliatrail.platform.request_headers import (
     answers_request,
     is_signed,
@@ -41,7 +42,6 @@
 # A blank line ends an event; lines end with LF, CRLF or CR.
 EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
 LONGEST_EVENT_END = max(map(len, EVENT_ENDS))
-EVENT_STREAM_TYPE = "text/event-stream"
 
 
 class Framing(Enum):
@@ -284,11 +284,11 @@
         attempt.outcome = AttemptOutcome.BROKEN
         attempt.reason = bounds.cause or str(error) or type(error).__name__
     finally:
-        if not reusable:
+        # A copy of an answer without an id could not be told from the next answer.
+        if not (reusable and request.id):
             lent.stream.close()
-    if reusable:
-        if attempt.status >= HTTPStatus.MULTIPLE_CHOICES:
-            lent.stream.refused |= {request.id}
+    if reusable and request.id:
+        lent.stream.record_carried(request.id)
         pool.release(server.address, lent.stream, attempt.headers)
     return attempt
 
@@ -342,12 +342,6 @@
             raise reader.sink_error
 
 
-def is_event_stream(headers: HTTPHeaders) -> bool:
-    """Return whether the body of an answer is a stream of events."""
-    media_type = headers.get("Content-Type", "").partition(";")[0]
-    return media_type.strip().lower() == EVENT_STREAM_TYPE
-
-
 def framing_of(headers: HTTPHeaders) -> Framing:
     """Return how the headers of an answer say that its body ends."""
     if "Transfer-Encoding" in headers:
