Count the memory held for clients against a budget

Nothing bounds what clients make a process hold. The daemon makes the budget from limits.memory_mb and passes it in the forwarding context; nothing draws on it yet.

--- a/src/magnoliatrail/forwarding/context.py
+++ b/src/magnoliatrail/forwarding/context.py
@@ -17,6 +17,7 @@
 from magnoliatrail.forwarding.stream_versions import StreamVersions
 from magnoliatrail.logs import EventLog
 from magnoliatrail.membership.fleet_view import FleetView
+from magnoliatrail.memory_budget import MemoryBudget
 from magnoliatrail.metrics import Metrics
 from magnoliatrail.peers.quarantine_exchange import QuarantineExchange
 from magnoliatrail.peers.reach_monitor import ReachMonitor
@@ -48,6 +49,7 @@
     quarantine: QuarantineExchange
     reach: ReachMonitor
     paces: RequestPaces
+    memory: MemoryBudget
     # Number of instances that share the retry budget.
     instances: int = 1
     # Numbers of known instances of the last window, with their times.
--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -38,6 +38,7 @@
     StreamRecordReader,
     StreamRecordWriter,
 )
+from magnoliatrail.memory_budget import budget_of
 from magnoliatrail.metrics_text import TextMetrics
 from magnoliatrail.peers.client import PeerClient
 from magnoliatrail.peers.connections import PersistentConnections
@@ -136,6 +137,7 @@
         self.settings = settings
         self.clock = clock or BootClock()
         self.metrics = TextMetrics()
+        self.memory = budget_of(settings.memory_mb)
         self.generator = random.Random()
         self.pool = ConnectionPool(self.clock.monotonic)
         self.view = FleetView(self.clock)
@@ -196,6 +198,7 @@
             stream_versions=self.stream_versions,
             quarantine=self.quarantine,
             reach=self.reach,
+            memory=self.memory,
             paces=RequestPaces(
                 clock=self.clock,
                 limits=self.view.request_limits,
--- a/tests/load/test_fleet_restart.py
+++ b/tests/load/test_fleet_restart.py
@@ -27,6 +27,7 @@
         quarantine=None,
         reach=None,
         paces=None,
+        memory=None,
     )
 
 
