Leave connections in the queue of a full listener, and give small chunks turns

240 connections at the readiness address (64 are allowed) closed each probe before its request was read, as the connection without a request for longest gives way.

--- a/src/magnoliatrail/inbound/server.py
+++ b/src/magnoliatrail/inbound/server.py
@@ -1,8 +1,10 @@
 """The HTTP server of a listener that bounds what its clients hold."""
 
 import asyncio
-from collections.abc import Callable
+import socket
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from datetime import timedelta
 from typing import Any, cast
 
 from tornado.http1connection import HTTP1Connection
@@ -12,7 +14,7 @@
     HTTPHeaders,
     HTTPMessageDelegate,
 )
-from tornado.iostream import IOStream
+from tornado.netutil import add_accept_handler
 
 from magnoliatrail.clock import Clock
 from magnoliatrail.inbound.bodies import BodyAdmission
@@ -33,6 +35,7 @@
 )
 from magnoliatrail.inbound.requests import GuardedRequest
 from magnoliatrail.inbound.stream import ClientStream
+from magnoliatrail.inbound.turns import Turns
 from magnoliatrail.logs import EventLog
 from magnoliatrail.memory_budget import HeldKind, MemoryBudget
 from magnoliatrail.metrics import Metrics
@@ -40,6 +43,9 @@
 log = EventLog("inbound")
 
 SWEEP_INTERVAL_SECONDS = 0.25
+# A connection at the limit is not closed for another one before it had this time to
+# send a request.
+MIN_UNUSED = timedelta(milliseconds=50)
 
 
 @dataclass(kw_only=True)
@@ -73,25 +79,76 @@
 
     guard: Guard
     streams: set[ClientStream]
+    turns: Turns
+    # Sockets that listen, and what stops accepting at them.
+    listening: list[socket.socket]
+    stop_accepting: list[Callable[[], None]]
+    # A connection that waits until another one may be closed for it.
+    waiting: tuple[socket.socket, Any] | None = None
+    resuming: asyncio.TimerHandle | None = None
     sweeper: asyncio.Task[None] | None = None
 
     def begin(self, guard: Guard) -> None:
         """Apply a guard to all connections."""
         self.guard = guard
         self.streams = set()
+        self.listening, self.stop_accepting = [], []
+        self.turns = Turns()
         # The sweep closes idle connections and those that are too slow.
         self.conn_params.header_timeout = None
         self.conn_params.body_timeout = None
         self.sweeper = asyncio.get_running_loop().create_task(self.sweep_forever())
 
-    def handle_stream(self, stream: IOStream, address: Any) -> None:
+    def add_sockets(self, sockets: Iterable[socket.socket]) -> None:
+        """Accept connections at sockets that listen."""
+        self.listening.extend(sockets)
+        self.accept_more()
+
+    def accept_more(self) -> None:
+        """Accept connections, the one that waited first."""
+        waiting, self.waiting = self.waiting, None
+        if waiting is not None:
+            self.accept(*waiting)
+        if self.waiting is None and not self.stop_accepting:
+            self.stop_accepting = [
+                add_accept_handler(item, self.accept) for item in self.listening
+            ]
+
+    def pause_accepting(self) -> None:
+        """Leave further connections in the queues of the sockets."""
+        for remove in self.stop_accepting:
+            remove()
+        self.stop_accepting = []
+
+    def stop(self) -> None:
+        """Stop listening."""
+        super().stop()
+        self.pause_accepting()
+        if self.resuming is not None:
+            self.resuming.cancel()
+        for item in self.listening:
+            item.close()
+        self.listening = []
+        if self.waiting is not None:
+            self.waiting[0].close()
+            self.waiting = None
+
+    def accept(self, connection: socket.socket, address: Any) -> None:
         """Serve a new connection, if there is room for it."""
         guard = self.guard
         if len(self.streams) >= guard.max_connections:
+            now = guard.clock.monotonic()
             unused = longest_without_request(
                 (item, item.state) for item in self.streams
             )
-            closing = stream if unused is None else unused
+            if unused is not None and now - unused.state.idle_since < MIN_UNUSED:
+                # All are about to send their requests.
+                self.waiting = connection, address
+                self.pause_accepting()
+                self.resuming = asyncio.get_running_loop().call_later(
+                    MIN_UNUSED.total_seconds(), self.accept_more
+                )
+                return
             self.count_closed(CloseReason.CONNECTION_LIMIT)
             guard.refusals.record(
                 guard.name,
@@ -100,18 +157,20 @@
                 connections=len(self.streams),
                 request="",
             )
-            closing.close()
             if unused is None:
+                connection.close()
                 return
-        client = ClientStream(
-            stream.socket,
+            unused.close()
+        stream = ClientStream(
+            connection,
             monotonic=guard.clock.monotonic,
             limits=guard.limits,
+            turns=self.turns,
             refuse=self.refuse_head,
             closed=self.forget,
         )
-        self.streams.add(client)
-        super().handle_stream(client, address)
+        self.streams.add(stream)
+        self.handle_stream(stream, address)
 
     def forget(self, stream: ClientStream) -> None:
         """Forget a closed connection, and release what its request holds."""
--- a/src/magnoliatrail/inbound/stream.py
+++ b/src/magnoliatrail/inbound/stream.py
@@ -11,6 +11,7 @@
 from magnoliatrail.inbound.connections import ConnectionState, Phase
 from magnoliatrail.inbound.limits import ClientLimits
 from magnoliatrail.inbound.refusals import HEAD_TOO_LARGE, TOO_MANY_FIELDS, Refusal
+from magnoliatrail.inbound.turns import Turns
 
 if TYPE_CHECKING:
     from magnoliatrail.inbound.requests import GuardedRequest
@@ -20,8 +21,8 @@
 READ_BYTES = 16 * 1024
 LARGE_READ_BYTES = 64 * 1024
 MAX_BUFFER_BYTES = 256 * 1024
-# The reader of chunks yields to the event loop after so many.
-CHUNKS_BETWEEN_YIELDS = 64
+# The reader of chunks waits for its next turn after so many.
+CHUNKS_PER_TURN = 64
 # Most that is discarded after a refusal, above the largest body that is accepted.
 MAX_DISCARDED_BYTES = 16 * 1024 * 1024
 
@@ -37,6 +38,7 @@
         *,
         monotonic: Callable[[], timedelta],
         limits: Callable[[], ClientLimits],
+        turns: Turns,
         refuse: Callable[["ClientStream", Refusal], None],
         closed: Callable[["ClientStream"], None],
     ) -> None:
@@ -45,6 +47,7 @@
         )
         self.monotonic = monotonic
         self.limits = limits
+        self.turns = turns
         self.refuse = refuse
         self.on_closed = closed
         now = monotonic()
@@ -122,15 +125,15 @@
     ) -> Awaitable[bytes]:
         """Read the line before a chunk, and let other connections have their turn."""
         self.chunks += 1
-        if self.chunks % CHUNKS_BETWEEN_YIELDS == 0:
-            return self.read_until_after_yield(delimiter, max_bytes)
+        if self.chunks % CHUNKS_PER_TURN == 0:
+            return self.read_until_in_turn(delimiter, max_bytes)
         return super().read_until(delimiter, max_bytes)
 
-    async def read_until_after_yield(
+    async def read_until_in_turn(
         self, delimiter: bytes, max_bytes: int | None
     ) -> bytes:
         """Read the line before a chunk after other connections had their turn."""
-        await asyncio.sleep(0)
+        await self.turns.wait()
         return await super().read_until(delimiter, max_bytes)
 
     def linger(self, answer: bytes) -> None:
--- a/src/magnoliatrail/listeners.py
+++ b/src/magnoliatrail/listeners.py
@@ -12,6 +12,8 @@
 
 # Longer than the idle timeout of load balancers, so that they close first.
 IDLE_CONNECTION_TIMEOUT_SECONDS = 180.0
+# Connections that wait to be accepted; a crowd connects at once.
+BACKLOG = 1024
 # A body that takes longer counts as a stalled connection.
 BODY_TIMEOUT_SECONDS = 60.0
 
@@ -50,7 +52,7 @@
     A guard bounds what the connections hold; its limit on bodies replaces
     `max_body_bytes`. Raises OSError if the address is in use.
     """
-    sockets = bind_sockets(port, address=host)
+    sockets = bind_sockets(port, address=host, backlog=BACKLOG)
     server = HTTPServer(
         application,
         max_body_size=max_body_bytes,
