--- a/src/magnoliatrail/forwarding/context.py
+++ b/src/magnoliatrail/forwarding/context.py
@@ -20,6 +20,7 @@
 from magnoliatrail.logs import EventLog
 from magnoliatrail.membership.fleet_view import FleetView
 from magnoliatrail.membership.store_reader import KEYS_TABLE
+from magnoliatrail.memory_budget import MemoryBudget
 from magnoliatrail.metrics import Metrics
 from magnoliatrail.peers.quarantine_exchange import QuarantineExchange
 from magnoliatrail.peers.reach_monitor import ReachMonitor
@@ -50,6 +51,7 @@
     quarantine: QuarantineExchange
     reach: ReachMonitor
     paces: RequestPaces
+    memory: MemoryBudget
     # The same without a read.
     is_fresh: Callable[[], bool] = lambda: True
     # Whether the store answers the reads of the configuration.
--- a/src/magnoliatrail/forwarding/engine_path.py
+++ b/src/magnoliatrail/forwarding/engine_path.py
@@ -6,8 +6,6 @@
 
 from magnoliatrail.accounts.accounts import ClientAccount
 from magnoliatrail.forwarding.context import (
-    SHUTDOWN_RETRY_AFTER,
-    SHUTTING_DOWN,
     UNKNOWN_VERSION,
     ForwardingContext,
     RoutedRequest,
@@ -23,6 +21,7 @@
     NoBatchSlot,
 )
 from magnoliatrail.forwarding.event_times import EventTimes
+from magnoliatrail.forwarding.head_check import SHUTDOWN_RETRY_AFTER, SHUTTING_DOWN
 from magnoliatrail.forwarding.request import CallerRequest
 from magnoliatrail.forwarding.send_check import send_check
 from magnoliatrail.forwarding.server_call import (
--- a/src/magnoliatrail/forwarding/handler.py
+++ b/src/magnoliatrail/forwarding/handler.py
@@ -51,11 +51,8 @@
             return None
         return self.checked(request, is_fresh=True)
 
-    async def answer_from_head(
-        self, request: CallerRequest, answer: HeadAnswer
-    ) -> None:
-        """Answer a request whose body is not kept, and log it."""
-        await answer.send(request)
+    def record_from_head(self, request: CallerRequest) -> None:
+        """Record the answer to a request that the listener has answered itself."""
         self.record_answer(request, self.context.view.routes)
 
     def checked(self, request: CallerRequest, *, is_fresh: bool) -> HeadAnswer | None:
--- a/src/magnoliatrail/forwarding/head_check.py
+++ b/src/magnoliatrail/forwarding/head_check.py
@@ -37,6 +37,14 @@
         await request.answer_error(self.status, self.reason, self.retry_after)
 
 
+# A configuration that came between the head and the end of a request allows it.
+BODY_DISCARDED = HeadAnswer(
+    503,
+    "the request is allowed now, but its body was not kept; send it again",
+    OUTDATED_RETRY_AFTER,
+)
+
+
 def from_head(
     request: CallerRequest,
     routes: RouteTable | None,
--- a/src/magnoliatrail/forwarding/planned_stop.py
+++ b/src/magnoliatrail/forwarding/planned_stop.py
@@ -12,8 +12,8 @@
 from typing import Any
 
 from magnoliatrail.clock import Clock
-from magnoliatrail.forwarding.context import SHUTDOWN_RETRY_AFTER, SHUTTING_DOWN
 from magnoliatrail.forwarding.handler import ForwardingHandler
+from magnoliatrail.forwarding.head_check import SHUTDOWN_RETRY_AFTER, SHUTTING_DOWN
 from magnoliatrail.forwarding.relay import REFUSED
 from magnoliatrail.forwarding.request import CallerDisconnected, CallerRequest
 from magnoliatrail.forwarding.server import ForwardingServer
--- a/src/magnoliatrail/metrics_text.py
+++ b/src/magnoliatrail/metrics_text.py
@@ -142,6 +142,30 @@
         "Requests refused for their key, by reason.",
         "reason",
     ),
+    "memory.held.": MetricDeclaration(
+        MetricKind.GAUGE,
+        "memory_held_bytes",
+        "Bytes held for clients and other instances, by what they are held for.",
+        "kind",
+    ),
+    "memory.refused.": MetricDeclaration(
+        MetricKind.COUNTER,
+        "clients_refused_total",
+        "Requests and connections that exceeded a limit of their listener.",
+        "reason",
+    ),
+    "connections.": MetricDeclaration(
+        MetricKind.GAUGE,
+        "client_connections",
+        "Open connections, by listener.",
+        "listener",
+    ),
+    "connections.closed.": MetricDeclaration(
+        MetricKind.COUNTER,
+        "client_connections_closed_total",
+        "Connections that a listener closed by itself, by reason.",
+        "reason",
+    ),
     "log.dropped": MetricDeclaration(
         MetricKind.COUNTER, "log_lines_dropped_total", "Log lines over the budget."
     ),
@@ -201,9 +225,9 @@
 
     def gauge(self, name: str, value: float) -> None:
         """Set a gauge."""
-        collector, _ = self.find(name)
+        collector, label = self.find(name)
         assert isinstance(collector, Gauge), f"{name} is not a gauge"
-        collector.set(value)
+        (collector.labels(label) if label else collector).set(value)
 
     def gauge_add(self, name: str, amount: float) -> None:
         """Add to a gauge."""
