--- a/src/magnoliatrail/forwarding/quotas.py
+++ b/src/magnoliatrail/forwarding/quotas.py
@@ -68,7 +68,8 @@
     def take(self, reason: str) -> int | None:
         """Return how many lines were left out before this one, None to leave it out."""
         now = self.clock.monotonic()
-        if now - self.began_at.get(reason, -timedelta.max) >= timedelta(seconds=1):
+        began_at = self.began_at.get(reason)
+        if began_at is None or now - began_at >= timedelta(seconds=1):
             self.began_at[reason], self.lines[reason] = now, 0
         if self.lines[reason] >= MAX_LINES:
             self.omitted[reason] += 1
--- a/src/magnoliatrail/platform/account_rows.py
+++ b/src/magnoliatrail/platform/account_rows.py
@@ -5,8 +5,9 @@
 
 import math
 import re
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
+from functools import partial
 from typing import Annotated, Any
 
 import msgspec
@@ -20,7 +21,7 @@
     QuotaUnit,
     digest_of,
 )
-from magnoliatrail.accounts.keys import is_well_formed
+from magnoliatrail.accounts.keys import MAX_KEY_LETTERS, is_well_formed
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.ids import AccountName, KeyDigest
 from magnoliatrail.logs import EventLog
@@ -78,13 +79,16 @@
 class AccountDecoder:
     """Decode the accounts of one configuration after the other.
 
-    What is the same as in the last one is not decoded again.
+    What is the same as in the last one is not decoded again. What is skipped is logged
+    each time.
     """
 
     def __init__(self) -> None:
-        self.known: dict[bytes, Result[DecodedAccount, InvalidAccount]] = {}
+        self.known: dict[bytes, DecodedAccount | InvalidAccount] = {}
         self.last_field = b""
         self.last_table = AccountTable({}, {})
+        # Write the lines about what the last table leaves out.
+        self.last_lines: list[Callable[[], None]] = []
 
     def decode(self, field: bytes) -> Result[AccountTable, Failure]:
         """Decode the field that lists the accounts."""
@@ -98,47 +102,42 @@
             for item in items:
                 raw = bytes(item)
                 self.known[raw] = known.get(raw) or decode_account(raw)
-            self.last_table = table_of(self.known[bytes(item)] for item in items)
+            self.last_table, self.last_lines = table_of(
+                self.known[bytes(item)] for item in items
+            )
             self.last_field = field
+        for write in self.last_lines:
+            write()
         return Ok(self.last_table)
 
 
 def table_of(
-    decoded: Iterable[Result[DecodedAccount, InvalidAccount]],
-) -> AccountTable:
-    """Return the table of all valid accounts, and log each that is skipped."""
+    decoded: Iterable[DecodedAccount | InvalidAccount],
+) -> tuple[AccountTable, list[Callable[[], None]]]:
+    """Return the table of all valid accounts, and the lines about the others."""
+    lines: list[Callable[[], None]] = []
     accounts: dict[AccountName, ClientAccount] = {}
     by_key: dict[KeyDigest, AccountName] = {}
     shared: dict[KeyDigest, set[AccountName]] = {}
     for number, item in enumerate(decoded):
         match item:
-            case Result(tag="ok", ok=found) if found.account.name in accounts:
-                log_skipped(
-                    number, InvalidAccount("the name is taken", found.account.name)
-                )
-            case Result(tag="ok", ok=found):
-                name = found.account.name
-                accounts[name] = found.account
-                if found.invalid_keys:
-                    log.warning(
-                        "account_keys_skipped",
-                        account=name,
-                        keys=found.invalid_keys,
-                        reason="not a key of 1 to 200 printable ASCII letters",
-                    )
-                for key in found.keys:
+            case DecodedAccount(ClientAccount(name)) if name in accounts:
+                invalid = InvalidAccount("the name is taken", name)
+                lines.append(partial(log_skipped, number, invalid))
+            case DecodedAccount(account, keys, invalid_keys):
+                name = account.name
+                accounts[name] = account
+                if invalid_keys:
+                    lines.append(partial(log_invalid_keys, name, invalid_keys))
+                for key in keys:
                     if by_key.setdefault(key, name) != name:
                         shared.setdefault(key, {by_key[key]}).add(name)
-            case Result(error=invalid):
-                log_skipped(number, invalid)
+            case InvalidAccount() as invalid:
+                lines.append(partial(log_skipped, number, invalid))
     for key, names in shared.items():
         del by_key[key]
-        log.warning(
-            "account_key_shared",
-            accounts=",".join(sorted(names)),
-            reason="a key of several accounts belongs to none",
-        )
-    return AccountTable(accounts, by_key)
+        lines.append(partial(log_shared_key, sorted(names)))
+    return AccountTable(accounts, by_key), lines
 
 
 def log_skipped(number: int, invalid: InvalidAccount) -> None:
@@ -148,44 +147,58 @@
     )
 
 
-def decode_account(raw: bytes) -> Result[DecodedAccount, InvalidAccount]:
+def log_invalid_keys(account: AccountName, keys: int) -> None:
+    """Log how many keys of an account are skipped."""
+    reason = f"not a key of 1 to {MAX_KEY_LETTERS} printable ASCII letters"
+    log.warning("account_keys_skipped", account=account, keys=keys, reason=reason)
+
+
+def log_shared_key(accounts: list[AccountName]) -> None:
+    """Log the accounts that name the same key."""
+    reason = "a key of several accounts belongs to none"
+    log.warning("account_key_shared", accounts=",".join(accounts), reason=reason)
+
+
+def decode_account(raw: bytes) -> DecodedAccount | InvalidAccount:
     """Decode one account; the keys stay out of the reason why it is invalid."""
+    if raw == b"null":
+        # Written so, or in place of an account that cannot be read.
+        return InvalidAccount("it is null, no JSON, or nested too deeply")
     if exceeds_depth(raw):
-        return Error(InvalidAccount("nested too deeply"))
+        return InvalidAccount("nested too deeply")
     try:
         found = msgspec.json.decode(raw, type=WireAccount)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         # The message names the field and the types, not the values.
-        return Error(InvalidAccount(str(error)))
+        return InvalidAccount(str(error))
     if len(found.name) > MAX_NAME_LETTERS or not HEADER_TEXT.fullmatch(found.name):
-        return Error(InvalidAccount("the name is missing, too long, or no header text"))
-    return checked_account(found).map_error(
-        lambda reason: InvalidAccount(reason, found.name)
-    )
+        return InvalidAccount("the name is missing, too long, or no header text")
+    return checked_account(found)
 
 
-def checked_account(found: WireAccount) -> Result[DecodedAccount, str]:
-    """Convert an account with a valid name, or return why it is invalid."""
+def checked_account(found: WireAccount) -> DecodedAccount | InvalidAccount:
+    """Convert an account that has a valid name."""
     if not found.keys:
-        return Error("it has no keys")
+        return InvalidAccount("it has no keys", found.name)
     if len(found.keys) > MAX_KEYS:
-        return Error(f"it has more than {MAX_KEYS} keys")
+        return InvalidAccount(f"it has more than {MAX_KEYS} keys", found.name)
     keys = [key for key in found.keys if isinstance(key, str) and is_well_formed(key)]
     if not keys:
-        return Error("it has no valid key")
+        return InvalidAccount("it has no valid key", found.name)
     for name in ("rate_per_s", "burst", "plain_tokens"):
         amount = getattr(found, name)
         if not (math.isfinite(amount) and 0 <= amount <= MAX_AMOUNT):
-            return Error(f"{name} is not between 0 and {MAX_AMOUNT:.0e}")
+            reason = f"{name} is not between 0 and {MAX_AMOUNT:.0e}"
+            return InvalidAccount(reason, found.name)
     unit = UNITS.get(found.unit)
     if unit is None:
-        return Error(f"the unit is none of {', '.join(UNITS)}")
+        return InvalidAccount(f"the unit is none of {', '.join(UNITS)}", found.name)
     quota = None
     if found.rate_per_s > 0:
         quota = Quota(found.rate_per_s, found.burst, unit, found.plain_tokens)
     account = ClientAccount(AccountName(found.name), max(0, found.priority), quota)
     digests = tuple(dict.fromkeys(digest_of(key) for key in keys))
-    return Ok(DecodedAccount(account, digests, len(found.keys) - len(keys)))
+    return DecodedAccount(account, digests, len(found.keys) - len(keys))
 
 
 def exceeds_depth(raw: bytes) -> bool:
