--- a/src/magnoliatrail/forwarding/relay.py
+++ b/src/magnoliatrail/forwarding/relay.py
@@ -198,7 +198,8 @@
 
 def is_refusal(attempt: Attempt) -> bool:
     """Return whether another instance answered that a request has not run."""
-    return not attempt.started and attempt.status in NOT_RUN_STATUSES
+    whole = attempt.outcome not in (AttemptOutcome.BROKEN, AttemptOutcome.TIMED_OUT)
+    return whole and attempt.status in NOT_RUN_STATUSES
 
 
 def ignore_notice(server: BackendServer, notice: ServerNotice) -> None:
--- a/tests/platform/test_explain.py
+++ b/tests/platform/test_explain.py
@@ -43,6 +43,12 @@
             ["attempt", "answered"],
             "outcome=timed_out",
         ),
+        (
+            "refused_key.log",
+            "8c1f0d52a96e4b07",
+            ["place_granted", "key_refused", "attempt", "answered"],
+            "reason=withdrawn account=alice",
+        ),
     ],
 )
 def test_a_recorded_failure_gives_an_ordered_timeline_with_its_cause(
