--- a/src/magnoliatrail/connections.py
+++ b/src/magnoliatrail/connections.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
+from enum import Enum
 
 from tornado.http1connection import HTTP1ConnectionParameters
 from tornado.httputil import HTTPHeaders
@@ -34,11 +35,22 @@
 )
 
 
+class ConnectionUse(Enum):
+    """What a connection is kept for.
+
+    Answers to orders name no order, so none of another kind may come before them.
+    """
+
+    REQUESTS = "requests"
+    ORDERS = "orders"
+
+
 class PooledStream(IOStream):
     """A persistent connection that carries one request after another."""
 
     idle_since = timedelta()
     keep_alive = DEFAULT_KEEP_ALIVE
+    use = ConnectionUse.REQUESTS
 
     def __init__(self, connection: socket.socket) -> None:
         super().__init__(connection)
@@ -91,8 +103,9 @@
         *,
         max_idle: timedelta | None = None,
         request_id: str | None = None,
+        use: ConnectionUse = ConnectionUse.REQUESTS,
     ) -> AcquiredConnection:
-        """Return an idle connection, or a new one.
+        """Return an idle connection that is kept for this use, or a new one.
 
         `max_idle` limits how long a reused one may have been idle. One that has carried
         `request_id` is not reused for it: its answer might come again, and could not be
@@ -102,21 +115,24 @@
         """
         idle_stream = None
         if request_id != "":
-            idle_stream = self.acquire_idle(address, max_idle, request_id)
+            idle_stream = self.acquire_idle(address, max_idle, request_id, use)
         if idle_stream:
             return AcquiredConnection(idle_stream, reused=True)
-        return AcquiredConnection(await self.open(address, connect), reused=False)
+        stream = await self.open(address, connect)
+        stream.use = use
+        return AcquiredConnection(stream, reused=False)
 
     def acquire_idle(
         self,
         address: str,
         max_idle: timedelta | None = None,
         request_id: str | None = None,
+        use: ConnectionUse = ConnectionUse.REQUESTS,
     ) -> PooledStream | None:
         """Return the most recently used idle connection, None if there is none."""
         now = self.monotonic()
         streams = self.idle[address]
-        # Connections that carried the request before, kept for others.
+        # Connections for another use, or that carried the request before.
         skipped: list[PooledStream] = []
         found = None
         while streams and found is None:
@@ -126,7 +142,9 @@
                 not stream.is_reusable()
             ):
                 stream.close()
-            elif request_id is not None and stream.has_carried(request_id):
+            elif stream.use is not use or (
+                request_id is not None and stream.has_carried(request_id)
+            ):
                 skipped.append(stream)
             elif max_idle is None or idle <= max_idle:
                 found = stream
--- a/src/magnoliatrail/platform/engine_calls.py
+++ b/src/magnoliatrail/platform/engine_calls.py
@@ -13,7 +13,7 @@
     LoadedModel,
     NoticeSink,
 )
-from magnoliatrail.connections import ConnectionPool
+from magnoliatrail.connections import ConnectionPool, ConnectionUse
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.exchange import OutgoingRequest, exchange
 from magnoliatrail.ids import FencingNumber, InstanceId
@@ -143,7 +143,8 @@
             call,
             limits,
             is_answer=names_no_request,
-            own_connection=True,
+            keep_refused=False,
+            use=ConnectionUse.ORDERS,
         )
     except CallFailed as error:
         if not error.sent:
