Exchange quotas with the coordinators of accounts

Instances ask the owner of the account's cell for amounts, one message at a time, and use their fallback fractions while it does not answer. A coordinator ends with its ownership; a new one calls the instances that it knows until they have reported their fractions.

--- a/src/magnoliatrail/accounts/coordinator.py
+++ b/src/magnoliatrail/accounts/coordinator.py
@@ -178,6 +178,13 @@
             self.remove(name, now)
         return instance.answer
 
+    def use_terms(self, terms: QuotaTerms) -> None:
+        """Apply changed terms."""
+        self.terms = terms
+        for state in self.accounts.values():
+            if state.ledger:
+                state.ledger.terms = terms
+
     # Instances
 
     def check_silence(self, now: timedelta) -> None:
@@ -372,7 +379,8 @@
         for item in demand.returned:
             granted_from = now - timedelta(milliseconds=item.age_ms) - STOCK_LIFETIME
             # What the predecessor granted is not counted here.
-            if item.amount > 0 and granted_from >= self.began_at:
+            known = self.fresh_fleet or granted_from >= self.began_at
+            if item.amount > 0 and known:
                 ledger.give_back(item.amount, granted_from)
         admitted = [
             ledger.try_charge(cost, priority, now)
--- a/src/magnoliatrail/accounts/shares.py
+++ b/src/magnoliatrail/accounts/shares.py
@@ -24,8 +24,9 @@
 # Accounts with more requests a second here ask for tokens in advance, for this time.
 MIN_PREFETCH_REQUESTS_PER_S = 20
 PREFETCH_DURATION_SECONDS = 0.25
-# Interval between messages without requests that wait.
-MESSAGE_INTERVAL = timedelta(milliseconds=300)
+# Interval between messages without requests that wait. An answer is acknowledged by the
+# next message, so two intervals have to be shorter than the time until silence.
+MESSAGE_INTERVAL = timedelta(milliseconds=250)
 PREFETCH_INTERVAL = timedelta(milliseconds=200)
 # Accounts without demand for this time are not named in messages.
 IDLE_AFTER = timedelta(seconds=10)
@@ -147,9 +148,13 @@
 
     def is_active(self, now: timedelta) -> bool:
         """Return whether messages name the account."""
-        if self.waiting or self.returned or self.fraction:
-            return True
-        return self.asked_at is not None and now - self.asked_at < IDLE_AFTER
+        return bool(
+            self.waiting or self.returned or self.fraction or not self.is_idle(now)
+        )
+
+    def is_idle(self, now: timedelta) -> bool:
+        """Return whether nothing was asked for lately."""
+        return self.asked_at is None or now - self.asked_at >= IDLE_AFTER
 
 
 @dataclass(slots=True)
@@ -307,7 +312,7 @@
         if self.leaving:
             share.returned.extend(share.stock)
             share.stock.clear()
-        demand = share.demand.per_second(now)
+        demand = 0.0 if share.is_idle(now) else share.demand.per_second(now)
         prefetch = 0.0
         if share.prefetches(now) and not self.leaving:
             prefetch = max(0.0, demand * PREFETCH_DURATION_SECONDS - stocked)
--- a/src/magnoliatrail/cells/lease.py
+++ b/src/magnoliatrail/cells/lease.py
@@ -61,6 +61,8 @@
         self.fencing_number = FencingNumber(0)
         self.lease_until = timedelta()
         self.renewals = 0
+        # Whether nobody claimed the lease before this instance did.
+        self.is_first_claim = False
         self.outage = StoreOutageTracker(clock)
         # The speeds of engines to write for the next owner.
         self.speeds: Callable[[], list[MeasuredSpeed]] = self.known_speeds
@@ -242,6 +244,7 @@
         """Claim a free lease; return whether this instance owns it now."""
         assert self.is_free(), "claim of a lease that is not free"
         reclaimed = self.may_reclaim
+        self.is_first_claim = self.era == 0 and not self.is_claimed
         sent_at = self.clock.monotonic()
         row = self.new_row(released=False)
         match await self.write(row):
--- /dev/null
+++ b/src/magnoliatrail/cells/quota_cells.py
@@ -0,0 +1,85 @@
+"""Which cells coordinate the client accounts, and this instance's part in it."""
+
+from collections.abc import Callable, Iterable, Mapping
+from datetime import timedelta
+
+from magnoliatrail.accounts.accounts import ClientAccount
+from magnoliatrail.accounts.coordination import Coordinator, Ownership
+from magnoliatrail.accounts.quota_ledger import QuotaTerms
+from magnoliatrail.cells.fleet_cells import FleetCells
+from magnoliatrail.cells.member import CellMember
+from magnoliatrail.ids import AccountName, CellId, InstanceId
+from magnoliatrail.membership.fleet_view import FleetView
+from magnoliatrail.platform.settings_file import Bounds
+from magnoliatrail.rendezvous import ranked
+
+
+class QuotaCells:
+    """Find the coordinators of accounts among the owners of cells."""
+
+    def __init__(
+        self, cells: FleetCells, *, listed: Callable[[], Iterable[str]]
+    ) -> None:
+        self.cells = cells
+        # Names of the instances that were listed lately.
+        self.listed = listed
+        # First choice for each account, and the cells among which it was made.
+        self.chosen: dict[AccountName, CellId] = {}
+        self.chosen_among: frozenset[CellId] = frozenset()
+
+    def coordinator_of(self, account: AccountName) -> Coordinator | None:
+        """Return the coordinator of an account, None while no cell is known."""
+        members = self.cells.members
+        if not members:
+            return None
+        if self.chosen_among != members.keys():
+            self.chosen.clear()
+            self.chosen_among = frozenset(members)
+        cell = self.chosen.get(account)
+        if cell is None:
+            cell = self.chosen[account] = CellId(ranked(account, members)[0])
+        return coordinator(members[cell])
+
+    def coordinators(self) -> dict[CellId, Coordinator]:
+        """Return the coordinators of all cells."""
+        return {
+            cell: coordinator(member) for cell, member in self.cells.members.items()
+        }
+
+    def ownerships(self) -> list[Ownership]:
+        """Return the cells that this instance owns."""
+        return [
+            self.ownership(member)
+            for member in self.cells.members.values()
+            if member.owner
+        ]
+
+    def ownership(self, member: CellMember) -> Ownership:
+        """Return the ownership of a cell that this instance owns."""
+        may_grant = member.takeover.may_order(timedelta())
+        return Ownership(
+            cell=member.cell,
+            key=member.owner,
+            may_grant=may_grant,
+            # At the first claim of a starting fleet, nobody was granted anything.
+            fresh_fleet=self.cells.first_start and member.lease.is_first_claim,
+            known=lambda: frozenset(map(InstanceId, self.listed())),
+        )
+
+
+def coordinator(member: CellMember) -> Coordinator:
+    """Return the coordinator of a cell's accounts."""
+    return Coordinator(member.cell, member.link.address, member.owner is not None)
+
+
+def client_accounts(view: FleetView) -> Mapping[AccountName, ClientAccount] | None:
+    """Return the accounts of the configuration, None without accounts."""
+    routes = view.routes
+    if routes is None or routes.accounts is None:
+        return None
+    return routes.accounts.accounts
+
+
+def quota_terms(bounds: Bounds) -> QuotaTerms:
+    """Return the terms of the settings by which quotas are judged."""
+    return QuotaTerms(bounds.quota_window, bounds.quota_overage, bounds.quota_slack)
--- a/src/magnoliatrail/clock.py
+++ b/src/magnoliatrail/clock.py
@@ -35,6 +35,14 @@
         await asyncio.sleep(max(0.0, duration.total_seconds()))
 
 
+class BootClock(SystemClock):
+    """Provide a monotonic time that includes time spent suspended."""
+
+    def monotonic(self) -> timedelta:
+        """Return the time since boot, including time spent suspended."""
+        return timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
+
+
 class ManualClock:
     """A clock that moves only when `advance` is called."""
 
--- a/src/magnoliatrail/metrics.py
+++ b/src/magnoliatrail/metrics.py
@@ -21,6 +21,9 @@
     def gauge(self, name: str, value: float) -> None:
         """Set a gauge."""
 
+    def remove(self, name: str) -> None:
+        """Stop exposing a gauge, if it was set."""
+
 
 class NoMetrics:
     """Discard all metrics."""
@@ -34,6 +37,9 @@
     def gauge(self, name: str, value: float) -> None:
         """Discard a gauge."""
 
+    def remove(self, name: str) -> None:
+        """Do nothing."""
+
 
 class StatsdMetrics:
     """Send all metrics to a statsd server."""
@@ -53,6 +59,9 @@
         """Set a gauge."""
         self.client.gauge(name, value)
 
+    def remove(self, name: str) -> None:
+        """Do nothing, as the server keeps the last value."""
+
 
 class RecordedMetrics:
     """Keep all metrics in memory, for the demo and for tests."""
@@ -74,6 +83,10 @@
         """Record the new value of a gauge."""
         self.gauges.setdefault(name, []).append(value)
 
+    def remove(self, name: str) -> None:
+        """Forget a gauge."""
+        self.gauges.pop(name, None)
+
 
 def metrics_from(settings: Settings, connect: Callable[..., StatsClient]) -> Metrics:
     """Return a statsd sink, or a no-op sink if no statsd host is set."""
--- a/src/magnoliatrail/metrics_text.py
+++ b/src/magnoliatrail/metrics_text.py
@@ -1,5 +1,6 @@
 """Metrics of one process in the Prometheus text format."""
 
+from contextlib import suppress
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
@@ -117,6 +118,24 @@
         "quarantined_groups_total",
         "Groups of prompt parts that this instance quarantined as a collector.",
     ),
+    "quota_used.": MetricDeclaration(
+        MetricKind.GAUGE,
+        "quota_used_per_second",
+        "What an account used of its quota here, in its unit.",
+        "account",
+    ),
+    "quota_share.": MetricDeclaration(
+        MetricKind.GAUGE,
+        "quota_share",
+        "Fallback fraction of an account's quota that is held here.",
+        "account",
+    ),
+    "quota_refused.": MetricDeclaration(
+        MetricKind.GAUGE,
+        "quota_refused_per_second",
+        "Requests of an account refused here for its quota.",
+        "account",
+    ),
     "log.dropped": MetricDeclaration(
         MetricKind.COUNTER, "log_lines_dropped_total", "Log lines over the budget."
     ),
@@ -154,9 +173,15 @@
 
     def gauge(self, name: str, value: float) -> None:
         """Set a gauge."""
-        collector, _ = self.find(name)
+        collector, label = self.find(name)
         assert isinstance(collector, Gauge), f"{name} is not a gauge"
-        collector.set(value)
+        (collector.labels(label) if label else collector).set(value)
+
+    def remove(self, name: str) -> None:
+        """Stop exposing a labeled gauge, if it was set."""
+        collector, label = self.find(name)
+        with suppress(KeyError):
+            collector.remove(label)
 
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import time
 from collections import Counter
 from collections.abc import Callable
 from datetime import timedelta
@@ -14,8 +13,9 @@
 from magnoliatrail.cells.fleet_cells import FIRST_OWNER_READ, FleetCells
 from magnoliatrail.cells.lease import Identity
 from magnoliatrail.cells.member import CellMember
+from magnoliatrail.cells.quota_cells import QuotaCells, client_accounts, quota_terms
 from magnoliatrail.cells.table_updates import TableUpdateSender
-from magnoliatrail.clock import Clock, SystemClock
+from magnoliatrail.clock import BootClock, Clock
 from magnoliatrail.connections import ConnectionPool
 from magnoliatrail.forwarding.context import ForwardingContext
 from magnoliatrail.forwarding.engine_path import EnginePath
@@ -42,6 +42,7 @@
 from magnoliatrail.peers.client import PeerClient
 from magnoliatrail.peers.connections import PersistentConnections
 from magnoliatrail.peers.quarantine_exchange import QuarantineExchange
+from magnoliatrail.peers.quota_exchange import QuotaExchange
 from magnoliatrail.peers.reach_monitor import ReachMonitor
 from magnoliatrail.peers.server import peer_application
 from magnoliatrail.periodic import PeriodicTasks
@@ -97,14 +98,6 @@
     )
 
 
-class BootClock(SystemClock):
-    """Provide a monotonic time that includes time spent suspended."""
-
-    def monotonic(self) -> timedelta:
-        """Return the time since boot, including time spent suspended."""
-        return timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
-
-
 class TextHandler(RequestHandler):
     """Answer GET requests with the status and text that a function returns."""
 
@@ -184,6 +177,19 @@
             read_due_in=self.cells.read_due_in,
         )
         self.recent_instances = RecentInstances(self.clock, self.cells.addresses)
+        quota_cells = QuotaCells(self.cells, listed=self.recent_instances.addresses)
+        self.quotas = QuotaExchange(
+            clock=self.clock,
+            metrics=self.metrics,
+            peers=self.peers,
+            instance=settings.instance,
+            incarnation=self.identity.incarnation,
+            generator=self.generator,
+            terms=quota_terms(settings.bounds),
+            accounts=partial(client_accounts, self.view),
+            cells=quota_cells,
+            urls=self.other_peer_urls,
+        )
         self.stream_versions = self.new_stream_versions()
         self.forwarding_context = ForwardingContext(
             clock=self.clock,
@@ -305,6 +311,7 @@
             self.stream_versions.writer.run,
             self.quarantine.run,
             self.reach.run,
+            self.quotas.run,
         ):
             self.tasks.forever(work)
         self.listen_at(settings.callers_address, self.server)
@@ -325,6 +332,7 @@
                 *self.stream_versions.peer_routes(),
                 *self.quarantine.peer_routes(),
                 *self.reach.peer_routes(),
+                *self.quotas.peer_routes(),
             ],
             self.token,
         )
@@ -357,6 +365,7 @@
         """Apply the settings that may change while the process runs."""
         self.settings = settings
         self.forwarding_context.bounds = settings.bounds
+        self.quotas.use_terms(quota_terms(settings.bounds))
         log.info("settings_reloaded", instance=settings.instance)
 
     def log_invalid_settings(self, reason: str) -> None:
@@ -383,6 +392,7 @@
             await asyncio.sleep(0.05)
         log.info("stopped", in_flight=len(self.server.tasks))
         closing = [asyncio.create_task(item.close()) for item in self.listeners]
+        closing.append(asyncio.create_task(self.quotas.leave()))
         await asyncio.wait(closing, timeout=LISTENER_CLOSE_TIMEOUT_SECONDS)
         await self.tasks.cancel()
         self.pool.close()
