--- a/src/magnoliatrail/peers/quota_exchange.py
+++ b/src/magnoliatrail/peers/quota_exchange.py
@@ -9,20 +9,20 @@
 
 from expression import Error, Ok, Result
 
-from magnoliatrail.accounts.accounts import ClientAccount
-from magnoliatrail.accounts.coordination import QuotaDirectory
-from magnoliatrail.accounts.coordinator import SILENCE
-from magnoliatrail.accounts.quota_ledger import QuotaTerms
-from magnoliatrail.accounts.shares import (
+from magnoliatrail.accounts.account_share import (
     NO_COORDINATOR_RETRY_AFTER,
     UNAVAILABLE,
     UNCHECKED,
     Charge,
     ChargeSource,
     QuotaRefusal,
-    QuotaShares,
     WaitingCharge,
 )
+from magnoliatrail.accounts.accounts import ClientAccount
+from magnoliatrail.accounts.coordination import QuotaDirectory
+from magnoliatrail.accounts.coordinator import SILENCE
+from magnoliatrail.accounts.quota_ledger import QuotaTerms
+from magnoliatrail.accounts.shares import QuotaShares
 from magnoliatrail.clock import Clock
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.generated.accounts import (
--- a/src/magnoliatrail/peers/quota_records.py
+++ b/src/magnoliatrail/peers/quota_records.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from datetime import timedelta
 
-from magnoliatrail.accounts.shares import Charge, QuotaRefusal
+from magnoliatrail.accounts.account_share import Charge, QuotaRefusal
 from magnoliatrail.ids import AccountName, RequestId
 from magnoliatrail.logs import EventLog
 from magnoliatrail.metrics import Metrics
--- a/tests/unit/quota_fleet.py
+++ b/tests/unit/quota_fleet.py
@@ -9,15 +9,11 @@
 from datetime import timedelta
 from itertools import count
 
+from magnoliatrail.accounts.account_share import Charge, QuotaRefusal, WaitingCharge
 from magnoliatrail.accounts.accounts import ClientAccount, Quota, QuotaUnit
 from magnoliatrail.accounts.coordinator import NO_ANSWER, QuotaCoordinator
 from magnoliatrail.accounts.quota_ledger import QuotaTerms
-from magnoliatrail.accounts.shares import (
-    Charge,
-    QuotaRefusal,
-    QuotaShares,
-    WaitingCharge,
-)
+from magnoliatrail.accounts.shares import QuotaShares
 from magnoliatrail.ids import AccountName, CellId, Incarnation, InstanceId
 
 STEP = 0.02
--- a/tests/unit/test_quota_coordinator.py
+++ b/tests/unit/test_quota_coordinator.py
@@ -4,16 +4,16 @@
 
 import pytest
 
-from magnoliatrail.accounts.accounts import ClientAccount, QuotaUnit
-from magnoliatrail.accounts.coordinator import NO_ANSWER, QuotaCoordinator
-from magnoliatrail.accounts.quota_ledger import QuotaLedger
-from magnoliatrail.accounts.shares import (
+from magnoliatrail.accounts.account_share import (
     Charge,
     ChargeSource,
     QuotaRefusal,
-    QuotaShares,
     WaitingCharge,
 )
+from magnoliatrail.accounts.accounts import ClientAccount, QuotaUnit
+from magnoliatrail.accounts.coordinator import NO_ANSWER, QuotaCoordinator
+from magnoliatrail.accounts.quota_ledger import QuotaLedger
+from magnoliatrail.accounts.shares import QuotaShares
 from magnoliatrail.generated.accounts import (
     AccountDemand,
     QuotaRequest,
--- a/tests/unit/test_quota_exchange.py
+++ b/tests/unit/test_quota_exchange.py
@@ -7,10 +7,10 @@
 import pytest
 from expression import Error, Ok
 
+from magnoliatrail.accounts.account_share import Charge, ChargeSource, QuotaRefusal
 from magnoliatrail.accounts.accounts import ClientAccount
 from magnoliatrail.accounts.coordination import Coordinator, Ownership
 from magnoliatrail.accounts.coordinator import QuotaCoordinator
-from magnoliatrail.accounts.shares import Charge, ChargeSource, QuotaRefusal
 from magnoliatrail.clock import SystemClock
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.ids import AccountName, CellId, InstanceId
