--- a/src/magnoliatrail/peers/quota_exchange.py
+++ b/src/magnoliatrail/peers/quota_exchange.py
@@ -43,6 +43,7 @@
 )
 from magnoliatrail.peers.quota_records import QuotaRecords
 from magnoliatrail.peers.server import PeerRoute
+from magnoliatrail.periodic import PeriodicTasks
 
 __all__ = ["Charge", "QuotaExchange", "QuotaRefusal"]
 
@@ -88,6 +89,7 @@
         terms: QuotaTerms,
         accounts: Callable[[], Accounts | None],
         cells: QuotaDirectory,
+        tasks: PeriodicTasks,
         urls: Callable[[], Mapping[InstanceId, str]],
     ) -> None:
         self.clock = clock
@@ -98,6 +100,7 @@
         # The accounts of the configuration, None without accounts.
         self.accounts = accounts
         self.directory = cells
+        self.tasks = tasks
         self.cells: dict[CellId, CellQuotas] = {}
         self.coordination = QuotaCoordination(
             clock=clock,
@@ -216,6 +219,7 @@
             quotas = self.cells[cell] = CellQuotas(shares)
         if quotas.task is None or quotas.task.done():
             quotas.task = asyncio.create_task(self.exchange_messages(quotas))
+            self.tasks.track(quotas.task)
         return quotas
 
     async def exchange_messages(self, cell: CellQuotas) -> None:
--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -188,6 +188,7 @@
             terms=quota_terms(settings.bounds),
             accounts=partial(client_accounts, self.view),
             cells=quota_cells,
+            tasks=self.tasks,
             urls=self.other_peer_urls,
         )
         self.stream_versions = self.new_stream_versions()
--- a/tests/unit/test_quota_exchange.py
+++ b/tests/unit/test_quota_exchange.py
@@ -18,6 +18,7 @@
 from magnoliatrail.peers import quota_records
 from magnoliatrail.peers.quota_exchange import QuotaExchange
 from magnoliatrail.peers.quota_records import QuotaRecords
+from magnoliatrail.periodic import PeriodicTasks
 from magnoliatrail.wire import decode, encode
 
 from .quota_fleet import account_of, terms_of
@@ -89,6 +90,7 @@
             terms=self.terms,
             accounts=lambda: self.accounts,
             cells=Directory(self, name),
+            tasks=PeriodicTasks(self.clock),
             urls=lambda: {
                 other: f"http://{other}" for other in self.nodes if other != name
             },
