--- a/src/magnoliatrail/metrics.py
+++ b/src/magnoliatrail/metrics.py
@@ -24,6 +24,9 @@
     def gauge_add(self, name: str, amount: float) -> None:
         """Add to a gauge that several parts of the instance share."""
 
+    def remove(self, name: str) -> None:
+        """Stop exposing a gauge, if it was set."""
+
 
 class NoMetrics:
     """Discard all metrics."""
@@ -40,6 +43,9 @@
     def gauge_add(self, name: str, amount: float) -> None:
         """Discard a change of a gauge."""
 
+    def remove(self, name: str) -> None:
+        """Do nothing."""
+
 
 class StatsdMetrics:
     """Send all metrics to a statsd server."""
@@ -63,6 +69,9 @@
         """Add to a gauge."""
         self.client.gauge(name, amount, delta=True)
 
+    def remove(self, name: str) -> None:
+        """Do nothing, as the server keeps the last value."""
+
 
 class RecordedMetrics:
     """Keep all metrics in memory, for the demo and for tests."""
@@ -89,6 +98,10 @@
         values = self.gauges.setdefault(name, [])
         values.append((values[-1] if values else 0.0) + amount)
 
+    def remove(self, name: str) -> None:
+        """Forget a gauge."""
+        self.gauges.pop(name, None)
+
 
 def metrics_from(settings: Settings, connect: Callable[..., StatsClient]) -> Metrics:
     """Return a statsd sink, or a no-op sink if no statsd host is set."""
--- a/src/magnoliatrail/metrics_text.py
+++ b/src/magnoliatrail/metrics_text.py
@@ -1,5 +1,6 @@
 """Metrics of one process in the Prometheus text format."""
 
+from contextlib import suppress
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
@@ -166,6 +167,24 @@
         "Connections that a listener closed by itself, by reason.",
         "reason",
     ),
+    "quota_used.": MetricDeclaration(
+        MetricKind.GAUGE,
+        "quota_used_per_second",
+        "What an account used of its quota here, in its unit.",
+        "account",
+    ),
+    "quota_share.": MetricDeclaration(
+        MetricKind.GAUGE,
+        "quota_share",
+        "Fallback fraction of an account's quota that is held here.",
+        "account",
+    ),
+    "quota_refused.": MetricDeclaration(
+        MetricKind.GAUGE,
+        "quota_refused_per_second",
+        "Requests of an account refused here for its quota.",
+        "account",
+    ),
     "log.dropped": MetricDeclaration(
         MetricKind.COUNTER, "log_lines_dropped_total", "Log lines over the budget."
     ),
@@ -235,6 +254,12 @@
         assert isinstance(collector, Gauge), f"{name} is not a gauge"
         collector.inc(amount)
 
+    def remove(self, name: str) -> None:
+        """Stop exposing a labeled gauge, if it was set."""
+        collector, label = self.find(name)
+        with suppress(KeyError):
+            collector.remove(label)
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -1,8 +1,9 @@
 """Assembly, background tasks and shutdown of one instance on the users' platform."""
 
+import asyncio
 import random
-import time
 from collections import Counter
+from contextlib import suppress
 from datetime import timedelta
 from functools import partial
 
@@ -11,8 +12,9 @@
 from magnoliatrail.cells.fleet_cells import FIRST_OWNER_READ, FleetCells
 from magnoliatrail.cells.lease import Identity
 from magnoliatrail.cells.member import CellMember
+from magnoliatrail.cells.quota_cells import QuotaCells, client_accounts, quota_terms
 from magnoliatrail.cells.table_updates import TableUpdateSender
-from magnoliatrail.clock import Clock, SystemClock
+from magnoliatrail.clock import BootClock, Clock
 from magnoliatrail.connections import ConnectionPool
 from magnoliatrail.forwarding.context import ForwardingContext
 from magnoliatrail.forwarding.engine_path import EnginePath
@@ -21,6 +23,7 @@
 from magnoliatrail.forwarding.handler import ForwardingHandler
 from magnoliatrail.forwarding.plain_path import PlainPath
 from magnoliatrail.forwarding.planned_stop import PlannedStop
+from magnoliatrail.forwarding.quotas import QuotaEntry
 from magnoliatrail.forwarding.relay import Relay
 from magnoliatrail.forwarding.relay_listener import RelayListener
 from magnoliatrail.forwarding.request_paces import RequestPaces
@@ -48,6 +51,7 @@
 from magnoliatrail.peers.client import PeerClient
 from magnoliatrail.peers.connections import PersistentConnections
 from magnoliatrail.peers.quarantine_exchange import QuarantineExchange
+from magnoliatrail.peers.quota_exchange import QuotaExchange
 from magnoliatrail.peers.reach_monitor import ReachMonitor
 from magnoliatrail.peers.server import TokenCheck, peer_application
 from magnoliatrail.periodic import PeriodicTasks
@@ -64,6 +68,8 @@
 
 STORE_LIMITS = CallLimits(timedelta(milliseconds=400), timedelta(milliseconds=1200))
 METRICS_PATH = "/metrics"
+# The coordinators learn by themselves, later, that an instance has ended.
+QUOTA_LEAVE_TIMEOUT_SECONDS = 0.2
 # Tables above this share of the freshness bounds are read before a request is routed;
 # the rest covers the read.
 UPDATE_AGE_SHARE = 0.85
@@ -91,14 +97,6 @@
     )
 
 
-class BootClock(SystemClock):
-    """Provide a monotonic time that includes time spent suspended."""
-
-    def monotonic(self) -> timedelta:
-        """Return the time since boot, including time spent suspended."""
-        return timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
-
-
 class PlatformDaemon:
     """Run one instance on the users' platform."""
 
@@ -157,6 +155,20 @@
             read_due_in=self.cells.read_due_in,
         )
         self.recent_instances = RecentInstances(self.clock, self.cells.addresses)
+        quota_cells = QuotaCells(self.cells, listed=self.recent_instances.addresses)
+        self.quotas = QuotaExchange(
+            clock=self.clock,
+            metrics=self.metrics,
+            peers=self.peers,
+            instance=settings.instance,
+            incarnation=self.identity.incarnation,
+            generator=self.generator,
+            terms=quota_terms(settings.bounds),
+            accounts=partial(client_accounts, self.view),
+            cells=quota_cells,
+            tasks=self.tasks,
+            urls=self.other_peer_urls,
+        )
         self.stream_versions = self.new_stream_versions()
         bounds = table_bounds(settings)
         self.forwarding_context = ForwardingContext(
@@ -186,6 +198,7 @@
         self.handler = ForwardingHandler(
             self.forwarding_context, engines, PlainPath(self.forwarding_context)
         )
+        self.handler.quotas = QuotaEntry(self.clock, self.quotas)
         self.server = ForwardingServer(
             self.clock,
             self.handler.handle,
@@ -304,6 +317,7 @@
             self.stream_versions.writer.run,
             self.quarantine.run,
             self.reach.run,
+            self.quotas.run,
         ):
             self.tasks.forever(work)
         self.listen_at(settings.callers_address, self.callers, self.guards.callers())
@@ -323,6 +337,7 @@
             *self.stream_versions.peer_routes(),
             *self.quarantine.peer_routes(),
             *self.reach.peer_routes(),
+            *self.quotas.peer_routes(),
         ]
         return TokenCheck(peer_application(routes, self.token), self.token)
 
@@ -352,6 +367,7 @@
         """Apply the settings that may change while the process runs."""
         self.settings = settings
         self.forwarding_context.bounds = settings.bounds
+        self.quotas.use_terms(quota_terms(settings.bounds))
         log.info("settings_reloaded", instance=settings.instance)
 
     def log_invalid_settings(self, reason: str) -> None:
@@ -371,6 +387,9 @@
             leave=self.cells.leave,
         )
         await stop.drain()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(QUOTA_LEAVE_TIMEOUT_SECONDS):
+                await self.quotas.leave()
         await stop.close(self.listeners)
         await self.tasks.cancel()
         self.pool.close()
