Keep lags and account metrics defined for odd rates and token counts

A rate near zero among large ones divided by a tiny fair share, and a negative token count would have raised in the counter of granted work. Found by reading the diff; a test has each.

--- a/src/magnoliatrail/cells/queue.py
+++ b/src/magnoliatrail/cells/queue.py
@@ -158,7 +158,8 @@
             request.apply_standing(standing, self.shares.waiting[request.account])
 
     def put(self, request: WaitingRequest) -> None:
-        """Put a request into the queue."""
+        """Put a request into the queue, instead of one of the same name."""
+        self.remove(request.message.request)
         self.waiting[request.message.request] = request
         self.record_waiting(request, request.work)
 
--- a/src/magnoliatrail/routing/account_shares.py
+++ b/src/magnoliatrail/routing/account_shares.py
@@ -18,6 +18,8 @@
 # An account counts in the fair shares for this long after its last request.
 ACTIVE_TIME = timedelta(seconds=10)
 EXPIRY_INTERVAL = timedelta(seconds=1)
+# Tokens a second; a quota of more is none. Sums of rates stay finite.
+MAX_RATE = 1e18
 MAX_LAG = timedelta(seconds=2)
 MAX_LAG_SECONDS = MAX_LAG.total_seconds()
 # An output token takes a part of a decode step, a prompt token a part of a prefill.
@@ -34,7 +36,7 @@
 
 def work_of(prompt_tokens: int, output_tokens: int) -> int:
     """Return the work of a request, in prompt tokens."""
-    return prompt_tokens + WORK_PER_OUTPUT_TOKEN * output_tokens
+    return max(0, prompt_tokens) + WORK_PER_OUTPUT_TOKEN * max(0, output_tokens)
 
 
 def engine_priority(account_priority: int, route_priority: int) -> int:
@@ -74,15 +76,12 @@
         surplus = self.granted + ahead - self.fair
         if surplus <= 0.0:
             return NO_DELAY
-        if self.fair <= 0.0:
-            return MAX_LAG
-        # The time in which the fair share makes up for the surplus. It nears the
-        # maximum without reaching it, so that of two accounts with a surplus the one
-        # with the larger surplus lags more.
-        seconds = WORK_WINDOW_SECONDS * surplus / self.fair
-        return timedelta(
-            seconds=MAX_LAG_SECONDS * seconds / (seconds + MAX_LAG_SECONDS)
-        )
+        # The time in which the fair share makes up for the surplus, as a part of itself
+        # and the maximum. So the lag nears the maximum without reaching it, and of two
+        # accounts with a surplus the one with the larger surplus lags more.
+        surplus_seconds = WORK_WINDOW_SECONDS * surplus
+        part = surplus_seconds / (surplus_seconds + MAX_LAG_SECONDS * self.fair)
+        return timedelta(seconds=MAX_LAG_SECONDS * part)
 
     def level_delay(self, level: int, ahead: float = 0.0) -> timedelta:
         """Return how much later a request is due because of its account's level.
@@ -140,7 +139,7 @@
         self.expire(now)
         found = self.find(account, now)
         found.active_at = now
-        rate = rate if 0.0 < rate < math.inf else 0.0
+        rate = rate if 0.0 < rate < MAX_RATE else 0.0
         if found.rate != rate:
             found.rate, self.rates = rate, None
         total = decayed(self.granted, self.granted_at, now) + self.waiting_total
--- a/tests/unit/test_account_metrics.py
+++ b/tests/unit/test_account_metrics.py
@@ -1,6 +1,6 @@
 """Metrics by account: a bounded number of names, the others as one sum."""
 
-from magnoliatrail.metrics import RecordedMetrics
+from magnoliatrail.metrics import RecordedMetrics, StatsdMetrics
 from magnoliatrail.metrics_text import MAX_NAMED_VALUES, TextMetrics
 
 
@@ -24,3 +24,16 @@
     metrics.gauge_add("waiting_work.a", 5)
     metrics.gauge_add("waiting_work.a", -2)
     assert metrics.gauges["waiting_work.a"] == [5, 3]
+
+
+def test_statsd_gets_the_change_of_a_gauge():
+    class FakeStatsClient:
+        def __init__(self):
+            self.sent = []
+
+        def gauge(self, name, value, delta=False):
+            self.sent.append((name, value, delta))
+
+    client = FakeStatsClient()
+    StatsdMetrics(client).gauge_add("waiting_work.a", -2)
+    assert client.sent == [("waiting_work.a", -2, True)]
--- a/tests/unit/test_account_shares.py
+++ b/tests/unit/test_account_shares.py
@@ -134,7 +134,7 @@
     assert Standing(granted=5.0, fair=1.0).level_delay(7) == 2 * LEVEL_STEP
 
 
-@pytest.mark.parametrize("rate", [float("inf"), float("nan"), -5.0])
+@pytest.mark.parametrize("rate", [float("inf"), float("nan"), -5.0, 1e300])
 def test_an_unusable_rate_counts_as_none(rate):
     """A message of another instance must not make all shares zero."""
     shares = shares_of({"a": 1000})
@@ -154,6 +154,18 @@
     assert work_of(1000, 20) == 1200
 
 
+def test_negative_token_counts_are_no_work():
+    """A negative amount would raise in the counter of granted work."""
+    assert work_of(-1000, -20) == 0
+
+
+def test_a_tiny_rate_among_large_ones_gives_a_lag_and_no_error():
+    shares = shares_of({"large": 1000}, rate=1e17)
+    shares.record_waiting("tiny", 5000)
+    shares.record_waiting("large", 10)
+    assert shares.standing("tiny", 5e-324, START).lag(5000) == MAX_LAG
+
+
 events = st.lists(
     st.tuples(
         st.sampled_from(["record", "waits", "standing"]),
