Let progress decide when streams and callers are cut off

A caller that was reading was cut off if one chunk took it longer than 10 s, and one that read a byte now and then held its answer for ever. A stream that sent bytes without completing an event lasted until the deadline; at /v1 each byte began the idle timeout anew.

EventProgress and ReaderProgress decide by completed events and by what the caller's machine has acknowledged, without network and with the time passed in.

--- a/src/magnoliatrail/entry/completions.py
+++ b/src/magnoliatrail/entry/completions.py
@@ -25,6 +25,7 @@
     PromptBody,
 )
 from magnoliatrail.logs import EventLog
+from magnoliatrail.reader_progress import AnswerWriter, ReaderStalled
 from magnoliatrail.requests import CompletionCall, request_fingerprint
 from magnoliatrail.wire import JSON_TYPE, decode, encode
 
@@ -41,6 +42,7 @@
         super().initialize(parts)
         self.progress = StreamProgress()
         self.writer: ChunkWriter | None = None
+        self.answer_writer: AnswerWriter | None = None
         self.dispatch_task: asyncio.Task[Result[None, Failure]] | None = None
         self.stall_limit = timedelta(seconds=parts.settings.idle_timeout_seconds)
 
@@ -132,7 +134,12 @@
             written = self.writer.write(data)
         except OSError as error:
             raise CallerGone("the caller's connection is closed") from error
-        return None if written is None else self.wait_written(written)
+        if written is not None:
+            return self.wait_written(written)
+        if self.answer_writer is not None:
+            # Nothing waits for the caller any more.
+            self.answer_writer.progress = None
+        return None
 
     async def start_events(self, data: bytes) -> None:
         """Write the headers of a stream and its first events."""
@@ -148,9 +155,12 @@
     async def wait_written(self, written: Awaitable[None]) -> None:
         """Wait for a write; raise CallerGone if the caller stops reading."""
         try:
-            async with asyncio.timeout(self.stall_limit.total_seconds()):
-                await written
-        except (TimeoutError, StreamClosedError) as error:
+            if self.answer_writer is None:
+                self.answer_writer = AnswerWriter(
+                    self.connection.stream, interval=self.stall_limit
+                )
+            await self.answer_writer.wait(written)
+        except (ReaderStalled, StreamClosedError) as error:
             raise CallerGone("the caller stopped reading events") from error
 
     async def write_whole(self, body: bytes) -> None:
--- a/src/magnoliatrail/entry/stream_relay.py
+++ b/src/magnoliatrail/entry/stream_relay.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from datetime import timedelta
+from time import monotonic
 
 from tornado.httputil import HTTPInputError
 
@@ -13,8 +15,11 @@
     EngineStream,
 )
 from magnoliatrail.errors import Failure
+from magnoliatrail.event_progress import EventProgress, event_limits
 from magnoliatrail.wire import CallFailed
 
+STALLED_STREAM = "the stream sends bytes but completes no event"
+
 
 @dataclass(frozen=True, slots=True)
 class RelayFailure:
@@ -37,8 +42,12 @@
 ) -> RelayFailure | None:
     """Relay checked events until the answer is complete or the connection fails."""
     check.reconnect()
+    idle = timedelta(seconds=stream.idle_seconds)
+    progress = EventProgress(event_limits(idle, timedelta()))
 
     def handle_content(data: bytes) -> Awaitable[None] | None:
+        if progress.feed(data, timedelta(seconds=monotonic())):
+            raise ConnectionIdleTimeout(STALLED_STREAM, sent=True)
         events = check.feed(data)
         if check.finished or check.failure:
             stream.stop()
--- a/src/magnoliatrail/exchange.py
+++ b/src/magnoliatrail/exchange.py
@@ -70,10 +70,14 @@
         """Close the connection if a size exceeds the bound."""
         if self.max_body_bytes is None or size <= self.max_body_bytes:
             return True
-        self.reason = f"the answer has more than {self.max_body_bytes} bytes"
-        self.stream.close()
+        self.give_up(f"the answer has more than {self.max_body_bytes} bytes")
         return False
 
+    def give_up(self, reason: str) -> None:
+        """Close the connection because of what the answer lacks."""
+        self.reason = reason
+        self.stream.close()
+
     @property
     def cause(self) -> str:
         """Return why the answer is incomplete, empty if that is not known."""
--- a/src/magnoliatrail/forwarding/context.py
+++ b/src/magnoliatrail/forwarding/context.py
@@ -10,6 +10,7 @@
 from magnoliatrail.backends import BackendServer, ServerNotice
 from magnoliatrail.clock import Clock
 from magnoliatrail.connections import ConnectionPool
+from magnoliatrail.event_progress import EventProgress, event_limits
 from magnoliatrail.forwarding.request import CallerRequest
 from magnoliatrail.forwarding.request_paces import RequestPaces
 from magnoliatrail.forwarding.retry_budget import RetryBudget
@@ -156,6 +157,13 @@
         request = self.request
         return min(request.deadline, request.received_at + self.route.time_limit)
 
+    def event_progress(self, clock: Clock) -> Callable[[bytes], bool]:
+        """Return a new check of the progress of an answer's events."""
+        route = self.route
+        limits = event_limits(route.first_event_timeout, route.pause_goal)
+        progress = EventProgress(limits)
+        return lambda chunk: progress.feed(chunk, clock.monotonic())
+
     @property
     def resumes(self) -> str | None:
         """Return which request began the stream that this one resumes, if any.
--- a/src/magnoliatrail/forwarding/engine_path.py
+++ b/src/magnoliatrail/forwarding/engine_path.py
@@ -196,6 +196,7 @@
                     body=body,
                     notice=self.context.apply_notice,
                     max_relayed_bytes=None,
+                    progress=engine_request.routed.event_progress(self.context.clock),
                 )
             outcome = RUN_OUTCOMES[attempt.outcome]
             self.context.record_attempt(
--- a/src/magnoliatrail/forwarding/relay.py
+++ b/src/magnoliatrail/forwarding/relay.py
@@ -131,6 +131,7 @@
                 body=body,
                 notice=ignore_notice,
                 max_relayed_bytes=None,
+                progress=routed.event_progress(self.context.clock),
             )
         finally:
             self.in_flight[helper.instance] -= 1
--- a/src/magnoliatrail/forwarding/request.py
+++ b/src/magnoliatrail/forwarding/request.py
@@ -28,14 +28,13 @@
     resumed_request_of,
     shared_parts_of,
 )
+from magnoliatrail.reader_progress import AnswerWriter, ReaderStalled
 from magnoliatrail.requests import request_fingerprint
 from magnoliatrail.wire import JSON_TYPE, encode
 
 # Header of an answer to another instance.
 RELAY_SERVER = "Relay-Server"
 EVENT_STREAM_TYPE = "text/event-stream"
-# A caller that reads nothing of its answer for this long counts as disconnected.
-STALLED_WRITE_TIMEOUT = timedelta(seconds=10)
 # SO_LINGER on, with a timeout of 0: closing the socket resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -77,6 +76,7 @@
     # Whether the answer has neither a length nor chunks.
     ends_with_connection: bool = False
     status: int = 0
+    writer: AnswerWriter | None = None
 
     @property
     def id(self) -> str:
@@ -162,14 +162,16 @@
         await self.wait_written(self.connection.write(chunk))
 
     async def wait_written(self, written: "asyncio.Future[None]") -> None:
-        """Wait until the written bytes are sent; raises CallerDisconnected."""
+        """Wait until the written bytes are sent; raises CallerDisconnected.
+
+        A caller may read slowly, as long as it goes on reading.
+        """
+        if self.writer is None:
+            self.writer = AnswerWriter(self.connection.stream)
         try:
-            async with asyncio.timeout(STALLED_WRITE_TIMEOUT.total_seconds()):
-                await written
-        except (StreamClosedError, TimeoutError) as error:
-            raise CallerDisconnected(
-                str(error) or "the caller stopped reading"
-            ) from error
+            await self.writer.wait(written)
+        except (StreamClosedError, ReaderStalled) as error:
+            raise CallerDisconnected(str(error)) from error
 
     def finish(self) -> None:
         """End a complete answer."""
--- a/src/magnoliatrail/forwarding/server_call.py
+++ b/src/magnoliatrail/forwarding/server_call.py
@@ -38,6 +38,7 @@
 MAX_IDLE_NON_IDEMPOTENT = timedelta(seconds=5)
 # Limit on the answers read for a request: late answers to others may come first.
 MAX_ANSWERS_READ = 3
+STALLED_STREAM = "the stream sends bytes but completes no event"
 # A blank line ends an event; lines end with LF, CRLF or CR.
 EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
 LONGEST_EVENT_END = max(map(len, EVENT_ENDS))
@@ -102,6 +103,8 @@
     body: bytes
 
 
+# Return whether the bytes of a read leave a stream of events stalled.
+ProgressCheck = Callable[[bytes], bool]
 # Receive the status and headers of an answer, then each chunk of its body.
 HeadSink = Callable[[int, HTTPHeaders], Awaitable[None]]
 BodySink = Callable[[bytes], Awaitable[None]]
@@ -119,8 +122,10 @@
         notice: NoticeSink,
         bounds: AnswerBounds,
         max_relayed_bytes: int | None,
+        progress: ProgressCheck | None = None,
     ) -> None:
         self.notice = notice
+        self.progress = progress
         self.bounds = bounds
         self.max_relayed_bytes = max_relayed_bytes
         self.attempt = attempt
@@ -134,6 +139,7 @@
         # Whether the answer names the request, None if it names none.
         self.names_request: bool | None = None
         self.relays = False
+        self.is_events = False
         self.finished = False
         self.buffered: list[bytes] = []
         self.last_bytes = b""
@@ -167,6 +173,7 @@
             and is_signed(headers)
             and HTTPStatus.OK <= self.status < HTTPStatus.MULTIPLE_CHOICES
         )
+        self.is_events = is_event_stream(headers)
         if self.relays:
             self.bounds.max_body_bytes = self.max_relayed_bytes
         self.bounds.check_head(headers)
@@ -180,6 +187,9 @@
             return None
         self.attempt.body_bytes += len(chunk)
         if self.relays:
+            if self.progress and self.is_events and self.progress(chunk):
+                self.bounds.give_up(STALLED_STREAM)
+                return None
             self.attempt.started = True
             self.last_bytes = (self.last_bytes + chunk)[-LONGEST_EVENT_END:]
             return self.run_sink(self.body_sink(chunk))
@@ -198,7 +208,7 @@
         # The close of a connection is no sign that a stream without events is complete.
         return (
             self.relays
-            and is_event_stream(self.headers)
+            and self.is_events
             and self.attempt.framing is Framing.CONNECTION_CLOSE
             and not self.last_bytes
         )
@@ -207,7 +217,7 @@
     def is_inside_event(self) -> bool:
         """Return whether a relayed stream stopped before the end of an event."""
         return (
-            is_event_stream(self.headers)
+            self.is_events
             and bool(self.last_bytes)
             and not self.last_bytes.endswith(EVENT_ENDS)
         )
@@ -235,13 +245,15 @@
     body: BodySink,
     notice: NoticeSink,
     max_relayed_bytes: int | None,
+    progress: ProgressCheck | None = None,
 ) -> Attempt:
     """Send a request to a server and relay its answer as it arrives.
 
     `notice` gets what the server says of itself as soon as the headers arrive.
     Only a signed 2xx answer is relayed through `head` and `body`; any other is buffered
     in the attempt. `max_relayed_bytes` bounds a relayed body, None if it is passed on
-    as it arrives. Other bodies are bounded always. Raises what `head` and `body` raise.
+    as it arrives. Other bodies are bounded always. A stream of events that `progress`
+    finds stalled is broken off. Raises what `head` and `body` raise.
     """
     attempt = Attempt(server)
     connect = min(CONNECT_TIMEOUT, time_left)
@@ -261,7 +273,14 @@
     try:
         async with asyncio.timeout(max(0.001, time_left.total_seconds())):
             reusable = await send_and_read(
-                attempt, request, head, body, notice, bounds, max_relayed_bytes
+                attempt,
+                request,
+                head,
+                body,
+                notice,
+                bounds,
+                max_relayed_bytes,
+                progress,
             )
     except TimeoutError:
         attempt.outcome = AttemptOutcome.TIMED_OUT
@@ -287,6 +306,7 @@
     notice: NoticeSink,
     bounds: AnswerBounds,
     max_relayed_bytes: int | None,
+    progress: ProgressCheck | None,
 ) -> bool:
     """Send a request and read its answer; return whether the connection is reusable."""
     attempt.sent = True
@@ -297,7 +317,7 @@
 
     def new_reader() -> AnswerReader:
         return AnswerReader(
-            attempt, request.id, head, body, notice, bounds, max_relayed_bytes
+            attempt, request.id, head, body, notice, bounds, max_relayed_bytes, progress
         )
 
     reader = new_reader()
