Let a starting instance wait for an owner before it routes by its tables

An instance that starts knows no earlier tables, so it took what an older copy of the store said: a server that had left or a configuration that was replaced. It also took rows from older tables of an owner that had been removed before its first read, as it did not know them.

--- a/src/magnoliatrail/cells/fleet_cells.py
+++ b/src/magnoliatrail/cells/fleet_cells.py
@@ -269,6 +269,10 @@
         """Return the claim delay of this instance, zero unless it owns a cell."""
         return OWNER_CLAIM_DELAY if self.owns_any else timedelta()
 
+    def hears_owner(self) -> bool:
+        """Return whether the owner of a cell answers, whose tables are then known."""
+        return any(member.link.is_alive for member in self.members.values())
+
     async def leave(self) -> None:
         """Release all leases."""
         for member in self.members.values():
--- a/src/magnoliatrail/membership/table_view.py
+++ b/src/magnoliatrail/membership/table_view.py
@@ -96,9 +96,12 @@
         return next((row.value for row in rows if row.version == version), None)
 
     def is_newer(self, row: StoredRow) -> bool:
-        """Return whether a row is newer than the known one."""
+        """Return whether a row is newer than the known one.
+
+        One that is not known and not newer than this view was removed before.
+        """
         known = self.rows.get(row.key)
-        return known is None or row.version > known.version
+        return row.version > (self.version if known is None else known.version)
 
     def removals(self, listed: set[str], version: int) -> Iterable[StoredRow]:
         """Yield removal marks for known rows that a whole read no longer has."""
--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -33,6 +33,7 @@
 from magnoliatrail.membership.fleet_view import FleetView
 from magnoliatrail.membership.recent_instances import RecentInstances
 from magnoliatrail.membership.server_reach import ServerReach
+from magnoliatrail.membership.start_check import StartCheck
 from magnoliatrail.membership.store_reader import StoreReader, TableBounds
 from magnoliatrail.membership.stream_records import (
     StreamRecordReader,
@@ -175,6 +176,12 @@
         )
         self.recent_instances = RecentInstances(self.clock, self.cells.addresses)
         self.stream_versions = self.new_stream_versions()
+        self.start_check = StartCheck(
+            clock=self.clock,
+            view=self.view,
+            confirmed=self.cells.hears_owner,
+            ensure_fresh=partial(self.reader.ensure_fresh, table_bounds(settings)),
+        )
         self.forwarding_context = ForwardingContext(
             clock=self.clock,
             metrics=self.metrics,
@@ -182,7 +189,7 @@
             pool=self.pool,
             bounds=settings.bounds,
             generator=self.generator,
-            ensure_fresh=partial(self.reader.ensure_fresh, table_bounds(settings)),
+            ensure_fresh=self.start_check.ensure_fresh,
             stream_versions=self.stream_versions,
             quarantine=self.quarantine,
             reach=self.reach,
@@ -342,6 +349,8 @@
             return 503, b"stopping"
         if self.view.routes is None:
             return 503, b"no configuration is known yet"
+        if not self.start_check.passed():
+            return 503, b"no other instance has confirmed the tables yet"
         return 200, b"ready"
 
     def reload(self, settings: InstanceSettings) -> None:
--- a/tests/platform/test_views.py
+++ b/tests/platform/test_views.py
@@ -54,6 +54,19 @@
             newest[key] = row.version
 
 
+# Guards against a server that had left and is in use again: an instance that started
+# after its row was removed got the row from an owner, or a copy, with older tables.
+def test_a_row_that_was_removed_before_the_first_read_does_not_come_back():
+    for whole in (False, True):
+        view = TableView()
+        view.apply(read(StoredRow("a", 3, b"x"), whole=True, version=9), NOW)
+        rows = StoredRow("a", 3, b"x"), StoredRow("gone", 7, b"y")
+        older = read(*rows, whole=whole, version=8)
+        assert view.apply(older, NOW) == []
+        assert "gone" not in view.rows
+        assert view.apply(read(StoredRow("gone", 10, b"z")), NOW)
+
+
 def test_a_whole_read_drops_rows_that_it_does_not_list():
     view = TableView()
     view.apply(read(StoredRow("a", 3, b"x"), StoredRow("b", 4, b"y")), NOW)
