Refuse odd settings and odd keep-alive timeouts like other malformed input

A settings file that was nested too deeply, or had a number out of range or a field in place of a table, raised other errors than ValueError in the signal handler of a reload, so that no log line said why the settings stayed. A keep-alive timeout of 20 digits raised OverflowError, and the caller got no answer though its server had sent one.

--- a/src/magnoliatrail/connections.py
+++ b/src/magnoliatrail/connections.py
@@ -22,6 +22,9 @@
 DEFAULT_KEEP_ALIVE = timedelta(seconds=20)
 # Idle connections are closed this long before the server would close them.
 KEEP_ALIVE_MARGIN = timedelta(seconds=1)
+# Connections are not kept idle for longer, whatever a server says.
+MAX_KEEP_ALIVE = timedelta(hours=1)
+MAX_KEEP_ALIVE_DIGITS = 6
 # A connection that has carried more requests is closed, which bounds what is kept of
 # them to 2 KB.
 MAX_CARRIED_REQUESTS = 256
@@ -204,6 +207,9 @@
     """Return the keep-alive timeout from an answer's headers, or the default."""
     for part in headers.get("Keep-Alive", "").split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdecimal():
-            return timedelta(seconds=int(value))
+        if name.lower() == "timeout" and value.isascii() and value.isdecimal():
+            # Longer numbers are over any time that a connection is kept for.
+            if len(value) > MAX_KEEP_ALIVE_DIGITS:
+                return MAX_KEEP_ALIVE
+            return min(MAX_KEEP_ALIVE, timedelta(seconds=int(value)))
     return DEFAULT_KEEP_ALIVE
--- a/src/magnoliatrail/platform/settings_file.py
+++ b/src/magnoliatrail/platform/settings_file.py
@@ -71,11 +71,17 @@
     """
     try:
         fields = tomllib.loads(path.read_text())
-    except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise ValueError(f"settings file {path} cannot be read: {error}") from error
     try:
         return settings_of(fields)
-    except (KeyError, TypeError, ValueError, IndexError) as error:
+    except (
+        LookupError,
+        TypeError,
+        ValueError,
+        ArithmeticError,
+        AttributeError,
+    ) as error:
         raise ValueError(
             f"settings file {path} lacks a field or has a wrong one: {error!r}; "
             "let the platform write it again"
