Bound the bodies in flight to one server

A server crashes if what it holds exceeds its memory, and nothing bounded what one instance sent it at once. A plain server without room is passed over; if none has room, or the engine of a batch slot has none, the request gets 503 and is not run.

--- a/src/magnoliatrail/forwarding/context.py
+++ b/src/magnoliatrail/forwarding/context.py
@@ -11,6 +11,7 @@
 from magnoliatrail.clock import Clock
 from magnoliatrail.connections import ConnectionPool
 from magnoliatrail.event_progress import EventProgress, event_limits
+from magnoliatrail.forwarding.bytes_in_flight import BytesInFlight
 from magnoliatrail.forwarding.request import CallerRequest
 from magnoliatrail.forwarding.request_paces import RequestPaces
 from magnoliatrail.forwarding.retry_budget import RetryBudget
@@ -19,6 +20,7 @@
 from magnoliatrail.forwarding.waiting_requests import WaitingRequests
 from magnoliatrail.logs import EventLog
 from magnoliatrail.membership.fleet_view import FleetView
+from magnoliatrail.memory_budget import MemoryBudget, budget_of
 from magnoliatrail.metrics import Metrics
 from magnoliatrail.peers.quarantine_exchange import QuarantineExchange
 from magnoliatrail.peers.reach_monitor import ReachMonitor
@@ -30,6 +32,9 @@
 SHUTTING_DOWN = "the instance ends"
 OUTDATED = "the routes or servers known here are too old"
 UNKNOWN_VERSION = "the software version that began the stream is not known"
+NO_ROOM = "the servers have as much in flight as they may hold"
+# As the settings of an instance have it.
+DEFAULT_MEMORY_MB = 256.0
 SHUTDOWN_RETRY_AFTER = timedelta(milliseconds=100)
 
 
@@ -56,6 +61,9 @@
     instance_counts: deque[tuple[timedelta, int]] = field(default_factory=deque)
     # Refuse streams that have no batch slot yet, because the process is shutting down.
     refuses_streams: bool = False
+    # What is held for callers; its size bounds what is in flight to one server.
+    memory: MemoryBudget = field(default_factory=lambda: budget_of(DEFAULT_MEMORY_MB))
+    in_flight: BytesInFlight = field(init=False)
     # The requests that wait for a batch slot.
     waiting: WaitingRequests = field(default_factory=WaitingRequests)
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
@@ -66,6 +74,7 @@
     def __post_init__(self) -> None:
         """Record when the instance started."""
         self.started_at = self.clock.monotonic()
+        self.in_flight = BytesInFlight(self.memory.size)
 
     def record_instances(self, known: int) -> None:
         """Divide budgets among the most instances that were known within a window.
--- a/src/magnoliatrail/forwarding/engine_path.py
+++ b/src/magnoliatrail/forwarding/engine_path.py
@@ -5,6 +5,7 @@
 from tornado.httputil import HTTPHeaders
 
 from magnoliatrail.forwarding.context import (
+    NO_ROOM,
     SHUTDOWN_RETRY_AFTER,
     SHUTTING_DOWN,
     UNKNOWN_VERSION,
@@ -86,6 +87,10 @@
             if engine_request.first_event_by - clock.monotonic() <= MIN_TIME_LEFT:
                 self.slots.release(engine_request, slot, RunOutcome.CANCELLED)
                 break
+            if not self.context.in_flight.has_room(slot.server.id, len(request.body)):
+                self.slots.release(engine_request, slot, RunOutcome.CANCELLED)
+                await self.refuse(request, NoBatchSlot(NO_ROOM, RETRY_AFTER))
+                return
             if number > 1 and not budget.try_acquire(clock.monotonic()):
                 self.slots.release(engine_request, slot, RunOutcome.CANCELLED)
                 log.info(
@@ -185,7 +190,10 @@
         outcome = RunOutcome.CANCELLED
         self.slots.in_flight[slot.server.id] += 1
         try:
-            with self.context.reach.awaiting_answer():
+            with (
+                self.context.reach.awaiting_answer(),
+                self.context.in_flight.hold(slot.server.id, len(request.body)),
+            ):
                 attempt = await send_attempt(
                     self.context.pool,
                     slot.server,
--- a/src/magnoliatrail/forwarding/plain_path.py
+++ b/src/magnoliatrail/forwarding/plain_path.py
@@ -9,6 +9,7 @@
 from magnoliatrail.backends import BackendServer
 from magnoliatrail.connections import MAX_BUFFERED_BODY_BYTES
 from magnoliatrail.forwarding.context import (
+    NO_ROOM,
     UNKNOWN_VERSION,
     ForwardingContext,
     RoutedRequest,
@@ -72,11 +73,16 @@
         self.failures: dict[ServerId, FailureScore] = {}
 
     def choose(
-        self, service: str, tried: set[ServerId], software_version: str = ""
+        self,
+        service: str,
+        tried: set[ServerId],
+        software_version: str = "",
+        size: int = 0,
     ) -> BackendServer | None:
         """Return the server with the lowest expected wait, untried ones first.
 
-        With `software_version`, only servers of that version are considered.
+        With `software_version`, only servers of that version are considered, and with
+        the `size` of a body only those with room for it.
         """
         now = self.context.clock.monotonic()
         servers = [
@@ -84,6 +90,7 @@
             for server in self.context.view.accepting(service)
             if server.has_software_version(software_version)
             and self.context.paces.may_send(server)
+            and self.context.in_flight.has_room(server.id, size)
         ]
         choices = [server for server in servers if server.id not in tried] or servers
         if not choices:
@@ -117,7 +124,10 @@
             return
         no_attempt = NO_SERVER_OF_VERSION if version else NO_SERVER
         for number in range(1, MAX_ATTEMPTS + 1):
-            server = self.choose(routed.service, tried, version)
+            size = len(request.body)
+            server = self.choose(routed.service, tried, version, size)
+            if server is None and self.choose(routed.service, tried, version):
+                no_attempt = NO_ROOM
             left = ends_at - clock.monotonic()
             if server is None or left < MIN_ATTEMPT_TIME:
                 break
@@ -188,7 +198,10 @@
         self.in_flight[server.id] += 1
         sent_at = self.context.clock.monotonic()
         try:
-            with self.context.reach.awaiting_answer():
+            with (
+                self.context.reach.awaiting_answer(),
+                self.context.in_flight.hold(server.id, len(request.body)),
+            ):
                 attempt = await send_attempt(
                     self.context.pool,
                     server,
--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -39,6 +39,7 @@
     StreamRecordReader,
     StreamRecordWriter,
 )
+from magnoliatrail.memory_budget import budget_of
 from magnoliatrail.metrics_text import TextMetrics
 from magnoliatrail.open_connections import OpenConnections
 from magnoliatrail.peers.client import PeerClient
@@ -191,6 +192,7 @@
             generator=self.generator,
             ensure_fresh=self.start_check.ensure_fresh,
             stream_versions=self.stream_versions,
+            memory=budget_of(settings.memory_mb),
             quarantine=self.quarantine,
             reach=self.reach,
             paces=RequestPaces(
