Draw whole answers of plain servers on the memory budget

Answers of up to 16 MB were buffered without any bound on all of them together. They draw on the budget chunk by chunk; while it is full, the answer is not read, and after 2 s the request is given up with 502, without a retry, as it may have run.

tests/platform/test_held_answers.py: the answer was kept before, and is given up now.

--- a/src/magnoliatrail/forwarding/plain_path.py
+++ b/src/magnoliatrail/forwarding/plain_path.py
@@ -23,6 +23,7 @@
 )
 from magnoliatrail.ids import ServerId
 from magnoliatrail.logs import EventLog
+from magnoliatrail.memory_budget import HeldKind, Holding
 from magnoliatrail.platform.request_headers import headers_for_server
 from magnoliatrail.routes import RouteKind
 from magnoliatrail.routing import quarantine
@@ -42,10 +43,18 @@
 # A safe request without an answer is retried after this multiple of its latency goal.
 RETRY_TIMEOUT_GOALS = 1.5
 RETRY_AFTER = timedelta(milliseconds=250)
+# An answer is not read for this long while the memory budget is full.
+MEMORY_WAIT = timedelta(seconds=2)
+MEMORY_POLL_INTERVAL = timedelta(milliseconds=20)
+NO_MEMORY = "no memory for the answer"
 NO_SERVER = "no server of the service is ready"
 NO_SERVER_OF_VERSION = "no server has the software version that began the stream"
 
 
+class AnswerNotHeld(Exception):  # noqa: N818
+    """There was no room for an answer in the memory budget."""
+
+
 @dataclass(slots=True)
 class FailureScore:
     """Exponentially decaying failure score of a server."""
@@ -108,6 +117,11 @@
 
     async def serve(self, routed: RoutedRequest) -> None:
         """Forward a request, retrying as allowed, and answer the caller."""
+        with Holding(self.context.memory, HeldKind.ANSWERS) as holding:
+            await self.serve_holding(routed, holding)
+
+    async def serve_holding(self, routed: RoutedRequest, holding: Holding) -> None:
+        """Forward a request and answer it, with its buffered answers in a holding."""
         if await self.context.served_elsewhere(routed):
             return
         request = routed.request
@@ -144,7 +158,7 @@
             tried.add(server.id)
             self.context.paces.record_sent(server)
             last = await self.attempt(
-                routed, server, self.attempt_timeout(routed, left, runs)
+                routed, server, self.attempt_timeout(routed, left, runs), holding
             )
             log_attempt(routed, last, number)
             if last.outcome is not AttemptOutcome.NOT_RUN:
@@ -168,6 +182,8 @@
         """Return whether a request may be retried."""
         if attempt.outcome is AttemptOutcome.NOT_RUN:
             return True
+        if attempt.reason == NO_MEMORY:
+            return False
         if routed.route.kind is not RouteKind.SAFE or runs >= routed.route.attempts:
             return False
         if attempt.outcome is AttemptOutcome.ANSWERED:
@@ -176,9 +192,13 @@
         return broken <= MAX_BROKEN_RUNS
 
     async def attempt(
-        self, routed: RoutedRequest, server: BackendServer, left: timedelta
+        self,
+        routed: RoutedRequest,
+        server: BackendServer,
+        left: timedelta,
+        holding: Holding,
     ) -> Attempt:
-        """Send a request to one server and buffer its answer."""
+        """Send a request to one server and buffer its answer in a holding."""
         request = routed.request
         chunks: list[bytes] = []
 
@@ -186,6 +206,8 @@
             del status, headers
 
         async def body(chunk: bytes) -> None:
+            if not await self.try_hold(holding, len(chunk)):
+                raise AnswerNotHeld
             chunks.append(chunk)
 
         forwarded = ForwardedRequest(
@@ -213,6 +235,11 @@
                     notice=self.context.apply_notice,
                     max_relayed_bytes=MAX_BUFFERED_BODY_BYTES,
                 )
+        except AnswerNotHeld:
+            # Not a fault of the server, which may have run the request.
+            attempt = Attempt(server, AttemptOutcome.INVALID, sent=True)
+            attempt.reason = NO_MEMORY
+            return attempt
         finally:
             self.in_flight[server.id] -= 1
         attempt.body = b"".join(chunks) or attempt.body
@@ -220,6 +247,16 @@
         self.context.record_attempt(routed, attempt, sent_at)
         return attempt
 
+    async def try_hold(self, holding: Holding, size: int) -> bool:
+        """Hold a part of an answer; wait for room for a time, and return whether."""
+        clock = self.context.clock
+        until = clock.monotonic() + MEMORY_WAIT
+        while not holding.try_grow(size):
+            if clock.monotonic() >= until:
+                return False
+            await clock.sleep(MEMORY_POLL_INTERVAL)
+        return True
+
     def record_outcome(self, server: BackendServer, attempt: Attempt) -> None:
         """Update the failure score of a server."""
         failures = self.failures.setdefault(server.id, FailureScore())
