--- a/src/magnoliatrail/forwarding/context.py
+++ b/src/magnoliatrail/forwarding/context.py
@@ -10,6 +10,8 @@
 from magnoliatrail.backends import BackendServer, ServerNotice
 from magnoliatrail.clock import Clock
 from magnoliatrail.connections import ConnectionPool
+from magnoliatrail.event_progress import EventProgress, event_limits
+from magnoliatrail.forwarding.bytes_in_flight import BytesInFlight
 from magnoliatrail.forwarding.head_check import HeadAnswer
 from magnoliatrail.forwarding.request import CallerRequest
 from magnoliatrail.forwarding.request_paces import RequestPaces
@@ -20,7 +22,7 @@
 from magnoliatrail.logs import EventLog
 from magnoliatrail.membership.fleet_view import FleetView
 from magnoliatrail.membership.store_reader import KEYS_TABLE
-from magnoliatrail.memory_budget import MemoryBudget
+from magnoliatrail.memory_budget import MemoryBudget, budget_of
 from magnoliatrail.metrics import Metrics
 from magnoliatrail.peers.quarantine_exchange import QuarantineExchange
 from magnoliatrail.peers.reach_monitor import ReachMonitor
@@ -32,6 +34,9 @@
 UNKNOWN_VERSION = "the software version that began the stream is not known"
 # Statuses of a server's answer that promise that the request has not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+NO_ROOM = "the servers have as much in flight as they may hold"
+# As the settings of an instance have it.
+DEFAULT_MEMORY_MB = 256.0
 
 
 @dataclass
@@ -51,7 +56,6 @@
     quarantine: QuarantineExchange
     reach: ReachMonitor
     paces: RequestPaces
-    memory: MemoryBudget
     # The same without a read.
     is_fresh: Callable[[], bool] = lambda: True
     # Whether the store answers the reads of the configuration.
@@ -64,6 +68,9 @@
     instance_counts: deque[tuple[timedelta, int]] = field(default_factory=deque)
     # Refuse streams that have no batch slot yet, because the process is shutting down.
     refuses_streams: bool = False
+    # What is held for callers; its size bounds what is in flight to one server.
+    memory: MemoryBudget = field(default_factory=lambda: budget_of(DEFAULT_MEMORY_MB))
+    in_flight: BytesInFlight = field(init=False)
     # The requests that wait for a batch slot.
     waiting: WaitingRequests = field(default_factory=WaitingRequests)
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
@@ -74,6 +81,7 @@
     def __post_init__(self) -> None:
         """Record when the instance started."""
         self.started_at = self.clock.monotonic()
+        self.in_flight = BytesInFlight(self.memory.size)
 
     def record_instances(self, known: int) -> None:
         """Divide budgets among the most instances that were known within a window.
@@ -202,6 +210,13 @@
         request = self.request
         return min(request.deadline, request.received_at + self.route.time_limit)
 
+    def event_progress(self, clock: Clock) -> Callable[[bytes], bool]:
+        """Return a new check of the progress of an answer's events."""
+        route = self.route
+        limits = event_limits(route.first_event_timeout, route.pause_goal)
+        progress = EventProgress(limits)
+        return lambda chunk: progress.feed(chunk, clock.monotonic())
+
     @property
     def resumes(self) -> str | None:
         """Return which request began the stream that this one resumes, if any.
--- a/src/magnoliatrail/forwarding/engine_path.py
+++ b/src/magnoliatrail/forwarding/engine_path.py
@@ -6,6 +6,7 @@
 
 from magnoliatrail.accounts.accounts import ClientAccount
 from magnoliatrail.forwarding.context import (
+    NO_ROOM,
     UNKNOWN_VERSION,
     ForwardingContext,
     RoutedRequest,
@@ -88,6 +89,10 @@
             if engine_request.first_event_by - clock.monotonic() <= MIN_TIME_LEFT:
                 self.slots.release(engine_request, slot, RunOutcome.CANCELLED)
                 break
+            if not self.context.in_flight.has_room(slot.server.id, len(request.body)):
+                self.slots.release(engine_request, slot, RunOutcome.CANCELLED)
+                await self.refuse(request, NoBatchSlot(NO_ROOM, RETRY_AFTER))
+                return
             if number > 1 and not budget.try_acquire(clock.monotonic()):
                 self.slots.release(engine_request, slot, RunOutcome.CANCELLED)
                 log.info(
@@ -190,7 +195,10 @@
         outcome = RunOutcome.CANCELLED
         self.slots.in_flight[slot.server.id] += 1
         try:
-            with self.context.reach.awaiting_answer():
+            with (
+                self.context.reach.awaiting_answer(),
+                self.context.in_flight.hold(slot.server.id, len(request.body)),
+            ):
                 attempt = await send_attempt(
                     self.context.pool,
                     slot.server,
@@ -202,6 +210,7 @@
                     notice=self.context.apply_notice,
                     max_relayed_bytes=None,
                     check=send_check(self.context, engine_request.routed),
+                    progress=engine_request.routed.event_progress(self.context.clock),
                 )
             if attempt.withheld is None:
                 outcome = RUN_OUTCOMES[attempt.outcome]
--- a/src/magnoliatrail/forwarding/plain_path.py
+++ b/src/magnoliatrail/forwarding/plain_path.py
@@ -9,6 +9,7 @@
 from magnoliatrail.backends import BackendServer
 from magnoliatrail.connections import MAX_BUFFERED_BODY_BYTES
 from magnoliatrail.forwarding.context import (
+    NO_ROOM,
     NOT_RUN_STATUSES,
     UNKNOWN_VERSION,
     ForwardingContext,
@@ -24,6 +25,7 @@
 )
 from magnoliatrail.ids import ServerId
 from magnoliatrail.logs import EventLog
+from magnoliatrail.memory_budget import HeldKind, Holding
 from magnoliatrail.platform.request_headers import headers_for_server
 from magnoliatrail.routes import RouteKind
 from magnoliatrail.routing import quarantine
@@ -48,10 +50,18 @@
 # A safe request without an answer is retried after this multiple of its latency goal.
 RETRY_TIMEOUT_GOALS = 1.5
 RETRY_AFTER = timedelta(milliseconds=250)
+# An answer is not read for this long while the memory budget is full.
+MEMORY_WAIT = timedelta(seconds=2)
+MEMORY_POLL_INTERVAL = timedelta(milliseconds=20)
+NO_MEMORY = "no memory for the answer"
 NO_SERVER = "no server of the service is ready"
 NO_SERVER_OF_VERSION = "no server has the software version that began the stream"
 
 
+class AnswerNotHeld(Exception):  # noqa: N818
+    """There was no room for an answer in the memory budget."""
+
+
 @dataclass(slots=True)
 class FailureScore:
     """Exponentially decaying failure score of a server."""
@@ -81,11 +91,16 @@
         self.answer_times: dict[str, AnswerTimes] = defaultdict(AnswerTimes)
 
     def choose(
-        self, service: str, tried: set[ServerId], software_version: str = ""
+        self,
+        service: str,
+        tried: set[ServerId],
+        software_version: str = "",
+        size: int = 0,
     ) -> BackendServer | None:
         """Return the server with the lowest expected wait, untried ones first.
 
-        With `software_version`, only servers of that version are considered.
+        With `software_version`, only servers of that version are considered, and with
+        the `size` of a body only those with room for it.
         """
         now = self.context.clock.monotonic()
         servers = [
@@ -93,6 +108,7 @@
             for server in self.context.view.accepting(service)
             if server.has_software_version(software_version)
             and self.context.paces.may_send(server)
+            and self.context.in_flight.has_room(server.id, size)
         ]
         choices = [server for server in servers if server.id not in tried] or servers
         if not choices:
@@ -118,6 +134,11 @@
 
     async def serve(self, routed: RoutedRequest) -> None:
         """Forward a request, retrying as allowed, and answer the caller."""
+        with Holding(self.context.memory, HeldKind.ANSWERS) as holding:
+            await self.serve_holding(routed, holding)
+
+    async def serve_holding(self, routed: RoutedRequest, holding: Holding) -> None:
+        """Forward a request and answer it, with its buffered answers in a holding."""
         if await self.context.served_elsewhere(routed):
             return
         request = routed.request
@@ -134,7 +155,10 @@
             return
         no_attempt = NO_SERVER_OF_VERSION if version else NO_SERVER
         for number in range(1, MAX_ATTEMPTS + 1):
-            server = self.choose(routed.service, tried, version)
+            size = len(request.body)
+            server = self.choose(routed.service, tried, version, size)
+            if server is None and self.choose(routed.service, tried, version):
+                no_attempt = NO_ROOM
             left = ends_at - clock.monotonic()
             if server is None or left < MIN_ATTEMPT_TIME:
                 break
@@ -151,7 +175,7 @@
             tried.add(server.id)
             self.context.paces.record_sent(server)
             last = await self.attempt(
-                routed, server, self.attempt_timeout(routed, left, runs)
+                routed, server, self.attempt_timeout(routed, left, runs), holding
             )
             log_attempt(routed, last, number)
             if last.withheld is not None and (
@@ -180,6 +204,8 @@
         """Return whether a request may be retried."""
         if attempt.outcome is AttemptOutcome.NOT_RUN:
             return True
+        if attempt.reason == NO_MEMORY:
+            return False
         if routed.route.kind is not RouteKind.SAFE or runs >= routed.route.attempts:
             return False
         if attempt.outcome is AttemptOutcome.ANSWERED:
@@ -188,9 +214,13 @@
         return broken <= MAX_BROKEN_RUNS
 
     async def attempt(
-        self, routed: RoutedRequest, server: BackendServer, left: timedelta
+        self,
+        routed: RoutedRequest,
+        server: BackendServer,
+        left: timedelta,
+        holding: Holding,
     ) -> Attempt:
-        """Send a request to one server and buffer its answer."""
+        """Send a request to one server and buffer its answer in a holding."""
         request = routed.request
         chunks: list[bytes] = []
 
@@ -198,6 +228,8 @@
             del status, headers
 
         async def body(chunk: bytes) -> None:
+            if not await self.try_hold(holding, len(chunk)):
+                raise AnswerNotHeld
             chunks.append(chunk)
 
         forwarded = ForwardedRequest(
@@ -211,7 +243,10 @@
         clock = self.context.clock
         sent_at = clock.monotonic()
         try:
-            with self.context.reach.awaiting_answer():
+            with (
+                self.context.reach.awaiting_answer(),
+                self.context.in_flight.hold(server.id, len(request.body)),
+            ):
                 attempt = await send_attempt(
                     self.context.pool,
                     server,
@@ -224,6 +259,11 @@
                     max_relayed_bytes=MAX_BUFFERED_BODY_BYTES,
                     check=send_check(self.context, routed),
                 )
+        except AnswerNotHeld:
+            # Not a fault of the server, which may have run the request.
+            attempt = Attempt(server, AttemptOutcome.INVALID, sent=True)
+            attempt.reason = NO_MEMORY
+            return attempt
         finally:
             self.in_flight[server.id] -= 1
         attempt.body = b"".join(chunks) or attempt.body
@@ -235,6 +275,16 @@
         self.context.record_attempt(routed, attempt, sent_at)
         return attempt
 
+    async def try_hold(self, holding: Holding, size: int) -> bool:
+        """Hold a part of an answer; wait for room for a time, and return whether."""
+        clock = self.context.clock
+        until = clock.monotonic() + MEMORY_WAIT
+        while not holding.try_grow(size):
+            if clock.monotonic() >= until:
+                return False
+            await clock.sleep(MEMORY_POLL_INTERVAL)
+        return True
+
     def record_outcome(self, server: BackendServer, attempt: Attempt) -> None:
         """Update the failure score of a server."""
         failures = self.failures.setdefault(server.id, FailureScore())
--- a/src/magnoliatrail/forwarding/relay.py
+++ b/src/magnoliatrail/forwarding/relay.py
@@ -144,6 +144,7 @@
                 notice=ignore_notice,
                 max_relayed_bytes=None,
                 check=relay_check(self.context, routed),
+                progress=routed.event_progress(self.context.clock),
             )
         finally:
             self.in_flight[helper.instance] -= 1
--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -9,6 +9,7 @@
 
 from tornado.httputil import HTTPServerConnectionDelegate
 
+from magnoliatrail.cells.claim_turn import resource_claim_delay
 from magnoliatrail.cells.fleet_cells import FIRST_OWNER_READ, FleetCells
 from magnoliatrail.cells.lease import Identity
 from magnoliatrail.cells.member import CellMember
@@ -36,6 +37,7 @@
 from magnoliatrail.membership.fleet_view import FleetView
 from magnoliatrail.membership.recent_instances import RecentInstances
 from magnoliatrail.membership.server_reach import ServerReach
+from magnoliatrail.membership.start_check import StartCheck
 from magnoliatrail.membership.store_reader import (
     KEYS_TABLE,
     StoreReader,
@@ -73,18 +75,6 @@
 # Tables above this share of the freshness bounds are read before a request is routed;
 # the rest covers the read.
 UPDATE_AGE_SHARE = 0.85
-# Instances with fewer cores or a slower link claim leases later, if they lack much of
-# either after all turns of the others.
-RECOMMENDED_OWNER_CORES = 1.0
-RECOMMENDED_OWNER_LINK_MBPS = 50.0
-CLAIM_DELAY_PER_RESOURCE = timedelta(milliseconds=1000)
-
-
-def resource_claim_delay(settings: InstanceSettings) -> timedelta:
-    """Return how long an instance delays its claims because its resources are low."""
-    cores = max(0.0, 1 - settings.cores / RECOMMENDED_OWNER_CORES)
-    link = max(0.0, 1 - settings.link_mbps / RECOMMENDED_OWNER_LINK_MBPS)
-    return CLAIM_DELAY_PER_RESOURCE * (cores + link)
 
 
 def table_bounds(settings: InstanceSettings) -> TableBounds:
@@ -171,6 +161,12 @@
         )
         self.stream_versions = self.new_stream_versions()
         bounds = table_bounds(settings)
+        self.start_check = StartCheck(
+            clock=self.clock,
+            view=self.view,
+            confirmed=self.cells.hears_owner,
+            ensure_fresh=partial(self.reader.ensure_fresh, bounds),
+        )
         self.forwarding_context = ForwardingContext(
             clock=self.clock,
             metrics=self.metrics,
@@ -178,7 +174,7 @@
             pool=self.pool,
             bounds=settings.bounds,
             generator=self.generator,
-            ensure_fresh=partial(self.reader.ensure_fresh, bounds),
+            ensure_fresh=self.start_check.ensure_fresh,
             is_fresh=partial(self.reader.is_fresh, bounds),
             store_answers=lambda: KEYS_TABLE not in self.reader.failing,
             hears_others=self.cells.hears_others,
@@ -361,6 +357,8 @@
             return 503, b"stopping"
         if self.view.routes is None:
             return 503, b"no configuration is known yet"
+        if not self.start_check.passed():
+            return 503, b"no other instance has confirmed the tables yet"
         return 200, b"ready"
 
     def reload(self, settings: InstanceSettings) -> None:
--- a/tests/platform/test_owner_resources.py
+++ b/tests/platform/test_owner_resources.py
@@ -6,9 +6,13 @@
 
 import pytest
 
-from magnoliatrail.cells.claim_turn import CLAIM_STAGGER, MAX_CLAIM_STEPS
+from magnoliatrail.cells.claim_turn import (
+    CLAIM_STAGGER,
+    MAX_CLAIM_STEPS,
+    resource_claim_delay,
+)
 from magnoliatrail.cells.fleet_cells import FIRST_OWNER_READ
-from magnoliatrail.platform_daemon import PlatformDaemon, resource_claim_delay
+from magnoliatrail.platform_daemon import PlatformDaemon
 from tests.platform.rig import settings
 
 STORE = "127.0.0.1:1"
