--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 .PHONY: demo test lint types bench generate check-generated clean tables slopes \
-	soak bench-configuration bench-chunks bench-together plots
+	soak bench-configuration bench-chunks bench-accounts bench-together plots
 VENV := .venv
 SEEDS ?= 10
 # Workers of `make test`: 0 runs all tests in one process, auto uses half of the cores.
@@ -64,5 +64,8 @@
 bench-chunks: $(VENV)/ready
 	$(PYTHON) benchmarks/entry_chunk_cost.py
 
+bench-accounts: $(VENV)/ready
+	$(PYTHON) -m benchmarks.account_rows
+
 clean:
 	rm -rf $(VENV) .pytest_cache .mypy_cache .ruff_cache .hypothesis
