Serve public requests without a key also while tables are too old to check one

The last check refused each request once the tables were too old, also those on public routes that show no key. Only a request whose key must be looked up is withheld now; a test shows both.

--- a/src/magnoliatrail/forwarding/head_check.py
+++ b/src/magnoliatrail/forwarding/head_check.py
@@ -14,7 +14,7 @@
 OUTDATED = "the routes or servers known here are too old"
 SHUTTING_DOWN = "the instance ends"
 NO_ROUTE = "no route for this host and path"
-UNCHECKED = "the key cannot be checked: this instance is cut off"
+UNCHECKED = "the key cannot be checked: the configuration known here is too old"
 STARTUP_RETRY_AFTER = timedelta(milliseconds=500)
 OUTDATED_RETRY_AFTER = timedelta(milliseconds=300)
 SHUTDOWN_RETRY_AFTER = timedelta(milliseconds=100)
@@ -58,7 +58,7 @@
     route = routes.match(request.host, request.path)
     if route is None:
         return HeadAnswer(404, NO_ROUTE)
-    return check_key(request, route, routes.accounts, is_isolated=is_isolated)
+    return check_key(request, route, routes.accounts, may_be_outdated=is_isolated)
 
 
 def check_key(
@@ -66,11 +66,12 @@
     route: Route,
     accounts: AccountTable | None,
     *,
-    is_isolated: Callable[[], bool],
+    may_be_outdated: Callable[[], bool],
 ) -> HeadAnswer | None:
     """Look up the key of a request and set its account; return the refusal, if any.
 
-    The account of a relayed request is known from the instance that relays it.
+    While the accounts may be outdated, no key is accepted or called unknown. The
+    account of a relayed request is known from the instance that relays it.
     """
     if request.origin is not None:
         return None
@@ -81,7 +82,7 @@
     if route.public and isinstance(key, KeyProblem):
         request.account = None
         return None
-    if is_isolated():
+    if may_be_outdated():
         return HeadAnswer(503, UNCHECKED, UNCHECKED_RETRY_AFTER)
     account = None if isinstance(key, KeyProblem) else accounts.find(key)
     if account is not None or route.public:
--- a/src/magnoliatrail/forwarding/send_check.py
+++ b/src/magnoliatrail/forwarding/send_check.py
@@ -3,12 +3,7 @@
 from tornado.httputil import HTTPHeaders
 
 from magnoliatrail.forwarding.context import ForwardingContext, RoutedRequest
-from magnoliatrail.forwarding.head_check import (
-    OUTDATED,
-    OUTDATED_RETRY_AFTER,
-    HeadAnswer,
-    check_key,
-)
+from magnoliatrail.forwarding.head_check import HeadAnswer, check_key
 from magnoliatrail.forwarding.server_call import SendCheck
 from magnoliatrail.platform.request_headers import set_account
 
@@ -24,11 +19,11 @@
         request = routed.request
         routes = context.view.routes
         accounts = routes.accounts if routes else None
-        refusal = None
-        if accounts is not None and request.origin is None and not context.is_fresh():
-            refusal = HeadAnswer(503, OUTDATED, OUTDATED_RETRY_AFTER)
-        refusal = refusal or check_key(
-            request, routed.route, accounts, is_isolated=context.is_isolated
+        refusal = check_key(
+            request,
+            routed.route,
+            accounts,
+            may_be_outdated=lambda: not context.is_fresh() or context.is_isolated(),
         )
         if refusal is not None:
             context.record_refused_key(request, refusal)
--- a/tests/platform/test_withheld_requests.py
+++ b/tests/platform/test_withheld_requests.py
@@ -82,7 +82,10 @@
             context.pool.acquire = age_first
             answer = await send(rig, "/plain/x")
             assert (answer.status, "Retry-After" in answer.headers) == (503, True)
+            assert (await send(rig, "/public/x")).status == 503
             assert not plain.heads
+            # What needs no key and shows none is served.
+            assert (await send(rig, "/public/x", None)).status == 200
 
     run(scenario())
 
