--- a/src/magnoliatrail/inbound/refusals.py
+++ b/src/magnoliatrail/inbound/refusals.py
@@ -33,7 +33,9 @@
 
 HEAD_TOO_LARGE = Refusal(431, "the head of the request is too large", "head_too_large")
 TOO_MANY_FIELDS = Refusal(431, "the request has too many fields", "too_many_fields")
-BODY_TOO_LARGE = Refusal(413, "the body of the request is too large", "body_too_large")
+BODY_TOO_LARGE = Refusal(
+    413, "the body of the request is too large", "body_too_large", at_once=True
+)
 BODY_STALLED = Refusal(408, "the body of the request arrives too slowly", "slow_body")
 NO_MEMORY = Refusal(
     503, "too many requests are being read", "no_memory", timedelta(seconds=1)
