--- a/src/magnoliatrail/inbound/requests.py
+++ b/src/magnoliatrail/inbound/requests.py
@@ -97,7 +97,7 @@
         self.max_body_bytes = guard.limits().body_bytes
         refusal = self.head_refusal()
         if refusal is None:
-            self.body = guard.admission.open(self.refuse_for_others)
+            self.body = guard.admission.open(self.refuse_for_others, self.length)
             self.stream.expect(self.length or 0)
             return waits
         short = self.length is not None and self.length <= MAX_READ_OF_REFUSED_BYTES
--- a/src/magnoliatrail/inbound/stream.py
+++ b/src/magnoliatrail/inbound/stream.py
@@ -117,6 +117,7 @@
             refusal = TOO_MANY_FIELDS
         if refusal is not None:
             self.refuse(self, refusal)
+            self.drain()
             raise StreamClosedError
         return head
 
@@ -151,12 +152,15 @@
                 # The client has closed or reset the connection.
                 self.close()
                 return
-        if not self.reading():
-            # Without a read, the stream would not see that the client closes.
+
+    def drain(self) -> None:
+        """Read what the client sends, so that its close is seen."""
+        if not self.closed() and not self.reading():
             self.read_until_close()
 
     async def wait_closed(self) -> None:
-        """Wait until the connection is closed."""
+        """Discard what the client sends until the connection is closed."""
+        self.drain()
         if not self.closed():
             if self.closed_future is None:
                 self.closed_future = asyncio.get_running_loop().create_future()
