Guard the listeners of serve, and account for whole bodies at once

The guard answers 413 in the usual form, which BodyLimit did before; messages without the token are refused from their heads.

--- a/src/magnoliatrail/daemon.py
+++ b/src/magnoliatrail/daemon.py
@@ -15,9 +15,9 @@
 from magnoliatrail.engines.owner import EngineOwner
 from magnoliatrail.engines.permits import PermitHolder
 from magnoliatrail.entry.application import caller_application
-from magnoliatrail.entry.body_limit import BodyLimit
 from magnoliatrail.entry.dispatch import Dispatcher
 from magnoliatrail.entry.engine_call import EngineCaller
+from magnoliatrail.entry.guards import budget_for, caller_guard, peer_guard
 from magnoliatrail.entry.lifecycle import Lifecycle
 from magnoliatrail.entry.parts import EntryParts
 from magnoliatrail.entry.service_call import ServiceCaller
@@ -38,7 +38,7 @@
 from magnoliatrail.peers.placement_messages import PeerDirectory
 from magnoliatrail.peers.placement_parts import PlacementParts
 from magnoliatrail.peers.quarantine_exchange import QuarantineExchange
-from magnoliatrail.peers.server import PeerRoute, peer_application
+from magnoliatrail.peers.server import PeerRoute, TokenCheck, peer_application
 from magnoliatrail.periodic import PeriodicTasks
 from magnoliatrail.placement.catalogue import AdapterCatalogue
 from magnoliatrail.platform.instance_list import HttpInstanceList
@@ -252,16 +252,19 @@
     async def start(self) -> None:
         """Open the listeners, join the fleet and start the tasks."""
         settings = self.settings
+        messages = peer_application(self.peer_routes(), settings.peer_token)
+        memory = budget_for(settings)
         self.peer_listener = listen(
-            peer_application(self.peer_routes(), settings.peer_token),
+            TokenCheck(messages, settings.peer_token),
             host=settings.host,
             port=settings.peer_port,
+            guard=peer_guard(settings, self.clock, self.metrics, memory),
         )
         self.caller_listener = listen(
-            BodyLimit(caller_application(self.entry), settings.max_body_bytes),
+            caller_application(self.entry),
             host=settings.host,
             port=settings.port,
-            max_body_bytes=settings.max_body_bytes,
+            guard=caller_guard(settings, self.clock, self.metrics, memory),
         )
         self.coordination.connect(
             peer_url=self.advertised_url(self.peer_listener),
--- a/src/magnoliatrail/inbound/bodies.py
+++ b/src/magnoliatrail/inbound/bodies.py
@@ -127,6 +127,11 @@
         small = (body.length or body.holding.size + size) <= SMALL_BODY_BYTES
         return 0 if small or alone else self.spare
 
+    def has_room_for_whole(self, size: int) -> bool:
+        """Return whether a body that came in one piece need not wait."""
+        spare = 0 if size <= SMALL_BODY_BYTES else self.spare
+        return size + spare <= self.budget.room(self.kind)
+
     def try_take(self, body: OpenBody, size: int) -> bool:
         """Hold more bytes of a body if there is room; return whether."""
         body.last_at = self.clock.monotonic()
@@ -180,6 +185,8 @@
 
         Those that miss least come first: if all got a part, none would be complete.
         """
+        if not self.waiting:
+            return
         for entry in sorted(self.waiting, key=lambda item: item.body.missing):
             if entry.granted.done():
                 continue
--- a/src/magnoliatrail/inbound/requests.py
+++ b/src/magnoliatrail/inbound/requests.py
@@ -18,6 +18,7 @@
 from magnoliatrail.inbound.connections import Phase
 from magnoliatrail.inbound.refusals import BODY_TOO_LARGE, NO_MEMORY, Refusal
 from magnoliatrail.inbound.stream import ClientStream
+from magnoliatrail.memory_budget import Holding
 
 if TYPE_CHECKING:
     from magnoliatrail.inbound.server import GuardedServer
@@ -75,7 +76,9 @@
         # None if the body comes in chunks.
         self.length: int | None = 0
         self.max_body_bytes = 0
+        # A body that comes in several pieces, and what the request holds.
         self.body: OpenBody | None = None
+        self.holding: Holding | None = None
         # A refusal that is answered once the body was read and discarded.
         self.refused: Refusal | None = None
         # Whether the listener has answered.
@@ -97,7 +100,6 @@
         self.max_body_bytes = guard.limits().body_bytes
         refusal = self.head_refusal()
         if refusal is None:
-            self.body = guard.admission.open(self.refuse_for_others, self.length)
             self.stream.expect(self.length or 0)
             return waits
         short = self.length is not None and self.length <= MAX_READ_OF_REFUSED_BYTES
@@ -128,11 +130,24 @@
             return self.stream.wait_closed()
         if self.length is not None:
             self.stream.expect(self.length - state.received)
-        assert self.body is not None, "a body came that was not announced"
+        if self.body is None:
+            if len(chunk) == self.length and self.hold_whole(len(chunk)):
+                return self.inner.data_received(chunk)
+            admission = self.server.guard.admission
+            self.body = admission.open(self.refuse_for_others, self.length)
+            self.holding = self.body.holding
         if not self.server.guard.admission.try_take(self.body, len(chunk)):
             return self.wait_for_memory(self.body, chunk)
         return self.inner.data_received(chunk)
 
+    def hold_whole(self, size: int) -> bool:
+        """Hold a body that came in one piece if there is room; return whether."""
+        guard = self.server.guard
+        if not guard.admission.has_room_for_whole(size):
+            return False
+        self.holding = Holding(guard.budget, guard.whole)
+        return self.holding.try_grow(size)
+
     async def wait_for_memory(self, body: OpenBody, chunk: bytes) -> None:
         """Stop reading until there is room for a part of the body, or refuse it."""
         guard, state = self.server.guard, self.stream.state
@@ -180,7 +195,7 @@
         if self.ended:
             return
         self.ended = True
-        held = self.body.holding.size if self.body is not None else 0
+        held = self.holding.size if self.holding is not None else 0
         if isinstance(self.inner, HeadChecker):
             self.inner.record_refusal(refusal)
         # The reader drops what it keeps of the body.
@@ -199,4 +214,5 @@
         """Release what the request holds."""
         if self.body is not None:
             self.server.guard.admission.close(self.body)
-            self.body.holding.close()
+        if self.holding is not None:
+            self.holding.close()
--- a/src/magnoliatrail/inbound/server.py
+++ b/src/magnoliatrail/inbound/server.py
@@ -43,6 +43,7 @@
 log = EventLog("inbound")
 
 SWEEP_INTERVAL_SECONDS = 0.25
+MAX_HEADER_BYTES = 128 * 1024
 # A connection at the limit is not closed for another one before it had this time to
 # send a request.
 MIN_UNUSED = timedelta(milliseconds=50)
@@ -96,6 +97,8 @@
         self.turns = Turns()
         # The sweep closes idle connections and those that are too slow.
         self.conn_params.header_timeout = None
+        # The streams refuse longer heads; this one closes without an answer.
+        self.conn_params.max_header_size = MAX_HEADER_BYTES
         self.conn_params.body_timeout = None
         self.sweeper = asyncio.get_running_loop().create_task(self.sweep_forever())
 
--- a/src/magnoliatrail/memory_budget.py
+++ b/src/magnoliatrail/memory_budget.py
@@ -1,6 +1,5 @@
 """The memory that one process may hold for its clients, by what it is held for."""
 
-from collections import Counter
 from collections.abc import Callable
 from enum import Enum
 from types import TracebackType
@@ -27,13 +26,19 @@
     # Messages and requests of other instances.
     MESSAGES = "messages"
 
+    # Members are compared by identity; the hash of Enum costs a call of its own.
+    __hash__ = object.__hash__
+
 
 class MemoryBudget:
     """Count the bytes held for clients, and refuse what exceeds the budget."""
 
     def __init__(self, size: int) -> None:
         self.size = size
-        self.held: Counter[HeldKind] = Counter()
+        self.unfinished_size = int(size * UNFINISHED_SHARE)
+        self.client_size = int(size * CLIENT_SHARE)
+        self.message_size = int(size * MESSAGE_SHARE)
+        self.held = dict.fromkeys(HeldKind, 0)
         # Called after each release, as what waits may fit now.
         self.released: list[Callable[[], None]] = []
 
@@ -41,12 +46,12 @@
         """Return how many more bytes may be held for a purpose."""
         held = self.held
         if kind is HeldKind.MESSAGES:
-            return int(self.size * MESSAGE_SHARE) - held[kind]
+            return self.message_size - held[kind]
         unfinished = held[HeldKind.BODIES]
         of_clients = unfinished + held[HeldKind.REQUESTS] + held[HeldKind.ANSWERS]
-        room = int(self.size * CLIENT_SHARE) - of_clients
+        room = self.client_size - of_clients
         if kind is HeldKind.BODIES:
-            return min(room, int(self.size * UNFINISHED_SHARE) - unfinished)
+            return min(room, self.unfinished_size - unfinished)
         return room
 
     def try_reserve(self, kind: HeldKind, size: int, *, spare: int = 0) -> bool:
@@ -73,7 +78,7 @@
             )
         self.held[kind] -= size
         if size:
-            for call in list(self.released):
+            for call in self.released:
                 call()
 
     def try_move(self, source: HeldKind, target: HeldKind, size: int) -> bool:
@@ -93,7 +98,7 @@
             return False
         self.held[target] += size
         if size:
-            for call in list(self.released):
+            for call in self.released:
                 call()
         return True
 
