--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 .PHONY: demo test lint types bench generate check-generated clean tables slopes \
-	soak bench-configuration bench-chunks bench-together plots
+	soak bench-accounting bench-configuration bench-chunks bench-together plots
 VENV := .venv
 SEEDS ?= 10
 # Workers of `make test`: 0 runs all tests in one process, auto uses half of the cores.
@@ -51,6 +51,9 @@
 soak: $(VENV)/ready
 	$(PYTHON) -m tests.soak --seeds $(SEEDS)
 
+bench-accounting: $(VENV)/ready
+	$(PYTHON) -m benchmarks.body_accounting
+
 bench: $(VENV)/ready
 	$(PYTHON) -m benchmarks.routing_cost
 	$(PYTHON) -m benchmarks.run
