--- a/src/magnoliatrail/daemon.py
+++ b/src/magnoliatrail/daemon.py
@@ -117,9 +117,7 @@
         )
         self.entry = self.new_entry()
         self.caller_listener: Listener | None = None
-        self.callers = OpenConnections(
-            BodyLimit(caller_application(self.entry), settings.max_body_bytes)
-        )
+        self.callers = OpenConnections(caller_application(self.entry))
         self.peer_listener: Listener | None = None
 
     def create_platform_clients(self) -> None:
