Bound the messages to one coordinator in a large fleet

The coordinator of an account that all instances use gets messages from each of them; the shortest interval now grows with the number of instances. The directory of coordinators finds one cell instead of listing all for each message. 60 tests of the exchange, the coordinator and quotas over real leases pass.

--- a/src/magnoliatrail/accounts/coordination.py
+++ b/src/magnoliatrail/accounts/coordination.py
@@ -1,6 +1,6 @@
 """Which instance coordinates an account, as the cells' leases say."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -39,8 +39,11 @@
     def coordinator_of(self, account: AccountName) -> Coordinator | None:
         """Return the coordinator of an account, None while no cell is known."""
 
-    def coordinators(self) -> Mapping[CellId, Coordinator]:
-        """Return the coordinators of all cells."""
+    def coordinator(self, cell: CellId) -> Coordinator | None:
+        """Return the coordinator of a cell's accounts, None for an unknown cell."""
+
+    def ownership(self, cell: CellId) -> Ownership | None:
+        """Return this instance's ownership of a cell, None if it has none."""
 
     def ownerships(self) -> list[Ownership]:
         """Return the cells that this instance owns."""
--- a/src/magnoliatrail/cells/quota_cells.py
+++ b/src/magnoliatrail/cells/quota_cells.py
@@ -40,32 +40,30 @@
             cell = self.chosen[account] = CellId(ranked(account, members)[0])
         return coordinator(members[cell])
 
-    def coordinators(self) -> dict[CellId, Coordinator]:
-        """Return the coordinators of all cells."""
-        return {
-            cell: coordinator(member) for cell, member in self.cells.members.items()
-        }
+    def coordinator(self, cell: CellId) -> Coordinator | None:
+        """Return the coordinator of a cell's accounts, None for an unknown cell."""
+        member = self.cells.members.get(cell)
+        return None if member is None else coordinator(member)
 
-    def ownerships(self) -> list[Ownership]:
-        """Return the cells that this instance owns."""
-        return [
-            self.ownership(member)
-            for member in self.cells.members.values()
-            if member.owner
-        ]
-
-    def ownership(self, member: CellMember) -> Ownership:
-        """Return the ownership of a cell that this instance owns."""
-        may_grant = member.takeover.may_order(timedelta())
+    def ownership(self, cell: CellId) -> Ownership | None:
+        """Return this instance's ownership of a cell, None if it has none."""
+        member = self.cells.members.get(cell)
+        if member is None or member.owner is None:
+            return None
         return Ownership(
-            cell=member.cell,
+            cell=cell,
             key=member.owner,
-            may_grant=may_grant,
+            may_grant=member.takeover.may_order(timedelta()),
             # At the first claim of a starting fleet, nobody was granted anything.
             fresh_fleet=self.cells.first_start and member.lease.is_first_claim,
             known=lambda: frozenset(map(InstanceId, self.listed())),
         )
 
+    def ownerships(self) -> list[Ownership]:
+        """Return the cells that this instance owns."""
+        found = map(self.ownership, self.cells.members)
+        return [ownership for ownership in found if ownership]
+
 
 def coordinator(member: CellMember) -> Coordinator:
     """Return the coordinator of a cell's accounts."""
--- a/src/magnoliatrail/peers/quota_coordination.py
+++ b/src/magnoliatrail/peers/quota_coordination.py
@@ -8,7 +8,7 @@
 from expression import Result
 
 from magnoliatrail.accounts.accounts import ClientAccount
-from magnoliatrail.accounts.coordination import Ownership
+from magnoliatrail.accounts.coordination import Ownership, QuotaDirectory
 from magnoliatrail.accounts.coordinator import NO_ANSWER, QuotaCoordinator
 from magnoliatrail.accounts.quota_ledger import QuotaTerms
 from magnoliatrail.clock import Clock
@@ -43,7 +43,7 @@
         generator: random.Random,
         terms: QuotaTerms,
         accounts: Callable[[], Accounts | None],
-        ownerships: Callable[[], list[Ownership]],
+        cells: QuotaDirectory,
         urls: Callable[[], Mapping[InstanceId, str]],
         report: Callable[[CellId], None],
     ) -> None:
@@ -54,8 +54,7 @@
         self.terms = terms
         # The accounts of the configuration, None without accounts.
         self.accounts = accounts
-        # The cells that this instance owns.
-        self.ownerships = ownerships
+        self.cells = cells
         # URLs of the peer listeners of the other instances.
         self.urls = urls
         # Lets this instance report its own fractions of a cell.
@@ -94,17 +93,15 @@
     def answer(self, message: QuotaRequest) -> QuotaAnswer:
         """Answer an instance's message, if this instance coordinates the accounts."""
         accounts = self.accounts()
-        for ownership in self.ownerships():
-            if ownership.cell == message.cell and ownership.may_grant:
-                if accounts is None:
-                    break
-                coordinator = self.coordinator(ownership)
-                return coordinator.answer(message, accounts, self.clock.monotonic())
-        return NO_ANSWER
+        ownership = self.cells.ownership(CellId(message.cell))
+        if accounts is None or ownership is None or not ownership.may_grant:
+            return NO_ANSWER
+        coordinator = self.coordinator(ownership)
+        return coordinator.answer(message, accounts, self.clock.monotonic())
 
     async def update(self) -> None:
         """Begin and end coordinators, and call the instances that did not report."""
-        ownerships = self.ownerships()
+        ownerships = self.cells.ownerships()
         keys = {ownership.cell: ownership.key for ownership in ownerships}
         for cell, (key, _) in list(self.coordinators.items()):
             if keys.get(cell) is not key:
--- a/src/magnoliatrail/peers/quota_exchange.py
+++ b/src/magnoliatrail/peers/quota_exchange.py
@@ -52,6 +52,9 @@
 QUOTA_PATH = "/accounts/quota"
 # Pause after a message without answer.
 RETRY_DELAY = timedelta(milliseconds=50)
+# Shortest interval between two messages to one coordinator. It grows with the number of
+# instances, so that the coordinator's work stays bounded.
+MESSAGE_GAP_PER_INSTANCE = timedelta(milliseconds=0.2)
 # Requests that wait while no coordinator answers look at the fallback this often.
 FALLBACK_INTERVAL = timedelta(milliseconds=50)
 # Interval at which ownerships are looked at and missing instances are called.
@@ -100,6 +103,9 @@
         # The accounts of the configuration, None without accounts.
         self.accounts = accounts
         self.directory = cells
+        # URLs of the peer listeners of the other instances.
+        self.urls = urls
+        self.instances = 1
         self.tasks = tasks
         self.cells: dict[CellId, CellQuotas] = {}
         self.coordination = QuotaCoordination(
@@ -109,7 +115,7 @@
             generator=generator,
             terms=terms,
             accounts=accounts,
-            ownerships=cells.ownerships,
+            cells=cells,
             urls=urls,
             report=self.report_to,
         )
@@ -228,8 +234,12 @@
             try:
                 due_in = cell.shares.due_in(self.clock.monotonic())
                 if due_in == timedelta():
-                    if not await self.exchange(cell):
-                        await self.clock.sleep(RETRY_DELAY)
+                    sent_at = self.clock.monotonic()
+                    answered = await self.exchange(cell)
+                    took = self.clock.monotonic() - sent_at
+                    gap = MESSAGE_GAP_PER_INSTANCE * self.instances
+                    pause = gap - took if answered else RETRY_DELAY
+                    await self.clock.sleep(max(timedelta(), pause))
                     continue
                 cell.wake.clear()
                 with suppress(TimeoutError):
@@ -247,7 +257,7 @@
         if message is None:
             return True
         in_flight = shares.in_flight
-        coordinator = self.directory.coordinators().get(shares.cell)
+        coordinator = self.directory.coordinator(shares.cell)
         answer: Result[QuotaAnswer, Failure]
         try:
             if coordinator is None or not (coordinator.is_here or coordinator.address):
@@ -325,7 +335,7 @@
         self, message: QuotaReportCall
     ) -> Result[QuotaReportTaken, Failure]:
         """Send a new coordinator what this instance holds."""
-        if CellId(message.cell) not in self.directory.coordinators():
+        if self.directory.coordinator(CellId(message.cell)) is None:
             return Ok(QuotaReportTaken(taken=False))
         self.report_to(CellId(message.cell))
         return Ok(QuotaReportTaken(taken=True))
@@ -354,6 +364,7 @@
             if self.clock.monotonic() - published_at >= PUBLISH_INTERVAL:
                 published_at = self.clock.monotonic()
                 self.records.publish(self.fractions(), published_at)
+                self.instances = len(self.urls()) + 1
             await self.clock.sleep(CHECK_INTERVAL)
 
     def fractions(self) -> dict[AccountName, float]:
--- a/tests/unit/test_quota_exchange.py
+++ b/tests/unit/test_quota_exchange.py
@@ -35,26 +35,29 @@
         self.name = name
 
     def coordinator_of(self, account):
-        return self.coordinators().get(CELL)
+        return self.coordinator(CELL)
 
-    def coordinators(self):
+    def coordinator(self, cell):
         if not self.fleet.has_cells:
-            return {}
+            return None
         host = self.fleet.host
-        return {CELL: Coordinator(CELL, host or "", host == self.name)}
+        return Coordinator(cell, host or "", host == self.name)
 
-    def ownerships(self):
+    def ownership(self, cell):
         if self.fleet.owner != self.name:
-            return []
+            return None
         known = frozenset(map(InstanceId, self.fleet.nodes))
-        ownership = Ownership(
-            CELL,
+        return Ownership(
+            cell,
             self.fleet.ownership,
             self.fleet.may_grant,
             self.fleet.fresh,
             lambda: known,
         )
-        return [ownership]
+
+    def ownerships(self):
+        ownership = self.ownership(CELL)
+        return [ownership] if ownership else []
 
 
 class Fleet:
