Wait for the fractions of instances that were cut off long before

A holder that is cut off uses its fraction for up to 60 s, but is listed for some seconds only. A coordinator that began after that did not count the fraction as used. The directory now remembers listed instances for 61 s, and each is waited for until 61 s after it was last listed.

--- a/src/magnoliatrail/accounts/coordination.py
+++ b/src/magnoliatrail/accounts/coordination.py
@@ -1,7 +1,8 @@
 """Which instance coordinates an account, as the cells' leases say."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from datetime import timedelta
 from typing import Protocol
 
 from magnoliatrail.ids import AccountName, CellId, InstanceId
@@ -29,8 +30,8 @@
     may_grant: bool
     # Whether no instance can have been granted anything before.
     fresh_fleet: bool
-    # Returns the instances that may hold fractions.
-    known: Callable[[], frozenset[InstanceId]]
+    # Returns the instances that may hold fractions, and when each was last listed.
+    known: Callable[[], Mapping[InstanceId, timedelta]]
 
 
 class QuotaDirectory(Protocol):
--- a/src/magnoliatrail/accounts/coordinator.py
+++ b/src/magnoliatrail/accounts/coordinator.py
@@ -1,7 +1,7 @@
 """The coordinator of the quotas of some accounts, during one ownership."""
 
 import random
-from collections.abc import Collection, Mapping
+from collections.abc import Mapping
 from datetime import timedelta
 
 from magnoliatrail.accounts.accounts import ClientAccount
@@ -54,15 +54,16 @@
         began_at: timedelta,
         fresh_fleet: bool,
         generator: random.Random,
-        known: Collection[InstanceId] = (),
+        known: Mapping[InstanceId, timedelta] | None = None,
     ) -> None:
         self.terms = terms
         self.began_at = began_at
         # Whether no instance was granted anything before.
         self.fresh_fleet = fresh_fleet
         self.generator = generator
-        # Instances that may hold fractions and sent no message to this coordinator.
-        self.missing = set() if fresh_fleet else set(known)
+        # Instances that may hold fractions and sent no message to this coordinator, and
+        # when each was last listed.
+        self.missing = {} if fresh_fleet else dict(known or {})
         # Since when the fractions of all instances are known.
         self.complete_from = None if self.missing else began_at
         self.accounts: dict[AccountName, AccountState] = {}
@@ -123,9 +124,9 @@
         self.silence_checked_at = now
         if now - self.swept_at >= SWEEP_INTERVAL:
             self.sweep(now)
-        if now - self.began_at >= FRACTION_EXPIRY and self.missing:
-            self.missing.clear()
-            self.complete_from = now
+        for name, listed_at in list(self.missing.items()):
+            if now - listed_at >= FRACTION_EXPIRY:
+                self.record_reported(name, now)
         for name, instance in list(self.instances.items()):
             if now - instance.heard_at >= FRACTION_EXPIRY:
                 self.remove(name, now)
@@ -196,9 +197,9 @@
             instance.accounts.add(account)
 
     def record_reported(self, name: InstanceId, now: timedelta) -> None:
-        """Record that an instance stated all fractions that it holds."""
+        """Record that all fractions which an instance holds are known."""
         if name in self.missing:
-            self.missing.discard(name)
+            del self.missing[name]
             if not self.missing:
                 self.complete_from = now
 
--- a/src/magnoliatrail/cells/quota_cells.py
+++ b/src/magnoliatrail/cells/quota_cells.py
@@ -5,6 +5,7 @@
 
 from magnoliatrail.accounts.accounts import ClientAccount
 from magnoliatrail.accounts.coordination import Coordinator, Ownership
+from magnoliatrail.accounts.coordinator import FRACTION_EXPIRY
 from magnoliatrail.accounts.quota_ledger import QuotaTerms
 from magnoliatrail.cells.fleet_cells import FleetCells
 from magnoliatrail.cells.member import CellMember
@@ -13,6 +14,9 @@
 from magnoliatrail.platform.settings_file import Bounds
 from magnoliatrail.rendezvous import ranked
 
+# Listed instances are remembered at this interval; the list itself goes back further.
+REMEMBER_INTERVAL = timedelta(seconds=5)
+
 
 class QuotaCells:
     """Find the coordinators of accounts among the owners of cells."""
@@ -26,6 +30,9 @@
         # First choice for each account, and the cells among which it was made.
         self.chosen: dict[AccountName, CellId] = {}
         self.chosen_among: frozenset[CellId] = frozenset()
+        # When each instance was last listed.
+        self.listed_at: dict[InstanceId, timedelta] = {}
+        self.remembered_at: timedelta | None = None
 
     def coordinator_of(self, account: AccountName) -> Coordinator | None:
         """Return the coordinator of an account, None while no cell is known."""
@@ -56,11 +63,29 @@
             may_grant=member.takeover.may_order(timedelta()),
             # At the first claim of a starting fleet, nobody was granted anything.
             fresh_fleet=self.cells.first_start and member.lease.is_first_claim,
-            known=lambda: frozenset(map(InstanceId, self.listed())),
+            known=self.possible_holders,
         )
 
+    def possible_holders(self) -> dict[InstanceId, timedelta]:
+        """Return the instances that may hold fractions, and when each was last listed.
+
+        An instance that is cut off is listed no more before its fractions end.
+        """
+        now = self.remembered_at = self.cells.clock.monotonic()
+        for name in self.listed():
+            self.listed_at[InstanceId(name)] = now
+        self.listed_at = {
+            name: at
+            for name, at in self.listed_at.items()
+            if now - at < FRACTION_EXPIRY
+        }
+        return dict(self.listed_at)
+
     def ownerships(self) -> list[Ownership]:
         """Return the cells that this instance owns."""
+        now = self.cells.clock.monotonic()
+        if self.remembered_at is None or now - self.remembered_at >= REMEMBER_INTERVAL:
+            self.possible_holders()
         found = map(self.ownership, self.cells.members)
         return [ownership for ownership in found if ownership]
 
--- a/src/magnoliatrail/peers/quota_coordination.py
+++ b/src/magnoliatrail/peers/quota_coordination.py
@@ -117,7 +117,7 @@
                 self.report(ownership.cell)
             calls += [
                 self.call_for_report(name, ownership.cell)
-                for name in coordinator.missing - {self.instance}
+                for name in coordinator.missing.keys() - {self.instance}
             ]
         await asyncio.gather(*calls)
 
--- a/tests/platform/test_quotas_over_instances.py
+++ b/tests/platform/test_quotas_over_instances.py
@@ -118,7 +118,7 @@
             (coordinator,) = [item for _, item in next_owner.coordinators.values()]
             # The killed instance may be a partitioned one, for all that is known.
             gone = {killed.settings.instance}
-            await rig.until(lambda: coordinator.missing <= gone)
+            await rig.until(lambda: coordinator.missing.keys() <= gone)
             for daemon in rest:
                 await until_admitted(daemon)
 
--- a/tests/unit/quota_fleet.py
+++ b/tests/unit/quota_fleet.py
@@ -22,8 +22,6 @@
 WAIT = 0.6
 # A lease ends this long after its last renewal at the latest.
 TAKEOVER_GAP = 2.3
-# Instances stay listed this long after they were heard of.
-LISTED_FOR = 10.0
 
 
 def seconds(value):
@@ -88,10 +86,12 @@
         self.events = []
         self.order = count()
         self.nodes = {}
-        self.last_up = {}
+        self.listed_at = {}
         self.loss = 0.0
         self.delay = (0.001, 0.008)
         self.tallies = {account.name: Tally() for account in accounts}
+        # Limits of each account, and since when each is in force.
+        self.limits = {account.name: [(0.0, account.quota)] for account in accounts}
         for name in names:
             self.start(name)
         self.coordinator = None
@@ -113,16 +113,13 @@
 
     def begin_coordinator(self, name, *, fresh=False):
         """Let an instance coordinate from now on."""
-        listed = {
-            item for item, at in self.last_up.items() if self.now - at <= LISTED_FOR
-        }
         self.host = name
         self.coordinator = QuotaCoordinator(
             terms=self.terms,
             began_at=seconds(self.now),
             fresh_fleet=fresh,
             generator=self.generator,
-            known=listed | set(self.nodes),
+            known=dict(self.listed_at),
         )
 
     def end_coordinator(self, gap, group=None):
@@ -187,6 +184,11 @@
         if self.host == name:
             self.end_coordinator(0.1)
 
+    def change_limit(self, account):
+        """Put another limit of an account in force."""
+        self.accounts[account.name] = account
+        self.limits[account.name].append((self.now, account.quota))
+
     # Time
 
     def at(self, when, action):
@@ -204,8 +206,10 @@
             while self.events and self.events[0][0] <= self.now:
                 heapq.heappop(self.events)[2]()
             self.bring_requests()
+            host = self.nodes.get(self.host)
             for name, node in list(self.nodes.items()):
-                self.last_up[name] = self.now
+                if host is None or node.group == host.group:
+                    self.listed_at[name] = seconds(self.now)
                 if not self.is_frozen(node):
                     self.work(name, node)
         return self
@@ -359,6 +363,30 @@
             largest = max(largest, total)
         return largest
 
+    def excess(self, name, bound, window=8.0):
+        """Return the largest part of a window's uses above its bound.
+
+        A lowered limit binds one window after it is in force.
+        """
+        uses = sorted(self.tallies[name].uses)
+        limits = self.limits[name]
+        largest = float("-inf")
+        for first, (begin, _, _) in enumerate(uses):
+            total = 0.0
+            for sent, used, cost in uses[first:]:
+                if sent > begin + window:
+                    break
+                if used <= begin + window:
+                    total += cost
+            ends = [at for at, _ in limits[1:]] + [float("inf")]
+            allowed = max(
+                bound(quota)
+                for (since, quota), end in zip(limits, ends, strict=True)
+                if since <= begin + window and end >= begin - window
+            )
+            largest = max(largest, total - allowed)
+        return largest
+
     def used(self, name, begin=0.0, end=1e9):
         """Return the sum of uses between two times of the run."""
         return sum(
--- a/tests/unit/test_quota_bound.py
+++ b/tests/unit/test_quota_bound.py
@@ -86,7 +86,17 @@
         fleet.end_coordinator(0.05 + 0.2 * size)
 
 
+def change_limit(fleet, size):
+    """Lower or raise the limit, to between a fifth and one and a half."""
+    (_, first), *_ = fleet.limits["a"]
+    factor = 0.2 + 1.3 * size
+    fleet.change_limit(
+        account_of(first.per_second * factor, first.burst * factor, unit=first.unit)
+    )
+
+
 FAULTS = {
+    "change limit": change_limit,
     "kill one": lambda fleet, size: fleet.kill(some(fleet, 0.01), 2 + 2 * size),
     "kill half": lambda fleet, size: fleet.kill(some(fleet, 0.5), 2 + 2 * size),
     "kill all": lambda fleet, size: fleet.kill(list(fleet.nodes), 2 + 2 * size),
@@ -146,7 +156,7 @@
     for kind, at, size in faults:
         add_fault(fleet, kind, at, size)
     fleet.run(26)
-    assert fleet.largest_window("a") <= bound(account.quota, terms)
+    assert fleet.excess("a", lambda quota: bound(quota, terms)) <= 0
 
 
 @settings(derandomize=True, max_examples=60, deadline=None)
@@ -165,7 +175,7 @@
     for kind, at, size in faults:
         add_fault(fleet, kind, at, size)
     fleet.run(26)
-    assert fleet.largest_window("a") <= bound(account.quota, terms)
+    assert fleet.excess("a", lambda quota: bound(quota, terms)) <= 0
 
 
 @pytest.mark.parametrize("load", sorted(LOADS))
--- a/tests/unit/test_quota_coordinator.py
+++ b/tests/unit/test_quota_coordinator.py
@@ -88,7 +88,7 @@
         began_at=seconds(began),
         fresh_fleet=fresh,
         generator=random.Random(1),
-        known=known,
+        known={name: seconds(began) for name in known},
     )
 
 
@@ -208,6 +208,18 @@
     assert asker.ask(162.2, 900.0) == [True]
 
 
+def test_an_instance_that_was_cut_off_long_before_is_still_waited_for():
+    # Its fractions end 60 s after its last answer, though it is listed no more.
+    coordinator = coordinator_at(100)
+    coordinator.missing = {"cut": seconds(60)}
+    coordinator.complete_from = None
+    asker = Asker(coordinator)
+    asker.ask(120.5, 1000.0)
+    assert asker.ask(120.9, 10.0) == [False]
+    asker.ask(121.1)
+    assert asker.ask(122, 700.0) == [True]
+
+
 def test_fractions_move_only_after_the_lower_one_is_acknowledged():
     coordinator = coordinator_at(100, fresh=True)
     first, second = Asker(coordinator, "first"), Asker(coordinator, "second")
--- a/tests/unit/test_quota_exchange.py
+++ b/tests/unit/test_quota_exchange.py
@@ -46,7 +46,8 @@
     def ownership(self, cell):
         if self.fleet.owner != self.name:
             return None
-        known = frozenset(map(InstanceId, self.fleet.nodes))
+        now = self.fleet.clock.monotonic()
+        known = {InstanceId(name): now for name in self.fleet.nodes}
         return Ownership(
             cell,
             self.fleet.ownership,
