--- a/src/magnoliatrail/accounts/coordination.py
+++ b/src/magnoliatrail/accounts/coordination.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from datetime import timedelta
 from typing import Protocol
 
 from magnoliatrail.ids import AccountName, CellId, InstanceId
@@ -29,8 +30,8 @@
     may_grant: bool
     # Whether no instance can have been granted anything before.
     fresh_fleet: bool
-    # Returns the instances that may hold fractions.
-    known: Callable[[], frozenset[InstanceId]]
+    # Returns the instances that may hold fractions, and when each was last listed.
+    known: Callable[[], Mapping[InstanceId, timedelta]]
 
 
 class QuotaDirectory(Protocol):
@@ -39,8 +40,11 @@
     def coordinator_of(self, account: AccountName) -> Coordinator | None:
         """Return the coordinator of an account, None while no cell is known."""
 
-    def coordinators(self) -> Mapping[CellId, Coordinator]:
-        """Return the coordinators of all cells."""
+    def coordinator(self, cell: CellId) -> Coordinator | None:
+        """Return the coordinator of a cell's accounts, None for an unknown cell."""
+
+    def ownership(self, cell: CellId) -> Ownership | None:
+        """Return this instance's ownership of a cell, None if it has none."""
 
     def ownerships(self) -> list[Ownership]:
         """Return the cells that this instance owns."""
