--- a/tests/load/test_account_shares.py
+++ b/tests/load/test_account_shares.py
@@ -37,7 +37,7 @@
 def test_one_account_at_eight_times_its_usual_takes_nothing_from_others(
     run, rate, load
 ):
-    """Without shares, the others kept 0.67 of theirs at a usual load of 0.7."""
+    """Without shares, the others kept 0.84 and 0.62 of theirs."""
     usual = equal_accounts(10, 2 * load * REQUESTS_PER_SECOND, rate)
     assert run(kept(usual, "account0", engines=2, seconds=20)) >= MIN_KEPT
 
@@ -77,7 +77,7 @@
 
 @pytest.mark.parametrize("level", [0, 1, 2])
 def test_a_single_small_account_among_large_ones(run, level):
-    """Large accounts ask twice of what there is; the small one may be less urgent."""
+    """Without its head start, the small one of level 2 got nothing."""
     fleet = 2 * REQUESTS_PER_SECOND
     loads = [
         *(AccountLoad(f"large{number}", 0.5 * fleet) for number in range(4)),
