--- a/src/magnoliatrail/accounts/coordinator.py
+++ b/src/magnoliatrail/accounts/coordinator.py
@@ -226,9 +226,7 @@
                 continue
             self.refill(state, now)
             ledger = state.ledger
-            if ledger is None or (
-                ledger.level >= ledger.quota.burst and not ledger.slots
-            ):
+            if ledger is None or (ledger.level >= ledger.capacity and not ledger.slots):
                 del self.accounts[account]
 
     # Accounts
@@ -261,7 +259,7 @@
             state.ledger = QuotaLedger(
                 quota=quota,
                 terms=self.terms,
-                level=quota.burst,
+                level=self.terms.capacity(quota),
                 now=now,
                 strict_until=timedelta(),
             )
--- a/src/magnoliatrail/accounts/quota_ledger.py
+++ b/src/magnoliatrail/accounts/quota_ledger.py
@@ -44,19 +44,29 @@
 
     def fallback_limit(self, quota: Quota) -> float:
         """Return what all fallback fractions together may save up."""
-        return self.tolerance(quota) / 2
+        return self.tolerance(quota) / 4
 
     def debt_limit(self, quota: Quota) -> float:
         """Return the debt that a coordinator may leave to its successor."""
-        return self.tolerance(quota) / 4
+        return self.tolerance(quota) / 8
+
+    def capacity(self, quota: Quota) -> float:
+        """Return what the bucket of an account holds at most.
+
+        The window allows much more than the burst at once. But a successor does not
+        know what was granted just before it began, so that only a part of the
+        tolerance can be added to the burst.
+        """
+        return quota.burst + self.tolerance(quota) / 2
 
     def largest_cost(self, quota: Quota) -> float:
         """Return the largest cost of a single request that can be admitted."""
-        return max(self.allowance(quota), quota.burst + self.debt_limit(quota))
+        return max(self.allowance(quota), self.capacity(quota) + self.debt_limit(quota))
 
     def presumed_debt(self, quota: Quota) -> float:
         """Return the debt of a predecessor that its successor has to expect."""
-        return max(0.0, quota.cost(None) - quota.burst - self.debt_limit(quota))
+        most = self.capacity(quota) + self.debt_limit(quota)
+        return max(0.0, quota.cost(None) - most)
 
 
 class QuotaLedger:
@@ -85,6 +95,11 @@
         # When each priority of a route last asked.
         self.asked: dict[int, timedelta] = {}
 
+    @property
+    def capacity(self) -> float:
+        """Return what the bucket holds at most."""
+        return self.terms.capacity(self.quota)
+
     @property
     def has_prefetch(self) -> bool:
         """Return whether the burst covers what prefetch adds to the window."""
@@ -105,7 +120,7 @@
         if quota == self.quota:
             return
         self.quota = quota
-        self.level = min(self.level, quota.burst)
+        self.level = min(self.level, self.capacity)
 
     def refill(self, now: timedelta, share: float) -> None:
         """Add this share of the rate for the time since the last refill."""
@@ -114,7 +129,7 @@
             return
         self.refilled_at = now
         amount = self.quota.per_second * elapsed * max(0.0, min(1.0, share))
-        self.level = min(self.quota.burst, self.level + amount)
+        self.level = min(self.capacity, self.level + amount)
         self.strict_room += amount
         self.forget(now)
 
@@ -150,7 +165,7 @@
             return False
         if self.window_sum > margin and cost > self.room() + margin:
             return False
-        needed = min(cost, self.quota.burst) + self.reserve(cost, priority, now)
+        needed = min(cost, self.capacity) + self.reserve(cost, priority, now)
         return self.level + margin >= needed
 
     def reserve(self, cost: float, priority: int, now: timedelta) -> float:
@@ -193,7 +208,7 @@
     def give_back(self, amount: float, granted_from: timedelta) -> None:
         """Return an amount that was granted at this time or later, and not used."""
         left = min(amount, self.terms.largest_cost(self.quota))
-        self.level = min(self.quota.burst, self.level + left)
+        self.level = min(self.capacity, self.level + left)
         self.strict_room += left
         first = granted_from.total_seconds()
         for slot in self.slots:
@@ -211,7 +226,7 @@
         rate = self.quota.per_second
         if rate <= 0:
             return self.terms.window
-        missing = min(cost, self.quota.burst) - self.level
+        missing = min(cost, self.capacity) - self.level
         seconds = max(0.0, missing / rate)
         excess = cost - self.room()
         for number, amount in self.slots:
