--- a/src/magnoliatrail/accounts/quota_ledger.py
+++ b/src/magnoliatrail/accounts/quota_ledger.py
@@ -55,9 +55,10 @@
 
         The window allows much more than the burst at once. But a successor does not
         know what was granted just before it began, so that only a part of the
-        tolerance can be added to the burst.
+        tolerance can be added to the burst. Half of the slack is several requests of a
+        small account, whose burst may be less than two.
         """
-        return quota.burst + self.tolerance(quota) / 2
+        return quota.burst + self.slack / 2
 
     def largest_cost(self, quota: Quota) -> float:
         """Return the largest cost of a single request that can be admitted."""
