--- a/src/magnoliatrail/accounts/quota_ledger.py
+++ b/src/magnoliatrail/accounts/quota_ledger.py
@@ -48,17 +48,17 @@
 
     def debt_limit(self, quota: Quota) -> float:
         """Return the debt that a coordinator may leave to its successor."""
-        return self.tolerance(quota) / 8
+        return self.tolerance(quota) / 4
 
     def capacity(self, quota: Quota) -> float:
         """Return what the bucket of an account holds at most.
 
         The window allows much more than the burst at once. But a successor does not
         know what was granted just before it began, so that only a part of the
-        tolerance can be added to the burst. Half of the slack is several requests of a
-        small account, whose burst may be less than two.
+        tolerance can be added to the burst. A quarter of the slack is several requests
+        of a small account, whose burst may be less than two.
         """
-        return quota.burst + self.slack / 2
+        return quota.burst + self.slack / 4
 
     def largest_cost(self, quota: Quota) -> float:
         """Return the largest cost of a single request that can be admitted."""
--- a/tests/platform/test_charged_requests.py
+++ b/tests/platform/test_charged_requests.py
@@ -200,6 +200,9 @@
             rig, (daemon, *_) = fleet.rig, fleet.rig.daemons
             plain, _ = await only_recorders(rig)
             await configure(rig, 2, [ALICE])
+            # The quotas of a new fleet don't admit the requests that find out the cut.
+            for item in rig.daemons:
+                charge(item)
             await fleet.cut(CutForm.RESET, daemon)
             await until_cut_with_key(fleet, daemon)
             quotas, *of_others = [charge(item) for item in rig.daemons]
