--- a/src/magnoliatrail/forwarding/server.py
+++ b/src/magnoliatrail/forwarding/server.py
@@ -153,12 +153,14 @@
     def begin(self, answer: HeadAnswer | None) -> None:
         """Start the task that handles the request, or gives it an answer."""
         assert self.request is not None, "request ended before its headers were read"
+        self.server.partial.discard(self)
         self.connection.set_close_callback(self.on_connection_close)
         self.task = self.server.begin(self.request, answer)
 
     def record_refusal(self, refusal: Refusal) -> None:
         """Record the refusal that the listener has sent."""
         assert self.request is not None, "the head was not read"
+        self.server.partial.discard(self)
         self.request.status = refusal.status
         self.request.answer_started = self.request.answer_finished = True
         self.server.record(self.request)
--- a/src/magnoliatrail/open_connections.py
+++ b/src/magnoliatrail/open_connections.py
@@ -12,6 +12,8 @@
 )
 from tornado.iostream import IOStream
 
+from magnoliatrail.inbound.server import GuardedServer
+
 
 class OpenConnections(HTTPServerConnectionDelegate):
     """Pass requests on to an application, and keep which connections are open."""
@@ -60,7 +62,9 @@
 
     The kernel resets those that are still queued when the socket is closed.
     """
-    for listening in server._sockets.values():
+    guarded = server if isinstance(server, GuardedServer) else None
+    sockets = guarded.listening if guarded else list(server._sockets.values())
+    for listening in sockets:
         while True:
             try:
                 connection, address = listening.accept()
@@ -68,6 +72,9 @@
                 # Usually none is left; an error here must not end the planned stop.
                 break
             connection.setblocking(False)
+            if guarded:
+                guarded.accept(connection, address)
+                continue
             stream = IOStream(
                 connection,
                 max_buffer_size=server.max_buffer_size,
