Pass no request on that a planned stop would cut off

Callers saw: a request of an unsafe route that came 5 to 6 s after SIGTERM on a kept connection (grace 8 s) was taken and passed on, and the connection was closed 7.6 s after SIGTERM while the server was at work.

Cause: requests were accepted until 2 s before the kill, whatever time their answers take.

Change: once the balancer has removed the instance, a request is passed on only if its answer comes before the end, by its time limit or by the route's longest recent answer and a second for a server that pauses. Others get 503 at once and have not run. The same holds for retries, relayed requests and requests that wait for a batch slot, as the last check before each send asks it.

Why it works: what is passed on has its answer by then, unless a server takes longer than its recent answers and the pause.

--- a/src/magnoliatrail/forwarding/context.py
+++ b/src/magnoliatrail/forwarding/context.py
@@ -28,6 +28,7 @@
 from magnoliatrail.peers.reach_monitor import ReachMonitor
 from magnoliatrail.platform.settings_file import Bounds
 from magnoliatrail.routes import Route, RouteKind
+from magnoliatrail.routing.answer_durations import AnswerDurations
 
 log = EventLog("forwarding")
 
@@ -68,6 +69,9 @@
     instance_counts: deque[tuple[timedelta, int]] = field(default_factory=deque)
     # Refuse streams that have no batch slot yet, because the process is shutting down.
     refuses_streams: bool = False
+    # When the last answers of a planned stop must have come, None before.
+    answers_end_at: timedelta | None = None
+    answer_durations: AnswerDurations = field(default_factory=AnswerDurations)
     # What is held for callers; its size bounds what is in flight to one server.
     memory: MemoryBudget = field(default_factory=lambda: budget_of(DEFAULT_MEMORY_MB))
     in_flight: BytesInFlight = field(init=False)
@@ -108,6 +112,17 @@
             and not self.hears_others()
         )
 
+    def answered_in_time(self, request: CallerRequest, route: Route) -> bool:
+        """Return whether a request that is sent now has its answer before the end.
+
+        Once sent, it may have run and can't be refused any more.
+        """
+        if self.answers_end_at is None:
+            return True
+        now, ends_at = self.clock.monotonic(), end_of(request, route)
+        latest = self.answer_durations.latest_end(route.name, now, ends_at)
+        return latest <= self.answers_end_at
+
     async def required_software_version(self, routed: "RoutedRequest") -> str | None:
         """Return the software version that must run a request, empty for any.
 
@@ -155,6 +170,9 @@
     ) -> None:
         """Record what an attempt says of its server and of what may crash it."""
         self.record_run(routed.request, attempt)
+        if attempt.sent and attempt.outcome is not AttemptOutcome.NOT_RUN:
+            now = self.clock.monotonic()
+            self.answer_durations.record(routed.route.name, now - sent_at, now)
         run, suspects = attempt.server.key, routed.request.suspects
         if attempt.outcome is AttemptOutcome.BROKEN and self.reach.is_cut:
             log.info("break_not_reported", request=routed.request.id, server=run[0])
@@ -207,8 +225,7 @@
     @property
     def ends_at(self) -> timedelta:
         """Return the end of the request's time limit, on the monotonic clock."""
-        request = self.request
-        return min(request.deadline, request.received_at + self.route.time_limit)
+        return end_of(self.request, self.route)
 
     def event_progress(self, clock: Clock) -> Callable[[bytes], bool]:
         """Return a new check of the progress of an answer's events."""
@@ -227,6 +244,11 @@
         return self.request.resumes if streams else None
 
 
+def end_of(request: CallerRequest, route: Route) -> timedelta:
+    """Return the end of a request's time limit, on the monotonic clock."""
+    return min(request.deadline, request.received_at + route.time_limit)
+
+
 def count_software_versions(servers: list[BackendServer]) -> str:
     """Return the number of servers of each software version, as a text."""
     counts = Counter(server.software_version for server in servers)
--- a/src/magnoliatrail/forwarding/engine_path.py
+++ b/src/magnoliatrail/forwarding/engine_path.py
@@ -117,7 +117,8 @@
     async def find_slot(self, engine_request: EngineRequest) -> BatchSlot | NoBatchSlot:
         """Find a batch slot, unless the request's prompt is or gets quarantined."""
         quarantine = self.context.quarantine
-        parts = engine_request.routed.request.suspects
+        routed = engine_request.routed
+        parts = routed.request.suspects
         refusal = NoBatchSlot(quarantine_rules.REASON, quarantine_rules.RETRY_AFTER)
         if quarantine.refuses(parts):
             return refusal
@@ -127,7 +128,12 @@
                 asyncio.timeout(None) as timeout,
             ):
                 with (
-                    self.context.waiting.track(ending),
+                    self.context.waiting.track(
+                        ending,
+                        lambda: self.context.answered_in_time(
+                            routed.request, routed.route
+                        ),
+                    ),
                     quarantine.rules.waiting_request(timeout, parts),
                 ):
                     slot = await self.slots.find(engine_request)
--- a/src/magnoliatrail/forwarding/handler.py
+++ b/src/magnoliatrail/forwarding/handler.py
@@ -63,6 +63,7 @@
             is_fresh=is_fresh,
             is_isolated=self.context.is_isolated,
             shutting_down=self.refuses_all,
+            answered_in_time=self.context.answered_in_time,
         )
         if answer is not None:
             self.context.record_refused_key(request, answer)
--- a/src/magnoliatrail/forwarding/head_check.py
+++ b/src/magnoliatrail/forwarding/head_check.py
@@ -13,6 +13,7 @@
 NO_CONFIGURATION = "no configuration is known yet"
 OUTDATED = "the routes or servers known here are too old"
 SHUTTING_DOWN = "the instance ends"
+ENDS_TOO_SOON = "the instance ends before the request would be answered"
 NO_ROUTE = "no route for this host and path"
 UNCHECKED = "the key cannot be checked: the configuration known here is too old"
 STARTUP_RETRY_AFTER = timedelta(milliseconds=500)
@@ -37,6 +38,7 @@
         await request.answer_error(self.status, self.reason, self.retry_after)
 
 
+ENDING = HeadAnswer(503, ENDS_TOO_SOON, SHUTDOWN_RETRY_AFTER)
 # A configuration that came between the head and the end of a request allows it.
 BODY_DISCARDED = HeadAnswer(
     503,
@@ -52,6 +54,7 @@
     is_fresh: bool,
     is_isolated: Callable[[], bool],
     shutting_down: bool,
+    answered_in_time: Callable[[CallerRequest, Route], bool],
 ) -> HeadAnswer | None:
     """Return the answer to a caller's request that its head decides, if it does.
 
@@ -66,6 +69,8 @@
     route = routes.match(request.host, request.path)
     if route is None:
         return HeadAnswer(404, NO_ROUTE)
+    if not answered_in_time(request, route):
+        return ENDING
     return check_key(request, route, routes.accounts, may_be_outdated=is_isolated)
 
 
--- a/src/magnoliatrail/forwarding/planned_stop.py
+++ b/src/magnoliatrail/forwarding/planned_stop.py
@@ -31,6 +31,8 @@
 STREAM_CUTOFF_AFTER_SIGTERM = timedelta(seconds=2.4)
 # All other requests are accepted until this long before the process is killed.
 REQUEST_CUTOFF_BEFORE_KILL = timedelta(seconds=2)
+# What is not answered by then may be cut off.
+ANSWERS_END_BEFORE_KILL = timedelta(seconds=0.5)
 # The rest is for the last refusals, and for the end of the tasks and connections.
 DRAIN_END_BEFORE_KILL = timedelta(seconds=0.7)
 # A request that was under way when the listener closed arrives within this time.
@@ -45,6 +47,8 @@
     """What an instance refuses at a time of its planned stop."""
 
     refuses_streams: bool
+    # Refuse what would not be answered before the end.
+    refuses_late: bool
     refuses_all: bool
     # Stop listening and refuse what is left.
     ends: bool
@@ -66,6 +70,7 @@
     removed = waited > BALANCER_REMOVAL_DELAY
     return StopStep(
         refuses_streams=waited > STREAM_CUTOFF_AFTER_SIGTERM,
+        refuses_late=waited > min(BALANCER_REMOVAL_DELAY, grace / 3),
         refuses_all=waited > grace - REQUEST_CUTOFF_BEFORE_KILL,
         ends=waited >= grace - DRAIN_END_BEFORE_KILL
         or (removed and not leaving and not requests and not connections),
@@ -93,6 +98,7 @@
         self.callers = callers
         self.peers = peers
         self.began = clock.monotonic()
+        self.answers_end_at = self.began + grace - ANSWERS_END_BEFORE_KILL
         # Releases the leases of this instance.
         self.leaving = asyncio.create_task(leave())
         server.closing = True
@@ -113,6 +119,9 @@
             )
             self.handler.context.refuses_streams = step.refuses_streams
             self.handler.refuses_all = step.refuses_all
+            if step.refuses_late:
+                self.handler.context.answers_end_at = self.answers_end_at
+                self.handler.context.waiting.end_late()
             if step.ends:
                 break
             await asyncio.sleep(POLL_SECONDS)
--- a/src/magnoliatrail/forwarding/send_check.py
+++ b/src/magnoliatrail/forwarding/send_check.py
@@ -3,7 +3,7 @@
 from tornado.httputil import HTTPHeaders
 
 from magnoliatrail.forwarding.context import ForwardingContext, RoutedRequest
-from magnoliatrail.forwarding.head_check import HeadAnswer, check_key
+from magnoliatrail.forwarding.head_check import ENDING, HeadAnswer, check_key
 from magnoliatrail.forwarding.server_call import SendCheck
 from magnoliatrail.platform.request_headers import set_account
 
@@ -17,6 +17,8 @@
 
     def check(fields: HTTPHeaders) -> HeadAnswer | None:
         request = routed.request
+        if not context.answered_in_time(request, routed.route):
+            return ENDING
         routes = context.view.routes
         accounts = routes.accounts if routes else None
         refusal = check_key(
--- a/src/magnoliatrail/forwarding/waiting_requests.py
+++ b/src/magnoliatrail/forwarding/waiting_requests.py
@@ -1,7 +1,7 @@
 """Requests that wait for a batch slot, which a planned stop ends."""
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
 
 
@@ -9,19 +9,32 @@
     """Keep the timeouts of requests that were not sent to a server."""
 
     def __init__(self) -> None:
-        self.timeouts: set[asyncio.Timeout] = set()
+        # The timeouts, and whether a request may still be sent.
+        self.timeouts: dict[asyncio.Timeout, Callable[[], bool]] = {}
 
     @contextmanager
-    def track(self, timeout: asyncio.Timeout) -> Iterator[None]:
+    def track(
+        self, timeout: asyncio.Timeout, may_be_sent: Callable[[], bool]
+    ) -> Iterator[None]:
         """Keep the timeout of a request while it waits."""
-        self.timeouts.add(timeout)
+        self.timeouts[timeout] = may_be_sent
         try:
             yield
         finally:
-            self.timeouts.discard(timeout)
+            del self.timeouts[timeout]
 
     def end_all(self) -> None:
         """Let the waits of all requests time out at once."""
-        now = asyncio.get_running_loop().time()
-        for timeout in list(self.timeouts):
+        end(self.timeouts)
+
+    def end_late(self) -> None:
+        """Let the waits of those requests time out that may not be sent any more."""
+        end(timeout for timeout, may in self.timeouts.items() if not may())
+
+
+def end(timeouts: Iterable[asyncio.Timeout]) -> None:
+    """Let timeouts expire at once."""
+    now = asyncio.get_running_loop().time()
+    for timeout in list(timeouts):
+        if not timeout.expired():
             timeout.reschedule(now)
--- a/tests/processes/test_planned_stop.py
+++ b/tests/processes/test_planned_stop.py
@@ -10,12 +10,13 @@
 import time
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
+from functools import partial
 
 import pytest
 
 from magnoliatrail.listeners import listen
 from magnoliatrail.standins.row_store import RowStoreState, row_store_application
-from tests.platform.rig import Rig, configuration, read_answer
+from tests.platform.rig import Rig, configuration, read_answer, route
 from tests.soak.processes import Instance
 
 pytestmark = pytest.mark.processes
@@ -27,22 +28,36 @@
 SERVED, REFUSED = 200, 503
 
 
-async def plain_server(reader, writer):
-    """Answer each request after 60 ms."""
-    with suppress(asyncio.IncompleteReadError, ConnectionError):
-        while True:
-            head = (await reader.readuntil(b"\r\n\r\n")).decode()
-            fields = dict(line.split(": ", 1) for line in head.split("\r\n")[1:-2])
-            fields = {name.title(): value for name, value in fields.items()}
-            await reader.readexactly(int(fields.get("Content-Length", 0)))
-            await asyncio.sleep(0.06)
-            writer.write(
-                b"HTTP/1.1 200 OK\r\nMagnoliatrail-Response-Signature: s\r\n"
-                b"Magnoliatrail-Request-Id: %s\r\nContent-Length: 2\r\n\r\nok"
-                % fields["Magnoliatrail-Request-Id"].encode()
-            )
-            await writer.drain()
-    writer.close()
+SHORT_WORK_SECONDS, LONG_WORK_SECONDS = 0.06, 2.4
+LONG_ROUTE_TIMEOUT_MS = 4_000
+# What a server's answers take has to be known before the stop.
+KNOWN_ANSWERS = 30
+
+
+async def plain_server(reader, writer, ran=None):
+    """Answer each request after its work; add the ids of requests to `ran`."""
+    try:
+        with suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                fields = dict(line.split(": ", 1) for line in head.split("\r\n")[1:-2])
+                fields = {name.title(): value for name, value in fields.items()}
+                await reader.readexactly(int(fields.get("Content-Length", 0)))
+                name = fields["Magnoliatrail-Request-Id"]
+                if ran is not None:
+                    ran.add(name)
+                is_long = " /long/" in head.partition("\r\n")[0]
+                await asyncio.sleep(
+                    LONG_WORK_SECONDS if is_long else SHORT_WORK_SECONDS
+                )
+                writer.write(
+                    b"HTTP/1.1 200 OK\r\nMagnoliatrail-Response-Signature: s\r\n"
+                    b"Magnoliatrail-Request-Id: %s\r\nContent-Length: 2\r\n\r\nok"
+                    % name.encode()
+                )
+                await writer.drain()
+    finally:
+        writer.close()
 
 
 @dataclass
@@ -57,6 +72,10 @@
     statuses: list[int] = field(default_factory=list)
     # Answers during the stop without `Connection: close`.
     kept_open: list[str] = field(default_factory=list)
+    # The paths of kinds of requests that are not for `/plain/x`.
+    paths: dict[str, str] = field(default_factory=dict)
+    # The ids of the requests that a server has run.
+    ran: set[str] = field(default_factory=set)
 
     @property
     def since_stop(self) -> float:
@@ -71,7 +90,7 @@
     def request(self, kind, body=b"x", length=None):
         """Return the bytes of a new request."""
         head = (
-            f"POST /plain/x HTTP/1.1\r\nHost: app.example\r\n"
+            f"POST {self.paths.get(kind, '/plain/x')} HTTP/1.1\r\nHost: app.example\r\n"
             f"Magnoliatrail-Request-Id: {kind}-{next(self.numbers)}\r\n"
             "Magnoliatrail-Deadline-Milliseconds: 5000\r\n"
             f"Content-Length: {len(body) if length is None else length}\r\n\r\n"
@@ -152,6 +171,18 @@
         await self.ask(connection, "idle")
         connection[1].close()
 
+    async def status_after(self, connection, kind, seconds):
+        """Use an idle connection some time after SIGTERM; return the status."""
+        while self.since_stop < seconds:
+            await asyncio.sleep(0.02)
+        reader, writer = connection
+        writer.write(self.request(kind))
+        sent = self.since_stop
+        try:
+            return (await read_answer(reader)).status
+        except (asyncio.IncompleteReadError, OSError) as error:
+            self.lost.append(f"{kind} sent at {sent:.2f} s: {error!r}")
+
     async def ask_late(self):
         """Open connections until the instance doesn't listen any more."""
         while self.balanced:
@@ -187,15 +218,20 @@
     """Run one `forward` process that serves; yield its load."""
     store = RowStoreState()
     listener = listen(row_store_application(store), host="127.0.0.1")
-    store.put_json("op", "config", configuration())
-    server = await Rig(store).add_plain("p0", plain_server)
+    routes = [
+        route("plain", "/plain/", "unsafe", "desk"),
+        route("long", "/long/", "unsafe", "desk", timeout_ms=LONG_ROUTE_TIMEOUT_MS),
+    ]
+    store.put_json("op", "config", configuration(routes=routes))
+    ran = set()
+    server = await Rig(store).add_plain("p0", partial(plain_server, ran=ran))
     instance = Instance(0, f"127.0.0.1:{listener.port}", directory)
     try:
         instance.start()
         async with asyncio.timeout(20):
             while not instance.has_started:
                 await asyncio.sleep(0.02)
-            load = Load(instance)
+            load = Load(instance, paths={"long": "/long/x"}, ran=ran)
             while load.statuses[-1:] != [SERVED]:
                 await asyncio.sleep(0.05)
                 load.lost.clear()
@@ -244,6 +280,34 @@
     run(scenario())
 
 
+# Guards against a request that comes late in a planned stop, is passed on, and is cut
+# off at the end; and against refusals of requests that would have been answered.
+def test_late_requests_are_answered_or_refused_unrun(run, tmp_path):
+    async def scenario():
+        async with forwarding_process(tmp_path) as load:
+            idle = [await load.idle_connection() for _ in range(KNOWN_ANSWERS)]
+            load.statuses.clear()
+            load.stopped_at = time.monotonic()
+            load.instance.signal(signal.SIGTERM)
+            asked = [("long", seconds) for seconds in (3.0, 4.0, 5.3, 5.7, 5.9)]
+            asked += [("short", seconds) for seconds in (3.0, 4.0, 5.0, 5.8)]
+            statuses = await asyncio.gather(
+                *(
+                    load.status_after(connection, kind, seconds)
+                    for connection, (kind, seconds) in zip(idle, asked, strict=False)
+                )
+            )
+            for _, writer in idle:
+                writer.close()
+            code = await load.instance.wait(GRACE_SECONDS)
+        assert load.lost == []
+        assert statuses == [SERVED, *[REFUSED] * 4, *[SERVED] * 4]
+        assert len([name for name in load.ran if "long" in name]) == 1
+        assert code == 0
+
+    run(scenario())
+
+
 # Guards against an instance without callers that waits for its whole grace period.
 def test_a_planned_stop_without_connections_ends_early(run, tmp_path):
     async def scenario():
--- a/tests/unit/test_head_check.py
+++ b/tests/unit/test_head_check.py
@@ -8,6 +8,7 @@
 from magnoliatrail.accounts.accounts import AccountTable, ClientAccount, digest_of
 from magnoliatrail.accounts.keys import KeyProblem
 from magnoliatrail.forwarding.head_check import (
+    ENDS_TOO_SOON,
     NO_CONFIGURATION,
     OUTDATED,
     SHUTTING_DOWN,
@@ -67,6 +68,7 @@
         "is_fresh": True,
         "is_isolated": lambda: False,
         "shutting_down": False,
+        "answered_in_time": lambda request, route: True,
         **more,
     }
     return from_head(sent, table or routes(), **options)
@@ -172,7 +174,8 @@
     sent = request(*keys, target="/none")
     reasons = {"is_fresh": False, "shutting_down": True}
     options = {"is_isolated": lambda: False}
-    unknown = from_head(sent, None, **options, **reasons)
+    in_time = lambda request, route: True  # noqa: E731
+    unknown = from_head(sent, None, **options, **reasons, answered_in_time=in_time)
     assert (unknown.status, unknown.reason) == (503, NO_CONFIGURATION)
     assert unknown.retry_after > timedelta()
     outdated = answer(sent, **reasons)
@@ -183,6 +186,9 @@
     assert ending.retry_after > timedelta()
     assert answer(sent).status == 404
     sent.target = "/closed/x?y=1"
+    late = answer(sent, answered_in_time=lambda request, route: route is not CLOSED)
+    assert (late.status, late.reason) == (503, ENDS_TOO_SOON)
+    assert late.retry_after > timedelta()
     key = answer(sent)
     assert key is None if "alpha" in keys else key.status == 401
 
--- a/tests/unit/test_stop_step.py
+++ b/tests/unit/test_stop_step.py
@@ -38,6 +38,11 @@
     assert step(7.3, **{kind: 1}).ends
 
 
+def test_what_would_be_answered_too_late_is_refused_once_the_instance_is_removed():
+    assert not step(2.5).refuses_late
+    assert step(2.7).refuses_late
+
+
 def test_streams_are_refused_before_other_requests():
     assert (step(2.5).refuses_streams, step(2.5).refuses_all) == (True, False)
     assert (step(6.1).refuses_streams, step(6.1).refuses_all) == (True, True)
@@ -55,13 +60,40 @@
     assert found.ends
 
 
+# Guards against requests that wait for a batch slot until it is too late for them.
+def test_only_the_waits_of_late_requests_end_before_the_end(run):
+    async def scenario():
+        waiting = WaitingRequests()
+        late = set()
+
+        async def wait(name):
+            async with asyncio.timeout(None) as timeout:
+                with waiting.track(timeout, lambda: name not in late):
+                    await asyncio.sleep(60)
+
+        tasks = {name: asyncio.create_task(wait(name)) for name in ("early", "late")}
+        await asyncio.sleep(0)
+        waiting.end_late()
+        late.add("late")
+        waiting.end_late()
+        waiting.end_late()
+        await asyncio.wait([tasks["late"]])
+        assert type(tasks["late"].exception()) is TimeoutError
+        assert not tasks["early"].done()
+        waiting.end_all()
+        await asyncio.wait([tasks["early"]])
+        assert type(tasks["early"].exception()) is TimeoutError
+
+    run(scenario())
+
+
 def test_the_waits_of_all_requests_end_at_once(run):
     async def scenario():
         waiting = WaitingRequests()
 
         async def wait():
             async with asyncio.timeout(None) as timeout:
-                with waiting.track(timeout):
+                with waiting.track(timeout, lambda: True):
                     await asyncio.sleep(60)
 
         tasks = [asyncio.create_task(wait()) for _ in range(3)]
@@ -69,6 +101,6 @@
         waiting.end_all()
         found = await asyncio.gather(*tasks, return_exceptions=True)
         assert [type(item) for item in found] == [TimeoutError] * 3
-        assert waiting.timeouts == set()
+        assert waiting.timeouts == {}
 
     run(scenario())
