Resume streams of split routes at the service that began them

With one version name in all services, streams went on at another service.

Cause: the record of a stream named its software version and not its service, and the service was drawn by the split before the record was asked.

Change: records, messages and rows about streams name the service (a field that may be missing: the release before neither sends nor reads it). A request that takes a stream up is looked up first and goes to that service, or is refused at once if the route no longer leads there.

Why it works: the choice is read from the record of the first part, which outlives the instance and all instances, in place of being drawn again.

--- a/src/magnoliatrail/forwarding/context.py
+++ b/src/magnoliatrail/forwarding/context.py
@@ -32,7 +32,6 @@
 
 log = EventLog("forwarding")
 
-UNKNOWN_VERSION = "the software version that began the stream is not known"
 # Statuses of a server's answer that promise that the request has not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 NO_ROOM = "the servers have as much in flight as they may hold"
@@ -123,28 +122,6 @@
         latest = self.answer_durations.latest_end(route.name, now, ends_at)
         return latest <= self.answers_end_at
 
-    async def required_software_version(self, routed: "RoutedRequest") -> str | None:
-        """Return the software version that must run a request, empty for any.
-
-        None if a stream is resumed and the version that began it cannot be known.
-        """
-        if routed.resumes is None:
-            return ""
-        origin = await self.stream_versions.find(routed.resumes)
-        log.info(
-            "stream_resumed",
-            request=routed.request.id,
-            resumes=routed.resumes,
-            software_version=origin.software_version,
-            source=origin.source,
-            began_at=origin.instance,
-            informant=origin.informant,
-            age=origin.age,
-            listed=count_software_versions(self.view.usable(routed.service)),
-        )
-        self.metrics.count(f"resumed_streams.{origin.source.value}")
-        return origin.software_version or None
-
     async def served_elsewhere(self, routed: "RoutedRequest") -> bool:
         """Answer a request through another instance if this one reaches no server.
 
@@ -221,6 +198,8 @@
     request: CallerRequest
     route: Route
     service: str
+    # Software version that must go on with a resumed stream, empty for any.
+    software_version: str = ""
 
     @property
     def ends_at(self) -> timedelta:
@@ -234,14 +213,14 @@
         progress = EventProgress(limits)
         return lambda chunk: progress.feed(chunk, clock.monotonic())
 
-    @property
-    def resumes(self) -> str | None:
-        """Return which request began the stream that this one resumes, if any.
 
-        The stream may have begun while the route allowed to resume it.
-        """
-        streams = self.route.resumable or self.route.kind is RouteKind.STREAMING
-        return self.request.resumes if streams else None
+def resumed_request(request: CallerRequest, route: Route) -> str | None:
+    """Return which request began the stream that a request resumes, if any.
+
+    The stream may have begun while the route allowed to resume it.
+    """
+    streams = route.resumable or route.kind is RouteKind.STREAMING
+    return request.resumes if streams else None
 
 
 def end_of(request: CallerRequest, route: Route) -> timedelta:
--- a/src/magnoliatrail/forwarding/engine_path.py
+++ b/src/magnoliatrail/forwarding/engine_path.py
@@ -7,7 +7,6 @@
 from magnoliatrail.accounts.accounts import ClientAccount
 from magnoliatrail.forwarding.context import (
     NO_ROOM,
-    UNKNOWN_VERSION,
     ForwardingContext,
     RoutedRequest,
     break_off,
@@ -76,11 +75,6 @@
         ends_at = routed.ends_at
         first_event_by = min(ends_at, request.received_at + route.first_event_timeout)
         engine_request = EngineRequest(routed, work, ends_at, first_event_by)
-        version = await self.context.required_software_version(routed)
-        if version is None:
-            await self.refuse(request, NoBatchSlot(UNKNOWN_VERSION, RETRY_AFTER))
-            return
-        engine_request.software_version = version
         for number in range(1, MAX_ATTEMPTS + 1):
             slot = await self.find_slot(engine_request)
             if isinstance(slot, NoBatchSlot):
@@ -239,7 +233,9 @@
             engine_request.link.record_started(engine_request.key)
         if engine_request.routed.route.resumable:
             self.context.stream_versions.record(
-                engine_request.routed.request.id, slot.server.software_version
+                engine_request.routed.request.id,
+                slot.server.software_version,
+                service=engine_request.routed.service,
             )
 
     async def answer(self, routed: RoutedRequest, attempt: Attempt) -> None:
--- a/src/magnoliatrail/forwarding/engine_slots.py
+++ b/src/magnoliatrail/forwarding/engine_slots.py
@@ -48,8 +48,6 @@
     first_event_by: timedelta
     avoid: list[str] = field(default_factory=list)
     attempts: int = 0
-    # Software version that must go on with a resumed stream, empty for any.
-    software_version: str = ""
     # Link to the owner that received the last slot request.
     link: OwnerLink | None = None
 
@@ -138,7 +136,7 @@
             return engine_request.link
         named = engine_request.work.adapter
         links = self.cells.links_for(f"{named.model}/{named.adapter}")
-        if engine_request.software_version:
+        if engine_request.routed.software_version:
             cells = self.version_cells(engine_request)
             links = [link for link in links if link.cell in cells]
         alive = (link for link in links if link.is_alive)
@@ -146,7 +144,7 @@
 
     def lacks_software_version(self, engine_request: EngineRequest) -> bool:
         """Return whether no usable engine has the software version of a request."""
-        required = engine_request.software_version
+        required = engine_request.routed.software_version
         if not required or not self.context.view.lists_servers:
             return False
         usable = self.context.view.usable(engine_request.routed.service)
@@ -155,7 +153,7 @@
     def version_cells(self, engine_request: EngineRequest) -> set[CellId]:
         """Return the cells with an engine of the request's software version."""
         return self.cells.cells_with_version(
-            engine_request.routed.service, engine_request.software_version
+            engine_request.routed.service, engine_request.routed.software_version
         )
 
     def refusing_engines(self, engine_request: EngineRequest) -> list[str]:
@@ -190,7 +188,7 @@
             time_left_ms=(engine_request.first_event_by - now).total_seconds() * 1000,
             deadline_left_ms=(engine_request.ends_at - now).total_seconds() * 1000,
             avoid=[*engine_request.avoid, *self.refusing_engines(engine_request)],
-            software_version=engine_request.software_version,
+            software_version=engine_request.routed.software_version,
         )
         account = engine_request.routed.request.account
         if account is not None:
@@ -224,7 +222,7 @@
             server is None
             or server.born != answer.born
             or server.state is not ServerState.READY
-            or not server.has_software_version(engine_request.software_version)
+            or not server.has_software_version(engine_request.routed.software_version)
             or self.context.view.refuses(server)
         ):
             # The engine is not in this instance's view yet, it is leaving (an owner
@@ -272,7 +270,7 @@
                 has_adapter
                 and self.context.paces.may_send(server)
                 and server.id not in engine_request.avoid
-                and server.has_software_version(engine_request.software_version)
+                and server.has_software_version(engine_request.routed.software_version)
             ):
                 candidates.append(server)
         if not candidates:
--- a/src/magnoliatrail/forwarding/handler.py
+++ b/src/magnoliatrail/forwarding/handler.py
@@ -15,6 +15,7 @@
 from magnoliatrail.forwarding.quotas import QuotaEntry
 from magnoliatrail.forwarding.relay import REFUSED, account_of, refusal_of
 from magnoliatrail.forwarding.request import CallerRequest
+from magnoliatrail.forwarding.service_choice import NoService, choose_service
 from magnoliatrail.logs import EventLog
 from magnoliatrail.routes import RouteTable
 
@@ -113,8 +114,11 @@
             await charge.send(request)
             return
         try:
-            service = route.service_for(self.context.generator.random())
-            await self.serve(RoutedRequest(request, route, service), routes)
+            routed = await choose_service(self.context, request, route)
+            if isinstance(routed, NoService):
+                await routed.refuse(request)
+            else:
+                await self.serve(routed, routes)
         finally:
             if self.quotas:
                 self.quotas.settle(request, charge)
--- a/src/magnoliatrail/forwarding/plain_path.py
+++ b/src/magnoliatrail/forwarding/plain_path.py
@@ -11,7 +11,6 @@
 from magnoliatrail.forwarding.context import (
     NO_ROOM,
     NOT_RUN_STATUSES,
-    UNKNOWN_VERSION,
     ForwardingContext,
     RoutedRequest,
     log_attempt,
@@ -149,10 +148,7 @@
         runs = 0
         last: Attempt | None = None
         last_run: Attempt | None = None
-        version = await self.context.required_software_version(routed)
-        if version is None:
-            await request.answer_error(503, UNKNOWN_VERSION, RETRY_AFTER)
-            return
+        version = routed.software_version
         no_attempt = NO_SERVER_OF_VERSION if version else NO_SERVER
         for number in range(1, MAX_ATTEMPTS + 1):
             size = len(request.body)
@@ -321,7 +317,9 @@
             case AttemptOutcome.ANSWERED:
                 if routed.route.resumable:
                     self.context.stream_versions.record(
-                        request.id, attempt.server.software_version
+                        request.id,
+                        attempt.server.software_version,
+                        service=routed.service,
                     )
                 await request.answer_complete(
                     attempt.status, attempt.headers, attempt.body
--- a/src/magnoliatrail/forwarding/stream_origin.py
+++ b/src/magnoliatrail/forwarding/stream_origin.py
@@ -6,8 +6,11 @@
 from datetime import timedelta
 from enum import Enum
 
-# In place of the version where streams of several versions have one name.
+from magnoliatrail.membership.stream_records import StreamSoftware
+
+# In place of the version where streams of several services or versions have one name.
 AMBIGUOUS = ""
+AMBIGUOUS_SOFTWARE = StreamSoftware(AMBIGUOUS)
 
 
 class VersionSource(Enum):
@@ -21,9 +24,9 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordedStream:
-    """The software version that began a stream, and the instance that relayed it."""
+    """The software that began a stream, and the instance that relayed it."""
 
-    software_version: str
+    software: StreamSoftware
     instance: str
     at: timedelta
 
@@ -33,8 +36,8 @@
     """What is known about the begin of a stream that a request resumes."""
 
     source: VersionSource
-    # AMBIGUOUS if it cannot be known.
-    software_version: str = AMBIGUOUS
+    # Its version is AMBIGUOUS if it cannot be known.
+    software: StreamSoftware = AMBIGUOUS_SOFTWARE
     # The instance that relayed the stream, empty if it is not known.
     instance: str = ""
     # Address of the instance that remembered it, or name of the one that wrote it.
@@ -48,11 +51,18 @@
 async def first_found(
     questions: set[asyncio.Task[StreamOrigin | None]], patience: timedelta
 ) -> StreamOrigin | None:
-    """Return the first answer that knows a stream, None if none does in time."""
+    """Return the first answer that knows a stream, None if none does in time.
+
+    An answer without the service counts only if no other one has it in time.
+    """
+    found = None
     with suppress(TimeoutError):
         async with asyncio.timeout(patience.total_seconds()):
             for answered in asyncio.as_completed(questions):
                 origin = await answered
-                if origin is not None:
+                if origin is None:
+                    continue
+                if origin.software.service or not origin.software.version:
                     return origin
-    return None
+                found = found or origin
+    return found
--- a/src/magnoliatrail/forwarding/stream_versions.py
+++ b/src/magnoliatrail/forwarding/stream_versions.py
@@ -1,4 +1,4 @@
-"""Which software version began each resumable stream, known by several instances."""
+"""Which software began each resumable stream, known by several instances."""
 
 import asyncio
 from collections import OrderedDict, defaultdict
@@ -10,11 +10,12 @@
 from zlib import crc32
 
 from expression import Ok, Result
+from msgspec import UNSET
 
 from magnoliatrail.clock import Clock
 from magnoliatrail.errors import Failure
 from magnoliatrail.forwarding.stream_origin import (
-    AMBIGUOUS,
+    AMBIGUOUS_SOFTWARE,
     UNKNOWN_ORIGIN,
     RecordedStream,
     StreamOrigin,
@@ -36,6 +37,9 @@
     STREAM_LIFETIME,
     StreamRecordReader,
     StreamRecordWriter,
+    StreamSoftware,
+    common_software,
+    software_of,
 )
 from magnoliatrail.peers.client import PeerClient
 from magnoliatrail.peers.server import PeerRoute
@@ -80,11 +84,11 @@
 
 
 class StreamVersions:
-    """Record the software version that began each stream, and find it again.
+    """Record the service and software version that began each stream, and find them.
 
-    The version is kept here and by other instances, so that it outlives the instance
-    that relayed the stream, and in the store, so that it outlives all of them. It is
-    never inferred: a stream that nobody recorded may have begun at any version.
+    They are kept here and by other instances, so that they outlive the instance
+    that relayed the stream, and in the store, so that they outlive all of them. They
+    are never inferred: a stream that nobody recorded may have begun at any version.
     """
 
     def __init__(
@@ -113,15 +117,18 @@
         # Questions that may be answered after a stream has been found.
         self.questions: set[asyncio.Task[StreamOrigin | None]] = set()
 
-    def record(self, request: str, version: str) -> None:
-        """Record the version that sent the first event of a stream.
+    def record(self, request: str, version: str, *, service: str) -> None:
+        """Record the service and version that sent the first event of a stream.
 
         A stream without a name, or of a server that names no version, has no record.
         """
         if not (request and version):
             return
         stream = BegunStream(
-            request=request, software_version=version, instance=self.instance
+            request=request,
+            software_version=version,
+            instance=self.instance,
+            service=service,
         )
         self.keep(stream)
         first, *others = self.ranking(request)
@@ -134,16 +141,16 @@
         self.wake.set()
 
     def keep(self, stream: BegunStream) -> None:
-        """Keep the version of a stream, and forget those that ended.
+        """Keep the software of a stream, and forget those that ended.
 
-        Two streams with one name make it ambiguous, unless one version began both.
+        Two streams with one name make it ambiguous, unless the same began both.
         """
         known = self.known.get(stream.request)
-        version = stream.software_version
-        if known and known.software_version != version:
-            version = AMBIGUOUS
+        records = [software_of(stream), *([known.software] if known else [])]
         self.known[stream.request] = RecordedStream(
-            version, stream.instance, self.clock.monotonic()
+            common_software(records) or AMBIGUOUS_SOFTWARE,
+            stream.instance,
+            self.clock.monotonic(),
         )
         self.known.move_to_end(stream.request)
         self.forget_ended()
@@ -168,7 +175,7 @@
         if found:
             return StreamOrigin(
                 VersionSource.RECORDED,
-                found.software_version,
+                found.software,
                 found.instance,
                 age=self.clock.monotonic() - found.at,
             )
@@ -203,7 +210,7 @@
             case Result(tag="ok", ok=StreamVersionAnswer(known=True) as found):
                 return StreamOrigin(
                     VersionSource.INSTANCE,
-                    found.software_version,
+                    StreamSoftware(found.software_version, found.service or ""),
                     found.instance,
                     informant=address,
                     age=timedelta(milliseconds=found.age_ms),
@@ -220,8 +227,8 @@
     async def read_record(self, request: str) -> StreamOrigin | None:
         """Read the version of a stream from the store."""
         match await self.reader.find(request):
-            case Result(tag="ok", ok=(version, writer)):
-                return StreamOrigin(VersionSource.STORE, version, informant=writer)
+            case Result(tag="ok", ok=(software, writer)):
+                return StreamOrigin(VersionSource.STORE, software, informant=writer)
             case Result(tag="error", error=failure):
                 log.info(
                     "stream_records_unreadable",
@@ -349,7 +356,8 @@
         return Ok(
             StreamVersionAnswer(
                 known=True,
-                software_version=found.software_version,
+                software_version=found.software.version,
+                service=found.software.service or UNSET,
                 instance=found.instance,
                 age_ms=age.total_seconds() * 1000,
             )
--- a/src/magnoliatrail/membership/stream_records.py
+++ b/src/magnoliatrail/membership/stream_records.py
@@ -1,4 +1,4 @@
-"""Records in the store of which software version began which streams.
+"""Records in the store of which software began which streams.
 
 They outlive a restart of all instances. Each write adds a row and changes none, so a
 write that the store carries out late, or twice, does no harm.
@@ -10,9 +10,11 @@
 from base64 import urlsafe_b64encode
 from collections import defaultdict, deque
 from collections.abc import Iterable
+from dataclasses import dataclass
 from datetime import timedelta
 
 from expression import Error, Ok, Result
+from msgspec import UNSET
 
 from magnoliatrail.clock import Clock
 from magnoliatrail.errors import ErrorKind, Failure
@@ -51,6 +53,37 @@
 DIGEST_BYTES = 12
 
 
+@dataclass(frozen=True, slots=True)
+class StreamSoftware:
+    """The service and the software version of the server that began a stream."""
+
+    version: str
+    # Empty if an instance of an earlier release recorded the stream.
+    service: str = ""
+
+    def agrees(self, other: "StreamSoftware") -> bool:
+        """Return whether both may be records of one stream."""
+        services = {self.service, other.service} - {""}
+        return self.version == other.version and len(services) <= 1
+
+
+def common_software(records: Iterable[StreamSoftware]) -> StreamSoftware | None:
+    """Return what all records of a name agree on, None if there is nothing."""
+    found: StreamSoftware | None = None
+    for record in records:
+        if found is not None and not found.agrees(record):
+            # Streams of several services or versions have one name.
+            return None
+        if found is None or not found.service:
+            found = record
+    return found
+
+
+def software_of(record: BegunStream | StreamsOfVersion) -> StreamSoftware:
+    """Return the software in a message or a row."""
+    return StreamSoftware(record.software_version, record.service or "")
+
+
 def digest_of(request: str) -> str:
     """Return the digest by which a row names the request that began a stream."""
     digest = hashlib.blake2b(request.encode(), digest_size=DIGEST_BYTES).digest()
@@ -59,14 +92,18 @@
 
 def row_of(writer: InstanceId, streams: Iterable[BegunStream]) -> StreamRecordRow:
     """Return the row that records some streams."""
-    versions: defaultdict[str, list[str]] = defaultdict(list)
+    versions: defaultdict[StreamSoftware, list[str]] = defaultdict(list)
     for stream in streams:
-        versions[stream.software_version].append(digest_of(stream.request))
+        versions[software_of(stream)].append(digest_of(stream.request))
     return StreamRecordRow(
         writer=writer,
         versions=[
-            StreamsOfVersion(software_version=version, streams=digests)
-            for version, digests in versions.items()
+            StreamsOfVersion(
+                software_version=software.version,
+                streams=digests,
+                service=software.service or UNSET,
+            )
+            for software, digests in versions.items()
         ],
     )
 
@@ -225,22 +262,24 @@
 
 
 class StreamRecordReader:
-    """Find the recorded version of a stream in the store."""
+    """Find the recorded software of a stream in the store."""
 
     def __init__(self, store: RowStore, clock: Clock) -> None:
         self.store = store
         self.clock = clock
         # The rows of the table, complete up to a version of the store, and from them
-        # the writer of each stream's record by digest and software version.
+        # the writer of each stream's record by digest and software.
         self.rows: dict[str, StreamRecordRow] = {}
-        self.streams: defaultdict[str, dict[str, str]] = defaultdict(dict)
+        self.streams: defaultdict[str, dict[StreamSoftware, str]] = defaultdict(dict)
         self.version = 0
         self.reading: asyncio.Task[Result[None, Failure]] | None = None
         # When the next read may begin.
         self.next_read_at = clock.monotonic()
 
-    async def find(self, request: str) -> Result[tuple[str, str] | None, Failure]:
-        """Return the version that began a stream and the instance that recorded it.
+    async def find(
+        self, request: str
+    ) -> Result[tuple[StreamSoftware, str] | None, Failure]:
+        """Return the software that began a stream and the instance that recorded it.
 
         None if the store does not have the stream.
         """
@@ -257,11 +296,11 @@
         read = await self.refresh()
         return read.map(lambda _: self.look_up(digest))
 
-    def look_up(self, digest: str) -> tuple[str, str] | None:
-        """Return the version and the writer of a stream in the rows that are known."""
-        found = list(self.streams.get(digest, {}).items())
-        # Streams of several versions may have one name.
-        return found[0] if len(found) == 1 else None
+    def look_up(self, digest: str) -> tuple[StreamSoftware, str] | None:
+        """Return the software and the writer of a stream in the rows that are known."""
+        found = self.streams.get(digest, {})
+        software = common_software(found)
+        return (software, found[software]) if software is not None else None
 
     async def refresh(self) -> Result[None, Failure]:
         """Wait for the read in progress, or else for a new one."""
@@ -309,7 +348,7 @@
                 self.rows[key] = row
                 for version in row.versions:
                     for digest in version.streams:
-                        self.streams[digest][version.software_version] = row.writer
+                        self.streams[digest][software_of(version)] = row.writer
             case Result(error=failure):
                 log.warning("row_unreadable", key=key, reason=failure.message)
 
@@ -318,6 +357,6 @@
         row = self.rows.pop(key, None)
         for version in row.versions if row else []:
             for digest in version.streams:
-                self.streams[digest].pop(version.software_version, None)
+                self.streams[digest].pop(software_of(version), None)
                 if not self.streams[digest]:
                     del self.streams[digest]
--- a/src/magnoliatrail/routes.py
+++ b/src/magnoliatrail/routes.py
@@ -63,6 +63,12 @@
         """Return whether a request may run more than once."""
         return self.kind is RouteKind.SAFE or self.resumable
 
+    @property
+    def services(self) -> tuple[str, ...]:
+        """Return the services that the route leads to."""
+        drawn = tuple(share.service for share in self.shares if share.weight > 0)
+        return drawn or (self.shares[-1].service,)
+
     def service_for(self, point: float) -> str:
         """Return the service at a point from 0 to 1 of the cumulative shares."""
         rest = point * sum(share.weight for share in self.shares)
--- a/src/magnoliatrail/standins/platform_engine.py
+++ b/src/magnoliatrail/standins/platform_engine.py
@@ -20,6 +20,7 @@
 
     id: str
     born: int
+    service: str = "models"
     adapter_slots: int = 16
     models: set[str] = field(default_factory=set)
     # MODEL/NAME@VERSION of the loaded adapters, then of those still loading.
@@ -70,7 +71,7 @@
     def row(self) -> dict[str, object]:
         """Return the engine's row in the store, without its address."""
         return {
-            "service": "models",
+            "service": self.service,
             "zone": "zone-a",
             "version": self.version,
             "slots": 8,
--- a/tests/load/stream_fleet.py
+++ b/tests/load/stream_fleet.py
@@ -278,16 +278,16 @@
             request = f"r{len(self.begun)}"
             version = f"v1.{self.release}"
             self.begun[request] = version, self.now()
-            instance.versions.record(request, version)
+            instance.versions.record(request, version, service="models")
 
     async def resume(self, name, request):
         """Look a stream up; return whether it is found, and fail at another version."""
         found = await self.instances[name].versions.find(request)
         self.found[found.source] += 1
-        if found.software_version == AMBIGUOUS:
+        if found.software.version == AMBIGUOUS:
             return False
         began = self.begun[request][0]
-        assert found.software_version == began, (
+        assert found.software.version == began, (
             f"{request} began at {began}, {name} goes on at {found}"
         )
         return True
--- a/tests/platform/rig.py
+++ b/tests/platform/rig.py
@@ -67,8 +67,8 @@
     )
 
 
-def configuration(version=1, routes=None):
-    """Return a configuration with one engine service and one plain service."""
+def configuration(version=1, routes=None, engine_services=("models",)):
+    """Return a configuration with engine services and one plain service."""
     return {
         "version": version,
         "routes": routes
@@ -78,18 +78,21 @@
             route("lookup", "/lookup/", "safe", "desk", attempts=2),
         ],
         "services": [
-            {
-                "name": "models",
-                "engine": {
-                    "slots": 8,
-                    "kv_cache_tokens": 100_000,
-                    "adapter_slots": 4,
-                    "weights_mb": 100,
-                    "loads_per_s": 3,
-                    "stride": 4,
-                    "models": [{"name": MODEL, "weights_mb": 90, "adapters": 100}],
-                },
-            },
+            *(
+                {
+                    "name": name,
+                    "engine": {
+                        "slots": 8,
+                        "kv_cache_tokens": 100_000,
+                        "adapter_slots": 4,
+                        "weights_mb": 100,
+                        "loads_per_s": 3,
+                        "stride": 4,
+                        "models": [{"name": MODEL, "weights_mb": 90, "adapters": 100}],
+                    },
+                }
+                for name in engine_services
+            ),
             {"name": "desk", "connection_limit": 10},
         ],
         "limits": {"body_bytes": 1_000_000},
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -152,7 +152,7 @@
         async with running() as rig:
             (daemon,) = rig.daemons
             await listed(rig, "engine-0")
-            daemon.stream_versions.record("r0", "v1")
+            daemon.stream_versions.record("r0", "v1", service="models")
             daemon.cells.members.clear()
             fields = {**model("a7"), **headers}
             answer = await rig.send(daemon, "/stream/x", request="r1", headers=fields)
@@ -173,7 +173,7 @@
             await rig.until(
                 lambda: "one" in daemon.view.servers and daemon.view.routes.version == 2
             )
-            daemon.stream_versions.record("r0", "v0")
+            daemon.stream_versions.record("r0", "v0", service="desk")
             fields = {"Last-Event-Id": "1", "Resumes": "r0"}
             answer = await rig.send(daemon, "/plain/x", request="r1", headers=fields)
             assert answer.status == 503
--- a/tests/unit/stream_records_rig.py
+++ b/tests/unit/stream_records_rig.py
@@ -47,7 +47,7 @@
 
     async def find(self, request):
         found = (await self.new_reader().find(request)).ok
-        return found and found[0]
+        return found and found[0].version
 
     def keys(self):
         return {key for table, key in self.rows.rows if table == STREAMS_TABLE}
--- a/tests/unit/test_stream_record_reader.py
+++ b/tests/unit/test_stream_record_reader.py
@@ -11,6 +11,7 @@
 from magnoliatrail.membership.stream_records import (
     STREAM_LIFETIME,
     StreamRecordReader,
+    StreamSoftware,
 )
 from magnoliatrail.platform.protocol import STREAMS_TABLE
 from magnoliatrail.platform.rows import RowWrite
@@ -52,11 +53,11 @@
     async def scenario():
         reader = counting_reader(records)
         await records.write("r1")
-        assert (await reader.find("r1")).ok == ("v1", "i0")
-        assert (await reader.find("r1")).ok == ("v1", "i0")
+        assert (await reader.find("r1")).ok == (StreamSoftware("v1"), "i0")
+        assert (await reader.find("r1")).ok == (StreamSoftware("v1"), "i0")
         assert reader.store.reads == ["read"]
         await records.write("r2")
-        assert (await reader.find("r2")).ok == ("v1", "i0")
+        assert (await reader.find("r2")).ok == (StreamSoftware("v1"), "i0")
         assert (await reader.find("unknown")).ok is None
         assert reader.store.reads == ["read", "changes", "changes"]
 
@@ -86,7 +87,7 @@
         await records.write("r2")
         records.rows.forgotten = records.rows.version
         await records.write("r3")
-        assert (await reader.find("r3")).ok == ("v1", "i0")
+        assert (await reader.find("r3")).ok == (StreamSoftware("v1"), "i0")
         assert set(reader.rows) == records.keys()
         assert reader.store.reads == ["read", "changes", "read"]
 
@@ -104,7 +105,7 @@
         records.rows.restore(copied)
         other = records.new_writer("i1")
         await records.write("after", writer=other)
-        assert (await reader.find("after")).ok == ("v1", "i1")
+        assert (await reader.find("after")).ok == (StreamSoftware("v1"), "i1")
         assert set(reader.rows) == records.keys()
         assert reader.store.reads == ["read", "changes", "read"]
 
@@ -127,7 +128,7 @@
         await asyncio.sleep(0)
         reader.store.held.set()
         found = [answer.ok for answer in await asyncio.gather(*first, *joined)]
-        assert found == [("v1", "i0")] * 10
+        assert found == [(StreamSoftware("v1"), "i0")] * 10
         assert reader.store.reads == ["read", "changes"]
 
     run(scenario())
@@ -144,7 +145,7 @@
         one.cancel()
         await asyncio.sleep(0.001)
         reader.store.held.set()
-        assert (await two).ok == ("v1", "i0")
+        assert (await two).ok == (StreamSoftware("v1"), "i0")
 
     run(scenario())
 
--- a/tests/unit/test_stream_records.py
+++ b/tests/unit/test_stream_records.py
@@ -274,7 +274,7 @@
             if known.ranking(f"r{number}")[0] != known.instance
         )
         sending = asyncio.ensure_future(known.send_periodically())
-        known.record(request, "v1")
+        known.record(request, "v1", service="models")
         await pass_time(records.clock, 1)
         sending.cancel()
         holders = known.holders(request, WRITERS_TRIED)
--- a/tests/unit/test_stream_versions.py
+++ b/tests/unit/test_stream_versions.py
@@ -25,6 +25,7 @@
 from magnoliatrail.metrics_text import TextMetrics
 from tests.platform.fake_store import FakeRows
 
+SERVICE = "models"
 ADDRESSES = {f"i{number}": f"10.0.0.{number}:1" for number in range(9)}
 
 
@@ -58,27 +59,27 @@
 
 def test_a_recorded_version_is_found_without_asking(run):
     known = versions()
-    known.record("r1", "v1")
+    known.record("r1", "v1", service=SERVICE)
     found = run(known.find("r1"))
-    assert (found.software_version, found.source) == ("v1", VersionSource.RECORDED)
+    assert (found.software.version, found.source) == ("v1", VersionSource.RECORDED)
 
 
 def test_versions_are_forgotten_after_the_lifetime_of_a_stream():
     clock = ManualClock()
     known = versions(clock)
-    known.record("r1", "v1")
+    known.record("r1", "v1", service=SERVICE)
     clock.advance(STREAM_LIFETIME - timedelta(seconds=1))
-    known.record("r2", "v1")
+    known.record("r2", "v1", service=SERVICE)
     assert set(known.known) == {"r1", "r2"}
     clock.advance(timedelta(seconds=2))
-    known.record("r3", "v1")
+    known.record("r3", "v1", service=SERVICE)
     assert set(known.known) == {"r2", "r3"}
 
 
 def test_the_record_is_bounded():
     known = versions()
     for number in range(MAX_STREAMS + 10):
-        known.record(f"r{number}", "v1")
+        known.record(f"r{number}", "v1", service=SERVICE)
     assert len(known.known) == MAX_STREAMS
     assert "r0" not in known.known
 
@@ -111,7 +112,7 @@
         known = versions(SystemClock(), addresses=(addresses := {}))
         known.peers = Peers()
         sending = asyncio.ensure_future(known.send_periodically())
-        known.record("r1", "v1")
+        known.record("r1", "v1", service=SERVICE)
         await asyncio.sleep(0.1)
         assert not sent
         addresses.update({"i1": "10.0.0.1:1"})
@@ -130,9 +131,9 @@
         clock = ManualClock()
         known = versions(clock, addresses={})
         sending = asyncio.ensure_future(known.send_periodically())
-        known.record("r1", "v1")
+        known.record("r1", "v1", service=SERVICE)
         clock.advance(STREAM_LIFETIME)
-        known.record("r2", "v1")
+        known.record("r2", "v1", service=SERVICE)
         clock.advance(timedelta(seconds=1))
         async with asyncio.timeout(10):
             while len(known.unsent) > 1:
@@ -171,7 +172,7 @@
         sending = asyncio.ensure_future(known.send_periodically())
         async with asyncio.timeout(10):
             for number in range(3):
-                known.record(f"r{number}", "v1")
+                known.record(f"r{number}", "v1", service=SERVICE)
                 while len(known.peers.sent) <= number:
                     await asyncio.sleep(0.001)
         sending.cancel()
@@ -207,18 +208,18 @@
     known = versions()
     known.peers = Peers()
     found = run(known.find("r1"))
-    assert (found.software_version, found.source) == ("v1.1", VersionSource.INSTANCE)
+    assert (found.software.version, found.source) == ("v1.1", VersionSource.INSTANCE)
     assert (found.instance, found.age) == ("i3", timedelta(milliseconds=50))
 
 
 # Guards against a stream that goes on at the version of another one with its name.
 def test_a_name_of_streams_of_two_versions_is_of_no_version(run):
     known = versions()
-    known.record("r1", "v1")
-    known.record("r1", "v1")
-    assert run(known.find("r1")).software_version == "v1"
-    known.record("r1", "v1.1")
-    assert run(known.find("r1")).software_version == AMBIGUOUS
+    known.record("r1", "v1", service=SERVICE)
+    known.record("r1", "v1", service=SERVICE)
+    assert run(known.find("r1")).software.version == "v1"
+    known.record("r1", "v1.1", service=SERVICE)
+    assert run(known.find("r1")).software.version == AMBIGUOUS
 
 
 # Guards against a stored record of one of two streams with one name.
@@ -240,7 +241,7 @@
 @pytest.mark.parametrize(("request_id", "version"), [("", "v1"), ("r1", "")])
 def test_what_has_no_name_or_no_version_has_no_record(run, request_id, version):
     known = versions(addresses={})
-    known.record(request_id, version)
+    known.record(request_id, version, service=SERVICE)
     assert not known.known
     assert not known.writer.pending
     assert run(known.find(request_id)).source is VersionSource.UNKNOWN
@@ -254,7 +255,7 @@
         known = versions(clock, addresses={}, rows=rows)
         copied = rows.copy()
         writing = asyncio.ensure_future(known.writer.run())
-        known.record("r1", "v1")
+        known.record("r1", "v1", service=SERVICE)
         await settle(clock)
         assert (await known.reader.find("r1")).ok is not None
         rows.restore(copied)
@@ -274,7 +275,7 @@
         rows.down = True
         known = versions(clock, addresses={}, rows=rows)
         writing = asyncio.ensure_future(known.writer.run())
-        known.record("r1", "v1")
+        known.record("r1", "v1", service=SERVICE)
         await settle(clock, seconds=10)
         before = rows.calls
         await settle(clock, seconds=10)
@@ -293,9 +294,9 @@
     request = next(
         f"r{number}" for number in range(99) if known.ranking(f"r{number}")[0] == "i0"
     )
-    known.record(request, "v1")
+    known.record(request, "v1", service=SERVICE)
     known.writer.failing = True
-    known.record(request, "v1")
+    known.record(request, "v1", service=SERVICE)
     assert len(known.writer.pending) == 1
     assert [item.writers_tried for item in known.unsent] == [None, 0]
 
@@ -304,7 +305,7 @@
 def test_an_instance_alone_writes_its_streams_once_it_can(run):
     known = versions(addresses={})
     known.writer.failing = True
-    known.record("r1", "v1")
+    known.record("r1", "v1", service=SERVICE)
     assert [stream.request for stream in known.writer.pending] == ["r1"]
 
 
