Bound the memory of answers that are not passed on

Cause: bodies that are not relayed were kept in each attempt, up to 16 MB, and nothing bounded them over all attempts; errors did not draw on the memory budget either.

Heads have at most 64 KB, answers to orders and reports 1 MB. attempt.py and answer_reader.py are split from server_call.py, held_answers.py from plain_path.py.

Why it works: what is kept is counted by one budget; the rest is not kept.

--- a/src/magnoliatrail/connections.py
+++ b/src/magnoliatrail/connections.py
@@ -34,7 +34,7 @@
 
 # Bodies are limited by their readers, which know whether they are kept.
 HTTP_PARAMETERS = HTTP1ConnectionParameters(
-    max_body_size=sys.maxsize, max_header_size=256 * 1024
+    max_body_size=sys.maxsize, max_header_size=64 * 1024
 )
 
 
--- a/src/magnoliatrail/exchange.py
+++ b/src/magnoliatrail/exchange.py
@@ -133,6 +133,7 @@
 
     is_answer: AnswerFilter
     keep_refused: bool
+    max_body_bytes: int
 
 
 async def exchange(
@@ -144,6 +145,7 @@
     retry_if_silent: bool = False,
     is_answer: AnswerFilter = lambda headers: True,
     keep_refused: bool = True,
+    max_body_bytes: int = MAX_BUFFERED_BODY_BYTES,
     use: ConnectionUse = ConnectionUse.REQUESTS,
 ) -> BufferedAnswer:
     """Send a request and return its complete answer.
@@ -152,10 +154,11 @@
     again over a new one, so use it only for idempotent requests. `is_answer` tells by
     its headers an answer to this request from a late one to another. Without
     `keep_refused`, a connection that has carried a refusal is closed, as the refusal
-    might come again and be taken for the next answer. `use` selects the connections
+    might come again and be taken for the next answer. An answer with a body of more
+    than `max_body_bytes` is a failure. `use` selects the connections
     that are kept for it. Raises CallFailed.
     """
-    rules = ExchangeRules(is_answer, keep_refused)
+    rules = ExchangeRules(is_answer, keep_refused, max_body_bytes)
     started = pool.monotonic()
     if retry_if_silent:
         idle_stream = pool.acquire_idle(address)
@@ -183,7 +186,7 @@
     rules: ExchangeRules,
 ) -> BufferedAnswer:
     """Send a request over a connection and return its complete answer."""
-    answer = BufferedAnswer(AnswerBounds(stream))
+    answer = BufferedAnswer(AnswerBounds(stream, rules.max_body_bytes))
     try:
         async with asyncio.timeout(max(0.0, limit.total_seconds())):
             await send_and_read(stream, address, request, answer)
--- a/src/magnoliatrail/forwarding/context.py
+++ b/src/magnoliatrail/forwarding/context.py
@@ -11,12 +11,12 @@
 from magnoliatrail.clock import Clock
 from magnoliatrail.connections import ConnectionPool
 from magnoliatrail.event_progress import EventProgress, event_limits
+from magnoliatrail.forwarding.attempt import Attempt, AttemptOutcome
 from magnoliatrail.forwarding.bytes_in_flight import BytesInFlight
 from magnoliatrail.forwarding.head_check import HeadAnswer
 from magnoliatrail.forwarding.request import CallerRequest
 from magnoliatrail.forwarding.request_paces import RequestPaces
 from magnoliatrail.forwarding.retry_budget import RetryBudget
-from magnoliatrail.forwarding.server_call import Attempt, AttemptOutcome
 from magnoliatrail.forwarding.stream_versions import StreamVersions
 from magnoliatrail.forwarding.waiting_requests import WaitingRequests
 from magnoliatrail.logs import EventLog
--- a/src/magnoliatrail/forwarding/engine_path.py
+++ b/src/magnoliatrail/forwarding/engine_path.py
@@ -5,6 +5,7 @@
 from tornado.httputil import HTTPHeaders
 
 from magnoliatrail.accounts.accounts import ClientAccount
+from magnoliatrail.forwarding.attempt import Attempt, AttemptOutcome
 from magnoliatrail.forwarding.context import (
     NO_ROOM,
     ForwardingContext,
@@ -22,18 +23,19 @@
 )
 from magnoliatrail.forwarding.event_times import EventTimes
 from magnoliatrail.forwarding.head_check import SHUTDOWN_RETRY_AFTER, SHUTTING_DOWN
+from magnoliatrail.forwarding.held_answers import (
+    AnswerNotHeld,
+    hold_answer,
+    not_held,
+)
 from magnoliatrail.forwarding.request import CallerRequest
 from magnoliatrail.forwarding.send_check import send_check
-from magnoliatrail.forwarding.server_call import (
-    Attempt,
-    AttemptOutcome,
-    ForwardedRequest,
-    send_attempt,
-)
+from magnoliatrail.forwarding.server_call import ForwardedRequest, send_attempt
 from magnoliatrail.generated.cells import (
     RunOutcome,
 )
 from magnoliatrail.logs import EventLog
+from magnoliatrail.memory_budget import HeldKind, Holding
 from magnoliatrail.platform.request_headers import headers_for_server
 from magnoliatrail.routing import quarantine as quarantine_rules
 from magnoliatrail.routing.account_shares import engine_priority
@@ -93,15 +95,16 @@
                     "retry_budget_exhausted", request=request.id, service=routed.service
                 )
                 break
-            attempt = await self.attempt(engine_request, slot)
-            log_attempt(routed, attempt, number)
-            engine_request.attempts += 1
-            if attempt.withheld is not None:
-                await attempt.withheld.send(request)
-                return
-            if attempt.outcome is not AttemptOutcome.NOT_RUN:
-                await self.answer(routed, attempt)
-                return
+            with Holding(self.context.memory, HeldKind.ANSWERS) as holding:
+                attempt = await self.attempt(engine_request, slot, holding)
+                log_attempt(routed, attempt, number)
+                engine_request.attempts += 1
+                if attempt.withheld is not None:
+                    await attempt.withheld.send(request)
+                    return
+                if attempt.outcome is not AttemptOutcome.NOT_RUN:
+                    await self.answer(routed, attempt)
+                    return
             if not attempt.sent:
                 engine_request.avoid.append(slot.server.id)
                 if await self.context.served_elsewhere(routed):
@@ -153,8 +156,10 @@
         )
         await request.answer_error(503, slot.reason, slot.retry_after)
 
-    async def attempt(self, engine_request: EngineRequest, slot: BatchSlot) -> Attempt:
-        """Send a request to its engine and relay the stream."""
+    async def attempt(
+        self, engine_request: EngineRequest, slot: BatchSlot, holding: Holding
+    ) -> Attempt:
+        """Send a request to its engine and relay the stream; hold an error's body."""
         request, route = engine_request.routed.request, engine_request.routed.route
         clock = self.context.clock
         sent_at = clock.monotonic()
@@ -178,6 +183,9 @@
                 self.context.quarantine.record_sound(request.suspects)
             await request.write(chunk)
 
+        async def hold(size: int) -> None:
+            await hold_answer(clock, holding, size)
+
         forwarded = ForwardedRequest(
             id=request.id,
             method=request.method,
@@ -207,6 +215,7 @@
                     only_recently_used=not route.idempotent,
                     head=head,
                     body=body,
+                    hold=hold,
                     notice=self.context.apply_notice,
                     max_relayed_bytes=None,
                     check=send_check(self.context, engine_request.routed),
@@ -217,6 +226,8 @@
             self.context.record_attempt(
                 engine_request.routed, attempt, sent_at, known_sound=known_sound
             )
+        except AnswerNotHeld:
+            return not_held(slot.server)
         finally:
             self.slots.in_flight[slot.server.id] -= 1
             self.slots.release(engine_request, slot, outcome, events)
--- a/src/magnoliatrail/forwarding/plain_path.py
+++ b/src/magnoliatrail/forwarding/plain_path.py
@@ -8,6 +8,7 @@
 
 from magnoliatrail.backends import BackendServer
 from magnoliatrail.connections import MAX_BUFFERED_BODY_BYTES
+from magnoliatrail.forwarding.attempt import Attempt, AttemptOutcome
 from magnoliatrail.forwarding.context import (
     NO_ROOM,
     NOT_RUN_STATUSES,
@@ -15,13 +16,14 @@
     RoutedRequest,
     log_attempt,
 )
-from magnoliatrail.forwarding.send_check import send_check
-from magnoliatrail.forwarding.server_call import (
-    Attempt,
-    AttemptOutcome,
-    ForwardedRequest,
-    send_attempt,
+from magnoliatrail.forwarding.held_answers import (
+    NO_MEMORY,
+    AnswerNotHeld,
+    hold_answer,
+    not_held,
 )
+from magnoliatrail.forwarding.send_check import send_check
+from magnoliatrail.forwarding.server_call import ForwardedRequest, send_attempt
 from magnoliatrail.ids import ServerId
 from magnoliatrail.logs import EventLog
 from magnoliatrail.memory_budget import HeldKind, Holding
@@ -49,18 +51,10 @@
 # A safe request without an answer is retried after this multiple of its latency goal.
 RETRY_TIMEOUT_GOALS = 1.5
 RETRY_AFTER = timedelta(milliseconds=250)
-# An answer is not read for this long while the memory budget is full.
-MEMORY_WAIT = timedelta(seconds=2)
-MEMORY_POLL_INTERVAL = timedelta(milliseconds=20)
-NO_MEMORY = "no memory for the answer"
 NO_SERVER = "no server of the service is ready"
 NO_SERVER_OF_VERSION = "no server has the software version that began the stream"
 
 
-class AnswerNotHeld(Exception):  # noqa: N818
-    """There was no room for an answer in the memory budget."""
-
-
 @dataclass(slots=True)
 class FailureScore:
     """Exponentially decaying failure score of a server."""
@@ -223,9 +217,11 @@
         async def head(status: int, headers: HTTPHeaders) -> None:
             del status, headers
 
+        async def hold(size: int) -> None:
+            await hold_answer(self.context.clock, holding, size)
+
         async def body(chunk: bytes) -> None:
-            if not await self.try_hold(holding, len(chunk)):
-                raise AnswerNotHeld
+            await hold(len(chunk))
             chunks.append(chunk)
 
         forwarded = ForwardedRequest(
@@ -251,15 +247,13 @@
                     only_recently_used=routed.route.kind is not RouteKind.SAFE,
                     head=head,
                     body=body,
+                    hold=hold,
                     notice=self.context.apply_notice,
                     max_relayed_bytes=MAX_BUFFERED_BODY_BYTES,
                     check=send_check(self.context, routed),
                 )
         except AnswerNotHeld:
-            # Not a fault of the server, which may have run the request.
-            attempt = Attempt(server, AttemptOutcome.INVALID, sent=True)
-            attempt.reason = NO_MEMORY
-            return attempt
+            return not_held(server)
         finally:
             self.in_flight[server.id] -= 1
         attempt.body = b"".join(chunks) or attempt.body
@@ -271,16 +265,6 @@
         self.context.record_attempt(routed, attempt, sent_at)
         return attempt
 
-    async def try_hold(self, holding: Holding, size: int) -> bool:
-        """Hold a part of an answer; wait for room for a time, and return whether."""
-        clock = self.context.clock
-        until = clock.monotonic() + MEMORY_WAIT
-        while not holding.try_grow(size):
-            if clock.monotonic() >= until:
-                return False
-            await clock.sleep(MEMORY_POLL_INTERVAL)
-        return True
-
     def record_outcome(self, server: BackendServer, attempt: Attempt) -> None:
         """Update the failure score of a server."""
         failures = self.failures.setdefault(server.id, FailureScore())
--- a/src/magnoliatrail/forwarding/relay.py
+++ b/src/magnoliatrail/forwarding/relay.py
@@ -13,6 +13,7 @@
 
 from magnoliatrail.accounts.accounts import ClientAccount
 from magnoliatrail.backends import BackendServer, ServerNotice, ServerState
+from magnoliatrail.forwarding.attempt import Attempt, AttemptOutcome
 from magnoliatrail.forwarding.context import (
     NOT_RUN_STATUSES,
     ForwardingContext,
@@ -20,17 +21,21 @@
     break_off,
 )
 from magnoliatrail.forwarding.head_check import HeadAnswer
+from magnoliatrail.forwarding.held_answers import (
+    AnswerNotHeld,
+    hold_answer,
+    not_held,
+)
 from magnoliatrail.forwarding.request import RELAY_SERVER, RelayOrigin
 from magnoliatrail.forwarding.send_check import send_check
 from magnoliatrail.forwarding.server_call import (
-    Attempt,
-    AttemptOutcome,
     ForwardedRequest,
     SendCheck,
     send_attempt,
 )
 from magnoliatrail.ids import AccountName, InstanceId, ServerId
 from magnoliatrail.logs import EventLog
+from magnoliatrail.memory_budget import HeldKind, Holding
 from magnoliatrail.peers.reach_monitor import Helper
 from magnoliatrail.platform.request_headers import (
     headers_for_relay,
@@ -67,6 +72,11 @@
 
     async def serve(self, routed: RoutedRequest) -> bool:
         """Answer through another instance; return False if none takes the request."""
+        with Holding(self.context.memory, HeldKind.ANSWERS) as holding:
+            return await self.serve_holding(routed, holding)
+
+    async def serve_holding(self, routed: RoutedRequest, holding: Holding) -> bool:
+        """Answer through another instance, with kept answers in a holding."""
         tried: set[InstanceId] = set()
         while len(tried) < MAX_HELPERS:
             left = routed.ends_at - self.context.clock.monotonic()
@@ -74,7 +84,7 @@
             if helper is None or left < MIN_TIME_LEFT:
                 return False
             tried.add(helper.instance)
-            attempt = await self.attempt(routed, helper, left)
+            attempt = await self.attempt(routed, helper, left, holding)
             refused = (
                 attempt.outcome is AttemptOutcome.INVALID and REFUSED in attempt.headers
             )
@@ -112,7 +122,11 @@
         )
 
     async def attempt(
-        self, routed: RoutedRequest, helper: Helper, left: timedelta
+        self,
+        routed: RoutedRequest,
+        helper: Helper,
+        left: timedelta,
+        holding: Holding,
     ) -> Attempt:
         """Send a request to another instance, and pass a successful answer on."""
         request = routed.request
@@ -124,6 +138,9 @@
         async def body(chunk: bytes) -> None:
             await request.write(chunk)
 
+        async def hold(size: int) -> None:
+            await hold_answer(self.context.clock, holding, size)
+
         routes = self.context.view.routes
         fields = headers_for_relay(request.headers, left)
         fields[TOKEN] = self.token
@@ -141,11 +158,16 @@
                 only_recently_used=True,
                 head=head,
                 body=body,
+                hold=hold,
+                # Errors and refusals of the other instance are passed on too.
+                keeps_body=lambda status, headers: True,
                 notice=ignore_notice,
                 max_relayed_bytes=None,
                 check=relay_check(self.context, routed),
                 progress=routed.event_progress(self.context.clock),
             )
+        except AnswerNotHeld:
+            return not_held(as_server(helper))
         finally:
             self.in_flight[helper.instance] -= 1
         if not request.answer_started and is_signed(attempt.headers):
@@ -163,7 +185,7 @@
     async def answer(self, routed: RoutedRequest, attempt: Attempt) -> None:
         """Finish the caller's answer according to the outcome of the attempt."""
         request = routed.request
-        whole = attempt.outcome in (
+        whole = attempt.status and attempt.outcome in (
             AttemptOutcome.ANSWERED,
             AttemptOutcome.NOT_RUN,
             # A refusal or an error of the other instance.
--- a/src/magnoliatrail/platform/engine_calls.py
+++ b/src/magnoliatrail/platform/engine_calls.py
@@ -28,6 +28,8 @@
 from magnoliatrail.wire import JSON_TYPE, CallFailed, CallLimits, decode, encode
 
 HTTP_OK = 200
+# A report names a few hundred adapters at most.
+MAX_ANSWER_BYTES = 1024 * 1024
 
 
 class Operation(Enum):
@@ -144,6 +146,7 @@
             limits,
             is_answer=names_no_request,
             keep_refused=False,
+            max_body_bytes=MAX_ANSWER_BYTES,
             use=ConnectionUse.ORDERS,
         )
     except CallFailed as error:
@@ -174,6 +177,7 @@
             retry_if_silent=True,
             is_answer=names_no_request,
             keep_refused=False,
+            max_body_bytes=MAX_ANSWER_BYTES,
         )
     except CallFailed as error:
         return Error(Failure(ErrorKind.BACKEND_UNREACHABLE, str(error)))
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from magnoliatrail.forwarding.server_call import Framing
+from magnoliatrail.forwarding.attempt import Framing
 from tests.platform.rig import model, running
 from tests.platform.test_cut_from_servers import (
     CutFleet,
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -11,11 +11,10 @@
 from magnoliatrail.connections import MAX_BUFFERED_BODY_BYTES, ConnectionPool
 from magnoliatrail.errors import ErrorKind
 from magnoliatrail.exchange import OutgoingRequest, exchange
-from magnoliatrail.forwarding.server_call import (
-    AttemptOutcome,
-    ForwardedRequest,
-    send_attempt,
-)
+from magnoliatrail.forwarding.answer_reader import MAX_DISCARDED_BODY_BYTES
+from magnoliatrail.forwarding.attempt import AttemptOutcome
+from magnoliatrail.forwarding.held_answers import AnswerNotHeld
+from magnoliatrail.forwarding.server_call import ForwardedRequest, send_attempt
 from magnoliatrail.generated.cells import ReportAnswer
 from magnoliatrail.membership.fleet_view import FleetView
 from magnoliatrail.peers.client import PeerClient
@@ -23,7 +22,7 @@
 from magnoliatrail.platform.engine_calls import read_report
 from magnoliatrail.platform.rows import RowStore
 from magnoliatrail.wire import CallFailed, CallLimits
-from tests.servers import server
+from tests.servers import hold, server
 
 CHUNK_BYTES = 64 * 1024
 SIGNED = b"Magnoliatrail-Response-Signature: s\r\nMagnoliatrail-Request-Id: r1\r\n"
@@ -119,6 +118,7 @@
                 only_recently_used=False,
                 head=head,
                 body=body,
+                hold=hold,
                 notice=FleetView(SystemClock()).apply_notice,
                 max_relayed_bytes=MAX_BUFFERED_BODY_BYTES,
             )
@@ -127,6 +127,48 @@
             assert attempt.reason
             assert "closed" not in f"{attempt.reason} {attempt.connection_error}"
             assert sum(map(len, kept)) <= MAX_BUFFERED_BODY_BYTES
+            if name.startswith("unsigned"):
+                assert attempt.body_bytes <= MAX_DISCARDED_BODY_BYTES + CHUNK_BYTES
+            if not name.startswith("an error"):
+                assert not attempt.body
+            await check_bounded(sent)
+
+    run(scenario())
+
+
+# Guards against errors without end that are kept outside of the memory budget.
+@pytest.mark.parametrize("begin, more", BODIES.values(), ids=BODIES)
+def test_an_endless_error_is_given_up_without_room(run, begin, more):
+    async def scenario():
+        error = b"HTTP/1.1 500 Oh\r\n" + SIGNED
+        # A length over the bound is refused by the head.
+        start = begin.replace(b"99999999999", b"9999999")
+        async with endless_server(error + start, more) as (address, sent):
+            room = 4 * CHUNK_BYTES
+            held = []
+
+            async def hold_some(size):
+                if sum(held) + size > room:
+                    raise AnswerNotHeld
+                held.append(size)
+
+            async def sink(*_):
+                raise AssertionError("an error is not relayed")
+
+            with pytest.raises(AnswerNotHeld):
+                await send_attempt(
+                    ConnectionPool(SystemClock().monotonic),
+                    server("s1", address),
+                    ForwardedRequest("r1", "GET", "/", HTTPHeaders({"Host": "h"}), b""),
+                    time_left=timedelta(seconds=5),
+                    only_recently_used=False,
+                    head=sink,
+                    body=sink,
+                    hold=hold_some,
+                    notice=FleetView(SystemClock()).apply_notice,
+                    max_relayed_bytes=None,
+                )
+            assert held
             await check_bounded(sent)
 
     run(scenario())
@@ -154,6 +196,7 @@
                 only_recently_used=False,
                 head=head,
                 body=body,
+                hold=hold,
                 notice=FleetView(SystemClock()).apply_notice,
                 max_relayed_bytes=None,
             )
@@ -251,6 +294,7 @@
                 only_recently_used=False,
                 head=sink,
                 body=sink,
+                hold=hold,
                 notice=notice,
                 max_relayed_bytes=None,
             )
--- a/tests/platform/test_repeated_answers.py
+++ b/tests/platform/test_repeated_answers.py
@@ -9,11 +9,8 @@
 from tornado.httputil import HTTPHeaders
 
 from magnoliatrail.entry.engine_stream import EngineRequest, StreamLimits, open_stream
-from magnoliatrail.forwarding.server_call import (
-    AttemptOutcome,
-    ForwardedRequest,
-    send_attempt,
-)
+from magnoliatrail.forwarding.attempt import AttemptOutcome
+from magnoliatrail.forwarding.server_call import ForwardedRequest, send_attempt
 from magnoliatrail.platform.engine_calls import OrderOutcome, read_report, send_order
 from magnoliatrail.wire import call, new_http_client
 from tests.platform.rig import running
@@ -25,6 +22,7 @@
     ignore_notice,
 )
 from tests.platform.test_server_call import serving
+from tests.servers import hold
 
 
 class CopyingServer:
@@ -107,6 +105,7 @@
         only_recently_used=True,
         head=head,
         body=body,
+        hold=hold,
         notice=ignore_notice,
         max_relayed_bytes=None,
     )
--- a/tests/platform/test_repeated_refusals.py
+++ b/tests/platform/test_repeated_refusals.py
@@ -9,7 +9,7 @@
 
 from magnoliatrail.clock import SystemClock
 from magnoliatrail.connections import MAX_CARRIED_REQUESTS, ConnectionPool
-from magnoliatrail.forwarding.server_call import AttemptOutcome
+from magnoliatrail.forwarding.attempt import AttemptOutcome
 from magnoliatrail.ids import FencingNumber, InstanceId
 from magnoliatrail.platform.engine_calls import (
     Operation,
--- a/tests/platform/test_server_call.py
+++ b/tests/platform/test_server_call.py
@@ -12,12 +12,9 @@
 from magnoliatrail.backends import BackendServer, ServerState
 from magnoliatrail.clock import SystemClock
 from magnoliatrail.connections import ConnectionPool
-from magnoliatrail.forwarding.server_call import (
-    AttemptOutcome,
-    ForwardedRequest,
-    Framing,
-    send_attempt,
-)
+from magnoliatrail.forwarding.attempt import AttemptOutcome, Framing
+from magnoliatrail.forwarding.server_call import ForwardedRequest, send_attempt
+from tests.servers import hold
 
 SIGNED = b"Magnoliatrail-Response-Signature: s\r\nMagnoliatrail-Request-Id: r1\r\n"
 GOOD = b"HTTP/1.1 200 OK\r\n" + SIGNED + b"Content-Length: 5\r\n\r\nhello"
@@ -102,6 +99,7 @@
         only_recently_used=True,
         head=head,
         body=body,
+        hold=hold,
         notice=lambda server, notice: notices.append(notice),
         max_relayed_bytes=None,
     )
@@ -273,6 +271,7 @@
                     only_recently_used=False,
                     head=head,
                     body=body,
+                    hold=hold,
                     notice=lambda server, notice: None,
                     max_relayed_bytes=None,
                 )
@@ -375,6 +374,7 @@
                 only_recently_used=False,
                 head=head,
                 body=body,
+                hold=hold,
                 notice=lambda server, notice: seen.append(
                     (server.id, notice.leaving, list(relayed))
                 ),
--- a/tests/servers.py
+++ b/tests/servers.py
@@ -16,3 +16,8 @@
         models=(),
         orders_accepted=0,
     )
+
+
+async def hold(size):
+    """Hold a part of an answer, for which there is always room."""
+    del size
