Count the body of each answer of a connection by itself

Found on reading the diff.

Names that a reader could mistake are changed as well (attempt_without_room, expire, UNKNOWN_VERSION).

Measured: test_a_large_answer_to_another_request_takes_nothing_from_the_bound fails without the change ("broken" for "not_run") and passes with it.

--- a/src/magnoliatrail/forwarding/answer_reader.py
+++ b/src/magnoliatrail/forwarding/answer_reader.py
@@ -97,6 +97,8 @@
             self.bounds.interim_answers += 1
             return None
         self.status, self.headers = start_line.code, headers
+        # The bound is one for each answer, and a stray one may have come before.
+        self.bounds.body_bytes = 0
         self.names_request = answers_request(headers, self.request_id)
         self.is_stray = self.names_request is False
         if self.is_stray:
--- a/src/magnoliatrail/forwarding/engine_path.py
+++ b/src/magnoliatrail/forwarding/engine_path.py
@@ -25,8 +25,8 @@
 from magnoliatrail.forwarding.head_check import SHUTDOWN_RETRY_AFTER, SHUTTING_DOWN
 from magnoliatrail.forwarding.held_answers import (
     AnswerNotHeld,
+    attempt_without_room,
     hold_answer,
-    not_held,
 )
 from magnoliatrail.forwarding.request import CallerRequest
 from magnoliatrail.forwarding.send_check import send_check
@@ -227,7 +227,7 @@
                 engine_request.routed, attempt, sent_at, known_sound=known_sound
             )
         except AnswerNotHeld:
-            return not_held(slot.server)
+            return attempt_without_room(slot.server)
         finally:
             self.slots.in_flight[slot.server.id] -= 1
             self.slots.release(engine_request, slot, outcome, events)
--- a/src/magnoliatrail/forwarding/held_answers.py
+++ b/src/magnoliatrail/forwarding/held_answers.py
@@ -29,7 +29,7 @@
         await clock.sleep(MEMORY_POLL_INTERVAL)
 
 
-def not_held(server: BackendServer) -> Attempt:
+def attempt_without_room(server: BackendServer) -> Attempt:
     """Return an attempt whose answer could not be held.
 
     That is no fault of the server, which may have run the request.
--- a/src/magnoliatrail/forwarding/plain_path.py
+++ b/src/magnoliatrail/forwarding/plain_path.py
@@ -19,8 +19,8 @@
 from magnoliatrail.forwarding.held_answers import (
     NO_MEMORY,
     AnswerNotHeld,
+    attempt_without_room,
     hold_answer,
-    not_held,
 )
 from magnoliatrail.forwarding.send_check import send_check
 from magnoliatrail.forwarding.server_call import ForwardedRequest, send_attempt
@@ -253,7 +253,7 @@
                     check=send_check(self.context, routed),
                 )
         except AnswerNotHeld:
-            return not_held(server)
+            return attempt_without_room(server)
         finally:
             self.in_flight[server.id] -= 1
         attempt.body = b"".join(chunks) or attempt.body
--- a/src/magnoliatrail/forwarding/relay.py
+++ b/src/magnoliatrail/forwarding/relay.py
@@ -23,8 +23,8 @@
 from magnoliatrail.forwarding.head_check import HeadAnswer
 from magnoliatrail.forwarding.held_answers import (
     AnswerNotHeld,
+    attempt_without_room,
     hold_answer,
-    not_held,
 )
 from magnoliatrail.forwarding.request import RELAY_SERVER, RelayOrigin
 from magnoliatrail.forwarding.send_check import send_check
@@ -167,7 +167,7 @@
                 progress=routed.event_progress(self.context.clock),
             )
         except AnswerNotHeld:
-            return not_held(as_server(helper))
+            return attempt_without_room(as_server(helper))
         finally:
             self.in_flight[helper.instance] -= 1
         if not request.answer_started and is_signed(attempt.headers):
--- a/src/magnoliatrail/forwarding/server_call.py
+++ b/src/magnoliatrail/forwarding/server_call.py
@@ -6,10 +6,7 @@
 from datetime import timedelta
 
 from tornado.http1connection import HTTP1Connection
-from tornado.httputil import (
-    HTTPHeaders,
-    HTTPInputError,
-)
+from tornado.httputil import HTTPHeaders, HTTPInputError
 
 from magnoliatrail.backends import BackendServer, NoticeSink
 from magnoliatrail.connections import (
@@ -29,10 +26,7 @@
 )
 from magnoliatrail.forwarding.attempt import Attempt, AttemptOutcome
 from magnoliatrail.forwarding.head_check import HeadAnswer
-from magnoliatrail.platform.request_headers import (
-    is_signed,
-    not_executed,
-)
+from magnoliatrail.platform.request_headers import is_signed, not_executed
 from magnoliatrail.wire import CallFailed
 
 CONNECT_TIMEOUT = timedelta(milliseconds=400)
@@ -123,12 +117,7 @@
     reusable = False
     try:
         async with asyncio.timeout(max(0.001, time_left.total_seconds())):
-            reusable = await send_and_read(
-                attempt,
-                request,
-                new_reader,
-                bounds,
-            )
+            reusable = await send_and_read(attempt, request, new_reader, bounds)
     except TimeoutError:
         attempt.outcome = AttemptOutcome.TIMED_OUT
         attempt.reason = "no whole answer in the time left"
@@ -157,7 +146,6 @@
     connection, written = write_request(
         stream, request.method, request.target, request.headers.copy(), request.body
     )
-
     reader = new_reader()
     for _ in range(MAX_ANSWERS_READ):
         await read_answer(connection, reader)
--- a/src/magnoliatrail/forwarding/service_choice.py
+++ b/src/magnoliatrail/forwarding/service_choice.py
@@ -18,7 +18,7 @@
 
 log = EventLog("forwarding")
 
-UNKNOWN_ORIGIN = "the software version that began the stream is not known"
+UNKNOWN_VERSION = "the software version that began the stream is not known"
 UNKNOWN_SERVICE = "the service that began the stream is not known"
 ROUTE_MOVED = "the route no longer leads to the service that began the stream"
 # The record of a stream may arrive a little later than its caller.
@@ -94,7 +94,7 @@
     only for records of the previous release, which don't name the service.
     """
     if not software.version:
-        return NoService(UNKNOWN_ORIGIN)
+        return NoService(UNKNOWN_VERSION)
     services = list(route.services)
     if software.service:
         if software.service in services:
--- a/src/magnoliatrail/forwarding/waiting_requests.py
+++ b/src/magnoliatrail/forwarding/waiting_requests.py
@@ -25,14 +25,14 @@
 
     def end_all(self) -> None:
         """Let the waits of all requests time out at once."""
-        end(self.timeouts)
+        expire(self.timeouts)
 
     def end_late(self) -> None:
         """Let the waits of those requests time out that may not be sent any more."""
-        end(timeout for timeout, may in self.timeouts.items() if not may())
+        expire(timeout for timeout, may in self.timeouts.items() if not may())
 
 
-def end(timeouts: Iterable[asyncio.Timeout]) -> None:
+def expire(timeouts: Iterable[asyncio.Timeout]) -> None:
     """Let timeouts expire at once."""
     now = asyncio.get_running_loop().time()
     for timeout in list(timeouts):
--- a/tests/platform/test_server_call.py
+++ b/tests/platform/test_server_call.py
@@ -12,6 +12,7 @@
 from magnoliatrail.backends import BackendServer, ServerState
 from magnoliatrail.clock import SystemClock
 from magnoliatrail.connections import ConnectionPool
+from magnoliatrail.forwarding.answer_reader import MAX_DISCARDED_BODY_BYTES
 from magnoliatrail.forwarding.attempt import AttemptOutcome, Framing
 from magnoliatrail.forwarding.server_call import ForwardedRequest, send_attempt
 from tests.servers import hold
@@ -193,6 +194,21 @@
     assert idle == 1
 
 
+# Guards against a refusal that is taken for a broken answer, as the body of a late one
+# to another request came before it.
+def test_a_large_answer_to_another_request_takes_nothing_from_the_bound(run):
+    body = b"x" * (MAX_DISCARDED_BODY_BYTES + 1)
+    other = b"HTTP/1.1 200 OK\r\n" + SIGNED.replace(b"Id: r1", b"Id: r0")
+    other += b"Content-Length: %d\r\n\r\n" % len(body) + body
+    refused = (
+        b"HTTP/1.1 503 Busy\r\nMagnoliatrail-Not-Executed: 1\r\n"
+        b"Magnoliatrail-Request-Id: r1\r\nContent-Length: 2\r\n\r\nno"
+    )
+    found, _, _, idle = outcome_of(run, other + refused)
+    assert found.outcome is AttemptOutcome.NOT_RUN
+    assert idle == 1
+
+
 def test_a_signed_server_error_is_buffered(run):
     failed = GOOD.replace(b"200 OK", b"500 Oops")
     found, relayed, _, _ = outcome_of(run, failed)
