Let whole answers of serve draw on the memory budget

Cause: whole answers of /v1 and of /services were kept up to 64 MB each, and nothing bounded them together; so were answers of engines to calls.

Change: both draw on the budget that the listeners have, and are given up with backend_failed (it may have run) without room. Answers of engines to calls have at most 4 MB.

--- a/src/magnoliatrail/daemon.py
+++ b/src/magnoliatrail/daemon.py
@@ -50,7 +50,7 @@
 from magnoliatrail.platform.weights import HttpWeightStore
 from magnoliatrail.routing.permit_search import PermitSearch
 from magnoliatrail.settings import check_settings, control_limits, load_limits
-from magnoliatrail.wire import new_http_client
+from magnoliatrail.wire import MAX_ENGINE_RESPONSE_BYTES, new_http_client
 
 log = EventLog("daemon")
 
@@ -77,6 +77,7 @@
         self.metrics = metrics or metrics_from(settings, StatsClient)
         self.instance = InstanceId(settings.instance_id)
         self.limits = control_limits(settings)
+        self.memory = budget_for(settings)
         self.tasks = PeriodicTasks(self.clock)
         self.create_platform_clients()
         self.configuration = ConfigurationInForce(self.clock)
@@ -124,6 +125,7 @@
         """Create the clients of the platform's services."""
         settings, limits = self.settings, self.limits
         self.client = new_http_client()
+        self.engine_client = new_http_client(MAX_ENGINE_RESPONSE_BYTES)
         self.table = HttpTable(self.client, settings.table_url, limits)
         self.objects = HttpObjects(self.client, settings.objects_url, limits)
         self.instance_list = HttpInstanceList(
@@ -181,7 +183,7 @@
             listed=listed,
             fencing_number=FencingNumber(row.fencing_number),
             client=EngineClient(
-                self.client,
+                self.engine_client,
                 listed.url,
                 load_limits(self.settings),
                 self.gate.wait_until_open,
@@ -225,10 +227,11 @@
         caller = EngineCaller(
             settings=self.settings,
             clock=self.clock,
-            client=self.client,
+            client=self.engine_client,
             permits=self.permits,
             quarantine=self.quarantine,
             servers=self.fleet.servers,
+            memory=self.memory,
         )
         return Dispatcher(
             clock=self.clock,
@@ -255,24 +258,24 @@
             quarantine=self.quarantine,
             retry_share=lambda: self.configuration.configuration.defaults.retry_share,
             generator=self.operations.generator,
+            memory=self.memory,
         )
 
     async def start(self) -> None:
         """Open the listeners, join the fleet and start the tasks."""
         settings = self.settings
         messages = peer_application(self.peer_routes(), settings.peer_token)
-        memory = budget_for(settings)
         self.peer_listener = listen(
             TokenCheck(messages, settings.peer_token),
             host=settings.host,
             port=settings.peer_port,
-            guard=peer_guard(settings, self.clock, self.metrics, memory),
+            guard=peer_guard(settings, self.clock, self.metrics, self.memory),
         )
         self.caller_listener = listen(
             self.callers,
             host=settings.host,
             port=settings.port,
-            guard=caller_guard(settings, self.clock, self.metrics, memory),
+            guard=caller_guard(settings, self.clock, self.metrics, self.memory),
         )
         self.coordination.connect(
             peer_url=self.advertised_url(self.peer_listener),
@@ -316,6 +319,7 @@
             if listener:
                 await listener.close()
         self.client.close()
+        self.engine_client.close()
         self.peers.close()
         log.info("stopped", instance=self.instance)
 
--- a/src/magnoliatrail/entry/engine_call.py
+++ b/src/magnoliatrail/entry/engine_call.py
@@ -26,6 +26,7 @@
 from magnoliatrail.generated.settings import Settings
 from magnoliatrail.logs import EventLog
 from magnoliatrail.membership.servers import ServerView
+from magnoliatrail.memory_budget import HeldKind, Holding, MemoryBudget
 from magnoliatrail.peers.quarantine_exchange import QuarantineExchange
 from magnoliatrail.requests import AnswerOrigin, CompletionCall, RunVersion
 from magnoliatrail.routing.answer_origin import listed_run_version, may_go_on
@@ -57,8 +58,10 @@
         permits: PermitHolder,
         quarantine: QuarantineExchange,
         servers: ServerView,
+        memory: MemoryBudget,
     ) -> None:
         self.settings = settings
+        self.memory = memory
         self.clock = clock
         self.quarantine = quarantine
         self.permits = permits
@@ -160,15 +163,18 @@
         """Run a request and relay its answer once it is complete."""
 
         async def relay_answer(stream: EngineStream) -> RelayFailure | None:
-            body = await read_whole(stream, run.request_id, run.permit.handle)
-            if isinstance(body, RelayFailure):
-                return body
-            request = run.request
-            renamed = with_caller_identity(
-                body, request.context.request_id, request.model
-            )
-            await sink.write_whole(renamed)
-            return None
+            with Holding(self.memory, HeldKind.ANSWERS) as holding:
+                body = await read_whole(
+                    stream, run.request_id, run.permit.handle, holding
+                )
+                if isinstance(body, RelayFailure):
+                    return body
+                request = run.request
+                renamed = with_caller_identity(
+                    body, request.context.request_id, request.model
+                )
+                await sink.write_whole(renamed)
+                return None
 
         return await self.run_until_complete(run, relay_answer, lambda: 0)
 
--- a/src/magnoliatrail/entry/service_call.py
+++ b/src/magnoliatrail/entry/service_call.py
@@ -17,6 +17,7 @@
 from magnoliatrail.clock import Clock
 from magnoliatrail.entry.context import DEADLINE_HEADER
 from magnoliatrail.entry.forwarding import end_to_end_headers, is_framed
+from magnoliatrail.entry.held_body import NO_MEMORY, HeldBody
 from magnoliatrail.entry.retry_budget import RetryBudget
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.generated.platform import ListedInstance, ListedKind
@@ -24,6 +25,7 @@
 from magnoliatrail.ids import PartId, ServerId
 from magnoliatrail.logs import EventLog
 from magnoliatrail.membership.fleet import Fleet
+from magnoliatrail.memory_budget import HeldKind, Holding, MemoryBudget
 from magnoliatrail.metrics import Metrics
 from magnoliatrail.operations.backoff import Backoff, backoff_delays
 from magnoliatrail.operations.rows import RecordedAnswer
@@ -90,8 +92,10 @@
         quarantine: QuarantineExchange,
         retry_share: Callable[[], float],
         generator: Random,
+        memory: MemoryBudget,
     ) -> None:
         self.settings = settings
+        self.memory = memory
         self.clock = clock
         self.client = client
         self.fleet = fleet
@@ -256,14 +260,26 @@
         time_left = request.context.time_left(self.clock)
         limits = CallLimits(self.connect_limit, time_left)
         message = replica_request(request, replica, time_left)
-        try:
-            response = await call(self.client, message, limits)
-        except CallFailed as error:
-            return Error(self.failure_of(request, error))
+        with Holding(self.memory, HeldKind.ANSWERS) as holding:
+            body = HeldBody(holding)
+            message.streaming_callback = body.receive
+            try:
+                response = await call(self.client, message, limits)
+            except CallFailed as error:
+                if body.has_room:
+                    return Error(self.failure_of(request, error))
+            if not body.has_room:
+                return Error(Failure(ErrorKind.BACKEND_FAILED, NO_MEMORY))
+            return self.answer_of(request, response, body.content())
+
+    def answer_of(
+        self, request: ServiceRequest, response: HTTPResponse, body: bytes
+    ) -> Answer:
+        """Return a replica's answer, or what is wrong with it."""
         if not is_framed(response.headers, response.code, request.method):
             reason = "the answer had neither a length nor chunks, so it may be cut off"
             return Error(Failure(ErrorKind.ANSWER_INVALID, reason))
-        return Ok(recorded_answer(response))
+        return Ok(recorded_answer(response, body))
 
     def failure_of(self, request: ServiceRequest, error: CallFailed) -> Failure:
         """Map a call without an answer to a failure."""
@@ -332,9 +348,9 @@
     )
 
 
-def recorded_answer(response: HTTPResponse) -> RecordedAnswer:
+def recorded_answer(response: HTTPResponse, body: bytes) -> RecordedAnswer:
     """Return the answer in the form that repeated calls receive."""
     passed = end_to_end_headers(response.headers)
     headers = tuple(item for item in passed if item[0].lower() != "content-type")
     content_type = response.headers.get("Content-Type", "")
-    return RecordedAnswer(response.code, content_type, response.body, headers)
+    return RecordedAnswer(response.code, content_type, body, headers)
--- a/src/magnoliatrail/entry/whole_answer.py
+++ b/src/magnoliatrail/entry/whole_answer.py
@@ -4,27 +4,34 @@
 
 from magnoliatrail.entry.answer_check import check_identity, replace_fields
 from magnoliatrail.entry.engine_stream import EngineStream
+from magnoliatrail.entry.held_body import NO_MEMORY, HeldBody
 from magnoliatrail.entry.stream_relay import RelayFailure, relay_body
+from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.generated.engine import AnswerSummary
 from magnoliatrail.ids import AdapterVersion, Handle, RequestId
+from magnoliatrail.memory_budget import Holding
 from magnoliatrail.wire import MAX_RESPONSE_BYTES
 
 
 async def read_whole(
-    stream: EngineStream, request_id: RequestId, handle: Handle
+    stream: EngineStream, request_id: RequestId, handle: Handle, holding: Holding
 ) -> bytes | RelayFailure:
-    """Read a complete answer and validate it."""
-    body = bytearray()
+    """Read a complete answer within the memory budget, and validate it."""
+    body = HeldBody(holding)
 
     def handle_content(data: bytes) -> None:
-        body.extend(data)
-        if len(body) > MAX_RESPONSE_BYTES:
+        body.receive(data)
+        if not body.has_room or holding.size > MAX_RESPONSE_BYTES:
             stream.stop()
 
     failure = await relay_body(stream, handle_content)
-    if len(body) > MAX_RESPONSE_BYTES:
+    if not body.has_room:
+        return RelayFailure(
+            NO_MEMORY, final=Failure(ErrorKind.BACKEND_FAILED, NO_MEMORY)
+        )
+    if holding.size > MAX_RESPONSE_BYTES:
         return RelayFailure(f"the answer has more than {MAX_RESPONSE_BYTES} bytes")
-    return failure or check_whole(bytes(body), request_id, handle)
+    return failure or check_whole(body.content(), request_id, handle)
 
 
 def check_whole(
--- a/src/magnoliatrail/wire.py
+++ b/src/magnoliatrail/wire.py
@@ -22,6 +22,8 @@
 JSON_TYPE = "application/json"
 MAX_CONNECTIONS = 20_000
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+# Answers of engines to all calls but requests.
+MAX_ENGINE_RESPONSE_BYTES = 4 * 1024 * 1024
 
 # Hop-by-hop headers, which apply to a single connection (RFC 9110, section 7.6.1).
 HOP_BY_HOP = {
@@ -56,13 +58,15 @@
         self.sent = sent
 
 
-def new_http_client() -> AsyncHTTPClient:
+def new_http_client(
+    max_response_bytes: int = MAX_RESPONSE_BYTES,
+) -> AsyncHTTPClient:
     """Return a separate HTTP client that shares no limits with others."""
     return SimpleAsyncHTTPClient(
         force_instance=True,
         max_clients=MAX_CONNECTIONS,
-        max_body_size=MAX_RESPONSE_BYTES,
-        max_buffer_size=MAX_RESPONSE_BYTES,
+        max_body_size=max_response_bytes,
+        max_buffer_size=max_response_bytes,
     )
 
 
--- a/tests/unit/entry_rig.py
+++ b/tests/unit/entry_rig.py
@@ -14,6 +14,7 @@
 from magnoliatrail.entry.application import caller_application
 from magnoliatrail.entry.dispatch import Dispatcher
 from magnoliatrail.entry.engine_call import EngineCaller
+from magnoliatrail.entry.guards import budget_for
 from magnoliatrail.entry.lifecycle import Lifecycle
 from magnoliatrail.entry.parts import EntryParts
 from magnoliatrail.generated.membership import MemberRecord, MemberState
@@ -96,6 +97,7 @@
             permits=holder,
             quarantine=self.quarantine,
             servers=self.fleet.servers,
+            memory=budget_for(self.settings),
         )
         metrics = RecordedMetrics()
         configuration = ConfigurationInForce(clock)
