Blame no replica for an answer that this instance had no room for

Callers of /services would see: a request whose answer found no room in the memory budget was sent again and counted as one that crashes replicas; after three of these it was refused. Found on reading the diff.

Change: it is neither retried nor recorded, as at `forward`.

Measured: test_an_answer_without_room_accuses_no_request_and_is_not_retried failed before the change and passes with it.

--- a/src/magnoliatrail/entry/service_call.py
+++ b/src/magnoliatrail/entry/service_call.py
@@ -230,6 +230,8 @@
         The list does not tell the runs of a replica apart, so each answer that breaks
         off counts as the end of one.
         """
+        if lacked_memory(answer):
+            return
         match answer:
             case Result(tag="ok", ok=recorded):
                 if recorded.status < HTTP_MULTIPLE_CHOICES:
@@ -292,6 +294,8 @@
 
 def is_retryable(answer: Answer) -> bool:
     """Return whether an idempotent request should be retried."""
+    if lacked_memory(answer):
+        return False
     if answer.is_ok():
         return answer.ok.status == HTTP_UNAVAILABLE
     return answer.error.kind in {
@@ -301,6 +305,11 @@
     }
 
 
+def lacked_memory(answer: Answer) -> bool:
+    """Return whether this instance had no room for an answer, no fault of a replica."""
+    return answer.is_error() and answer.error.message == NO_MEMORY
+
+
 def is_quarantined(answer: Answer) -> bool:
     """Return whether a request was refused because it crashes replicas."""
     return answer.is_error() and answer.error.kind is ErrorKind.PROMPT_QUARANTINED
--- a/tests/platform/test_endless_answers_of_serve.py
+++ b/tests/platform/test_endless_answers_of_serve.py
@@ -6,14 +6,19 @@
 from random import Random
 
 import pytest
+from expression import Error
 from tornado.httputil import HTTPHeaders
 
 from magnoliatrail.clock import SystemClock
 from magnoliatrail.entry.engine_stream import EngineRequest, StreamLimits, open_stream
 from magnoliatrail.entry.held_body import NO_MEMORY
-from magnoliatrail.entry.service_call import ServiceCaller, ServiceRequest
+from magnoliatrail.entry.service_call import (
+    ServiceCaller,
+    ServiceRequest,
+    is_retryable,
+)
 from magnoliatrail.entry.whole_answer import read_whole
-from magnoliatrail.errors import ErrorKind
+from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.generated.permits import RequestClass
 from magnoliatrail.generated.platform import ListedInstance, ListedKind, ListedState
 from magnoliatrail.generated.settings import Settings
@@ -128,3 +133,26 @@
         assert memory.held[HeldKind.ANSWERS] == 0
 
     run(scenario())
+
+
+# Guards against a request that is refused as one that crashes replicas, or is sent once
+# more, because this instance had no memory for its answer.
+def test_an_answer_without_room_accuses_no_request_and_is_not_retried():
+    caller, request = service_caller(MemoryBudget(0)), service_request(1)
+    replica = ListedInstance(
+        id="s1",
+        kind=ListedKind.SERVICE,
+        name="s",
+        url="http://10.0.0.1:1",
+        failure_domain="domain-0",
+        state=ListedState.LIVE,
+    )
+    accused = []
+    caller.quarantine.record_broken = lambda run, parts: accused.append(parts)
+    without_room = Error(Failure(ErrorKind.BACKEND_FAILED, NO_MEMORY))
+    broken = Error(Failure(ErrorKind.BACKEND_FAILED, "the connection broke"))
+    caller.record_answer(request, replica, without_room)
+    assert not accused
+    caller.record_answer(request, replica, broken)
+    assert accused == [(request.fingerprint,)]
+    assert (is_retryable(without_room), is_retryable(broken)) == (False, True)
