--- a/src/magnoliatrail/forwarding/planned_stop.py
+++ b/src/magnoliatrail/forwarding/planned_stop.py
@@ -2,7 +2,8 @@
 
 Until the balancer has removed the instance, it accepts connections and requests. It
 then stays as long as callers keep connections open, because they may send on them at
-any time. Shortly before the process would be killed, all that is left is refused.
+any time, and passes on only what has its answer before the end. Shortly before the
+process would be killed, all that is left is refused.
 """
 
 import asyncio
