--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -113,7 +113,9 @@
         return time.monotonic() - self.began
 
     def note(self, what: str, **fields: object) -> None:
-        """Write one line."""
+        """Write one line, until the case has ended."""
+        if self.file.closed:
+            return
         pairs = " ".join(f"{name}={value}" for name, value in fields.items())
         self.file.write(f"{self.now():9.3f} {what} {pairs}\n")
 
@@ -680,7 +682,8 @@
     def __init__(self, case: Case, name: str, service: str = "models", **more: object):
         super().__init__(case, name, service, slots=64, queue=192, **more)
         self.sequence = 0
-        self.models = {"base"}
+        self.models: set[str] = set()
+        self.started = self.busy = False
         # NAME@VERSION of the adapters, and of those that are loading.
         self.adapters: set[str] = set()
         self.incoming: set[str] = set()
@@ -689,8 +692,10 @@
         self.orders: list[tuple[float, dict[str, object]]] = []
 
     async def start(self) -> None:
-        """Start empty but for the base model, and write the entry."""
+        """Start with the base model, later starts are empty; write the entry."""
         self.sequence, self.adapters, self.incoming = 0, set(), set()
+        self.models = set() if self.started else {"base"}
+        self.started, self.busy = True, False
         await super().start()
 
     def listed(self) -> list[dict[str, object]]:
@@ -711,7 +716,7 @@
             "stage": "both",
             "models": self.listed(),
             "incoming": [f"base/{name}" for name in sorted(self.incoming)],
-            "busy": False,
+            "busy": self.busy,
             "sequence": self.sequence,
             "waiting": self.waiting,
             "running": self.running,
@@ -728,7 +733,9 @@
         if order.get("precondition", self.sequence) != self.sequence:
             return 409
         if "adapter" not in order:
-            return 200
+            return self.load_base()
+        if self.busy or "base" not in self.models:
+            return 409 if self.busy else 400
         name = f"{order['adapter']}@{order.get('version', 1)}"
         if order["operation"] == "unload":
             self.adapters = {
@@ -745,6 +752,20 @@
         asyncio.get_running_loop().call_later(0.25, self.loaded, name, self.born)
         return 202
 
+    def load_base(self) -> int:
+        """Load the base model from the disk."""
+        if "base" in self.models:
+            return 200
+        self.sequence += 1
+        self.busy = True
+        asyncio.get_running_loop().call_later(0.78, self.base_loaded, self.born)
+        return 202
+
+    def base_loaded(self, born: int) -> None:
+        """End the load of the base model."""
+        if born == self.born:
+            self.models, self.busy = {"base"}, False
+
     def loaded(self, name: str, born: int) -> None:
         """End the load of an adapter."""
         if born == self.born and name in self.incoming:
@@ -801,7 +822,8 @@
         self.arrived.append((self.case.record.now(), request))
         adapter = head.fields.get("magnoliatrail-model", "").partition("/")[2]
         version = head.fields.get("magnoliatrail-expect-version", "1")
-        if adapter and f"{adapter}@{version}" not in self.adapters:
+        held = not adapter or f"{adapter}@{version}" in self.adapters
+        if not (held and self.models):
             fields = {**named, "Magnoliatrail-Not-Executed": "1"}
             await self.send(writer, 421, fields, b"")
             return True
