--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -16,10 +16,13 @@
 from contextlib import ExitStack, suppress
 from dataclasses import dataclass, field
 from pathlib import Path
+from urllib.parse import unquote
 
 ROOT = Path(__file__).resolve().parents[2]
 PACKAGES = ROOT / "target" / "deps"
 OK = 200
+# The store answers a read with at most so many rows.
+MAX_ROWS = 500
 CONNECTION_ENDS = (OSError, asyncio.IncompleteReadError, asyncio.CancelledError)
 # SO_LINGER on, with a timeout of 0: closing the socket resets the connection.
 RESET_ON_CLOSE = b"\x01\x00\x00\x00\x00\x00\x00\x00"
@@ -184,7 +187,9 @@
         self.changed = asyncio.Event()
         return True
 
-    def listed(self, table: str, after: int | None, part: str) -> list[object]:
+    def listed(
+        self, table: str, after: int | None, part: str
+    ) -> list[dict[str, object]]:
         """Return rows of a table, or its changes after a version."""
         found = [
             (row.version, key, row)
@@ -235,13 +240,16 @@
         await asyncio.sleep(0.004)
         path, _, text = head.target.partition("?")
         query = dict(item.partition("=")[::2] for item in text.split("&") if item)
-        status, rows = 200, []
+        status, rows, more = 200, [], False
         if path == "/v1/rows-tx":
             await asyncio.sleep(0.004)
             if not self.commit(json.loads(body)):
                 status = 412
         elif path == "/v1/rows-get":
-            rows = self.listed(query["table"], None, query.get("part", ""))
+            first = unquote(query.get("from", ""))
+            found = self.listed(query["table"], None, query.get("part", ""))
+            found = [row for row in found if row["key"] >= first]
+            rows, more = found[:MAX_ROWS], len(found) > MAX_ROWS
         else:
             after, wait = int(query["after"]), int(query.get("wait_ms", "0")) / 1000
             until = time.monotonic() + wait
@@ -253,7 +261,8 @@
                     )
                 rows = self.listed(query["table"], after, "")
         now = int(time.monotonic() * 1000)
-        return status, {"rows": rows, "row_version": self.version, "now_ms": now}
+        answer = {"rows": rows, "row_version": self.version, "now_ms": now}
+        return status, {**answer, "has_more": more}
 
 
 @dataclass
