--- a/review/7/case.py
+++ b/review/7/case.py
@@ -30,7 +30,7 @@
 # The list of replicas lags behind what they do.
 LIST_LAG_SECONDS = 0.8
 # The caller sends its request again, as a new request, at any machine.
-REPEAT_SECONDS = 1.5
+REPEAT_SECONDS = 1.2
 SOUND_REQUESTS_PER_SECOND = 16
 CALLERS = 8
 STABILITY_SECONDS = 3.0
