Pass on in a planned stop only what its time limit ends in time

Cause: the stop took the longest recent answer of the route plus a second for the latest end of the next answer.

Change: from 2.6 s after SIGTERM a request is passed on only if its time limit, the earlier of deadline and route, ends before the instance does. AnswerDurations is gone.

Tests: with the tests of this commit on, test_a_late_request_is_sent_only_if_ its_time_limit_ends_before_the_instance fails on three paths (the request is passed on) and test_late_requests_are_answered_or_refused_unrun loses one request.

--- a/src/magnoliatrail/forwarding/context.py
+++ b/src/magnoliatrail/forwarding/context.py
@@ -28,7 +28,6 @@
 from magnoliatrail.peers.reach_monitor import ReachMonitor
 from magnoliatrail.platform.settings_file import Bounds
 from magnoliatrail.routes import Route, RouteKind
-from magnoliatrail.routing.answer_durations import AnswerDurations
 
 log = EventLog("forwarding")
 
@@ -70,7 +69,6 @@
     refuses_streams: bool = False
     # When the last answers of a planned stop must have come, None before.
     answers_end_at: timedelta | None = None
-    answer_durations: AnswerDurations = field(default_factory=AnswerDurations)
     # What is held for callers; its size bounds what is in flight to one server.
     memory: MemoryBudget = field(default_factory=lambda: budget_of(DEFAULT_MEMORY_MB))
     in_flight: BytesInFlight = field(init=False)
@@ -112,15 +110,14 @@
         )
 
     def answered_in_time(self, request: CallerRequest, route: Route) -> bool:
-        """Return whether a request that is sent now has its answer before the end.
+        """Return whether the time limit of a request ends before this instance does.
 
-        Once sent, it may have run and can't be refused any more.
+        Once sent, it may have run and can't be refused any more. How long earlier
+        answers took says nothing certain of the next one.
         """
         if self.answers_end_at is None:
             return True
-        now, ends_at = self.clock.monotonic(), end_of(request, route)
-        latest = self.answer_durations.latest_end(route.name, now, ends_at)
-        return latest <= self.answers_end_at
+        return end_of(request, route) <= self.answers_end_at
 
     async def served_elsewhere(self, routed: "RoutedRequest") -> bool:
         """Answer a request through another instance if this one reaches no server.
@@ -147,9 +144,6 @@
     ) -> None:
         """Record what an attempt says of its server and of what may crash it."""
         self.record_run(routed.request, attempt)
-        if attempt.sent and attempt.outcome is not AttemptOutcome.NOT_RUN:
-            now = self.clock.monotonic()
-            self.answer_durations.record(routed.route.name, now - sent_at, now)
         run, suspects = attempt.server.key, routed.request.suspects
         if attempt.outcome is AttemptOutcome.BROKEN and self.reach.is_cut:
             log.info("break_not_reported", request=routed.request.id, server=run[0])
--- a/tests/platform/test_late_requests.py
+++ b/tests/platform/test_late_requests.py
@@ -6,14 +6,15 @@
 import pytest
 
 from magnoliatrail.forwarding.head_check import ENDS_TOO_SOON, SHUTTING_DOWN
-from magnoliatrail.routing.answer_durations import MIN_ANSWERS, SERVER_PAUSE
 from tests.platform.rig import configuration, model, route, running
 from tests.platform.test_client_accounts import Recorder, add_recorders, send
 from tests.platform.test_cut_from_servers import CutForm, cut_fleet
 
 TIME_LEFT = timedelta(seconds=2)
 PATHS = ["/plain/x", "/lookup/x", "/stream/x"]
-NAMES = {"/plain/x": "plain", "/lookup/x": "lookup", "/stream/x": "stream"}
+# The routes allow 15 s.
+DEADLINE = "Magnoliatrail-Deadline-Milliseconds"
+KNOWN_ANSWERS = 25
 
 
 def end_soon(daemon, left=TIME_LEFT):
@@ -22,14 +23,6 @@
     context.answers_end_at = context.clock.monotonic() + left
 
 
-def record_answers(daemon, path, duration):
-    """Let an instance know how long the answers of a route take."""
-    context = daemon.forwarding_context
-    for _ in range(MIN_ANSWERS):
-        now = context.clock.monotonic()
-        context.answer_durations.record(NAMES[path], duration, now)
-
-
 def count_arrived(plain, rig):
     """Return the number of requests that reached servers."""
     return len(plain.heads) + sum(len(engine.ran) for engine in rig.engines)
@@ -41,25 +34,30 @@
     return refused and 0 < float(answer.headers["Retry-After"]) <= 0.1
 
 
-# Guards against a request that is passed on though the instance may end before its
-# answer, and against the refusal of one that recent answers show to be short.
+# Guards against a request that is passed on, as answers were short so far, and cut off
+# at the end; and against the refusal of one whose time limit ends before that.
 @pytest.mark.parametrize("path", PATHS)
-def test_a_late_request_is_sent_if_recent_answers_were_short_enough(run, path):
+def test_a_late_request_is_sent_only_if_its_time_limit_ends_before_the_instance(
+    run, path
+):
     async def scenario():
         async with running() as rig:
             plain = Recorder([])
             await add_recorders(rig, plain=plain)
-            daemon, sent = rig.daemons[0], {"headers": model()}
-            assert (await rig.send(daemon, path, request="r0", **sent)).status == 200
+            daemon = rig.daemons[0]
+            for number in range(KNOWN_ANSWERS):
+                answer = await rig.send(
+                    daemon, path, request=f"r{number}", headers=model()
+                )
+                assert answer.status == 200
             arrived = count_arrived(plain, rig)
             end_soon(daemon)
-            assert is_late_refusal(await rig.send(daemon, path, request="r1", **sent))
-            record_answers(daemon, path, TIME_LEFT - SERVER_PAUSE / 2)
-            assert is_late_refusal(await rig.send(daemon, path, request="r2", **sent))
+            late = await rig.send(daemon, path, request="late", headers=model())
+            assert is_late_refusal(late)
             assert count_arrived(plain, rig) == arrived
-            daemon.forwarding_context.answer_durations.routes.clear()
-            record_answers(daemon, path, (TIME_LEFT - SERVER_PAUSE) / 2)
-            assert (await rig.send(daemon, path, request="r3", **sent)).status == 200
+            in_time = model() | {DEADLINE: "1500"}
+            answer = await rig.send(daemon, path, request="in-time", headers=in_time)
+            assert answer.status == 200
 
     run(scenario())
 
@@ -108,7 +106,6 @@
             assert (await fleet.send(cut, "/plain/x")).status == 200
             relayed = len(fleet.plain)
             end_soon(cut)
-            cut.forwarding_context.answer_durations.routes.clear()
             assert is_late_refusal(await fleet.send(cut, "/plain/x"))
             assert len(fleet.plain) == relayed
             assert helper.handler.relayed == 0
@@ -135,8 +132,8 @@
     run(scenario())
 
 
-# Guards against a stop that asks for the answers of one route by those of another.
-def test_the_answers_of_another_route_say_nothing(run):
+# Guards against a stop that asks for the time limit of another route, or for none.
+def test_the_time_limit_of_the_route_decides_if_it_ends_before_the_deadline(run):
     async def scenario():
         async with running(engines=0) as rig:
             plain = Recorder([])
@@ -149,11 +146,9 @@
             daemon = rig.daemons[0]
             await rig.until(lambda: daemon.view.routes.version == 2)
             end_soon(daemon)
-            record_answers(daemon, "/lookup/x", timedelta(milliseconds=10))
             assert is_late_refusal(await rig.send(daemon, "/plain/x", request="r1"))
-            # Its time limit fits into what is left.
-            daemon.forwarding_context.answer_durations.routes.clear()
             answer = await rig.send(daemon, "/lookup/x", request="r2")
             assert answer.status == 200
+            assert len(plain.heads) == 1
 
     run(scenario())
--- a/tests/processes/test_planned_stop.py
+++ b/tests/processes/test_planned_stop.py
@@ -30,7 +30,8 @@
 
 SHORT_WORK_SECONDS, LONG_WORK_SECONDS = 0.06, 2.4
 LONG_ROUTE_TIMEOUT_MS = 4_000
-# What a server's answers take has to be known before the stop.
+SHORT_ROUTE_TIMEOUT_MS = 1_400
+# Answers of each route before the stop, all of them short.
 KNOWN_ANSWERS = 30
 
 
@@ -46,7 +47,7 @@
                 name = fields["Magnoliatrail-Request-Id"]
                 if ran is not None:
                     ran.add(name)
-                is_long = " /long/" in head.partition("\r\n")[0]
+                is_long = " /long/work" in head.partition("\r\n")[0]
                 await asyncio.sleep(
                     LONG_WORK_SECONDS if is_long else SHORT_WORK_SECONDS
                 )
@@ -220,6 +221,7 @@
     listener = listen(row_store_application(store), host="127.0.0.1")
     routes = [
         route("plain", "/plain/", "unsafe", "desk"),
+        route("short", "/short/", "unsafe", "desk", timeout_ms=SHORT_ROUTE_TIMEOUT_MS),
         route("long", "/long/", "unsafe", "desk", timeout_ms=LONG_ROUTE_TIMEOUT_MS),
     ]
     store.put_json("op", "config", configuration(routes=routes))
@@ -231,7 +233,8 @@
         async with asyncio.timeout(20):
             while not instance.has_started:
                 await asyncio.sleep(0.02)
-            load = Load(instance, paths={"long": "/long/x"}, ran=ran)
+            paths = {"short": "/short/x", "brief": "/long/x", "long": "/long/work"}
+            load = Load(instance, paths=paths, ran=ran)
             while load.statuses[-1:] != [SERVED]:
                 await asyncio.sleep(0.05)
                 load.lost.clear()
@@ -280,17 +283,22 @@
     run(scenario())
 
 
-# Guards against a request that comes late in a planned stop, is passed on, and is cut
-# off at the end; and against refusals of requests that would have been answered.
+# Guards against a request that comes late in a planned stop, is passed on because the
+# answers before it were short, and is cut off at the end; and against refusals of
+# requests whose time limit ends before that.
 def test_late_requests_are_answered_or_refused_unrun(run, tmp_path):
     async def scenario():
         async with forwarding_process(tmp_path) as load:
             idle = [await load.idle_connection() for _ in range(KNOWN_ANSWERS)]
+            for kind in ("short", "brief"):
+                for connection in idle:
+                    assert await load.ask(connection, kind)
             load.statuses.clear()
             load.stopped_at = time.monotonic()
             load.instance.signal(signal.SIGTERM)
             asked = [("long", seconds) for seconds in (3.0, 4.0, 5.3, 5.7, 5.9)]
             asked += [("short", seconds) for seconds in (3.0, 4.0, 5.0, 5.8)]
+            asked += [("brief", seconds) for seconds in (3.0, 4.0, 5.0)]
             statuses = await asyncio.gather(
                 *(
                     load.status_after(connection, kind, seconds)
@@ -301,7 +309,10 @@
                 writer.close()
             code = await load.instance.wait(GRACE_SECONDS)
         assert load.lost == []
-        assert statuses == [SERVED, *[REFUSED] * 4, *[SERVED] * 4]
+        long, short, brief = statuses[:5], statuses[5:9], statuses[9:]
+        assert long == [SERVED, *[REFUSED] * 4]
+        assert short == [SERVED] * 4
+        assert brief == [SERVED, REFUSED, REFUSED]
         assert len([name for name in load.ran if "long" in name]) == 1
         assert code == 0
 
