Tell runs of a server apart by connections, not by the list

Cause: a crash and an answer were recorded by id and start time, as the list had them. An answer of the next run pardoned the crash of the run before, and two crashes counted as one, so three were never reached.

Change: an attempt knows when its connection was opened. A span from there to the last request that was answered is a time through which one run lived; a break is no crash only if one span covers it. Reports are of one crash if their connections overlap. Messages carry the ages of connections; those of the release before are read as before.

--- a/src/magnoliatrail/connections.py
+++ b/src/magnoliatrail/connections.py
@@ -51,6 +51,7 @@
 class PooledStream(IOStream):
     """A persistent connection that carries one request after another."""
 
+    opened_at = timedelta()
     idle_since = timedelta()
     keep_alive = DEFAULT_KEEP_ALIVE
     use = ConnectionUse.REQUESTS
@@ -180,6 +181,7 @@
         option = getattr(socket, "TCP_USER_TIMEOUT", None)
         if option is not None:
             stream.socket.setsockopt(socket.IPPROTO_TCP, option, TCP_USER_TIMEOUT_MS)
+        stream.opened_at = self.monotonic()
         self.opened += 1
         self.on_open(address, True)
         return stream
--- a/src/magnoliatrail/forwarding/attempt.py
+++ b/src/magnoliatrail/forwarding/attempt.py
@@ -49,6 +49,8 @@
     sent: bool = False
     started: bool = False
     reused: bool = False
+    # When the connection was opened.
+    connected_at: timedelta | None = None
     framing: Framing | None = None
     body_bytes: int = 0
     # Whether the body of a stream stops before the end of an event.
--- a/src/magnoliatrail/forwarding/context.py
+++ b/src/magnoliatrail/forwarding/context.py
@@ -144,13 +144,17 @@
     ) -> None:
         """Record what an attempt says of its server and of what may crash it."""
         self.record_run(routed.request, attempt)
-        run, suspects = attempt.server.key, routed.request.suspects
+        server, suspects = attempt.server.key, routed.request.suspects
         if attempt.outcome is AttemptOutcome.BROKEN and self.reach.is_cut:
-            log.info("break_not_reported", request=routed.request.id, server=run[0])
+            log.info("break_not_reported", request=routed.request.id, server=server[0])
         elif attempt.outcome is AttemptOutcome.BROKEN and not known_sound:
-            self.quarantine.record_broken(run, suspects)
+            self.quarantine.record_broken(
+                server, suspects, sent_at=sent_at, connected_at=attempt.connected_at
+            )
         elif attempt.outcome is AttemptOutcome.ANSWERED:
-            self.quarantine.record_answered(run, sent_at)
+            self.quarantine.record_answered(
+                server, sent_at, connected_at=attempt.connected_at
+            )
             if attempt.status < HTTPStatus.MULTIPLE_CHOICES:
                 self.quarantine.record_sound(suspects)
 
--- a/src/magnoliatrail/forwarding/server_call.py
+++ b/src/magnoliatrail/forwarding/server_call.py
@@ -90,7 +90,7 @@
     except CallFailed as error:
         attempt.outcome, attempt.reason = AttemptOutcome.NOT_RUN, str(error)
         return attempt
-    attempt.reused = lent.reused
+    attempt.reused, attempt.connected_at = lent.reused, lent.stream.opened_at
     if check is not None:
         attempt.withheld = check(request.headers)
     if attempt.withheld is not None:
--- a/src/magnoliatrail/peers/crash_collector.py
+++ b/src/magnoliatrail/peers/crash_collector.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 from expression import Result
+from msgspec import UNSET
 
 from magnoliatrail.clock import Clock
 from magnoliatrail.generated.quarantine import (
@@ -24,10 +25,10 @@
     Accusation,
     CrashEvidence,
     Parts,
-    ServerRun,
 )
 from magnoliatrail.routing.quarantine import Quarantine, text_of
 from magnoliatrail.routing.quarantine_terms import QuarantineTerms
+from magnoliatrail.routing.server_runs import BrokenRun
 from magnoliatrail.wire import CallLimits
 
 log = EventLog("quarantine")
@@ -74,18 +75,19 @@
         """Return whether instances have to be told of groups, or of their end."""
         return bool(self.quarantine.groups or self.terms.recently_lifted())
 
-    def collect(
-        self, run: ServerRun, at: timedelta, prompts: Iterable[Iterable[PartId]]
-    ) -> bool:
+    def collect(self, run: BrokenRun, prompts: Iterable[Iterable[PartId]]) -> bool:
         """Add a report of a crash to the evidence; return whether it has news."""
-        if not self.evidence.record_crash(run, at, prompts):
+        crash = self.evidence.record_crash(run, prompts)
+        if crash is None:
             return False
-        crash = self.evidence.crashes.get(run)
+        now = self.clock.monotonic()
         log.info(
             "crash_reported",
-            server=run[0],
-            born=run[1],
-            prompts=len(crash.prompts) if crash else 0,
+            server=run.server[0],
+            born=run.server[1],
+            age=now - crash.run.at,
+            connected=age_of(crash.run.connected_at, now),
+            prompts=len(crash.prompts),
         )
         return True
 
@@ -140,9 +142,11 @@
             parts=sorted(suspects),
             runs=[
                 ServerRunKey(server=server, born=born)
-                for server, born in self.evidence.crashes
+                for server, born in {item.run.server for item in self.evidence.crashes}
             ],
         )
+        # Ages are counted from here, so that no answer is dated too late.
+        asked_at = self.clock.monotonic()
         asked = [
             self.peers.ask(url + ANSWERS_PATH, message, SoundAnswers, PEER_LIMITS)
             for url in self.urls().values()
@@ -150,19 +154,25 @@
         for answer in await asyncio.gather(*asked):
             match answer:
                 case Result(tag="ok", ok=sound):
-                    self.apply_sound_answers(sound)
+                    self.apply_sound_answers(sound, asked_at)
                 case Result(error=failure):
                     log.info("sound_answers_unknown", reason=failure.message)
 
-    def apply_sound_answers(self, sound: SoundAnswers) -> None:
+    def apply_sound_answers(self, sound: SoundAnswers, asked_at: timedelta) -> None:
         """Apply the last sound answers of another instance."""
         now = self.clock.monotonic()
         for part in sound.parts:
             at = now - timedelta(milliseconds=part.age_ms)
             self.evidence.record_sound_answer([PartId(part.part)], at)
         for run in sound.runs:
-            at = now - timedelta(milliseconds=run.age_ms)
-            self.evidence.record_run_answered((ServerId(run.server), run.born), at)
+            connected_at = None
+            if run.connected_age_ms is not UNSET:
+                connected_at = now - timedelta(milliseconds=run.connected_age_ms)
+            self.evidence.record_run_answered(
+                (ServerId(run.server), run.born),
+                asked_at - timedelta(milliseconds=run.age_ms),
+                connected_at,
+            )
 
     async def renew(self, *, gives_trials: bool) -> None:
         """Send all instances the groups in quarantine, if they changed or are due."""
@@ -218,6 +228,11 @@
                 log.info("quarantine_unsent", instance=instance, reason=failure.message)
 
 
+def age_of(at: timedelta | None, now: timedelta) -> timedelta | str:
+    """Return the age of a time for the log, empty if the time is not known."""
+    return "" if at is None else now - at
+
+
 def milliseconds(duration: timedelta) -> float:
     """Return a duration in milliseconds."""
     return duration.total_seconds() * 1000
--- a/src/magnoliatrail/peers/quarantine_exchange.py
+++ b/src/magnoliatrail/peers/quarantine_exchange.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from expression import Ok, Result
+from msgspec import UNSET, UnsetType
 
 from magnoliatrail.clock import Clock
 from magnoliatrail.errors import Failure
@@ -43,12 +44,9 @@
 )
 from magnoliatrail.peers.server import PeerRoute
 from magnoliatrail.rendezvous import ranked
-from magnoliatrail.routing.crash_evidence import (
-    CrashEvidence,
-    Parts,
-    ServerRun,
-)
+from magnoliatrail.routing.crash_evidence import CrashEvidence, Parts
 from magnoliatrail.routing.quarantine import Quarantine
+from magnoliatrail.routing.server_runs import BrokenRun, ServerRun, latest
 
 log = EventLog("quarantine")
 
@@ -68,7 +66,7 @@
 class OwnCrash:
     """A crash that this instance saw, and the collectors that know it."""
 
-    at: timedelta
+    run: BrokenRun
     # Suspects of each request whose answer broke off, in order of their time.
     prompts: dict[tuple[PartId, ...], None] = field(default_factory=dict)
     # How many of them each collector knows.
@@ -108,35 +106,62 @@
             evidence=self.evidence,
             quarantine=self.rules,
         )
-        self.own_crashes: dict[ServerRun, OwnCrash] = {}
+        self.own_crashes: list[OwnCrash] = []
         # Groups that stood in a sound answer here, and the collectors to tell.
         self.refuted: dict[Parts, set[InstanceId]] = {}
         self.wake = asyncio.Event()
 
     # Observations of this instance
 
-    def record_broken(self, run: ServerRun, parts: tuple[PartId, ...]) -> None:
+    def record_broken(
+        self,
+        server: ServerRun,
+        parts: tuple[PartId, ...],
+        *,
+        sent_at: timedelta | None = None,
+        connected_at: timedelta | None = None,
+    ) -> None:
         """Record that a server broke off an answer that may have crashed it.
 
-        The parts are those of the prompt, and the fingerprint of the request.
+        The parts are those of the prompt, and the fingerprint of the request, which was
+        sent then on a connection that was opened then.
         """
         if not parts:
             return
-        now = self.clock.monotonic()
-        crash = self.own_crashes.get(run)
-        if crash is None or self.evidence.has_answered_after(run, crash.at):
-            crash = self.own_crashes[run] = OwnCrash(now)
+        run = BrokenRun(
+            server,
+            self.clock.monotonic(),
+            alive_at=latest(sent_at, connected_at),
+            connected_at=connected_at,
+        )
+        crash = self.find_own_crash(run)
+        if crash is None:
+            crash = OwnCrash(run)
+            self.own_crashes.append(crash)
+        crash.run = crash.run.merged(run)
         if len(crash.prompts) < MAX_OWN_PROMPTS:
             crash.prompts[parts] = None
-        while len(self.own_crashes) > MAX_OWN_CRASHES:
-            del self.own_crashes[next(iter(self.own_crashes))]
+        del self.own_crashes[:-MAX_OWN_CRASHES]
         self.wake.set()
 
+    def find_own_crash(self, run: BrokenRun) -> OwnCrash | None:
+        """Return the crash of the same run that is known here, if there is one."""
+        for crash in reversed(self.own_crashes):
+            if crash.run.is_same_run(run):
+                return None if self.evidence.live_spans.refutes(crash.run) else crash
+        return None
+
     def runs_broken(self, part: PartId) -> int:
-        """Return how many server runs lately broke off an answer to a part here."""
+        """Return how many server runs lately broke off an answer to a part here.
+
+        Those before a sound answer to it, and those that lived on, don't count.
+        """
+        sound_at = self.evidence.answered_at(part) or timedelta.min
+        lived_on = self.evidence.live_spans.refutes
         return sum(
             any(part in prompt for prompt in crash.prompts)
-            for crash in self.own_crashes.values()
+            for crash in self.own_crashes
+            if crash.run.at > sound_at and not lived_on(crash.run)
         )
 
     def record_sound(self, parts: tuple[PartId, ...]) -> None:
@@ -150,9 +175,15 @@
                 self.refuted[group] = {*self.collectors()} - {self.instance}
                 self.wake.set()
 
-    def record_answered(self, run: ServerRun, sent_at: timedelta) -> None:
-        """Record that a server run answered a request that was sent to it then."""
-        self.evidence.record_run_answered(run, sent_at)
+    def record_answered(
+        self,
+        server: ServerRun,
+        sent_at: timedelta,
+        *,
+        connected_at: timedelta | None = None,
+    ) -> None:
+        """Record that a server answered a request that was sent to it then."""
+        self.evidence.record_run_answered(server, sent_at, connected_at)
 
     def refuses(self, parts: Collection[PartId], *, sending: bool = False) -> bool:
         """Return whether a request must not be sent; sending it uses up a trial."""
@@ -206,9 +237,9 @@
     def forget_old(self) -> None:
         """Forget the crashes and refutations that no collector needs any more."""
         oldest = self.clock.monotonic() - REPORT_LIFETIME
-        self.own_crashes = {
-            run: crash for run, crash in self.own_crashes.items() if crash.at >= oldest
-        }
+        self.own_crashes = [
+            crash for crash in self.own_crashes if crash.run.at >= oldest
+        ]
         collectors = set(self.collectors())
         self.refuted = {
             group: names & collectors
@@ -218,30 +249,22 @@
 
     async def report_to(self, collector: InstanceId) -> None:
         """Send a collector the crashes and refutations that it does not know yet."""
-        crashes = {
-            run: (crash, prompts)
-            for run, crash in self.own_crashes.items()
+        crashes = [
+            (crash, prompts)
+            for crash in self.own_crashes
             if (prompts := crash.unreported(collector))
-        }
+        ]
         refuted = [group for group, names in self.refuted.items() if collector in names]
         if not crashes and not refuted:
             return
         if collector == self.instance:
-            for run, (crash, prompts) in crashes.items():
-                self.collector.collect(run, crash.at, prompts)
+            for crash, prompts in crashes:
+                self.collector.collect(crash.run, prompts)
                 crash.reported[collector] = len(crash.prompts)
             return
         now = self.clock.monotonic()
         message = CrashReports(
-            crashes=[
-                CrashReport(
-                    server=run[0],
-                    born=run[1],
-                    age_ms=milliseconds(now - crash.at),
-                    prompts=[list(prompt) for prompt in prompts],
-                )
-                for run, (crash, prompts) in crashes.items()
-            ],
+            crashes=[report_of(crash.run, prompts, now) for crash, prompts in crashes],
             lifted=[sorted(group) for group in refuted],
         )
         url = self.urls().get(collector, "") + REPORTS_PATH
@@ -249,7 +272,7 @@
             case Result(tag="ok"):
                 for group in refuted:
                     self.refuted[group].discard(collector)
-                for crash, prompts in crashes.values():
+                for crash, prompts in crashes:
                     known = crash.reported.get(collector, 0)
                     crash.reported[collector] = known + len(prompts)
             case Result(error=failure):
@@ -269,8 +292,7 @@
         now = self.clock.monotonic()
         for report in message.crashes:
             news = self.collector.collect(
-                (ServerId(report.server), report.born),
-                now - timedelta(milliseconds=report.age_ms),
+                broken_run_of(report, now),
                 [[PartId(part) for part in prompt] for prompt in report.prompts],
             )
             if news:
@@ -291,12 +313,16 @@
             at = self.evidence.answered_at(PartId(name))
             if at is not None:
                 parts.append(PartAnswered(part=name, age_ms=milliseconds(now - at)))
-        runs = []
-        for run in message.runs:
-            at = self.evidence.run_answered.get((ServerId(run.server), run.born))
-            if at is not None:
-                age = milliseconds(now - at)
-                runs.append(RunAnswered(server=run.server, born=run.born, age_ms=age))
+        runs = [
+            RunAnswered(
+                server=server,
+                born=span.born,
+                age_ms=milliseconds(now - span.end),
+                connected_age_ms=age_in_milliseconds(span.begin, now),
+            )
+            for server in dict.fromkeys(ServerId(run.server) for run in message.runs)
+            for span in self.evidence.live_spans.of(server)
+        ]
         return Ok(SoundAnswers(parts=parts, runs=runs))
 
     async def answer_update(
@@ -330,3 +356,38 @@
             PeerRoute(ANSWERS_PATH, SoundAnswersRequest, self.answer_sound_answers),
             PeerRoute(UPDATE_PATH, QuarantineUpdate, self.answer_update),
         ]
+
+
+def report_of(
+    run: BrokenRun, prompts: list[tuple[PartId, ...]], now: timedelta
+) -> CrashReport:
+    """Return the report of a crash to a collector."""
+    server, born = run.server
+    return CrashReport(
+        server=server,
+        born=born,
+        age_ms=milliseconds(now - run.at),
+        alive_age_ms=age_in_milliseconds(run.alive_at, now),
+        connected_age_ms=age_in_milliseconds(run.connected_at, now),
+        prompts=[list(prompt) for prompt in prompts],
+    )
+
+
+def broken_run_of(report: CrashReport, now: timedelta) -> BrokenRun:
+    """Return the server run that a report is about."""
+    return BrokenRun(
+        (ServerId(report.server), report.born),
+        now - timedelta(milliseconds=report.age_ms),
+        alive_at=time_of(report.alive_age_ms, now),
+        connected_at=time_of(report.connected_age_ms, now),
+    )
+
+
+def age_in_milliseconds(at: timedelta | None, now: timedelta) -> float | UnsetType:
+    """Return the age of a time, unset if the time is not known."""
+    return UNSET if at is None else max(0.0, milliseconds(now - at))
+
+
+def time_of(age_ms: float | UnsetType, now: timedelta) -> timedelta | None:
+    """Return the time of an age, None if it is not known."""
+    return None if age_ms is UNSET else now - timedelta(milliseconds=age_ms)
--- a/src/magnoliatrail/routing/crash_evidence.py
+++ b/src/magnoliatrail/routing/crash_evidence.py
@@ -15,11 +15,10 @@
 from datetime import timedelta
 
 from magnoliatrail.clock import Clock
-from magnoliatrail.ids import PartId, ServerId
+from magnoliatrail.ids import PartId
 from magnoliatrail.requests import is_fingerprint
+from magnoliatrail.routing.server_runs import BrokenRun, LiveSpan, LiveSpans, ServerRun
 
-# A server and the start time of its run.
-ServerRun = tuple[ServerId, int]
 Parts = frozenset[PartId]
 
 # Crashes under a part without a sound answer to it in between, before it is accused.
@@ -43,7 +42,6 @@
 MAX_PARTS_PER_PROMPT = 64
 MAX_PARTS = 20_000
 MAX_FINGERPRINTS = 4_096
-MAX_RUNS = 8_192
 # The strongest accusations, of which each may cost a message to all instances.
 MAX_ACCUSATIONS = 16
 # How often the crashes that one cause explains are set aside to look for another.
@@ -54,11 +52,16 @@
 class Crash:
     """A server run that broke off answers."""
 
-    at: timedelta
+    run: BrokenRun
     # Parts of each request that may be its cause.
     prompts: set[Parts] = field(default_factory=set)
     parts: set[PartId] = field(default_factory=set)
 
+    @property
+    def at(self) -> timedelta:
+        """Return when the first of the answers broke off."""
+        return self.run.at
+
 
 @dataclass(frozen=True, slots=True)
 class Accusation:
@@ -75,25 +78,29 @@
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
-        self.crashes: OrderedDict[ServerRun, Crash] = OrderedDict()
+        # In the order of their first reports.
+        self.crashes: list[Crash] = []
         # In how many crashes each part was a suspect.
         self.occurrences: Counter[PartId] = Counter()
         # When the last sound answer to a prompt with the part was known to be sound.
         self.answered: OrderedDict[PartId, timedelta] = OrderedDict()
         # The same for the fingerprints of requests, of which there are many more.
         self.fingerprints_answered: OrderedDict[PartId, timedelta] = OrderedDict()
-        # When the last request that a server run answered was sent to it.
-        self.run_answered: OrderedDict[ServerRun, timedelta] = OrderedDict()
+        self.live_spans = LiveSpans()
 
     def record_crash(
-        self, run: ServerRun, at: timedelta, prompts: Iterable[Iterable[PartId]]
-    ) -> bool:
-        """Add the suspects of a crash; return whether there are new ones."""
-        if run in self.crashes and self.has_answered_after(run, self.crashes[run].at):
+        self, run: BrokenRun, prompts: Iterable[Iterable[PartId]]
+    ) -> Crash | None:
+        """Add the suspects of a crash; return the crash if there are new ones."""
+        crash = self.find_crash(run)
+        if crash is not None and self.live_spans.refutes(crash.run):
             # It broke off an answer without a crash before.
-            self.forget_crash(run)
-        crash = self.crashes.setdefault(run, Crash(at))
-        crash.at = min(crash.at, at)
+            self.forget_crash(crash)
+            crash = None
+        if crash is None:
+            crash = Crash(run)
+            self.crashes.append(crash)
+        crash.run = crash.run.merged(run)
         known = len(crash.prompts)
         for prompt in prompts:
             parts = frozenset(list(prompt)[:MAX_PARTS_PER_PROMPT])
@@ -102,8 +109,20 @@
                 crash.prompts.add(parts)
                 crash.parts |= parts
         while len(self.crashes) > MAX_CRASHES:
-            self.forget_crash(next(iter(self.crashes)))
-        return len(crash.prompts) > known
+            self.forget_crash(self.least_telling_crash())
+        return crash if len(crash.prompts) > known else None
+
+    def find_crash(self, run: BrokenRun) -> Crash | None:
+        """Return the newest known crash of the same run, if there is one."""
+        for crash in reversed(self.crashes):
+            if crash.run.is_same_run(run):
+                return crash
+        return None
+
+    def least_telling_crash(self) -> Crash:
+        """Return the oldest crash, before it the oldest that was none."""
+        refuted = (item for item in self.crashes if self.live_spans.refutes(item.run))
+        return next(refuted, self.crashes[0])
 
     def has_room(self, crash: Crash, parts: Parts) -> bool:
         """Return whether a crash may get a suspected prompt with these parts."""
@@ -113,9 +132,10 @@
         recurs = any(self.occurrences[part] for part in parts - crash.parts)
         return recurs and size <= 2 * MAX_PARTS_PER_CRASH
 
-    def forget_crash(self, run: ServerRun) -> None:
+    def forget_crash(self, crash: Crash) -> None:
         """Forget a crash and its suspects."""
-        for part in self.crashes.pop(run).parts:
+        self.crashes = [item for item in self.crashes if item is not crash]
+        for part in crash.parts:
             self.occurrences[part] -= 1
             if not self.occurrences[part]:
                 del self.occurrences[part]
@@ -138,16 +158,17 @@
         known = self.fingerprints_answered if is_fingerprint(part) else self.answered
         return known.get(part)
 
-    def has_answered_after(self, run: ServerRun, at: timedelta) -> bool:
-        """Return whether a server run answered a request that was sent after a time."""
-        return self.run_answered.get(run, timedelta.min) > at
+    def record_run_answered(
+        self, run: ServerRun, sent_at: timedelta, connected_at: timedelta | None = None
+    ) -> None:
+        """Record that a server run answered a request that was sent then.
 
-    def record_run_answered(self, run: ServerRun, sent_at: timedelta) -> None:
-        """Record that a server run answered a request that was sent then."""
-        self.run_answered[run] = max(sent_at, self.run_answered.get(run, sent_at))
-        self.run_answered.move_to_end(run)
-        while len(self.run_answered) > MAX_RUNS:
-            self.run_answered.popitem(last=False)
+        Without the time at which its connection was opened, only the list tells the run
+        from others.
+        """
+        server, born = run
+        end = sent_at if connected_at is None else max(sent_at, connected_at)
+        self.live_spans.record(server, LiveSpan(connected_at, end, born))
 
     def accusations(self) -> list[Accusation]:
         """Return the parts that crash servers, the most certain first.
@@ -204,8 +225,8 @@
     def forget_old(self) -> None:
         """Forget the crashes and sound answers that happened too long ago."""
         oldest = self.clock.monotonic() - CRASH_LIFETIME
-        for run in [run for run, crash in self.crashes.items() if crash.at < oldest]:
-            self.forget_crash(run)
+        for crash in [crash for crash in self.crashes if crash.at < oldest]:
+            self.forget_crash(crash)
         for known in (self.answered, self.fingerprints_answered):
             for part in [part for part, at in known.items() if at < oldest]:
                 del known[part]
@@ -217,11 +238,7 @@
         stood in enough crashes to be accused are left out.
         """
         crashes = sorted(
-            (
-                crash
-                for run, crash in self.crashes.items()
-                if not self.has_answered_after(run, crash.at)
-            ),
+            (item for item in self.crashes if not self.live_spans.refutes(item.run)),
             key=lambda crash: crash.at,
         )
         numbers = event_numbers(crash.at for crash in crashes)
--- a/tests/unit/test_crash_evidence.py
+++ b/tests/unit/test_crash_evidence.py
@@ -24,6 +24,7 @@
     SAME_EVENT_WITHIN,
     CrashEvidence,
 )
+from magnoliatrail.routing.server_runs import BrokenRun
 
 BAD = "bad"
 SOUND = [f"s{number}" for number in range(6)]
@@ -52,7 +53,7 @@
         self.clock.advance(after)
         self.crashed += 1
         run = (f"server-{self.crashed}", 1)
-        self.evidence.record_crash(run, self.clock.monotonic(), prompts)
+        self.evidence.record_crash(BrokenRun(run, self.clock.monotonic()), prompts)
         return run
 
     def answer(self, *parts):
@@ -162,7 +163,7 @@
 def test_reports_of_several_instances_on_one_crash_count_once(record):
     run = record.crash([BAD])
     for _ in range(MIN_CRASHES):
-        record.evidence.record_crash(run, record.clock.monotonic(), [[BAD]])
+        record.evidence.record_crash(BrokenRun(run, record.clock.monotonic()), [[BAD]])
     assert not record.accused()
 
 
@@ -182,9 +183,7 @@
     assert len(record.evidence.crashes) == MAX_CRASHES
     assert len(record.evidence.answered) == MAX_PARTS
     longest = max(
-        len(prompt)
-        for crash in record.evidence.crashes.values()
-        for prompt in crash.prompts
+        len(prompt) for crash in record.evidence.crashes for prompt in crash.prompts
     )
     assert longest == MAX_PARTS_PER_PROMPT
 
@@ -212,8 +211,8 @@
         answers += [(parts, at + seconds(0.1)) for parts in whole]
     for number in order:
         server, at, prompts = reports[number]
-        record.evidence.record_crash((server, 1), at, prompts[:1])
-        record.evidence.record_crash((server, 1), at, prompts[1:])
+        record.evidence.record_crash(BrokenRun((server, 1), at), prompts[:1])
+        record.evidence.record_crash(BrokenRun((server, 1), at), prompts[1:])
     for parts, at in answers:
         record.evidence.record_sound_answer(parts, at)
     accused = record.accused()
@@ -312,7 +311,9 @@
     assert not record.accused()
     for run in runs:
         record.clock.advance(SECOND)
-        record.evidence.record_crash(run, record.clock.monotonic(), [[REQUEST]])
+        record.evidence.record_crash(
+            BrokenRun(run, record.clock.monotonic()), [[REQUEST]]
+        )
     assert record.accused() == [{REQUEST}]
 
 
@@ -321,7 +322,7 @@
     crowd = [f"request:{number}" for number in range(2 * MAX_PARTS_PER_CRASH)]
     for number in range(MAX_CRASHES):
         record.crash(*([name] for name in crowd), [REQUEST], [f"request:x{number}"])
-    sizes = [len(crash.parts) for crash in record.evidence.crashes.values()]
+    sizes = [len(crash.parts) for crash in record.evidence.crashes]
     assert max(sizes) <= 2 * MAX_PARTS_PER_CRASH
     assert len(record.accused()) <= 2 * MAX_CAUSES * MAX_ACCUSATIONS
 
@@ -383,7 +384,7 @@
             cleared_at[one] = record.clock.monotonic()
     order.shuffle(reports)
     for server, at, prompts in reports:
-        record.evidence.record_crash((server, 1), at, prompts)
+        record.evidence.record_crash(BrokenRun((server, 1), at), prompts)
     accused = record.accused()
     assert {REQUEST} in accused
     cleared = {one for one, at in cleared_at.items() if at > crashed_at.get(one, at)}
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -25,6 +25,7 @@
     SETTLING_TIME,
     QuarantineTerms,
 )
+from magnoliatrail.routing.server_runs import BrokenRun
 
 GROUP = frozenset({"bad"})
 PAIR = frozenset({"bad", "victim"})
@@ -144,7 +145,8 @@
     clock.advance(SETTLING_TIME)
     for number in range(DOUBTFUL_CRASHES):
         clock.advance(SECOND)
-        evidence.record_crash((f"s{number}", 1), clock.monotonic(), [["other"]])
+        crash = BrokenRun((f"s{number}", 1), clock.monotonic())
+        evidence.record_crash(crash, [["other"]])
     collector.terms.record_crashes([collector.group], evidence)
     trials = collector.trials_within(FIRST_TRIAL_IN_DOUBT)
     assert len(trials) == 1
@@ -155,7 +157,8 @@
     evidence = CrashEvidence(clock)
     for number in range(DOUBTFUL_CRASHES):
         clock.advance(SECOND / 2)
-        evidence.record_crash((f"s{number}", 1), clock.monotonic(), [["other"]])
+        crash = BrokenRun((f"s{number}", 1), clock.monotonic())
+        evidence.record_crash(crash, [["other"]])
     collector.terms.record_crashes([collector.group], evidence)
     assert not collector.trials_within(FIRST_TRIAL_IN_DOUBT)
 
--- a/tests/unit/test_quarantine_exchange.py
+++ b/tests/unit/test_quarantine_exchange.py
@@ -1,6 +1,7 @@
 """Instances that learn together which prompt parts crash servers."""
 
 import asyncio
+import json
 from datetime import timedelta
 
 import pytest
@@ -8,6 +9,12 @@
 
 from magnoliatrail.clock import ManualClock
 from magnoliatrail.errors import ErrorKind, Failure
+from magnoliatrail.generated.quarantine import (
+    CrashReport,
+    CrashReports,
+    RunAnswered,
+    SoundAnswers,
+)
 from magnoliatrail.ids import InstanceId
 from magnoliatrail.metrics import NoMetrics
 from magnoliatrail.peers.crash_collector import RENEWAL_INTERVAL
@@ -171,6 +178,41 @@
     run(scenario())
 
 
+def without_connections(message):
+    """Return a message as instances of the release before send it."""
+    fields = json.loads(encode(message))
+    for item in [*fields.get("crashes", ()), *fields.get("runs", ())]:
+        item.pop("alive_age_ms", None)
+        item.pop("connected_age_ms", None)
+    return decode(json.dumps(fields).encode(), type(message)).ok
+
+
+# Guards against an upgrade in which instances of two releases don't read each other.
+def test_reports_that_name_no_connection_are_still_counted_by_the_list(run, fleet):
+    async def scenario():
+        collector = fleet.instances[fleet.collectors[0]]
+        now = fleet.clock.monotonic()
+        for number in range(2 * MIN_CRASHES):
+            fleet.clock.advance(SECOND)
+            report = CrashReport(
+                server="s", born=number // 2, age_ms=0.0, prompts=[list(BAD)]
+            )
+            reports = without_connections(CrashReports(crashes=[report], lifted=[]))
+            assert (await collector.answer_reports(reports)).is_ok()
+        assert len(collector.evidence.crashes) == MIN_CRASHES
+        sound = SoundAnswers(
+            parts=[], runs=[RunAnswered(server="s", born=0, age_ms=0.0)]
+        )
+        collector.collector.apply_sound_answers(
+            without_connections(sound), fleet.clock.monotonic()
+        )
+        events = collector.evidence.crash_events()
+        assert len(events) == MIN_CRASHES - 1
+        assert all(event.at > now for event in events)
+
+    run(scenario())
+
+
 @pytest.mark.parametrize("lost", [0, 1])
 def test_one_collector_that_does_not_answer_is_not_missed(run, fleet, lost):
     async def scenario():
