Limit requests with a part that crashed five servers at once

Cause: crashes within 100 ms count once, and four were needed, however many servers each of them took.

Change: a part without any sound answer is accused after five servers if their crashes are 2 s apart; before that it is suspected, and its requests pass one at a time in the fleet until one has a sound answer. Parts that were sound need eight crashes apart in time, as before. Causes of crashes move to routing/crash_causes.py.

--- a/src/magnoliatrail/entry/dispatch.py
+++ b/src/magnoliatrail/entry/dispatch.py
@@ -61,14 +61,14 @@
     }
 
 
-def quarantined(request: CompletionCall) -> Failure:
+def quarantined(request: CompletionCall, retry_after: timedelta) -> Failure:
     """Return the failure of a request whose prompt is quarantined, and log it."""
     log.info(
         "prompt_quarantined",
         request=request.context.request_id,
         parts=",".join(request.parts),
     )
-    return Failure(ErrorKind.PROMPT_QUARANTINED, REASON)
+    return Failure(ErrorKind.PROMPT_QUARANTINED, REASON, retry_after)
 
 
 class Dispatcher:
@@ -153,7 +153,7 @@
     ) -> Result[None, Failure]:
         """Obtain a permit and run the request under it."""
         if self.quarantine.refuses(request.parts):
-            return Error(quarantined(request))
+            return Error(self.quarantined(request))
         try:
             async with asyncio.timeout(None) as timeout:
                 with self.quarantine.rules.waiting_request(timeout, request.parts):
@@ -161,13 +161,17 @@
         except TimeoutError:
             if not timeout.expired():
                 raise
-            return Error(quarantined(request))
+            return Error(self.quarantined(request))
         match found:
             case Result(tag="ok", ok=permit):
                 return await self.run_in_batch_slot(request, permit, sink)
             case Result(error=failure):
                 return Error(failure)
 
+    def quarantined(self, request: CompletionCall) -> Failure:
+        """Return the failure of a request whose prompt is quarantined."""
+        return quarantined(request, self.quarantine.rules.retry_after(request.parts))
+
     async def find_slot(self, request: CompletionCall) -> Result[Permit, Failure]:
         """Obtain a permit, and wait for a batch slot of its engine."""
         match await self.search.obtain(request):
@@ -188,7 +192,7 @@
         """Run a request in its batch slot."""
         changed = await self.recheck_permit(permit)
         if changed is None and self.quarantine.refuses(request.parts, sending=True):
-            changed = quarantined(request)
+            changed = self.quarantined(request)
         if changed:
             self.slots.release(permit.engine, request.context)
             return Error(changed)
--- a/src/magnoliatrail/forwarding/engine_path.py
+++ b/src/magnoliatrail/forwarding/engine_path.py
@@ -1,6 +1,7 @@
 """Requests to engines: get a batch slot from the owner, then relay the stream."""
 
 import asyncio
+from collections.abc import Collection
 
 from tornado.httputil import HTTPHeaders
 
@@ -34,12 +35,15 @@
 from magnoliatrail.generated.cells import (
     RunOutcome,
 )
+from magnoliatrail.ids import PartId
 from magnoliatrail.logs import EventLog
 from magnoliatrail.memory_budget import HeldKind, Holding
 from magnoliatrail.platform.request_headers import headers_for_server
 from magnoliatrail.routing import quarantine as quarantine_rules
 from magnoliatrail.routing.account_shares import engine_priority
-from magnoliatrail.routing.crash_evidence import MAX_CRASH_DELAY
+from magnoliatrail.routing.crash_evidence import (
+    MAX_CRASH_DELAY,
+)
 
 log = EventLog("forwarding")
 
@@ -116,9 +120,8 @@
         quarantine = self.context.quarantine
         routed = engine_request.routed
         parts = routed.request.suspects
-        refusal = NoBatchSlot(quarantine_rules.REASON, quarantine_rules.RETRY_AFTER)
         if quarantine.refuses(parts):
-            return refusal
+            return self.quarantined(parts)
         try:
             async with (
                 asyncio.timeout(None) as ending,
@@ -139,12 +142,17 @@
                 return NoBatchSlot(SHUTTING_DOWN, SHUTDOWN_RETRY_AFTER)
             if not timeout.expired():
                 raise
-            return refusal
+            return self.quarantined(parts)
         if isinstance(slot, BatchSlot) and quarantine.refuses(parts, sending=True):
             self.slots.release(engine_request, slot, RunOutcome.CANCELLED)
-            return refusal
+            return self.quarantined(parts)
         return slot
 
+    def quarantined(self, parts: Collection[PartId]) -> NoBatchSlot:
+        """Return the refusal of a request that crashes servers, or may do so."""
+        retry_after = self.context.quarantine.rules.retry_after(parts)
+        return NoBatchSlot(quarantine_rules.REASON, retry_after)
+
     async def refuse(self, request: CallerRequest, slot: NoBatchSlot) -> None:
         """Answer that a request was not run."""
         log.info(
--- a/src/magnoliatrail/forwarding/plain_path.py
+++ b/src/magnoliatrail/forwarding/plain_path.py
@@ -294,7 +294,8 @@
                 paces.time_until_any(view.accepting(routed.service)),
             )
             if reason == quarantine.REASON:
-                retry_after = quarantine.RETRY_AFTER
+                rules = self.context.quarantine.rules
+                retry_after = rules.retry_after(request.suspects)
             await request.answer_error(503, reason, retry_after)
             return
         match attempt.outcome:
--- a/src/magnoliatrail/peers/crash_collector.py
+++ b/src/magnoliatrail/peers/crash_collector.py
@@ -20,12 +20,14 @@
 from magnoliatrail.logs import EventLog
 from magnoliatrail.metrics import Metrics
 from magnoliatrail.peers.client import PeerClient
-from magnoliatrail.routing.crash_evidence import (
+from magnoliatrail.routing.crash_causes import (
     MAX_ACCUSATIONS,
     Accusation,
-    CrashEvidence,
     Parts,
 )
+from magnoliatrail.routing.crash_evidence import (
+    CrashEvidence,
+)
 from magnoliatrail.routing.quarantine import Quarantine, text_of
 from magnoliatrail.routing.quarantine_terms import QuarantineTerms
 from magnoliatrail.routing.server_runs import BrokenRun
@@ -68,7 +70,8 @@
         self.quarantine = quarantine
         self.terms = QuarantineTerms(clock)
         self.renewed_at: timedelta | None = None
-        self.sent_groups: set[Parts] = set()
+        # The groups that were sent last, and whether they were only suspected.
+        self.sent_groups: dict[Parts, bool] = {}
 
     @property
     def has_news(self) -> bool:
@@ -113,10 +116,15 @@
             if not item.parts <= asked:
                 continue
             self.make_room()
-            self.quarantine.enforce(item.parts, self.clock.monotonic())
+            now = self.clock.monotonic()
+            self.quarantine.enforce(item.parts, now, suspected=item.suspected)
+            self.terms.record_accusation(item.parts, item.crashes)
             self.metrics.count("quarantine.groups")
             log.warning(
-                "parts_accused", parts=text_of(item.parts), crashes=item.crashes
+                "parts_accused",
+                parts=text_of(item.parts),
+                crashes=item.crashes,
+                suspected=item.suspected,
             )
 
     def make_room(self) -> None:
@@ -127,11 +135,14 @@
 
     def new_accusations(self) -> list[Accusation]:
         """Return the strongest accusations that no group in quarantine covers."""
-        groups = self.quarantine.groups
+        groups = self.quarantine.groups.values()
         accusations = [
             item
             for item in self.evidence.accusations()
-            if not any(group <= item.parts for group in groups)
+            if not any(
+                group.parts <= item.parts and group.suspected <= item.suspected
+                for group in groups
+            )
         ]
         accusations.sort(key=lambda item: (item.crashes, item.weight), reverse=True)
         return accusations[:MAX_ACCUSATIONS]
@@ -181,8 +192,10 @@
             if self.terms.is_idle(group):
                 self.lift(group.parts, "no more requests")
             else:
-                self.quarantine.enforce(group.parts, group.since)
-        groups = set(self.quarantine.groups)
+                self.quarantine.enforce(
+                    group.parts, group.since, suspected=group.suspected
+                )
+        groups = {key: item.suspected for key, item in self.quarantine.groups.items()}
         due = self.renewed_at is None or now - self.renewed_at >= RENEWAL_INTERVAL
         if not self.has_news or (groups == self.sent_groups and not due):
             return
@@ -212,6 +225,7 @@
                     parts=sorted(group.parts),
                     age_ms=milliseconds(now - group.since),
                     trial=trials.get(group.parts) == instance,
+                    suspected=group.suspected,
                 )
                 for group in self.quarantine.groups.values()
             ],
--- a/src/magnoliatrail/peers/quarantine_exchange.py
+++ b/src/magnoliatrail/peers/quarantine_exchange.py
@@ -44,7 +44,12 @@
 )
 from magnoliatrail.peers.server import PeerRoute
 from magnoliatrail.rendezvous import ranked
-from magnoliatrail.routing.crash_evidence import CrashEvidence, Parts
+from magnoliatrail.routing.crash_causes import (
+    Parts,
+)
+from magnoliatrail.routing.crash_evidence import (
+    CrashEvidence,
+)
 from magnoliatrail.routing.quarantine import Quarantine
 from magnoliatrail.routing.server_runs import BrokenRun, ServerRun, latest
 
@@ -337,7 +342,7 @@
             if parts in self.refuted:
                 continue
             since = now - timedelta(milliseconds=item.age_ms)
-            group = self.rules.enforce(parts, since)
+            group = self.rules.enforce(parts, since, suspected=item.suspected is True)
             group.trial = group.trial or item.trial
         refused = [
             GroupRefused(
--- a/src/magnoliatrail/routing/crash_evidence.py
+++ b/src/magnoliatrail/routing/crash_evidence.py
@@ -10,27 +10,29 @@
 """
 
 from collections import Counter, OrderedDict
-from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
+from functools import partial
 
 from magnoliatrail.clock import Clock
 from magnoliatrail.ids import PartId
 from magnoliatrail.requests import is_fingerprint
+from magnoliatrail.routing.crash_causes import (
+    MIN_REQUEST_CRASHES,
+    Accusation,
+    CrashEvent,
+    Parts,
+    Threshold,
+    accuses_part,
+    accuses_request,
+    event_numbers,
+    explain,
+    is_part,
+    suspects_part,
+)
 from magnoliatrail.routing.server_runs import BrokenRun, LiveSpan, LiveSpans, ServerRun
 
-Parts = frozenset[PartId]
-
-# Crashes under a part without a sound answer to it in between, before it is accused.
-MIN_CRASHES = 4
-# The same for a part that was sound before, which more likely stood by.
-MIN_CRASHES_ONCE_SOUND = 8
-# The same for repeats of one request. Each run of a server that it ended counts, as an
-# instance may send it to the next server within a moment.
-MIN_REQUEST_CRASHES = 3
-MIN_REQUEST_CRASHES_ONCE_SOUND = 5
-# Crashes closer together count once: a loss of power takes many servers at a time.
-SAME_EVENT_WITHIN = timedelta(milliseconds=100)
 # A part that crashes servers does so within this time after an answer to it began.
 MAX_CRASH_DELAY = timedelta(seconds=1)
 CRASH_LIFETIME = timedelta(minutes=5)
@@ -42,10 +44,6 @@
 MAX_PARTS_PER_PROMPT = 64
 MAX_PARTS = 20_000
 MAX_FINGERPRINTS = 4_096
-# The strongest accusations, of which each may cost a message to all instances.
-MAX_ACCUSATIONS = 16
-# How often the crashes that one cause explains are set aside to look for another.
-MAX_CAUSES = 4
 
 
 @dataclass(slots=True)
@@ -63,16 +61,6 @@
         return self.run.at
 
 
-@dataclass(frozen=True, slots=True)
-class Accusation:
-    """Parts that crash servers, as far as can be told only where all of them occur."""
-
-    parts: Parts
-    crashes: int
-    # Higher if fewer other suspects stood in the same crashes.
-    weight: float = 0.0
-
-
 class CrashEvidence:
     """Crashes with their suspects, and the sound answers that clear them."""
 
@@ -178,45 +166,34 @@
         """
         self.forget_old()
         events = self.crash_events()
+        requests, _ = self.explanations(events, is_fingerprint, accuses_request)
+        accused, unexplained = self.explanations(events, is_part, accuses_part)
+        suspected, _ = self.explanations(unexplained, is_part, suspects_part)
         return [
-            *self.explanations(
-                events,
-                is_fingerprint,
-                (MIN_REQUEST_CRASHES, MIN_REQUEST_CRASHES_ONCE_SOUND),
-            ),
-            *self.explanations(
-                events,
-                lambda part: not is_fingerprint(part),
-                (MIN_CRASHES, MIN_CRASHES_ONCE_SOUND),
-            ),
+            *requests,
+            *accused,
+            *(replace(item, suspected=True) for item in suspected),
         ]
 
     def explanations(
         self,
-        events: list["CrashEvent"],
+        events: list[CrashEvent],
         is_candidate: Callable[[PartId], bool],
-        thresholds: tuple[int, int],
-    ) -> list[Accusation]:
-        """Return the candidates that explain the crashes, the most certain first.
+        threshold: Threshold,
+    ) -> tuple[list[Accusation], list[CrashEvent]]:
+        """Return the candidates that explain crashes, and the crashes left over.
 
-        The thresholds are for parts that were never sound and for all others.
+        The most certain come first, and those that were never sound before all others.
         """
-        accusations: list[Accusation] = []
-        for threshold, may_be_cause in zip(
-            thresholds, (self.was_never_sound, lambda part: True), strict=True
-        ):
-            for _ in range(MAX_CAUSES):
-                found = strongest(events, threshold, is_candidate, may_be_cause)
-                if not found:
-                    break
-                accusations += found
-                # A crash is explained by one cause; it says nothing of other suspects.
-                events = [
-                    event
-                    for event in events
-                    if not any(event.has_prompt_with(item.parts) for item in found)
-                ]
-        return accusations
+
+        def is_new(part: PartId) -> bool:
+            return is_candidate(part) and self.was_never_sound(part)
+
+        new, events = explain(events, is_new, partial(threshold, once_sound=False))
+        others, events = explain(
+            events, is_candidate, partial(threshold, once_sound=True)
+        )
+        return [*new, *others], events
 
     def was_never_sound(self, part: PartId) -> bool:
         """Return whether no sound answer with a part is remembered."""
@@ -231,7 +208,7 @@
             for part in [part for part, at in known.items() if at < oldest]:
                 del known[part]
 
-    def crash_events(self) -> list["CrashEvent"]:
+    def crash_events(self) -> list[CrashEvent]:
         """Return the crashes with the suspects that no sound answer cleared since.
 
         A run that answered a later request has not crashed. Prompts of which no part
@@ -264,85 +241,3 @@
             for prompt in crash.prompts
             if not recurring.isdisjoint(prompt)
         )
-
-
-@dataclass(frozen=True, slots=True)
-class CrashEvent:
-    """A crash, with the number that simultaneous ones share, and its suspects."""
-
-    number: int
-    at: timedelta
-    prompts: tuple[Parts, ...]
-
-    def has_prompt_with(self, parts: Parts) -> bool:
-        """Return whether a suspected prompt has all of these parts."""
-        return any(parts <= prompt for prompt in self.prompts)
-
-
-def event_numbers(times: Iterable[timedelta]) -> Iterator[int]:
-    """Yield a number for each of the sorted times, the same for simultaneous ones."""
-    number, began = 0, None
-    for at in times:
-        if began is None or at - began > SAME_EVENT_WITHIN:
-            number, began = number + 1, at
-        yield number
-
-
-def strongest(
-    events: list[CrashEvent],
-    threshold: int,
-    is_candidate: Callable[[PartId], bool],
-    may_be_cause: Callable[[PartId], bool],
-) -> list[Accusation]:
-    """Return the groups of parts with the most crashes, if these are enough.
-
-    Of a group and a larger one with as many crashes only the larger one is returned:
-    a part that many callers share comes along with the one that crashes.
-    """
-    suspects: dict[PartId, list[CrashEvent]] = {}
-    for event in events:
-        for part in frozenset[PartId]().union(*event.prompts):
-            suspects.setdefault(part, []).append(event)
-    counts = {part: crash_count(part, accused) for part, accused in suspects.items()}
-    causes = [part for part in suspects if is_candidate(part) and may_be_cause(part)]
-    most = max((counts[part] for part in causes), default=0)
-    if most < threshold:
-        return []
-    weights = {
-        part: sum(1 / len(event.prompts) for event in suspects[part])
-        for part in causes
-        if counts[part] == most
-    }
-    heaviest = sorted(weights, key=lambda part: weights[part], reverse=True)
-    groups: dict[Parts, float] = {}
-    for part in heaviest[:MAX_ACCUSATIONS]:
-        groups.setdefault(companions(part, suspects[part], counts), weights[part])
-    return [
-        Accusation(group, most, weight)
-        for group, weight in groups.items()
-        if not any(group < other for other in groups)
-    ]
-
-
-def crash_count(part: PartId, events: list[CrashEvent]) -> int:
-    """Return how many crashes a part was in, simultaneous ones as one.
-
-    A request that was sent again meets one crash after the other, however close.
-    """
-    if is_fingerprint(part):
-        return len(events)
-    return len({event.number for event in events})
-
-
-def companions(
-    part: PartId, events: list[CrashEvent], counts: dict[PartId, int]
-) -> Parts:
-    """Return a part with all suspects that stood in each suspected prompt with it.
-
-    A fingerprint stands for its request alone.
-    """
-    if is_fingerprint(part):
-        return frozenset([part])
-    prompts = [prompt for event in events for prompt in event.prompts if part in prompt]
-    common = prompts[0].intersection(*prompts[1:])
-    return frozenset(other for other in common if counts[other] >= MIN_CRASHES)
--- a/src/magnoliatrail/routing/quarantine.py
+++ b/src/magnoliatrail/routing/quarantine.py
@@ -13,7 +13,9 @@
 from magnoliatrail.errors import QUARANTINE_RETRY_DELAY
 from magnoliatrail.ids import PartId
 from magnoliatrail.logs import EventLog
-from magnoliatrail.routing.crash_evidence import Parts
+from magnoliatrail.routing.crash_causes import (
+    Parts,
+)
 
 log = EventLog("quarantine")
 
@@ -25,6 +27,8 @@
 REASON = "the request, or a part of its prompt, crashes servers"
 # Callers should not send such a prompt again soon.
 RETRY_AFTER = QUARANTINE_RETRY_DELAY
+# One that is only suspected is tried soon, and may be sent again if that ends well.
+SUSPECTED_RETRY_AFTER = timedelta(seconds=2)
 
 
 @dataclass(slots=True)
@@ -37,6 +41,8 @@
     last_refusal_at: timedelta | None = None
     # Whether the next request may pass, to see whether it still crashes a server.
     trial: bool = False
+    # Whether its requests pass one by one until one of them has a sound answer.
+    suspected: bool = False
 
     @property
     def last_used_at(self) -> timedelta:
@@ -54,15 +60,21 @@
         self.waiting: dict[asyncio.Timeout, Collection[PartId]] = {}
 
     def find(self, parts: Collection[PartId]) -> QuarantinedGroup | None:
-        """Return a quarantined group that a prompt has, if any."""
+        """Return a quarantined group that a prompt has, if any; suspected ones last."""
         if not self.groups:
             return None
         self.expire()
-        return next(
+        return min(
             (group for group in self.groups.values() if group.parts.issubset(parts)),
-            None,
+            key=lambda group: group.suspected,
+            default=None,
         )
 
+    def retry_after(self, parts: Collection[PartId]) -> timedelta:
+        """Return when a request that was refused may come again."""
+        group = self.find(parts)
+        return SUSPECTED_RETRY_AFTER if group and group.suspected else RETRY_AFTER
+
     def refuses(self, parts: Collection[PartId], *, sending: bool = False) -> bool:
         """Return whether a request must not be sent; sending it uses up a trial."""
         group = self.find(parts)
@@ -76,13 +88,23 @@
         group.last_refusal_at = self.clock.monotonic()
         return True
 
-    def enforce(self, parts: Parts, since: timedelta) -> QuarantinedGroup:
-        """Add or renew a group, and end the waits of requests that have it."""
+    def enforce(
+        self, parts: Parts, since: timedelta, *, suspected: bool = False
+    ) -> QuarantinedGroup:
+        """Add or renew a group, and end the waits of requests that have it.
+
+        A group that was accused once doesn't become a suspected one again.
+        """
         now = self.clock.monotonic()
         group = self.groups.get(parts)
+        if group is not None and group.suspected and not suspected:
+            group.suspected = group.trial = False
+            group.since = since
+            log.warning("parts_quarantined", parts=text_of(parts), suspected=False)
         if group is None:
-            group = self.groups[parts] = QuarantinedGroup(parts, since, now)
-            log.warning("parts_quarantined", parts=text_of(parts))
+            group = QuarantinedGroup(parts, since, now, suspected=suspected)
+            self.groups[parts] = group
+            log.warning("parts_quarantined", parts=text_of(parts), suspected=suspected)
             self.end_waits(parts)
             while len(self.groups) > MAX_GROUPS:
                 self.lift(self.least_recently_used(), "too many groups")
@@ -109,7 +131,8 @@
         """Return the newest groups, as many as the store should keep."""
         self.expire()
         groups, length = [], 0
-        for group in reversed(self.groups):
+        certain = [key for key, group in self.groups.items() if not group.suspected]
+        for group in reversed(certain):
             length += sum(map(len, group))
             if length > MAX_STORED_CHARACTERS:
                 break
--- a/src/magnoliatrail/routing/quarantine_terms.py
+++ b/src/magnoliatrail/routing/quarantine_terms.py
@@ -6,11 +6,14 @@
 
 from magnoliatrail.clock import Clock
 from magnoliatrail.ids import InstanceId
+from magnoliatrail.routing.crash_causes import (
+    MIN_CRASHES,
+    Parts,
+    event_numbers,
+)
 from magnoliatrail.routing.crash_evidence import (
     CRASH_LIFETIME,
     CrashEvidence,
-    Parts,
-    event_numbers,
 )
 from magnoliatrail.routing.quarantine import QuarantinedGroup
 
@@ -20,10 +23,13 @@
 # One request is let through after this time, and again after twice as long each time.
 FIRST_TRIAL_AFTER = timedelta(minutes=1)
 MAX_TRIAL_INTERVAL = timedelta(minutes=16)
-# Servers that go on crashing without a group's parts make it doubtful: its first trial
-# comes earlier.
+# Servers that go on crashing without a group's parts make it doubtful, and so do few
+# crashes with them: its first trial comes earlier.
 FIRST_TRIAL_IN_DOUBT = timedelta(seconds=15)
 DOUBTFUL_CRASHES = 2
+# Requests of a suspected group are let through one by one: the first at once, and the
+# next after this time, by which the outcome of the last one is known.
+SUSPECTED_TRIAL_INTERVAL = timedelta(seconds=4)
 # Requests that were on their way may still crash servers for so long.
 SETTLING_TIME = timedelta(seconds=3)
 # How long instances are told that a group was lifted.
@@ -39,6 +45,8 @@
     trials: int = 0
     last_trial_at: timedelta | None = None
     in_doubt: bool = False
+    # How many crashes accused the group, simultaneous ones as one.
+    crashes: int = MIN_CRASHES
 
 
 class QuarantineTerms:
@@ -53,6 +61,11 @@
         """Record when an instance last refused a request of a group."""
         self.terms.setdefault(parts, Terms()).refusals[instance] = at
 
+    def record_accusation(self, parts: Parts, crashes: int) -> None:
+        """Record how many crashes accused a group; its trials begin anew."""
+        terms = self.terms.setdefault(parts, Terms())
+        terms.crashes, terms.trials, terms.last_trial_at = crashes, 0, None
+
     def lift(self, parts: Parts) -> None:
         """Forget a group, and let it be told to all instances for a while."""
         self.terms.pop(parts, None)
@@ -108,8 +121,13 @@
 
     def next_trial_at(self, group: QuarantinedGroup, terms: Terms) -> timedelta:
         """Return when the next request of a group may be let through."""
+        if group.suspected:
+            if terms.last_trial_at is None:
+                return group.since
+            return terms.last_trial_at + SUSPECTED_TRIAL_INTERVAL
         if terms.last_trial_at is None:
-            after = FIRST_TRIAL_IN_DOUBT if terms.in_doubt else FIRST_TRIAL_AFTER
+            in_doubt = terms.in_doubt or terms.crashes < MIN_CRASHES
+            after = FIRST_TRIAL_IN_DOUBT if in_doubt else FIRST_TRIAL_AFTER
             return group.since + after
         wait = FIRST_TRIAL_AFTER * (1 << min(terms.trials, 10))
         return terms.last_trial_at + min(wait, MAX_TRIAL_INTERVAL)
--- a/tests/unit/test_crashing_prompts.py
+++ b/tests/unit/test_crashing_prompts.py
@@ -10,7 +10,10 @@
 from magnoliatrail.entry.prompt_parts import prompt_parts_of
 from magnoliatrail.errors import ErrorKind
 from magnoliatrail.generated.answers import ErrorAnswer, Outcome
-from magnoliatrail.routing.crash_evidence import MIN_CRASHES, SAME_EVENT_WITHIN
+from magnoliatrail.routing.crash_causes import (
+    MIN_CRASHES,
+    SAME_EVENT_WITHIN,
+)
 
 from .entry_rig import running_rig
 
