Break answers with undefined statuses off

Here /services passed any status on, forward those over 599, and an engine's answer 000 to a cancellation counted as the end of a run.

Cause: statuses had no lower bound but "interim" or "below 500", and no upper one.

Change: an answer whose status is not from 200 to 599 is broken off at each place that reads one: attempts, relays, calls, streams of engines, cancellations.

--- a/src/magnoliatrail/entry/engine_stream.py
+++ b/src/magnoliatrail/entry/engine_stream.py
@@ -20,7 +20,7 @@
 
 from magnoliatrail.engines.client import HTTP_OK
 from magnoliatrail.entry.engine_body import body_decoder
-from magnoliatrail.wire import CallFailed
+from magnoliatrail.wire import FINAL_STATUSES, CallFailed, undefined_status
 
 READ_BYTES = 16 * 1024
 READ_BATCHING_PAUSE_SECONDS = 0.02
@@ -290,4 +290,6 @@
         complete = await connection.read_response(head)
     if not complete and head.stream is None:
         raise HTTPInputError("the answer's head is malformed or cut")
+    if head.status not in FINAL_STATUSES:
+        raise HTTPInputError(undefined_status(head.status))
     return head
--- a/src/magnoliatrail/exchange.py
+++ b/src/magnoliatrail/exchange.py
@@ -22,13 +22,19 @@
     ConnectionUse,
     PooledStream,
 )
-from magnoliatrail.wire import CallFailed, CallLimits
+from magnoliatrail.wire import (
+    FINAL_STATUSES,
+    CallFailed,
+    CallLimits,
+    undefined_status,
+)
 
 # With `retry_if_silent`, a reused connection without an answer for this long is
 # replaced by a new one.
 SILENT_CONNECTION_TIMEOUT = timedelta(seconds=1)
 # Requests with these methods have no Content-Length unless a body is given.
 METHODS_WITHOUT_BODY = ("GET", "HEAD", "DELETE")
+INTERIM_STATUSES = range(100, 200)
 # Tornado gives up on more.
 MAX_INTERIM_ANSWERS = 10
 
@@ -56,6 +62,19 @@
     interim_answers: int = 0
     reason: str = ""
 
+    def is_final(self, code: int) -> bool:
+        """Return whether a head is that of a final answer, not of an interim one.
+
+        Closes the connection if its status is neither.
+        """
+        if code in FINAL_STATUSES:
+            return True
+        if code in INTERIM_STATUSES:
+            self.interim_answers += 1
+        else:
+            self.give_up(undefined_status(code))
+        return False
+
     def check_head(self, headers: HTTPHeaders) -> None:
         """Close the connection if the length of the body exceeds the bound."""
         length = headers.get("Content-Length", "")
@@ -106,8 +125,7 @@
     ) -> None:
         """Store the status and the headers."""
         assert isinstance(start_line, ResponseStartLine)
-        if start_line.code < HTTPStatus.OK:
-            self.bounds.interim_answers += 1
+        if not self.bounds.is_final(start_line.code):
             return
         self.code = start_line.code
         self.headers = headers
--- a/src/magnoliatrail/forwarding/answer_reader.py
+++ b/src/magnoliatrail/forwarding/answer_reader.py
@@ -93,8 +93,7 @@
     ) -> Awaitable[None] | None:
         """Decide by its headers whether an answer is stray, relayed, kept or not."""
         assert isinstance(start_line, ResponseStartLine)
-        if start_line.code < HTTPStatus.OK:
-            self.bounds.interim_answers += 1
+        if not self.bounds.is_final(start_line.code):
             return None
         self.status, self.headers = start_line.code, headers
         # The bound is one for each answer, and a stray one may have come before.
--- a/src/magnoliatrail/wire.py
+++ b/src/magnoliatrail/wire.py
@@ -20,6 +20,8 @@
 T = TypeVar("T")
 
 JSON_TYPE = "application/json"
+# Statuses of final answers; HTTP defines no others (RFC 9110, section 15).
+FINAL_STATUSES = range(200, 600)
 MAX_CONNECTIONS = 20_000
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 # Answers of engines to all calls but requests.
@@ -97,13 +99,21 @@
     request.follow_redirects = False
     request.decompress_response = False
     try:
-        return await client.fetch(request, raise_error=False)
+        response = await client.fetch(request, raise_error=False)
     except HTTPTimeoutError as error:
         raise CallFailed(str(error), sent="during request" in str(error)) from error
     except ConnectionRefusedError as error:
         raise CallFailed(str(error), sent=False) from error
     except (HTTPClientError, OSError, ValueError, OverflowError) as error:
         raise CallFailed(str(error), sent=True) from error
+    if response.code not in FINAL_STATUSES:
+        raise CallFailed(undefined_status(response.code), sent=True)
+    return response
+
+
+def undefined_status(code: int) -> str:
+    """Return the reason why an answer with a status that HTTP lacks is none."""
+    return f"the status {code:03d} is none of a final answer"
 
 
 def connection_options(headers: HTTPHeaders) -> set[str]:
--- a/tests/platform/test_server_call.py
+++ b/tests/platform/test_server_call.py
@@ -23,7 +23,7 @@
 
 
 @asynccontextmanager
-async def serving(*answers, close=False, reset=False, silent=False):
+async def serving(*answers, close=False, close_after=None, reset=False, silent=False):
     """Serve raw answers, one per request, over any number of connections."""
     left = list(answers)
     seen = {"connections": 0, "requests": []}
@@ -50,7 +50,7 @@
                     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
                     writer.transport.abort()
                     return
-                if close:
+                if close or len(seen["requests"]) == close_after:
                     writer.close()
                     return
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -79,7 +79,9 @@
         server.close()
 
 
-async def attempt(target, pool, *, seconds=5.0, method="POST", notices=None):
+async def attempt(
+    target, pool, *, seconds=5.0, method="POST", notices=None, request="r1"
+):
     relayed = []
     notices = [] if notices is None else notices
 
@@ -89,13 +91,10 @@
     async def body(chunk):
         relayed.append(chunk)
 
-    request = ForwardedRequest(
-        "r1", method, "/x?q=1", HTTPHeaders({"Host": "h"}), b"abc"
-    )
     found = await send_attempt(
         pool,
         target,
-        request,
+        ForwardedRequest(request, method, "/x?q=1", HTTPHeaders({"Host": "h"}), b"abc"),
         time_left=timedelta(seconds=seconds),
         only_recently_used=True,
         head=head,
