Fail calls whose answers have neither a length nor a body

Another operator's replica stopped inside the head of an answer (MIXED, ORDER).

Cause: an answer without a length ends with its connection, so an empty body was whole.

Change: exchange fails for an answer without length, chunks and body, but for 204 and 304; the order's outcome is unknown then.

--- a/src/magnoliatrail/exchange.py
+++ b/src/magnoliatrail/exchange.py
@@ -140,6 +140,13 @@
         """Mark the answer as complete."""
         self.finished = True
 
+    @property
+    def may_be_cut(self) -> bool:
+        """Return whether the answer may have ended with its head."""
+        framed = "Content-Length" in self.headers or "Transfer-Encoding" in self.headers
+        bodiless = self.code in (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
+        return not (self.body or framed or bodiless)
+
 
 # Returns by its headers whether an answer belongs to the request.
 AnswerFilter = Callable[[HTTPHeaders], bool]
@@ -221,6 +228,9 @@
     if not answer.finished or answer.bounds.reason or stream.error is not None:
         cause = answer.bounds.cause or "the connection was closed"
         raise CallFailed(cause, sent=True)
+    if answer.may_be_cut:
+        stream.close()
+        raise CallFailed("the answer has neither a length nor a body", sent=True)
     if not rules.is_answer(answer.headers):
         stream.close()
         raise CallFailed("an answer to another request came first", sent=True)
