--- a/src/magnoliatrail/routing/crash_causes.py
+++ b/src/magnoliatrail/routing/crash_causes.py
@@ -20,9 +20,9 @@
 MIN_REQUEST_CRASHES_ONCE_SOUND = 5
 # Crashes closer together count once: a loss of power takes many servers at a time.
 SAME_EVENT_WITHIN = timedelta(milliseconds=100)
-# So many servers that crashed under a part without a sound answer to it make it
-# suspected, and accused if the crashes are further apart than a loss of power.
-MIN_SERVERS = 5
+# So many crashes, simultaneous ones too, under a part without a sound answer to it make
+# it suspected, and accused if they are further apart than those of a loss of power.
+MIN_CRASHES_AT_ONCE = 5
 MIN_SPREAD = timedelta(seconds=2)
 # The strongest accusations, of which each may cost a message to all instances.
 MAX_ACCUSATIONS = 16
@@ -48,7 +48,8 @@
 
     # Simultaneous ones as one.
     events: int
-    servers: int
+    # Each server for itself.
+    crashes: int
     # Time from the first to the last.
     spread: timedelta
 
@@ -150,7 +151,7 @@
     times = [event.at for event in events]
     return CrashCount(
         events=len(events) if is_fingerprint(part) else len(numbers),
-        servers=len(events),
+        crashes=len(events),
         spread=max(times) - min(times),
     )
 
@@ -163,20 +164,20 @@
 def accuses_request(count: CrashCount, *, once_sound: bool) -> bool:
     """Return whether crashes are enough to accuse a request."""
     enough = MIN_REQUEST_CRASHES_ONCE_SOUND if once_sound else MIN_REQUEST_CRASHES
-    return count.servers >= enough
+    return count.crashes >= enough
 
 
 def accuses_part(count: CrashCount, *, once_sound: bool) -> bool:
     """Return whether crashes are enough to accuse a part of prompts."""
     if once_sound:
         return count.events >= MIN_CRASHES_ONCE_SOUND
-    apart = count.servers >= MIN_SERVERS and count.spread >= MIN_SPREAD
+    apart = count.crashes >= MIN_CRASHES_AT_ONCE and count.spread >= MIN_SPREAD
     return apart or count.events >= MIN_CRASHES
 
 
 def suspects_part(count: CrashCount, *, once_sound: bool) -> bool:
     """Return whether crashes are enough to try requests with a part one by one."""
-    return not once_sound and count.servers >= MIN_SERVERS
+    return not once_sound and count.crashes >= MIN_CRASHES_AT_ONCE
 
 
 def companions(part: PartId, events: list[CrashEvent]) -> Parts:
--- a/tests/unit/test_crash_evidence.py
+++ b/tests/unit/test_crash_evidence.py
@@ -12,10 +12,10 @@
     MAX_ACCUSATIONS,
     MAX_CAUSES,
     MIN_CRASHES,
+    MIN_CRASHES_AT_ONCE,
     MIN_CRASHES_ONCE_SOUND,
     MIN_REQUEST_CRASHES,
     MIN_REQUEST_CRASHES_ONCE_SOUND,
-    MIN_SERVERS,
     MIN_SPREAD,
     SAME_EVENT_WITHIN,
 )
@@ -152,7 +152,7 @@
 # requests that crashes many servers at once and is sent again.
 def test_many_simultaneous_crashes_make_a_new_part_suspected_and_no_sound_one(record):
     record.answer("first")
-    for _ in range(MIN_SERVERS):
+    for _ in range(MIN_CRASHES_AT_ONCE):
         record.crash(["first", BAD], after=SAME_EVENT_WITHIN / 100)
     assert not record.accused()
     assert record.accused(suspected=True) == [{"first", BAD}]
@@ -161,14 +161,14 @@
 
 
 def test_few_simultaneous_crashes_make_no_part_suspected(record):
-    for _ in range(MIN_SERVERS - 1):
+    for _ in range(MIN_CRASHES_AT_ONCE - 1):
         record.crash(["first"], after=SAME_EVENT_WITHIN / 100)
     assert not record.accused(suspected=True)
 
 
 # Guards against batches of requests that crash many servers at once, few times.
 def test_five_servers_that_crashed_in_two_batches_accuse_a_part(record):
-    for _ in range(MIN_SERVERS - 1):
+    for _ in range(MIN_CRASHES_AT_ONCE - 1):
         record.crash([BAD], after=SAME_EVENT_WITHIN / 100)
     assert not record.accused()
     record.crash([BAD], after=MIN_SPREAD)
@@ -176,7 +176,7 @@
 
 
 def test_a_suspected_part_is_accused_once_its_trial_crashes_a_server(record):
-    for _ in range(MIN_SERVERS):
+    for _ in range(MIN_CRASHES_AT_ONCE):
         record.crash([BAD], after=SAME_EVENT_WITHIN / 100)
     assert not record.accused()
     record.crash([BAD], after=MIN_SPREAD)
