--- a/tests/processes/test_upgrade.py
+++ b/tests/processes/test_upgrade.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import io
+import json
 import os
 import signal
 import subprocess
@@ -13,6 +14,7 @@
 import pytest
 
 from magnoliatrail.cells.fleet_layout import LAYOUT_KEY
+from magnoliatrail.generated import quarantine
 from magnoliatrail.generated.cells import LayoutRow
 from magnoliatrail.listeners import listen
 from magnoliatrail.platform.protocol import CELLS_TABLE
@@ -21,7 +23,7 @@
     platform_engine_application,
 )
 from magnoliatrail.standins.row_store import RowStoreState, row_store_application
-from magnoliatrail.wire import encode
+from magnoliatrail.wire import decode, encode
 from tests.platform.rig import MODEL, configuration, model, read_answer, route
 from tests.soak.processes import Instance
 
@@ -233,3 +235,80 @@
                 assert not lines, lines[:5]
 
     run(scenario())
+
+
+# Reads messages in the other build, and writes what it has read.
+READ_MESSAGES = """
+import sys, msgspec
+from magnoliatrail.generated import quarantine
+for line in sys.stdin.buffer:
+    name, _, body = line.partition(b" ")
+    kind = getattr(quarantine, name.decode())
+    sys.stdout.buffer.write(msgspec.json.encode(msgspec.json.decode(body, type=kind)))
+    sys.stdout.buffer.write(b"\\n")
+"""
+MESSAGES = [
+    quarantine.CrashReports(
+        crashes=[
+            quarantine.CrashReport(
+                server="s",
+                born=1,
+                age_ms=1.0,
+                alive_age_ms=2.0,
+                connected_age_ms=3.0,
+                prompts=[["first", "bad"]],
+            )
+        ],
+        lifted=[],
+    ),
+    quarantine.SoundAnswers(
+        parts=[quarantine.PartAnswered(part="first", age_ms=1.0)],
+        runs=[
+            quarantine.RunAnswered(server="s", born=1, age_ms=1.0, connected_age_ms=2.0)
+        ],
+    ),
+    quarantine.QuarantineUpdate(
+        groups=[
+            quarantine.QuarantinedParts(
+                parts=["bad"], age_ms=1.0, trial=True, suspected=True
+            )
+        ],
+        lifted=[["first"]],
+    ),
+]
+NEW_FIELDS = {"alive_age_ms", "connected_age_ms", "suspected"}
+
+
+def without_new_fields(fields):
+    """Return decoded JSON without the fields that the other build doesn't know."""
+    if isinstance(fields, list):
+        return [without_new_fields(item) for item in fields]
+    if not isinstance(fields, dict):
+        return fields
+    return {
+        name: without_new_fields(item)
+        for name, item in fields.items()
+        if name not in NEW_FIELDS
+    }
+
+
+# Guards against crash reports and quarantines that one of the two builds can't read.
+def test_the_build_before_reads_messages_about_crashes_and_this_one_reads_its(
+    last_build,
+):
+    lines = [
+        type(item).__name__.encode() + b" " + encode(item) + b"\n" for item in MESSAGES
+    ]
+    read = subprocess.run(
+        [sys.executable, "-c", READ_MESSAGES],
+        env={**os.environ, "PYTHONPATH": str(last_build)},
+        input=b"".join(lines),
+        capture_output=True,
+        check=True,
+    )
+    answers = read.stdout.splitlines()
+    assert len(answers) == len(MESSAGES)
+    for message, answer in zip(MESSAGES, answers, strict=True):
+        sent = json.loads(encode(message))
+        assert json.loads(answer) == without_new_fields(sent)
+        assert decode(answer, type(message)).is_ok()
