Take a server that accepts connections after a break for alive

An engine that broke off twelve streams without a crash counted as twelve crashes, as each came on a new connection: the take-ups of the streams were refused (LOST).

Change: a connection that is opened less than 0.5 s after a break belongs to the same run, and the run has not ended by the break. Before, this counted only if it was opened before the break.

--- a/src/magnoliatrail/routing/server_runs.py
+++ b/src/magnoliatrail/routing/server_runs.py
@@ -24,7 +24,7 @@
     """A server run that broke off answers, as one instance or several saw it."""
 
     server: ServerRun
-    # When the first of the answers broke off.
+    # When the first of the answers broke off after which no connection was opened.
     at: timedelta
     # When the run was last known to be alive before, None if it is not known.
     alive_at: timedelta | None = None
@@ -43,12 +43,18 @@
         )
 
     def merged(self, other: "BrokenRun") -> "BrokenRun":
-        """Return what two observations of the same run say together."""
+        """Return what two observations of the same run say together.
+
+        A run that took a connection after it broke off an answer had not ended then.
+        """
+        connected_at = latest(self.connected_at, other.connected_at)
+        times = (self.at, other.at)
+        ends = [at for at in times if connected_at is None or at >= connected_at]
         return BrokenRun(
             self.server,
-            min(self.at, other.at),
+            min(ends, default=max(times)),
             latest(self.alive_at, other.alive_at),
-            latest(self.connected_at, other.connected_at),
+            connected_at,
         )
 
 
@@ -63,13 +69,16 @@
     born: int
 
     def refutes(self, broken: BrokenRun) -> bool:
-        """Return whether the run lived on after it broke off answers."""
+        """Return whether the run lived on after it broke off answers.
+
+        The next run takes no connection before it could have started again.
+        """
         if self.end <= broken.at:
             return False
         if broken.connected_at is None:
             return self.born == broken.server[1]
         alive_at = broken.at if broken.alive_at is None else broken.alive_at
-        return self.begin is not None and self.begin <= alive_at
+        return self.begin is not None and self.begin < alive_at + MIN_RESTART_TIME
 
     def is_same_run(self, other: "LiveSpan") -> bool:
         """Return whether two spans of a server are certainly of one run."""
