test_the_less_busy_replica_is_chosen: let no time limit send a second call

Cause: the harness sets 0.3 s for an answer and 0.2 s for a connection; a call that takes longer is followed by one to the other replica, as intended, which is no choice between the two.

Change: both limits are long in this test, which still wants all ten at the idle replica.

--- a/tests/outcomes/test_services.py
+++ b/tests/outcomes/test_services.py
@@ -3,6 +3,7 @@
 import asyncio
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from datetime import timedelta
 
 import msgspec
 import pytest
@@ -195,6 +196,9 @@
         async with running_archive(2) as (harness, [busy, idle]):
             services = harness.daemons[0].entry.services
             services.in_flight["archive-0"] = 5
+            # A slow call or connection would be followed by one to the other replica.
+            patience = timedelta(seconds=WAIT_LIMIT_SECONDS)
+            services.idle_limit = services.connect_limit = patience
             for _ in range(10):
                 await send(harness, "GET", f"{PATH}/x")
             assert (len(busy.requests), len(idle.requests)) == (0, 10)
