--- a/src/magnoliatrail/forwarding/context.py
+++ b/src/magnoliatrail/forwarding/context.py
@@ -158,7 +158,7 @@
                 connected_at=attempt.connected_at,
                 closed_in_order=attempt.closed_in_order,
             )
-            self.spares.start(attempt.server.address)
+            self.spares.schedule(attempt.server.address)
         elif attempt.outcome is AttemptOutcome.ANSWERED:
             self.quarantine.record_answered(
                 server, sent_at, connected_at=attempt.connected_at
--- a/src/magnoliatrail/forwarding/spare_connections.py
+++ b/src/magnoliatrail/forwarding/spare_connections.py
@@ -29,8 +29,8 @@
         self.pool = pool
         self.opening: dict[str, asyncio.Task[None]] = {}
 
-    def start(self, address: str) -> None:
-        """Open a connection to a server that has just broken off an answer."""
+    def schedule(self, address: str) -> None:
+        """Open a connection soon to a server that has just broken off an answer."""
         if address in self.opening:
             return
         task = asyncio.create_task(self.open(address))
@@ -48,7 +48,7 @@
         self.pool.release(address, stream, HTTPHeaders())
 
     async def close(self) -> None:
-        """Cancel what has not ended."""
+        """Give up the connections that are not open yet."""
         tasks = [*self.opening.values()]
         for task in tasks:
             task.cancel()
--- a/tests/unit/test_spare_connections.py
+++ b/tests/unit/test_spare_connections.py
@@ -55,7 +55,7 @@
 def test_answers_that_break_off_together_share_a_connection(play):
     async def scenario(spares, address):
         for _ in range(BREAKS):
-            spares.start(address)
+            spares.schedule(address)
         await opened(spares)
         assert spares.pool.opened == 1
 
@@ -64,7 +64,7 @@
 
 def test_the_next_request_gets_the_connection(play):
     async def scenario(spares, address):
-        spares.start(address)
+        spares.schedule(address)
         await opened(spares)
         lent = await spares.pool.acquire(address, OPENING_DELAY)
         assert (lent.reused, spares.pool.opened) == (True, 1)
@@ -75,7 +75,7 @@
 
 def test_a_server_that_has_ended_gets_none(play):
     async def scenario(spares, address):
-        spares.start(address)
+        spares.schedule(address)
         await opened(spares)
         assert not spares.opening
         assert not spares.pool.idle_addresses()
@@ -85,7 +85,7 @@
 
 def test_a_connection_that_is_not_open_yet_is_given_up_at_the_end(play):
     async def scenario(spares, address):
-        spares.start(address)
+        spares.schedule(address)
         await spares.close()
         assert spares.pool.opened == 0
         assert not spares.opening
