Soak: callers don't reuse a connection that is closed as idle by then

Trace: the caller's connection to that instance had been idle for 25 s, and an instance closes one after 18.75 s. No caller may expect an answer there, and no request was read.

--- a/tests/soak/test_traffic.py
+++ b/tests/soak/test_traffic.py
@@ -1,12 +1,22 @@
 """Callers of a soak run take up streams that broke off."""
 
+import asyncio
 import time
+from contextlib import suppress
 from random import Random
+from types import SimpleNamespace
 
 import pytest
 
 from tests.soak.servers import EVENTS, stream_answer
-from tests.soak.traffic import RESUMING_TRIES, Caller, Ending, Exchange, RequestKind
+from tests.soak.traffic import (
+    MAX_IDLE_SECONDS,
+    RESUMING_TRIES,
+    Caller,
+    Ending,
+    Exchange,
+    RequestKind,
+)
 
 ASKED = b"body"
 
@@ -65,3 +75,40 @@
     assert caller.tries == []
     run(caller.take_up(broken_after(EVENTS)))
     assert len(caller.tries) == RESUMING_TRIES
+
+
+# Guards against callers that send on a connection which was closed as idle, and report
+# that their request was dropped.
+@pytest.mark.parametrize(
+    ("idle_seconds", "connections"),
+    [(0.0, 1), (MAX_IDLE_SECONDS - 1, 1), (MAX_IDLE_SECONDS + 1, 2)],
+)
+def test_a_connection_that_was_idle_for_long_is_not_used_again(
+    run, idle_seconds, connections
+):
+    async def scenario():
+        opened = []
+
+        async def answer_all(reader, writer):
+            opened.append(writer)
+            with suppress(asyncio.IncompleteReadError):
+                while True:
+                    head = await reader.readuntil(b"\r\n\r\n")
+                    length = head.partition(b"Content-Length: ")[2].split(b"\r\n")[0]
+                    await reader.readexactly(int(length))
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            writer.close()
+
+        listener = await asyncio.start_server(answer_all, "127.0.0.1", 0)
+        port = listener.sockets[0].getsockname()[1]
+        instance = SimpleNamespace(name="one", ip="127.0.0.1", callers_port=port)
+        caller = Caller("r", [instance], Random(1))
+        await caller.send(instance, RequestKind.SAFE)
+        caller.connections["one"].used_at -= idle_seconds
+        again = await caller.send(instance, RequestKind.SAFE)
+        assert (again.ending, len(opened)) == (Ending.WHOLE, connections)
+        caller.forget(instance)
+        listener.close()
+        await listener.wait_closed()
+
+    run(scenario())
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -16,6 +16,8 @@
 HANG_SECONDS = 30.0
 ADAPTERS = 12
 PAUSE_SECONDS = 0.05
+# An instance closes a connection that is idle for 18.75 s.
+MAX_IDLE_SECONDS = 15.0
 SHARED_PART = "shared"
 # Tries to take a stream up again that an instance may answer, and the pause after one
 # that none did.
@@ -79,6 +81,7 @@
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
     opened_at: float
+    used_at: float
 
 
 @dataclass
@@ -204,6 +207,9 @@
     ) -> None:
         """Send a request over the kept connection, or over a new one."""
         connection = self.connections.get(instance.name)
+        if connection and exchange.sent_at - connection.used_at > MAX_IDLE_SECONDS:
+            self.forget(instance)
+            connection = None
         if connection is None:
             try:
                 reader, writer = await asyncio.open_connection(
@@ -212,7 +218,8 @@
             except OSError:
                 exchange.ending = Ending.NOT_CONNECTED
                 return
-            connection = Connection(reader, writer, exchange.sent_at)
+            sent_at = exchange.sent_at
+            connection = Connection(reader, writer, opened_at=sent_at, used_at=sent_at)
             self.connections[instance.name] = connection
         exchange.connected_at = connection.opened_at
         sent = {
@@ -227,6 +234,7 @@
         connection.writer.write(f"POST {path} HTTP/1.1\r\n{lines}\r\n".encode() + body)
         answered = await self.read(connection.reader, exchange)
         exchange.ending = Ending.WHOLE
+        connection.used_at = time.monotonic()
         if answered.get("connection", "").lower() == "close":
             self.forget(instance)
 
