--- a/tests/soak/test_traffic.py
+++ b/tests/soak/test_traffic.py
@@ -10,6 +10,7 @@
 
 from tests.soak.servers import EVENTS, stream_answer
 from tests.soak.traffic import (
+    HANG_SECONDS,
     MAX_IDLE_SECONDS,
     RESUMING_TRIES,
     Caller,
@@ -109,6 +110,7 @@
         assert (again.ending, len(opened)) == (Ending.WHOLE, connections)
         caller.forget(instance)
         listener.close()
-        await listener.wait_closed()
+        async with asyncio.timeout(HANG_SECONDS):
+            await asyncio.gather(*(writer.wait_closed() for writer in opened))
 
     run(scenario())
--- a/tests/unit/test_spare_connections.py
+++ b/tests/unit/test_spare_connections.py
@@ -28,7 +28,14 @@
 
     def play(scenario, *, ended=False):
         async def play_scenario():
-            listener = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+            accepted = []
+
+            async def keep_open(reader, writer):
+                accepted.append(writer)
+                await reader.read()
+                writer.close()
+
+            listener = await asyncio.start_server(keep_open, "127.0.0.1", 0)
             address = f"127.0.0.1:{listener.sockets[0].getsockname()[1]}"
             if ended:
                 listener.close()
@@ -40,6 +47,7 @@
                 await spares.close()
                 spares.pool.close()
                 listener.close()
+                await asyncio.gather(*(writer.wait_closed() for writer in accepted))
 
         run(play_scenario())
 
