--- a/src/magnoliatrail/membership/fleet_view.py
+++ b/src/magnoliatrail/membership/fleet_view.py
@@ -15,6 +15,7 @@
 from magnoliatrail.clock import Clock
 from magnoliatrail.ids import ServerId
 from magnoliatrail.logs import EventLog
+from magnoliatrail.membership.departures import Departures
 from magnoliatrail.membership.request_limits import RequestLimits
 from magnoliatrail.membership.table_view import TableView
 from magnoliatrail.platform.configuration_rows import (
@@ -35,8 +36,6 @@
 STORE_OUTAGE_THRESHOLD = timedelta(seconds=1.8)
 # Running servers that lapsed in a store outage are listed again within this time.
 RELISTING_GRACE = timedelta(seconds=2)
-# Departed server runs to remember; the oldest is forgotten first.
-MAX_DEPARTURES = 4096
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,17 +46,6 @@
     until: timedelta
 
 
-@dataclass(slots=True)
-class Departure:
-    """A server run that is known to leave or to be gone."""
-
-    # Version of the row that said so.
-    version: int
-    draining: bool
-    # Version of the row of the run that a restored store listed again, 0 if none.
-    relisted_at: int = 0
-
-
 class FleetView:
     """View of the fleet, decoded from the rows of the store."""
 
@@ -68,10 +56,7 @@
         self.versions: dict[tuple[str, str], int] = {}
         self.servers: dict[ServerId, BackendServer] = {}
         self.lapsed: dict[ServerId, LapsedServer] = {}
-        # Server runs that are known to have left, by id and start time.
-        self.departures: dict[tuple[ServerId, int], Departure] = {}
-        # Server runs that said in an answer that they leave, the oldest first.
-        self.said_to_leave: dict[tuple[ServerId, int], None] = {}
+        self.departures = Departures()
         # Until when a server run wants no requests from this instance.
         self.refused_until: dict[tuple[ServerId, int], timedelta] = {}
         self.request_limits = RequestLimits(clock)
@@ -193,9 +178,7 @@
             return
         match decode_server(row.key, row.value):
             case Result(tag="ok", ok=found):
-                if found.key in self.said_to_leave:
-                    found = replace(found, state=ServerState.LEAVING)
-                server = self.without_return(found, row.version)
+                server = self.departures.known_state(found, row.version)
                 if server is None:
                     log.info(
                         "departed_server_listed",
@@ -216,42 +199,6 @@
                 # The row describes no usable server; a known one with this id stays.
                 log.warning("row_unreadable", key=row.key, reason=failure.message)
 
-    def without_return(
-        self, server: BackendServer, version: int
-    ) -> BackendServer | None:
-        """Return a listed server in the state that is known of its run.
-
-        A store that came back from a copy lists servers as they were before. One that
-        had announced its departure is still leaving, and one that was gone is listed
-        again only once its row is written anew.
-        """
-        departure = self.departures.get(server.key)
-        if server.state is ServerState.LEAVING:
-            self.record_departure(server, version, draining=True)
-            return server
-        if departure is None:
-            return server
-        if era_of(version) == era_of(departure.version):
-            del self.departures[server.key]
-            return server
-        if departure.draining:
-            return replace(server, state=ServerState.LEAVING)
-        if departure.relisted_at in (0, version):
-            departure.relisted_at = version
-            return None
-        del self.departures[server.key]
-        return server
-
-    def record_departure(
-        self, server: BackendServer, version: int, *, draining: bool
-    ) -> None:
-        """Remember that a server run leaves or is gone."""
-        known = self.departures.pop(server.key, None)
-        draining = draining or (known is not None and known.draining)
-        self.departures[server.key] = Departure(version, draining)
-        if len(self.departures) > MAX_DEPARTURES:
-            del self.departures[next(iter(self.departures))]
-
     def drop_server(
         self,
         id_: ServerId,
@@ -269,7 +216,7 @@
             self.lapsed[id_] = LapsedServer(server, until)
             self.log_server("server_lapsed", server, source)
             return
-        self.record_departure(server, version, draining=False)
+        self.departures.record_row(server, version, draining=False)
         del self.servers[id_]
         self.log_server("server_gone", server, source)
 
@@ -319,11 +266,8 @@
             self.record_refusal(server, notice.refuses_for)
         if notice.unlimited or notice.requests_per_second is not None:
             self.request_limits.record(server.key, notice.requests_per_second)
-        if not notice.leaving or server.key in self.said_to_leave:
+        if not notice.leaving or not self.departures.record_answer(server.key):
             return
-        self.said_to_leave[server.key] = None
-        if len(self.said_to_leave) > MAX_DEPARTURES:
-            del self.said_to_leave[next(iter(self.said_to_leave))]
         known = self.servers.get(server.id)
         if known is None or known.key != server.key:
             return
