--- a/src/magnoliatrail/forwarding/attempt.py
+++ b/src/magnoliatrail/forwarding/attempt.py
@@ -47,6 +47,9 @@
     withheld: HeadAnswer | None = None
     # Whether the request may have reached the server.
     sent: bool = False
+    # Age of the list of servers, and time since the request's start, as it was written.
+    list_age: timedelta | None = None
+    written_after: timedelta | None = None
     started: bool = False
     reused: bool = False
     # When the connection was opened.
--- a/src/magnoliatrail/forwarding/context.py
+++ b/src/magnoliatrail/forwarding/context.py
@@ -256,6 +256,8 @@
         status=attempt.status,
         started=attempt.started,
         reused=attempt.reused,
+        list_age="" if attempt.list_age is None else attempt.list_age,
+        written_after="" if attempt.written_after is None else attempt.written_after,
         framing=attempt.framing or "",
         body_bytes=attempt.body_bytes,
         inside_event=attempt.inside_event,
--- a/src/magnoliatrail/forwarding/relay.py
+++ b/src/magnoliatrail/forwarding/relay.py
@@ -209,8 +209,8 @@
     """Return the check of a request that is relayed, which names its account."""
     check = send_check(context, routed)
 
-    def named(fields: HTTPHeaders) -> HeadAnswer | None:
-        refusal = check(fields)
+    def named(attempt: Attempt, fields: HTTPHeaders) -> HeadAnswer | None:
+        refusal = check(attempt, fields)
         fields.pop(ACCOUNT, None)
         if refusal is None and routed.request.account is not None:
             fields[ACCOUNT] = routed.request.account.name
--- a/src/magnoliatrail/forwarding/send_check.py
+++ b/src/magnoliatrail/forwarding/send_check.py
@@ -2,9 +2,11 @@
 
 from tornado.httputil import HTTPHeaders
 
+from magnoliatrail.forwarding.attempt import Attempt
 from magnoliatrail.forwarding.context import ForwardingContext, RoutedRequest
 from magnoliatrail.forwarding.head_check import ENDING, HeadAnswer, check_key
 from magnoliatrail.forwarding.server_call import SendCheck
+from magnoliatrail.platform.protocol import SERVERS_TABLE
 from magnoliatrail.platform.request_headers import set_account
 
 
@@ -15,8 +17,11 @@
     wait for a batch slot and for a connection.
     """
 
-    def check(fields: HTTPHeaders) -> HeadAnswer | None:
+    def check(attempt: Attempt, fields: HTTPHeaders) -> HeadAnswer | None:
         request = routed.request
+        now = context.clock.monotonic()
+        attempt.list_age = context.view.tables[SERVERS_TABLE].age(now)
+        attempt.written_after = now - request.received_at
         if not context.answered_in_time(request, routed.route):
             return ENDING
         routes = context.view.routes
--- a/src/magnoliatrail/forwarding/server_call.py
+++ b/src/magnoliatrail/forwarding/server_call.py
@@ -48,8 +48,8 @@
     body: bytes
 
 
-# Completes the headers of a request right before it is written, or refuses it.
-SendCheck = Callable[[HTTPHeaders], HeadAnswer | None]
+# Completes the headers of a request right before an attempt writes it, or refuses it.
+SendCheck = Callable[[Attempt, HTTPHeaders], HeadAnswer | None]
 
 
 async def send_attempt(
@@ -92,7 +92,7 @@
         return attempt
     attempt.reused, attempt.connected_at = lent.reused, lent.stream.opened_at
     if check is not None:
-        attempt.withheld = check(request.headers)
+        attempt.withheld = check(attempt, request.headers)
     if attempt.withheld is not None:
         lent.stream.close()
         attempt.outcome = AttemptOutcome.NOT_RUN
--- a/src/magnoliatrail/membership/fleet_view.py
+++ b/src/magnoliatrail/membership/fleet_view.py
@@ -44,6 +44,8 @@
 
     server: BackendServer
     until: timedelta
+    # Version of the store at which the list no longer had it.
+    version: int
 
 
 class FleetView:
@@ -55,6 +57,8 @@
         self.routes: RouteTable | None = None
         self.versions: dict[tuple[str, str], int] = {}
         self.servers: dict[ServerId, BackendServer] = {}
+        # The servers as their rows describe them, whatever else is known of them.
+        self.listed: dict[ServerId, BackendServer] = {}
         self.lapsed: dict[ServerId, LapsedServer] = {}
         self.departures = Departures()
         # Until when a server run wants no requests from this instance.
@@ -167,8 +171,9 @@
         id_ = ServerId(row.key)
         if row.value is None:
             self.tables[SERVERS_TABLE].changed_at[row.key] = row.version
-        known = self.servers.get(id_)
+        known, before = self.servers.get(id_), self.listed.get(id_)
         if row.value is None:
+            self.listed.pop(id_, None)
             self.drop_server(
                 id_,
                 row.version,
@@ -178,6 +183,7 @@
             return
         match decode_server(row.key, row.value):
             case Result(tag="ok", ok=found):
+                self.listed[id_] = found
                 server = self.departures.known_state(found, row.version)
                 if server is None:
                     log.info(
@@ -191,10 +197,13 @@
                 self.servers[id_] = server
                 if known is None or shared_fields(known) != shared_fields(server):
                     self.tables[SERVERS_TABLE].changed_at[row.key] = row.version
+                told = self.described(server, source, row.version)
                 if known is None or known.born != server.born:
-                    self.log_server("server_listed", server, source)
-                elif known.state is not server.state:
-                    self.log_server("server_state", server, source)
+                    log.info("server_listed", **told)
+                elif known.state is not server.state or (
+                    before is not None and before.state is not found.state
+                ):
+                    log.info("server_state", **told)
             case Result(error=failure):
                 # The row describes no usable server; a known one with this id stays.
                 log.warning("row_unreadable", key=row.key, reason=failure.message)
@@ -213,12 +222,12 @@
             return
         if store_was_unavailable and server.state is ServerState.READY:
             until = self.clock.monotonic() + RELISTING_GRACE
-            self.lapsed[id_] = LapsedServer(server, until)
-            self.log_server("server_lapsed", server, source)
+            self.lapsed[id_] = LapsedServer(server, until, version)
+            log.info("server_lapsed", **self.described(server, source, version))
             return
         self.departures.record_row(server, version, draining=False)
         del self.servers[id_]
-        self.log_server("server_gone", server, source)
+        log.info("server_gone", **self.described(server, source, version))
 
     def expire_lapsed(self) -> None:
         """Remove the lapsed servers that were not listed again in time."""
@@ -227,20 +236,25 @@
             if now >= lapsed.until:
                 del self.lapsed[id_]
                 self.servers.pop(id_, None)
-                self.log_server("server_gone", lapsed.server, "lapse")
-
-    def log_server(self, event: str, server: BackendServer, source: str) -> None:
-        """Log the new state of a server."""
-        log.info(
-            event,
-            server=server.id,
-            born=server.born,
-            service=server.service,
-            address=server.address,
-            state=server.state,
-            software_version=server.software_version,
-            source=source,
-        )
+                told = self.described(lapsed.server, "lapse", lapsed.version)
+                log.info("server_gone", **told)
+
+    def described(
+        self, server: BackendServer, source: str, row_version: int = 0
+    ) -> dict[str, object]:
+        """Return what a line says of a server, of its row, and of where it is from."""
+        listed = self.listed.get(server.id)
+        return {
+            "server": server.id,
+            "born": server.born,
+            "service": server.service,
+            "address": server.address,
+            "state": server.state,
+            "row_state": listed.state if listed else "",
+            "row_version": row_version,
+            "software_version": server.software_version,
+            "source": source,
+        }
 
     def usable(self, service: str) -> list[BackendServer]:
         """Return the servers of a service that accept new requests."""
@@ -272,7 +286,7 @@
         if known is None or known.key != server.key:
             return
         self.servers[server.id] = replace(known, state=ServerState.LEAVING)
-        self.log_server("server_state", self.servers[server.id], "answer")
+        log.info("server_state", **self.described(self.servers[server.id], "answer"))
         for changed in self.on_change:
             changed()
 
--- a/tests/platform/test_withheld_requests.py
+++ b/tests/platform/test_withheld_requests.py
@@ -8,10 +8,17 @@
 import pytest
 from tornado.httputil import HTTPHeaders
 
+from magnoliatrail.forwarding.attempt import Attempt
 from magnoliatrail.forwarding.context import RoutedRequest
-from magnoliatrail.forwarding.relay import ACCOUNT, relay_check, relay_origin
+from magnoliatrail.forwarding.relay import (
+    ACCOUNT,
+    as_server,
+    relay_check,
+    relay_origin,
+)
 from magnoliatrail.forwarding.request import CallerRequest
 from magnoliatrail.metrics_text import TextMetrics
+from magnoliatrail.peers.reach_monitor import Helper
 from tests.platform.rig import running
 from tests.platform.test_client_accounts import (
     KEY,
@@ -130,12 +137,13 @@
         async with running(engines=0) as rig:
             await configure(rig, 2, accounts(KEY))
             context = rig.daemons[0].forwarding_context
+            helper = Helper("instance-1", "127.0.0.1:1", "zone-a", 0)
             for key, name in [(KEY, "alice"), (None, None)]:
                 sent = head_of("/public/x", key)
                 route = context.view.routes.match(sent.host, sent.path)
                 fields = HTTPHeaders({"Api-Key": "k", ACCOUNT: "bob"})
                 check = relay_check(context, RoutedRequest(sent, route, "desk"))
-                assert check(fields) is None
+                assert check(Attempt(as_server(helper)), fields) is None
                 assert fields.get(ACCOUNT) == name
                 assert fields.get("Magnoliatrail-Tenant") == name
                 assert "Api-Key" not in fields
