--- a/src/magnoliatrail/membership/fleet_view.py
+++ b/src/magnoliatrail/membership/fleet_view.py
@@ -184,6 +184,8 @@
         match decode_server(row.key, row.value):
             case Result(tag="ok", ok=found):
                 self.listed[id_] = found
+                if before is None or shared_fields(before) != shared_fields(found):
+                    self.tables[SERVERS_TABLE].changed_at[row.key] = row.version
                 server = self.departures.known_state(found, row.version)
                 if server is None:
                     log.info(
@@ -195,8 +197,6 @@
                     return
                 self.lapsed.pop(id_, None)
                 self.servers[id_] = server
-                if known is None or shared_fields(known) != shared_fields(server):
-                    self.tables[SERVERS_TABLE].changed_at[row.key] = row.version
                 told = self.described(server, source, row.version)
                 if known is None or known.born != server.born:
                     log.info("server_listed", **told)
