--- a/src/magnoliatrail/forwarding/attempt.py
+++ b/src/magnoliatrail/forwarding/attempt.py
@@ -45,6 +45,8 @@
     reason: str = ""
     # Why the request was not sent after a last check.
     withheld: HeadAnswer | None = None
+    # Whether it was not sent as another server must be chosen since.
+    choice_outdated: bool = False
     # Whether the request may have reached the server.
     sent: bool = False
     # Age of the list of servers, and time since the request's start, as it was written.
@@ -66,6 +68,11 @@
     first_event: timedelta | None = None
     longest_pause: timedelta = timedelta()
 
+    @property
+    def held_back(self) -> bool:
+        """Return whether the request was not sent after a last check."""
+        return self.withheld is not None or self.choice_outdated
+
 
 def framing_of(headers: HTTPHeaders) -> Framing:
     """Return how the headers of an answer say that its body ends."""
--- a/src/magnoliatrail/forwarding/context.py
+++ b/src/magnoliatrail/forwarding/context.py
@@ -39,6 +39,11 @@
 DEFAULT_MEMORY_MB = 256.0
 
 
+async def always_fresh() -> bool:
+    """Return that the list of servers is fresh, for a context without a store."""
+    return True
+
+
 @dataclass
 class ForwardingContext:
     """The services and settings that request handlers share."""
@@ -58,6 +63,9 @@
     paces: RequestPaces
     # The same without a read.
     is_fresh: Callable[[], bool] = lambda: True
+    # The same for the list of servers alone, by which a request is sent.
+    ensure_list_fresh: Callable[[], Awaitable[bool]] = always_fresh
+    is_list_fresh: Callable[[], bool] = lambda: True
     # Whether the store answers the reads of the configuration.
     store_answers: Callable[[], bool] = lambda: True
     # Whether another instance answers this one, or reports to it.
--- a/src/magnoliatrail/forwarding/engine_path.py
+++ b/src/magnoliatrail/forwarding/engine_path.py
@@ -30,7 +30,7 @@
     hold_answer,
 )
 from magnoliatrail.forwarding.request import CallerRequest
-from magnoliatrail.forwarding.send_check import send_check
+from magnoliatrail.forwarding.send_check import server_check
 from magnoliatrail.forwarding.server_call import ForwardedRequest, send_attempt
 from magnoliatrail.generated.cells import (
     RunOutcome,
@@ -79,6 +79,7 @@
         ends_at = routed.ends_at
         first_event_by = min(ends_at, request.received_at + route.first_event_timeout)
         engine_request = EngineRequest(routed, work, ends_at, first_event_by)
+        repeats = False
         for number in range(1, MAX_ATTEMPTS + 1):
             slot = await self.find_slot(engine_request)
             if isinstance(slot, NoBatchSlot):
@@ -91,7 +92,7 @@
                 self.slots.release(engine_request, slot, RunOutcome.CANCELLED)
                 await self.refuse(request, NoBatchSlot(NO_ROOM, RETRY_AFTER))
                 return
-            if number > 1 and not budget.try_acquire(clock.monotonic()):
+            if repeats and not budget.try_acquire(clock.monotonic()):
                 self.slots.release(engine_request, slot, RunOutcome.CANCELLED)
                 log.info(
                     "retry_budget_exhausted", request=request.id, service=routed.service
@@ -107,7 +108,8 @@
                 if attempt.outcome is not AttemptOutcome.NOT_RUN:
                     await self.answer(routed, attempt)
                     return
-            if not attempt.sent:
+            repeats = not attempt.choice_outdated
+            if not attempt.sent and not attempt.choice_outdated:
                 engine_request.avoid.append(slot.server.id)
                 if await self.context.served_elsewhere(routed):
                     return
@@ -224,10 +226,10 @@
                     hold=hold,
                     notice=self.context.apply_notice,
                     max_relayed_bytes=None,
-                    check=send_check(self.context, engine_request.routed),
+                    check=server_check(self.context, engine_request.routed),
                     progress=engine_request.routed.event_progress(self.context.clock),
                 )
-            if attempt.withheld is None:
+            if not attempt.held_back:
                 outcome = RUN_OUTCOMES[attempt.outcome]
             self.context.record_attempt(
                 engine_request.routed, attempt, sent_at, known_sound=known_sound
--- a/src/magnoliatrail/forwarding/engine_slots.py
+++ b/src/magnoliatrail/forwarding/engine_slots.py
@@ -13,7 +13,12 @@
 from magnoliatrail.cells.link import OwnerLink
 from magnoliatrail.forwarding.context import ForwardingContext, RoutedRequest
 from magnoliatrail.forwarding.event_times import EventTimes
-from magnoliatrail.forwarding.head_check import SHUTDOWN_RETRY_AFTER, SHUTTING_DOWN
+from magnoliatrail.forwarding.head_check import (
+    OUTDATED,
+    OUTDATED_RETRY_AFTER,
+    SHUTDOWN_RETRY_AFTER,
+    SHUTTING_DOWN,
+)
 from magnoliatrail.generated.cells import (
     EndedRun,
     RunningRequest,
@@ -111,9 +116,15 @@
                 if engine_request.link
                 else None
             )
-            await self.context.ensure_fresh()
+            list_fresh = await self.context.ensure_list_fresh()
             if engine_request.first_event_by - clock.monotonic() <= MIN_TIME_LEFT:
                 break
+            if not list_fresh:
+                if answer is not None and answer.state is SlotDecision.GRANTED:
+                    self.release_attempt(
+                        engine_request, answer.server, RunOutcome.CANCELLED
+                    )
+                return NoBatchSlot(OUTDATED, OUTDATED_RETRY_AFTER)
             if answer is not None:
                 found = self.slot_from_answer(engine_request, answer)
                 if found is not None:
--- a/src/magnoliatrail/forwarding/plain_path.py
+++ b/src/magnoliatrail/forwarding/plain_path.py
@@ -16,13 +16,14 @@
     RoutedRequest,
     log_attempt,
 )
+from magnoliatrail.forwarding.head_check import OUTDATED
 from magnoliatrail.forwarding.held_answers import (
     NO_MEMORY,
     AnswerNotHeld,
     attempt_without_room,
     hold_answer,
 )
-from magnoliatrail.forwarding.send_check import send_check
+from magnoliatrail.forwarding.send_check import server_check
 from magnoliatrail.forwarding.server_call import ForwardedRequest, send_attempt
 from magnoliatrail.ids import ServerId
 from magnoliatrail.logs import EventLog
@@ -145,6 +146,9 @@
         version = routed.software_version
         no_attempt = NO_SERVER_OF_VERSION if version else NO_SERVER
         for number in range(1, MAX_ATTEMPTS + 1):
+            if not await self.context.ensure_list_fresh():
+                no_attempt = OUTDATED
+                break
             size = len(request.body)
             server = self.choose(routed.service, tried, version, size)
             if server is None and self.choose(routed.service, tried, version):
@@ -157,7 +161,8 @@
                 break
             if number > 1 and not runs and await self.context.served_elsewhere(routed):
                 return
-            if number > 1 and not budget.try_acquire(clock.monotonic()):
+            repeats = last is not None and not last.choice_outdated
+            if repeats and not budget.try_acquire(clock.monotonic()):
                 log.info(
                     "retry_budget_exhausted", request=request.id, service=routed.service
                 )
@@ -250,14 +255,14 @@
                     hold=hold,
                     notice=self.context.apply_notice,
                     max_relayed_bytes=MAX_BUFFERED_BODY_BYTES,
-                    check=send_check(self.context, routed),
+                    check=server_check(self.context, routed),
                 )
         except AnswerNotHeld:
             return attempt_without_room(server)
         finally:
             self.in_flight[server.id] -= 1
         attempt.body = b"".join(chunks) or attempt.body
-        if attempt.withheld is None:
+        if not attempt.held_back:
             self.record_outcome(server, attempt)
         if attempt.outcome is AttemptOutcome.ANSWERED:
             now = clock.monotonic()
--- a/src/magnoliatrail/forwarding/relay.py
+++ b/src/magnoliatrail/forwarding/relay.py
@@ -30,6 +30,7 @@
 from magnoliatrail.forwarding.send_check import send_check
 from magnoliatrail.forwarding.server_call import (
     ForwardedRequest,
+    OutdatedChoice,
     SendCheck,
     send_attempt,
 )
@@ -209,7 +210,9 @@
     """Return the check of a request that is relayed, which names its account."""
     check = send_check(context, routed)
 
-    def named(attempt: Attempt, fields: HTTPHeaders) -> HeadAnswer | None:
+    def named(
+        attempt: Attempt, fields: HTTPHeaders
+    ) -> HeadAnswer | OutdatedChoice | None:
         refusal = check(attempt, fields)
         fields.pop(ACCOUNT, None)
         if refusal is None and routed.request.account is not None:
--- a/src/magnoliatrail/forwarding/send_check.py
+++ b/src/magnoliatrail/forwarding/send_check.py
@@ -4,11 +4,33 @@
 
 from magnoliatrail.forwarding.attempt import Attempt
 from magnoliatrail.forwarding.context import ForwardingContext, RoutedRequest
-from magnoliatrail.forwarding.head_check import ENDING, HeadAnswer, check_key
-from magnoliatrail.forwarding.server_call import SendCheck
-from magnoliatrail.platform.protocol import SERVERS_TABLE
+from magnoliatrail.forwarding.head_check import (
+    ENDING,
+    OUTDATED,
+    HeadAnswer,
+    check_key,
+)
+from magnoliatrail.forwarding.server_call import OutdatedChoice, SendCheck
 from magnoliatrail.platform.request_headers import set_account
 
+LEFT = "the server leaves or is gone since it was chosen"
+
+
+def server_check(context: ForwardingContext, routed: RoutedRequest) -> SendCheck:
+    """Return the check of a request to a backend server, which must still be usable."""
+    check = send_check(context, routed)
+
+    def checked(
+        attempt: Attempt, fields: HTTPHeaders
+    ) -> HeadAnswer | OutdatedChoice | None:
+        if not context.view.is_usable(attempt.server):
+            return OutdatedChoice(LEFT)
+        if not context.is_list_fresh():
+            return OutdatedChoice(OUTDATED)
+        return check(attempt, fields)
+
+    return checked
+
 
 def send_check(context: ForwardingContext, routed: RoutedRequest) -> SendCheck:
     """Return the check of a request, which also sets the headers about its account.
@@ -19,9 +41,8 @@
 
     def check(attempt: Attempt, fields: HTTPHeaders) -> HeadAnswer | None:
         request = routed.request
-        now = context.clock.monotonic()
-        attempt.list_age = context.view.tables[SERVERS_TABLE].age(now)
-        attempt.written_after = now - request.received_at
+        attempt.list_age = context.view.list_age()
+        attempt.written_after = context.clock.monotonic() - request.received_at
         if not context.answered_in_time(request, routed.route):
             return ENDING
         routes = context.view.routes
--- a/src/magnoliatrail/forwarding/server_call.py
+++ b/src/magnoliatrail/forwarding/server_call.py
@@ -48,8 +48,15 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class OutdatedChoice:
+    """Why a request can't be sent to the server that was chosen for it."""
+
+    reason: str
+
+
 # Completes the headers of a request right before an attempt writes it, or refuses it.
-SendCheck = Callable[[Attempt, HTTPHeaders], HeadAnswer | None]
+SendCheck = Callable[[Attempt, HTTPHeaders], HeadAnswer | OutdatedChoice | None]
 
 
 async def send_attempt(
@@ -91,12 +98,13 @@
         attempt.outcome, attempt.reason = AttemptOutcome.NOT_RUN, str(error)
         return attempt
     attempt.reused, attempt.connected_at = lent.reused, lent.stream.opened_at
-    if check is not None:
-        attempt.withheld = check(attempt, request.headers)
-    if attempt.withheld is not None:
+    refusal = check(attempt, request.headers) if check is not None else None
+    if refusal is not None:
         lent.stream.close()
         attempt.outcome = AttemptOutcome.NOT_RUN
-        attempt.reason = attempt.withheld.reason
+        attempt.reason = refusal.reason
+        attempt.choice_outdated = isinstance(refusal, OutdatedChoice)
+        attempt.withheld = refusal if isinstance(refusal, HeadAnswer) else None
         return attempt
     bounds = AnswerBounds(lent.stream, has_body=request.method != "HEAD")
 
--- a/src/magnoliatrail/membership/fleet_view.py
+++ b/src/magnoliatrail/membership/fleet_view.py
@@ -76,6 +76,10 @@
         now = self.clock.monotonic()
         return max(table.age(now) for table in self.tables.values())
 
+    def list_age(self) -> timedelta:
+        """Return the greatest possible age of the list of servers."""
+        return self.tables[SERVERS_TABLE].age(self.clock.monotonic())
+
     def apply(
         self, table: str, read: RowsRead, asked_at: timedelta, source: str
     ) -> None:
@@ -265,6 +269,16 @@
             if server.service == service and server.state is ServerState.READY
         ]
 
+    def is_usable(self, server: BackendServer) -> bool:
+        """Return whether a server run, as it was chosen, still accepts new requests."""
+        self.expire_lapsed()
+        known = self.servers.get(server.id)
+        return (
+            known is not None
+            and known.state is ServerState.READY
+            and (known.key, known.address) == (server.key, server.address)
+        )
+
     def server_addresses(self) -> set[str]:
         """Return the addresses of the servers that accept new requests."""
         self.expire_lapsed()
--- a/src/magnoliatrail/membership/store_reader.py
+++ b/src/magnoliatrail/membership/store_reader.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
 from datetime import timedelta
 
 from expression import Result
@@ -10,6 +9,7 @@
 from magnoliatrail.clock import Clock
 from magnoliatrail.logs import EventLog
 from magnoliatrail.membership.fleet_view import FleetView
+from magnoliatrail.membership.table_bounds import TableBounds
 from magnoliatrail.platform.protocol import OPERATOR_TABLE, SERVERS_TABLE
 from magnoliatrail.platform.rows import RowsRead, RowStore, StoredRow
 
@@ -32,18 +32,6 @@
 MAX_IDLE_WAIT = timedelta(seconds=0.4)
 
 
-@dataclass(frozen=True, slots=True)
-class TableBounds:
-    """Bounds on the age of the tables by which a request is routed."""
-
-    # Tables above this age are read before a request is routed.
-    read_above: timedelta
-    # Requests are refused above these ages, by table.
-    max_ages: Mapping[str, timedelta]
-    # Added to these ages while the store gives reads that lag behind.
-    extension: timedelta
-
-
 class StoreReader:
     """Follow the tables of the store while this instance should read them."""
 
@@ -192,28 +180,50 @@
         only an instance that was paused, whose updates are late, or that sends them
         finds its tables too old when it is about to use them. While the store cannot be
         read, what is known is used whatever its age.
+
+        The configuration is that of when the request came. The list of servers must be
+        fresh when the request is sent, so the wait for the read counts.
         """
         received_at = self.clock.monotonic()
         await self.read_tables_older_than(bounds.read_above)
-        outdated = self.outdated_tables(bounds, received_at)
+        now = self.clock.monotonic()
+        used_at = {OPERATOR_TABLE: received_at, SERVERS_TABLE: now}
+        return self.are_fresh(bounds, used_at)
+
+    async def ensure_list_fresh(self, bounds: TableBounds) -> bool:
+        """Return whether the list of servers is fresh enough to send a request by it.
+
+        Tables that are nearly too old are read first, as in `ensure_fresh`.
+        """
+        await self.read_tables_older_than(bounds.read_above)
+        return self.are_fresh(bounds, {SERVERS_TABLE: self.clock.monotonic()})
+
+    def are_fresh(self, bounds: TableBounds, used_at: Mapping[str, timedelta]) -> bool:
+        """Return whether tables are fresh at given times, and log if they are not."""
+        outdated = self.outdated_tables(bounds, used_at)
         if outdated:
-            log.warning(
-                "tables_outdated",
-                tables=sorted(outdated),
-                age=max(self.view.tables[name].age(received_at) for name in outdated),
-            )
+            ages = [self.view.tables[name].age(used_at[name]) for name in outdated]
+            log.warning("tables_outdated", tables=sorted(outdated), age=max(ages))
         return not outdated
 
     def is_fresh(self, bounds: TableBounds) -> bool:
         """Return the same as `ensure_fresh`, without a read."""
-        return not self.outdated_tables(bounds, self.clock.monotonic())
+        now = self.clock.monotonic()
+        return not self.outdated_tables(bounds, dict.fromkeys(self.view.tables, now))
+
+    def is_list_fresh(self, bounds: TableBounds) -> bool:
+        """Return the same as `ensure_list_fresh`, without a read."""
+        return not self.outdated_tables(bounds, {SERVERS_TABLE: self.clock.monotonic()})
 
-    def outdated_tables(self, bounds: TableBounds, now: timedelta) -> list[str]:
+    def outdated_tables(
+        self, bounds: TableBounds, used_at: Mapping[str, timedelta]
+    ) -> list[str]:
         """Return the tables that are too old, unless the store cannot be read."""
         return [
             name
-            for name, table in self.view.tables.items()
-            if name not in self.failing and table.age(now) > self.max_age(name, bounds)
+            for name, at in used_at.items()
+            if name not in self.failing
+            and self.view.tables[name].age(at) > self.max_age(name, bounds)
         ]
 
     def max_age(self, table: str, bounds: TableBounds) -> timedelta:
--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -41,12 +41,12 @@
 from magnoliatrail.membership.store_reader import (
     KEYS_TABLE,
     StoreReader,
-    TableBounds,
 )
 from magnoliatrail.membership.stream_records import (
     StreamRecordReader,
     StreamRecordWriter,
 )
+from magnoliatrail.membership.table_bounds import table_bounds
 from magnoliatrail.memory_budget import budget_of
 from magnoliatrail.metrics_text import TextMetrics
 from magnoliatrail.open_connections import OpenConnections
@@ -57,11 +57,7 @@
 from magnoliatrail.peers.reach_monitor import ReachMonitor
 from magnoliatrail.peers.server import TokenCheck, peer_application
 from magnoliatrail.periodic import PeriodicTasks
-from magnoliatrail.platform.protocol import (
-    OPERATOR_TABLE,
-    READY_PATH,
-    SERVERS_TABLE,
-)
+from magnoliatrail.platform.protocol import READY_PATH
 from magnoliatrail.platform.rows import RowStore
 from magnoliatrail.platform.settings_file import InstanceSettings
 from magnoliatrail.wire import CallLimits
@@ -72,19 +68,6 @@
 METRICS_PATH = "/metrics"
 # The coordinators learn by themselves, later, that an instance has ended.
 QUOTA_LEAVE_TIMEOUT_SECONDS = 0.2
-# Tables above this share of the freshness bounds are read before a request is routed;
-# the rest covers the read.
-UPDATE_AGE_SHARE = 0.85
-
-
-def table_bounds(settings: InstanceSettings) -> TableBounds:
-    """Return the bounds on the age of the tables by which a request is routed."""
-    bounds = settings.bounds
-    return TableBounds(
-        read_above=min(bounds.propagation, bounds.drain) * UPDATE_AGE_SHARE,
-        max_ages={OPERATOR_TABLE: bounds.propagation, SERVERS_TABLE: bounds.drain},
-        extension=bounds.unstable_store,
-    )
 
 
 class PlatformDaemon:
@@ -160,7 +143,7 @@
             urls=self.other_peer_urls,
         )
         self.stream_versions = self.new_stream_versions()
-        bounds = table_bounds(settings)
+        bounds = table_bounds(settings.bounds)
         self.start_check = StartCheck(
             clock=self.clock,
             view=self.view,
@@ -176,6 +159,8 @@
             generator=self.generator,
             ensure_fresh=self.start_check.ensure_fresh,
             is_fresh=partial(self.reader.is_fresh, bounds),
+            ensure_list_fresh=partial(self.reader.ensure_list_fresh, bounds),
+            is_list_fresh=partial(self.reader.is_list_fresh, bounds),
             store_answers=lambda: KEYS_TABLE not in self.reader.failing,
             hears_others=self.cells.hears_others,
             stream_versions=self.stream_versions,
--- a/tests/load/test_configuration_freshness.py
+++ b/tests/load/test_configuration_freshness.py
@@ -12,7 +12,8 @@
 from magnoliatrail.clock import ManualClock
 from magnoliatrail.errors import ErrorKind, Failure
 from magnoliatrail.membership.fleet_view import FleetView
-from magnoliatrail.membership.store_reader import StoreReader, TableBounds
+from magnoliatrail.membership.store_reader import StoreReader
+from magnoliatrail.membership.table_bounds import TableBounds
 from magnoliatrail.platform.protocol import OPERATOR_TABLE, SERVERS_TABLE
 from magnoliatrail.platform.rows import RowsRead, StoredRow
 from tests.platform.rig import configuration
--- a/tests/platform/test_freshness.py
+++ b/tests/platform/test_freshness.py
@@ -3,6 +3,7 @@
 import asyncio
 from datetime import timedelta
 
+import pytest
 from expression import Error, Ok
 
 from magnoliatrail.clock import ManualClock
@@ -11,8 +12,8 @@
 from magnoliatrail.membership.store_reader import (
     STALE_READ_TIMEOUT,
     StoreReader,
-    TableBounds,
 )
+from magnoliatrail.membership.table_bounds import TableBounds
 from magnoliatrail.platform.protocol import OPERATOR_TABLE, SERVERS_TABLE
 from magnoliatrail.platform.rows import RowsRead
 from tests.platform.test_views import server_row
@@ -138,15 +139,38 @@
     run(scenario())
 
 
-def test_a_request_that_came_before_the_tables_were_too_old_is_served(run):
+async def fresh_after_a_wait(fixture, *, age):
+    """Return whether a request is sent whose wait for hanging reads began at an age."""
+    fixture.store.silent = asyncio.get_running_loop().create_future()
+    fixture.clock.advance(age)
+    waiting = asyncio.create_task(fixture.reader.ensure_fresh(TABLE_BOUNDS))
+    await asyncio.sleep(0.01)
+    fixture.clock.advance(STALE_READ_TIMEOUT)
+    return await waiting
+
+
+def test_a_request_that_came_before_the_configuration_was_too_old_is_served(run):
     async def scenario():
         fixture = ReaderFixture()
-        fixture.store.silent = asyncio.get_running_loop().create_future()
-        fixture.clock.advance(timedelta(seconds=1.9))
-        waiting = asyncio.create_task(fixture.reader.ensure_fresh(TABLE_BOUNDS))
-        await asyncio.sleep(0.01)
-        fixture.clock.advance(STALE_READ_TIMEOUT)
-        assert await waiting is True
+        read = RowsRead((), 1, whole=False)
+        fixture.clock.advance(timedelta(seconds=1))
+        now = fixture.clock.monotonic()
+        fixture.view.apply(SERVERS_TABLE, read, now, "store")
+        assert await fresh_after_a_wait(fixture, age=timedelta(seconds=0.9)) is True
+
+    run(scenario())
+
+
+# Guards against requests that reach a server later after its departure than the bound
+# (DRAIN): the age of the list was judged before the wait for a read of it.
+@pytest.mark.parametrize(
+    ("age", "fresh"), [(timedelta(seconds=1.9), False), (timedelta(seconds=1.7), True)]
+)
+def test_the_list_of_servers_must_be_fresh_after_the_wait_for_a_read(run, age, fresh):
+    async def scenario():
+        fixture = ReaderFixture()
+        assert await fresh_after_a_wait(fixture, age=age) is fresh
+        assert fixture.reader.is_list_fresh(TABLE_BOUNDS) is fresh
 
     run(scenario())
 
