--- a/src/magnoliatrail/membership/store_reader.py
+++ b/src/magnoliatrail/membership/store_reader.py
@@ -49,7 +49,7 @@
         # Time until a table is due for a read, given the age of its last state.
         self.read_due_in = read_due_in
         self.failing: set[str] = set()
-        # When a read of a table last lagged behind what the store had said before.
+        # When a table was last read, if that lagged behind what the store had said.
         self.outdated_at: dict[str, timedelta] = {}
         # Tables that are read whole next, not by their changes.
         self.reads_whole: set[str] = set()
@@ -161,17 +161,22 @@
         superseded_at = min(
             [*learned, *([] if from_store is None else [from_store])], default=None
         )
-        if superseded_at is None:
-            return asked_at + waited
-        if superseded_at < asked_at:
-            self.outdated_at[table] = self.clock.monotonic()
-            log.warning(
-                "outdated_read",
-                table=table,
-                version=read.version,
-                age=asked_at - superseded_at,
+        if superseded_at is None or superseded_at >= asked_at:
+            self.outdated_at.pop(table, None)
+            complete_at = asked_at + waited
+            return (
+                complete_at
+                if superseded_at is None
+                else min(complete_at, superseded_at)
             )
-        return min(asked_at + waited, superseded_at)
+        self.outdated_at[table] = self.clock.monotonic()
+        log.warning(
+            "outdated_read",
+            table=table,
+            version=read.version,
+            age=asked_at - superseded_at,
+        )
+        return superseded_at
 
     async def ensure_fresh(self, bounds: TableBounds) -> bool:
         """Return whether the tables are fresh enough to route a request by them.
--- a/tests/platform/test_freshness.py
+++ b/tests/platform/test_freshness.py
@@ -220,6 +220,25 @@
     run(scenario())
 
 
+# Guards against requests that are sent by a list that is too old (DRAIN): one read that
+# lagged widened the bound by seconds, also once the lag was over.
+def test_the_bound_is_no_wider_after_a_read_that_does_not_lag(run):
+    async def scenario():
+        fixture = ReaderFixture()
+        fixture.store.newer_learned_at = fixture.clock.monotonic()
+        fixture.clock.advance(timedelta(seconds=1))
+        await fixture.reader.read_once(SERVERS_TABLE, timedelta())
+        assert fixture.reader.outdated_at
+        fixture.store.newer_learned_at = None
+        for table in (OPERATOR_TABLE, SERVERS_TABLE):
+            await fixture.reader.read_once(table, timedelta())
+        fixture.store.silent = asyncio.get_running_loop().create_future()
+        fixture.clock.advance(MAX_AGE + timedelta(seconds=0.1))
+        assert not fixture.reader.is_list_fresh(TABLE_BOUNDS)
+
+    run(scenario())
+
+
 def test_a_table_that_is_behind_is_read_without_a_long_poll(run):
     async def scenario():
         fixture = ReaderFixture()
