--- a/src/magnoliatrail/metrics_text.py
+++ b/src/magnoliatrail/metrics_text.py
@@ -70,6 +70,11 @@
         "table_update_bytes_total",
         "Bytes of row values in table updates for other instances, as sent.",
     ),
+    "table_requests": MetricDeclaration(
+        MetricKind.COUNTER,
+        "table_requests_total",
+        "Times that other instances were asked for their tables.",
+    ),
     "table_updates.postponed": MetricDeclaration(
         MetricKind.COUNTER,
         "table_updates_postponed_total",
--- a/src/magnoliatrail/platform_daemon.py
+++ b/src/magnoliatrail/platform_daemon.py
@@ -14,6 +14,7 @@
 from magnoliatrail.cells.lease import Identity
 from magnoliatrail.cells.member import CellMember
 from magnoliatrail.cells.quota_cells import QuotaCells, client_accounts, quota_terms
+from magnoliatrail.cells.table_requests import TableRequests
 from magnoliatrail.cells.table_updates import TableUpdateSender
 from magnoliatrail.clock import BootClock, Clock
 from magnoliatrail.connections import ConnectionPool
@@ -128,6 +129,18 @@
             read_due_in=self.cells.read_due_in,
         )
         self.recent_instances = RecentInstances(self.clock, self.cells.addresses)
+        self.table_requests = TableRequests(
+            clock=self.clock,
+            metrics=self.metrics,
+            view=self.view,
+            peers=self.peers,
+            identity=self.identity,
+            generator=self.generator,
+            addresses=self.other_peer_addresses,
+            max_update_age=min(settings.bounds.propagation, settings.bounds.drain),
+            store_answers=lambda: not self.reader.failing,
+            leaving=lambda: self.stopping,
+        )
         quota_cells = QuotaCells(self.cells, listed=self.recent_instances.addresses)
         self.quotas = QuotaExchange(
             clock=self.clock,
@@ -293,6 +306,7 @@
         for work in (
             self.reader.run,
             self.cells.watch_rows,
+            self.table_requests.run,
             self.update_instance_count,
             self.stream_versions.send_periodically,
             self.stream_versions.writer.run,
