--- a/src/magnoliatrail/membership/departures.py
+++ b/src/magnoliatrail/membership/departures.py
@@ -1,6 +1,7 @@
 """Server runs that leave or are gone, by the rows of the store and by answers."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
+from enum import Enum
 
 from magnoliatrail.backends import BackendServer, ServerState
 from magnoliatrail.ids import ServerId
@@ -13,19 +14,37 @@
 RunKey = tuple[ServerId, int]
 
 
+class DepartureKind(Enum):
+    """What is known of a run that leaves or is gone, the most certain last."""
+
+    # Its row was removed, and may be written again.
+    REMOVED = "removed"
+    # Its row said that it leaves, which a run does not take back.
+    LEAVING = "leaving"
+    # Another run has its id.
+    REPLACED = "replaced"
+
+
+CERTAINTY = list(DepartureKind)
+
+
 @dataclass(slots=True)
 class Departure:
     """A server run that is known to leave or to be gone."""
 
+    kind: DepartureKind
     # Version of the row that said so.
     version: int
-    draining: bool
     # Version of the row of the run that a restored store listed again, 0 if none.
     relisted_at: int = 0
 
 
 class Departures:
-    """Server runs that are known to leave or to be gone."""
+    """Server runs that are known to leave or to be gone.
+
+    What is known of a run outlives its row: a heartbeat may be carried out late, and a
+    store that comes back from a copy lists servers as they were before.
+    """
 
     def __init__(self) -> None:
         self.by_rows: dict[RunKey, Departure] = {}
@@ -41,38 +60,41 @@
             del self.by_answers[next(iter(self.by_answers))]
         return True
 
-    def record_row(
-        self, server: BackendServer, version: int, *, draining: bool
-    ) -> None:
+    def record_row(self, run: RunKey, kind: DepartureKind, version: int) -> None:
         """Record that a server run leaves or is gone, by a version of its row."""
-        known = self.by_rows.pop(server.key, None)
-        draining = draining or (known is not None and known.draining)
-        self.by_rows[server.key] = Departure(version, draining)
+        known = self.by_rows.pop(run, None)
+        kinds = [kind, *([known.kind] if known else [])]
+        self.by_rows[run] = Departure(max(kinds, key=CERTAINTY.index), version)
         if len(self.by_rows) > MAX_RUNS:
             del self.by_rows[next(iter(self.by_rows))]
 
-    def known_state(self, server: BackendServer, version: int) -> BackendServer | None:
-        """Return a listed server in the state that is known of its run.
-
-        A store that came back from a copy lists servers as they were before. One that
-        had announced its departure is still leaving, and one that was gone, for which
-        this returns None, is listed again only once its row is written anew.
-        """
-        if server.key in self.by_answers:
-            server = replace(server, state=ServerState.LEAVING)
-        departure = self.by_rows.get(server.key)
-        if server.state is ServerState.LEAVING:
-            self.record_row(server, version, draining=True)
-            return server
+    def record_replacement(self, run: RunKey, version: int) -> None:
+        """Record that a run has the id of departed ones, by a version of its row."""
+        others = [known for known in self.by_rows if known[0] == run[0]]
+        for known in others:
+            if known != run:
+                self.record_row(known, DepartureKind.REPLACED, version)
+
+    def state_of(self, listed: BackendServer, version: int) -> ServerState | None:
+        """Return the state of a listed run, None if its row is no sign that it runs."""
+        run = listed.key
+        departure = self.by_rows.get(run)
+        if departure is not None and departure.kind is DepartureKind.REPLACED:
+            return None
+        if listed.state is ServerState.LEAVING:
+            self.record_row(run, DepartureKind.LEAVING, version)
+            return ServerState.LEAVING
+        if run in self.by_answers:
+            return ServerState.LEAVING
         if departure is None:
-            return server
-        if era_of(version) == era_of(departure.version):
-            del self.by_rows[server.key]
-            return server
-        if departure.draining:
-            return replace(server, state=ServerState.LEAVING)
-        if departure.relisted_at in (0, version):
+            return ServerState.READY
+        if departure.kind is DepartureKind.LEAVING:
+            return ServerState.LEAVING
+        if era_of(version) != era_of(departure.version) and (
+            departure.relisted_at in (0, version)
+        ):
+            # The restored store lists it as of before; it may be gone.
             departure.relisted_at = version
             return None
-        del self.by_rows[server.key]
-        return server
+        del self.by_rows[run]
+        return ServerState.READY
--- a/src/magnoliatrail/membership/fleet_view.py
+++ b/src/magnoliatrail/membership/fleet_view.py
@@ -15,7 +15,7 @@
 from magnoliatrail.clock import Clock
 from magnoliatrail.ids import ServerId
 from magnoliatrail.logs import EventLog
-from magnoliatrail.membership.departures import Departures
+from magnoliatrail.membership.departures import DepartureKind, Departures
 from magnoliatrail.membership.request_limits import RequestLimits
 from magnoliatrail.membership.table_view import TableView
 from magnoliatrail.platform.configuration_rows import (
@@ -190,8 +190,8 @@
                 self.listed[id_] = found
                 if before is None or shared_fields(before) != shared_fields(found):
                     self.tables[SERVERS_TABLE].changed_at[row.key] = row.version
-                server = self.departures.known_state(found, row.version)
-                if server is None:
+                state = self.departures.state_of(found, row.version)
+                if state is None:
                     log.info(
                         "departed_server_listed",
                         server=id_,
@@ -200,9 +200,14 @@
                     )
                     return
                 self.lapsed.pop(id_, None)
-                self.servers[id_] = server
+                self.servers[id_] = server = replace(found, state=state)
                 told = self.described(server, source, row.version)
                 if known is None or known.born != server.born:
+                    if known is not None:
+                        self.departures.record_row(
+                            known.key, DepartureKind.REPLACED, row.version
+                        )
+                    self.departures.record_replacement(server.key, row.version)
                     log.info("server_listed", **told)
                 elif known.state is not server.state or (
                     before is not None and before.state is not found.state
@@ -229,7 +234,7 @@
             self.lapsed[id_] = LapsedServer(server, until, version)
             log.info("server_lapsed", **self.described(server, source, version))
             return
-        self.departures.record_row(server, version, draining=False)
+        self.departures.record_row(server.key, DepartureKind.REMOVED, version)
         del self.servers[id_]
         log.info("server_gone", **self.described(server, source, version))
 
--- a/tests/platform/test_departures.py
+++ b/tests/platform/test_departures.py
@@ -165,6 +165,35 @@
     assert reader.usable() == other.usable() == {("s1", 1)}
 
 
+# Guards against requests to a server that had left (DRAIN): a heartbeat that the store
+# carried out late said ready after the row had said draining.
+def test_a_late_heartbeat_does_not_undo_a_departure():
+    _, store, reader, other = two_peers()
+    store.put("s1", state="draining", born=1)
+    reader.read(store)
+    other.ask(reader)
+    store.put("s1", state="ready", born=1)
+    reader.read(store)
+    other.ask(reader)
+    assert not reader.usable()
+    assert not other.usable()
+
+
+# Guards against requests to a server that leaves, whose id a late heartbeat of its run
+# before gave to that run again.
+def test_a_late_heartbeat_of_an_earlier_run_changes_nothing():
+    _, store, reader, other = two_peers()
+    store.put("s1", state="ready", born=2)
+    reader.read(store)
+    other.ask(reader)
+    store.put("s1", state="ready", born=1)
+    reader.read(store)
+    other.ask(reader)
+    assert reader.usable() == other.usable() == {("s1", 2)}
+    reader.hear(("s1", 2))
+    assert not reader.usable()
+
+
 class Knowledge(RuleBasedStateMachine):
     """Instances that read the store, pass rows on, and get answers of servers.
 
