--- a/src/magnoliatrail/membership/fleet_view.py
+++ b/src/magnoliatrail/membership/fleet_view.py
@@ -37,6 +37,9 @@
 # Running servers that lapsed in a store outage are listed again within this time.
 RELISTING_GRACE = timedelta(seconds=2)
 
+# The first versions of a row after the store came back from a copy; peers get each.
+UNCONFIRMED_VERSIONS = 2
+
 
 @dataclass(frozen=True, slots=True)
 class LapsedServer:
@@ -59,6 +62,8 @@
         self.servers: dict[ServerId, BackendServer] = {}
         # The servers as their rows describe them, whatever else is known of them.
         self.listed: dict[ServerId, BackendServer] = {}
+        # How many versions of a server's row were read, in which era of the store.
+        self.versions_read: dict[ServerId, tuple[int, int]] = {}
         self.lapsed: dict[ServerId, LapsedServer] = {}
         self.departures = Departures()
         # Until when a server run wants no requests from this instance.
@@ -178,6 +183,7 @@
         known, before = self.servers.get(id_), self.listed.get(id_)
         if row.value is None:
             self.listed.pop(id_, None)
+            self.versions_read.pop(id_, None)
             self.drop_server(
                 id_,
                 row.version,
@@ -188,7 +194,11 @@
         match decode_server(row.key, row.value):
             case Result(tag="ok", ok=found):
                 self.listed[id_] = found
-                if before is None or shared_fields(before) != shared_fields(found):
+                unconfirmed = self.is_unconfirmed(id_, row.version)
+                changed = before is None or shared_fields(before) != shared_fields(
+                    found
+                )
+                if changed or unconfirmed:
                     self.tables[SERVERS_TABLE].changed_at[row.key] = row.version
                 state = self.departures.state_of(found, row.version)
                 if state is None:
@@ -217,6 +227,18 @@
                 # The row describes no usable server; a known one with this id stays.
                 log.warning("row_unreadable", key=row.key, reason=failure.message)
 
+    def is_unconfirmed(self, id_: ServerId, version: int) -> bool:
+        """Count a version of a row, and return whether its server may be gone.
+
+        In the first one after the store came back from a copy, the server may be listed
+        as of before. Peers that know it as gone use it from the second one on.
+        """
+        era = era_of(version)
+        known_era, count = self.versions_read.get(id_, (era, 0))
+        count = count + 1 if known_era == era else 1
+        self.versions_read[id_] = era, count
+        return era > 0 and count <= UNCONFIRMED_VERSIONS
+
     def drop_server(
         self,
         id_: ServerId,
--- a/tests/platform/test_departures.py
+++ b/tests/platform/test_departures.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from datetime import timedelta
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
@@ -194,6 +195,48 @@
     assert not reader.usable()
 
 
+def restored_after(gone, *, seconds):
+    """Return peers whose server was removed, and a store restored to before that."""
+    clock, store, reader, other = two_peers()
+    copied = dict(store.rows), store.version
+    gone(clock, store, (reader, other))
+    clock.advance(timedelta(seconds=seconds))
+    assert not reader.usable()
+    assert not other.usable()
+    store.restore(*copied)
+    reader.read(store, whole=True)
+    other.ask(reader)
+    return store, reader, other
+
+
+def lapse(clock, store, peers):
+    """Remove the server in an outage of the store that all peers see."""
+    for peer in peers:
+        peer.table.failed_at = clock.monotonic()
+    store.put("s1")
+    clock.advance(timedelta(seconds=2))
+    remove(clock, store, peers)
+
+
+def remove(clock, store, peers):
+    """Remove the server."""
+    store.put("s1")
+    reader, other = peers
+    reader.read(store)
+    other.ask(reader)
+
+
+# Guards against a sound server that most instances lost after the store came back from
+# a copy: the row that it wrote anew was not passed on.
+@pytest.mark.parametrize("gone", [lapse, remove])
+def test_a_server_that_writes_again_after_a_restoration_is_used_by_all(gone):
+    store, reader, other = restored_after(gone, seconds=3)
+    store.put("s1", state="ready", born=1, sequence=5)
+    reader.read(store)
+    other.ask(reader)
+    assert reader.usable() == other.usable() == {("s1", 1)}
+
+
 class Knowledge(RuleBasedStateMachine):
     """Instances that read the store, pass rows on, and get answers of servers.
 
