--- a/src/magnoliatrail/membership/fleet_view.py
+++ b/src/magnoliatrail/membership/fleet_view.py
@@ -267,6 +267,9 @@
             if now >= lapsed.until:
                 del self.lapsed[id_]
                 self.servers.pop(id_, None)
+                self.departures.record_row(
+                    lapsed.server.key, DepartureKind.REMOVED, lapsed.version
+                )
                 told = self.described(lapsed.server, "lapse", lapsed.version)
                 log.info("server_gone", **told)
 
--- a/tests/platform/test_departures.py
+++ b/tests/platform/test_departures.py
@@ -226,6 +226,14 @@
     other.ask(reader)
 
 
+# Guards against requests to a server that was gone: one that an outage had removed, and
+# that did not come back, was used again as a store restored from a copy listed it.
+def test_a_server_that_did_not_come_back_after_an_outage_stays_gone_in_a_copy():
+    _, reader, other = restored_after(lapse, seconds=3)
+    assert not reader.usable()
+    assert not other.usable()
+
+
 # Guards against a sound server that most instances lost after the store came back from
 # a copy: the row that it wrote anew was not passed on.
 @pytest.mark.parametrize("gone", [lapse, remove])
