--- a/tests/load/test_configuration_freshness.py
+++ b/tests/load/test_configuration_freshness.py
@@ -84,6 +84,15 @@
     def superseded_at(self, version):
         return next((at for known, at in self.learned if known > version), None)
 
+    def rows_of(self, table):
+        """Return all versions of the rows of a table."""
+        if table != OPERATOR_TABLE:
+            return []
+        return [
+            *(operator_row(at, value) for at, value in self.written.items()),
+            *(StoredRow("config", at, NESTED) for at in self.odd),
+        ]
+
     async def changes(self, table, after, wait):
         mode = self.mode
         if mode is StoreMode.REFUSES:
@@ -94,12 +103,8 @@
         await self.clock.sleep(ANSWER_TIME + wait)
         now = self.clock.monotonic()
         seen = self.version_at(now - (LAG if mode is StoreMode.LAGS else timedelta()))
-        rows = [
-            *(operator_row(at, value) for at, value in self.written.items()),
-            *(StoredRow("config", at, NESTED) for at in self.odd),
-        ]
-        rows = [row for row in rows if after < row.version <= seen]
-        found = tuple(rows) if table == OPERATOR_TABLE else ()
+        rows = [row for row in self.rows_of(table) if after < row.version <= seen]
+        found = tuple(rows)
         self.learned.append((seen, now))
         self.learned.sort()
         return Ok(RowsRead(found, max(after, seen), whole=False))
@@ -116,10 +121,10 @@
 class Instance:
     """An instance that reads the store itself, or gets updates of another one."""
 
-    def __init__(self):
+    def __init__(self, new_store=ScriptedStore):
         self.clock = ManualClock()
         self.clock.advance(timedelta(seconds=10))
-        self.store = ScriptedStore(self.clock)
+        self.store = new_store(self.clock)
         self.view = FleetView(self.clock)
         self.reads = True
         self.reader = StoreReader(
@@ -130,7 +135,7 @@
         )
         now = self.clock.monotonic()
         for table in (OPERATOR_TABLE, SERVERS_TABLE):
-            rows = (operator_row(1, 1),) if table == OPERATOR_TABLE else ()
+            rows = tuple(self.store.rows_of(table))
             self.view.apply(table, RowsRead(rows, 1, whole=True), now, "store")
         self.requests = []
         self.seen = [1]
@@ -157,10 +162,9 @@
         known_at = self.clock.monotonic() - age
         seen = self.store.version_at(known_at)
         for table in (OPERATOR_TABLE, SERVERS_TABLE):
-            rows = [operator_row(*item) for item in self.store.written.items()]
-            rows = [row for row in rows if row.version <= seen]
-            found = tuple(rows) if table == OPERATOR_TABLE else ()
-            read = RowsRead(found, seen, whole=False)
+            rows = [row for row in self.store.rows_of(table) if row.version <= seen]
+            rows = [row for row in rows if row.version not in self.store.odd]
+            read = RowsRead(tuple(rows), seen, whole=False)
             if seen >= self.view.tables[table].version:
                 self.view.apply(table, read, known_at, "owner")
 
