--- a/src/magnoliatrail/membership/departures.py
+++ b/src/magnoliatrail/membership/departures.py
@@ -15,17 +15,12 @@
 
 
 class DepartureKind(Enum):
-    """What is known of a run that leaves or is gone, the most certain last."""
+    """What the rows say of a run that leaves or is gone."""
 
     # Its row was removed, and may be written again.
     REMOVED = "removed"
     # Its row said that it leaves, which a run does not take back.
     LEAVING = "leaving"
-    # Another run has its id.
-    REPLACED = "replaced"
-
-
-CERTAINTY = list(DepartureKind)
 
 
 @dataclass(slots=True)
@@ -63,24 +58,16 @@
     def record_row(self, run: RunKey, kind: DepartureKind, version: int) -> None:
         """Record that a server run leaves or is gone, by a version of its row."""
         known = self.by_rows.pop(run, None)
-        kinds = [kind, *([known.kind] if known else [])]
-        self.by_rows[run] = Departure(max(kinds, key=CERTAINTY.index), version)
+        if known is not None and known.kind is DepartureKind.LEAVING:
+            kind = DepartureKind.LEAVING
+        self.by_rows[run] = Departure(kind, version)
         if len(self.by_rows) > MAX_RUNS:
             del self.by_rows[next(iter(self.by_rows))]
 
-    def record_replacement(self, run: RunKey, version: int) -> None:
-        """Record that a run has the id of departed ones, by a version of its row."""
-        others = [known for known in self.by_rows if known[0] == run[0]]
-        for known in others:
-            if known != run:
-                self.record_row(known, DepartureKind.REPLACED, version)
-
     def state_of(self, listed: BackendServer, version: int) -> ServerState | None:
         """Return the state of a listed run, None if its row is no sign that it runs."""
         run = listed.key
         departure = self.by_rows.get(run)
-        if departure is not None and departure.kind is DepartureKind.REPLACED:
-            return None
         if listed.state is ServerState.LEAVING:
             self.record_row(run, DepartureKind.LEAVING, version)
             return ServerState.LEAVING
--- a/src/magnoliatrail/membership/fleet_view.py
+++ b/src/magnoliatrail/membership/fleet_view.py
@@ -195,10 +195,8 @@
             case Result(tag="ok", ok=found):
                 self.listed[id_] = found
                 unconfirmed = self.is_unconfirmed(id_, row.version)
-                changed = before is None or shared_fields(before) != shared_fields(
-                    found
-                )
-                if changed or unconfirmed:
+                unchanged = before and shared_fields(before) == shared_fields(found)
+                if unconfirmed or not unchanged:
                     self.tables[SERVERS_TABLE].changed_at[row.key] = row.version
                 state = self.departures.state_of(found, row.version)
                 if state is None:
@@ -213,11 +211,6 @@
                 self.servers[id_] = server = replace(found, state=state)
                 told = self.described(server, source, row.version)
                 if known is None or known.born != server.born:
-                    if known is not None:
-                        self.departures.record_row(
-                            known.key, DepartureKind.REPLACED, row.version
-                        )
-                    self.departures.record_replacement(server.key, row.version)
                     log.info("server_listed", **told)
                 elif known.state is not server.state or (
                     before is not None and before.state is not found.state
