--- a/src/magnoliatrail/cells/table_requests.py
+++ b/src/magnoliatrail/cells/table_requests.py
@@ -63,13 +63,10 @@
             if due_in > timedelta():
                 await self.clock.sleep(max(due_in, MIN_PAUSE))
                 continue
-            self.pause = MIN_PAUSE if await self.ask() else self.next_pause()
+            fresher = await self.ask()
+            self.pause = MIN_PAUSE if fresher else min(MAX_PAUSE, self.pause * 2)
             await self.clock.sleep(self.pause)
 
-    def next_pause(self) -> timedelta:
-        """Return the pause after requests that brought nothing."""
-        return min(MAX_PAUSE, self.pause * 2)
-
     def due_in(self) -> timedelta:
         """Return the time until the tables are requested."""
         age = self.view.age()
--- a/src/magnoliatrail/membership/fleet_view.py
+++ b/src/magnoliatrail/membership/fleet_view.py
@@ -194,7 +194,7 @@
         match decode_server(row.key, row.value):
             case Result(tag="ok", ok=found):
                 self.listed[id_] = found
-                unconfirmed = self.is_unconfirmed(id_, row.version)
+                unconfirmed = self.record_version(id_, row.version)
                 unchanged = before and shared_fields(before) == shared_fields(found)
                 if unconfirmed or not unchanged:
                     self.tables[SERVERS_TABLE].changed_at[row.key] = row.version
@@ -209,18 +209,18 @@
                     return
                 self.lapsed.pop(id_, None)
                 self.servers[id_] = server = replace(found, state=state)
-                told = self.described(server, source, row.version)
+                fields = self.described(server, source, row.version)
                 if known is None or known.born != server.born:
-                    log.info("server_listed", **told)
+                    log.info("server_listed", **fields)
                 elif known.state is not server.state or (
                     before is not None and before.state is not found.state
                 ):
-                    log.info("server_state", **told)
+                    log.info("server_state", **fields)
             case Result(error=failure):
                 # The row describes no usable server; a known one with this id stays.
                 log.warning("row_unreadable", key=row.key, reason=failure.message)
 
-    def is_unconfirmed(self, id_: ServerId, version: int) -> bool:
+    def record_version(self, id_: ServerId, version: int) -> bool:
         """Count a version of a row, and return whether its server may be gone.
 
         In the first one after the store came back from a copy, the server may be listed
@@ -263,8 +263,8 @@
                 self.departures.record_row(
                     lapsed.server.key, DepartureKind.REMOVED, lapsed.version
                 )
-                told = self.described(lapsed.server, "lapse", lapsed.version)
-                log.info("server_gone", **told)
+                fields = self.described(lapsed.server, "lapse", lapsed.version)
+                log.info("server_gone", **fields)
 
     def described(
         self, server: BackendServer, source: str, row_version: int = 0
