--- a/tests/load/test_requests_to_leaving_servers.py
+++ b/tests/load/test_requests_to_leaving_servers.py
@@ -51,6 +51,8 @@
     def __init__(self):
         super().__init__(ServerStore)
         self.sent = 0
+        # Whether reads of the store have lagged.
+        self.lagged = False
 
     async def send(self, wait):
         """Choose a server, wait for a connection, and send unless that is too late."""
@@ -76,8 +78,10 @@
         left_at = self.store.left_at.get(server.key)
         if left_at is None or self.reader.failing:
             return
-        # A read that lags is found out by the next renewal of a lease.
-        bound = BOUND + RENEWAL_INTERVAL
+        bound = BOUND
+        if self.lagged:
+            # A read that lags is found out by the next renewal of a lease.
+            bound += RENEWAL_INTERVAL
         if SERVERS_TABLE in self.reader.outdated_at:
             bound += EXTENSION
         age = self.clock.monotonic() - left_at
@@ -114,6 +118,7 @@
                 instance.store.depart()
             case "mode":
                 instance.store.mode = argument
+                instance.lagged |= argument is StoreMode.LAGS
             case "update":
                 instance.update(STEP * argument)
             case "reads":
