--- a/src/magnoliatrail/cells/member.py
+++ b/src/magnoliatrail/cells/member.py
@@ -244,7 +244,7 @@
             pool=self.pool,
             rights=rights,
             notice=self.view.apply_notice,
-            refuses=self.view.refuses,
+            refuses=self.view.refusals.refuses,
         )
         self.owner = CellOwner(
             clock=self.clock,
--- a/src/magnoliatrail/forwarding/engine_slots.py
+++ b/src/magnoliatrail/forwarding/engine_slots.py
@@ -173,7 +173,7 @@
         return [
             server.id
             for server in view.usable(engine_request.routed.service)
-            if view.refuses(server)
+            if view.refusals.refuses(server)
         ]
 
     async def ask_owner(
@@ -234,7 +234,7 @@
             or server.born != answer.born
             or server.state is not ServerState.READY
             or not server.has_software_version(engine_request.routed.software_version)
-            or self.context.view.refuses(server)
+            or self.context.view.refusals.refuses(server)
         ):
             # The engine is not in this instance's view yet, it is leaving (an owner
             # that is cut off from the store still grants slots on it), or it has
--- a/src/magnoliatrail/membership/fleet_view.py
+++ b/src/magnoliatrail/membership/fleet_view.py
@@ -17,6 +17,7 @@
 from magnoliatrail.logs import EventLog
 from magnoliatrail.membership.departures import DepartureKind, Departures
 from magnoliatrail.membership.request_limits import RequestLimits
+from magnoliatrail.membership.server_refusals import ServerRefusals
 from magnoliatrail.membership.table_view import TableView
 from magnoliatrail.platform.configuration_rows import (
     decode_configuration,
@@ -66,8 +67,7 @@
         self.versions_read: dict[ServerId, tuple[int, int]] = {}
         self.lapsed: dict[ServerId, LapsedServer] = {}
         self.departures = Departures()
-        # Until when a server run wants no requests from this instance.
-        self.refused_until: dict[tuple[ServerId, int], timedelta] = {}
+        self.refusals = ServerRefusals(clock)
         self.request_limits = RequestLimits(clock)
         self.on_change: list[Callable[[], None]] = []
 
@@ -314,7 +314,7 @@
     def apply_notice(self, server: BackendServer, notice: ServerNotice) -> None:
         """Apply what a server said of itself in an answer."""
         if notice.refuses_for:
-            self.record_refusal(server, notice.refuses_for)
+            self.refusals.record(server, notice.refuses_for)
         if notice.unlimited or notice.requests_per_second is not None:
             self.request_limits.record(server.key, notice.requests_per_second)
         if not notice.leaving or not self.departures.record_answer(server.key):
@@ -327,36 +327,18 @@
         for changed in self.on_change:
             changed()
 
-    def record_refusal(self, server: BackendServer, duration: timedelta) -> None:
-        """Record that a server wants no requests from this instance for a while."""
-        now = self.clock.monotonic()
-        self.refused_until = {
-            key: until for key, until in self.refused_until.items() if until > now
-        }
-        known = self.refused_until.get(server.key, now)
-        self.refused_until[server.key] = max(known, now + duration)
-        log.info("server_refuses", server=server.id, duration=duration)
-
-    def refuses(self, server: BackendServer) -> bool:
-        """Return whether a server wants no requests from this instance now."""
-        until = self.refused_until.get(server.key)
-        return until is not None and self.clock.monotonic() < until
-
     def accepting(self, service: str) -> list[BackendServer]:
         """Return the usable servers of a service that want requests from here now."""
-        return [item for item in self.usable(service) if not self.refuses(item)]
+        return [
+            item for item in self.usable(service) if not self.refusals.refuses(item)
+        ]
 
     def accepts_in(self, service: str) -> timedelta:
         """Return the time until a usable server of a service wants requests from here.
 
         Zero if one does now, or if there is no usable server.
         """
-        now = self.clock.monotonic()
-        waits = [
-            max(timedelta(), self.refused_until.get(server.key, now) - now)
-            for server in self.usable(service)
-        ]
-        return min(waits, default=timedelta())
+        return self.refusals.shortest_wait(self.usable(service))
 
     def engines(self) -> list[BackendServer]:
         """Return the servers that run models and accept new requests."""
--- a/tests/platform/test_cut_from_servers.py
+++ b/tests/platform/test_cut_from_servers.py
@@ -351,6 +351,6 @@
             answer = await fleet.send(daemon, "/plain/x")
             assert answer.status == 503
             assert "Retry-After" in answer.headers
-            assert not any(map(daemon.view.refuses, servers))
+            assert not any(map(daemon.view.refusals.refuses, servers))
 
     run(scenario())
--- a/tests/platform/test_server_notices.py
+++ b/tests/platform/test_server_notices.py
@@ -135,7 +135,7 @@
                     headers=model(f"a{number}"),
                 )
                 assert answer.status == 200
-            assert daemon.view.refuses(daemon.view.servers[refusing.id])
+            assert daemon.view.refusals.refuses(daemon.view.servers[refusing.id])
             before = refusing.refused
             await asyncio.sleep(1.5)
             assert refusing.refused == before
