--- a/src/magnoliatrail/membership/fleet_view.py
+++ b/src/magnoliatrail/membership/fleet_view.py
@@ -1,7 +1,6 @@
 """Configuration, adapter versions and backend servers as one instance sees them."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
 from datetime import timedelta
 
 from expression import Result
@@ -10,13 +9,12 @@
     BackendServer,
     LoadedAdapter,
     ServerNotice,
-    ServerState,
 )
 from magnoliatrail.clock import Clock
 from magnoliatrail.ids import ServerId
 from magnoliatrail.logs import EventLog
-from magnoliatrail.membership.departures import DepartureKind, Departures
 from magnoliatrail.membership.request_limits import RequestLimits
+from magnoliatrail.membership.server_list import ServerList
 from magnoliatrail.membership.server_refusals import ServerRefusals
 from magnoliatrail.membership.table_view import TableView
 from magnoliatrail.platform.configuration_rows import (
@@ -25,7 +23,6 @@
 )
 from magnoliatrail.platform.protocol import CONFIG_KEY, OPERATOR_TABLE, SERVERS_TABLE
 from magnoliatrail.platform.rows import RowsRead, StoredRow
-from magnoliatrail.platform.server_rows import decode_server
 from magnoliatrail.platform.store_versions import era_of
 from magnoliatrail.routes import RouteTable
 
@@ -35,21 +32,6 @@
 FIRST_VERSION = 1
 # A store without a successful read for this long may have dropped running servers.
 STORE_OUTAGE_THRESHOLD = timedelta(seconds=1.8)
-# Running servers that lapsed in a store outage are listed again within this time.
-RELISTING_GRACE = timedelta(seconds=2)
-
-# The first versions of a row after the store came back from a copy; peers get each.
-UNCONFIRMED_VERSIONS = 2
-
-
-@dataclass(frozen=True, slots=True)
-class LapsedServer:
-    """A server that the list dropped during a store outage."""
-
-    server: BackendServer
-    until: timedelta
-    # Version of the store at which the list no longer had it.
-    version: int
 
 
 class FleetView:
@@ -60,17 +42,16 @@
         self.tables = {OPERATOR_TABLE: TableView(), SERVERS_TABLE: TableView()}
         self.routes: RouteTable | None = None
         self.versions: dict[tuple[str, str], int] = {}
-        self.servers: dict[ServerId, BackendServer] = {}
-        # The servers as their rows describe them, whatever else is known of them.
-        self.listed: dict[ServerId, BackendServer] = {}
-        # How many versions of a server's row were read, in which era of the store.
-        self.versions_read: dict[ServerId, tuple[int, int]] = {}
-        self.lapsed: dict[ServerId, LapsedServer] = {}
-        self.departures = Departures()
+        self.server_list = ServerList(clock, self.tables[SERVERS_TABLE])
         self.refusals = ServerRefusals(clock)
         self.request_limits = RequestLimits(clock)
         self.on_change: list[Callable[[], None]] = []
 
+    @property
+    def servers(self) -> dict[ServerId, BackendServer]:
+        """Return the known servers, those that leave among them."""
+        return self.server_list.servers
+
     @property
     def lists_servers(self) -> bool:
         """Return whether the list of servers has been read."""
@@ -99,14 +80,14 @@
             if table == OPERATOR_TABLE:
                 self.apply_operator_row(row, asked_at, source)
             else:
-                self.apply_server_row(
+                self.server_list.apply_row(
                     row, store_was_unavailable=unavailable, source=source
                 )
         # Only now, so that a row that fails to apply is read again.
         if read.version > view.version:
             view.learned_at = self.clock.monotonic()
         view.record(read, updates, asked_at)
-        self.expire_lapsed()
+        self.server_list.expire_lapsed()
         if updates:
             for notify in self.on_change:
                 notify()
@@ -173,143 +154,17 @@
                     reason=failure.message,
                 )
 
-    def apply_server_row(
-        self, row: StoredRow, *, store_was_unavailable: bool, source: str
-    ) -> None:
-        """Apply a server's description or its removal."""
-        id_ = ServerId(row.key)
-        if row.value is None:
-            self.tables[SERVERS_TABLE].changed_at[row.key] = row.version
-        known, before = self.servers.get(id_), self.listed.get(id_)
-        if row.value is None:
-            self.listed.pop(id_, None)
-            self.versions_read.pop(id_, None)
-            self.drop_server(
-                id_,
-                row.version,
-                store_was_unavailable=store_was_unavailable,
-                source=source,
-            )
-            return
-        match decode_server(row.key, row.value):
-            case Result(tag="ok", ok=found):
-                self.listed[id_] = found
-                unconfirmed = self.record_version(id_, row.version)
-                unchanged = before and shared_fields(before) == shared_fields(found)
-                if unconfirmed or not unchanged:
-                    self.tables[SERVERS_TABLE].changed_at[row.key] = row.version
-                state = self.departures.state_of(found, row.version)
-                if state is None:
-                    log.info(
-                        "departed_server_listed",
-                        server=id_,
-                        born=found.born,
-                        source=source,
-                    )
-                    return
-                self.lapsed.pop(id_, None)
-                self.servers[id_] = server = replace(found, state=state)
-                fields = self.described(server, source, row.version)
-                if known is None or known.born != server.born:
-                    log.info("server_listed", **fields)
-                elif known.state is not server.state or (
-                    before is not None and before.state is not found.state
-                ):
-                    log.info("server_state", **fields)
-            case Result(error=failure):
-                # The row describes no usable server; a known one with this id stays.
-                log.warning("row_unreadable", key=row.key, reason=failure.message)
-
-    def record_version(self, id_: ServerId, version: int) -> bool:
-        """Count a version of a row, and return whether its server may be gone.
-
-        In the first one after the store came back from a copy, the server may be listed
-        as of before. Peers that know it as gone use it from the second one on.
-        """
-        era = era_of(version)
-        known_era, count = self.versions_read.get(id_, (era, 0))
-        count = count + 1 if known_era == era else 1
-        self.versions_read[id_] = era, count
-        return era > 0 and count <= UNCONFIRMED_VERSIONS
-
-    def drop_server(
-        self,
-        id_: ServerId,
-        version: int,
-        *,
-        store_was_unavailable: bool,
-        source: str,
-    ) -> None:
-        """Remove a server, after a grace period if a store outage may be the cause."""
-        server = self.servers.get(id_)
-        if server is None:
-            return
-        if store_was_unavailable and server.state is ServerState.READY:
-            until = self.clock.monotonic() + RELISTING_GRACE
-            self.lapsed[id_] = LapsedServer(server, until, version)
-            log.info("server_lapsed", **self.described(server, source, version))
-            return
-        self.departures.record_row(server.key, DepartureKind.REMOVED, version)
-        del self.servers[id_]
-        log.info("server_gone", **self.described(server, source, version))
-
-    def expire_lapsed(self) -> None:
-        """Remove the lapsed servers that were not listed again in time."""
-        now = self.clock.monotonic()
-        for id_, lapsed in list(self.lapsed.items()):
-            if now >= lapsed.until:
-                del self.lapsed[id_]
-                self.servers.pop(id_, None)
-                self.departures.record_row(
-                    lapsed.server.key, DepartureKind.REMOVED, lapsed.version
-                )
-                fields = self.described(lapsed.server, "lapse", lapsed.version)
-                log.info("server_gone", **fields)
-
-    def described(
-        self, server: BackendServer, source: str, row_version: int = 0
-    ) -> dict[str, object]:
-        """Return what a line says of a server, of its row, and of where it is from."""
-        listed = self.listed.get(server.id)
-        return {
-            "server": server.id,
-            "born": server.born,
-            "service": server.service,
-            "address": server.address,
-            "state": server.state,
-            "row_state": listed.state if listed else "",
-            "row_version": row_version,
-            "software_version": server.software_version,
-            "source": source,
-        }
-
     def usable(self, service: str) -> list[BackendServer]:
         """Return the servers of a service that accept new requests."""
-        self.expire_lapsed()
-        return [
-            server
-            for server in self.servers.values()
-            if server.service == service and server.state is ServerState.READY
-        ]
+        return self.server_list.usable(service)
 
     def is_usable(self, server: BackendServer) -> bool:
         """Return whether a server run, as it was chosen, still accepts new requests."""
-        self.expire_lapsed()
-        known = self.servers.get(server.id)
-        return (
-            known is not None
-            and known.state is ServerState.READY
-            and (known.key, known.address) == (server.key, server.address)
-        )
+        return self.server_list.is_usable(server)
 
     def server_addresses(self) -> set[str]:
         """Return the addresses of the servers that accept new requests."""
-        self.expire_lapsed()
-        return {
-            server.address
-            for server in self.servers.values()
-            if server.state is ServerState.READY
-        }
+        return self.server_list.addresses()
 
     def apply_notice(self, server: BackendServer, notice: ServerNotice) -> None:
         """Apply what a server said of itself in an answer."""
@@ -317,15 +172,9 @@
             self.refusals.record(server, notice.refuses_for)
         if notice.unlimited or notice.requests_per_second is not None:
             self.request_limits.record(server.key, notice.requests_per_second)
-        if not notice.leaving or not self.departures.record_answer(server.key):
-            return
-        known = self.servers.get(server.id)
-        if known is None or known.key != server.key:
-            return
-        self.servers[server.id] = replace(known, state=ServerState.LEAVING)
-        log.info("server_state", **self.described(self.servers[server.id], "answer"))
-        for changed in self.on_change:
-            changed()
+        if notice.leaving and self.server_list.record_answer(server):
+            for changed in self.on_change:
+                changed()
 
     def accepting(self, service: str) -> list[BackendServer]:
         """Return the usable servers of a service that want requests from here now."""
@@ -354,17 +203,3 @@
         if self.routes is None:
             return []
         return [item.name for item in self.routes.services.values() if item.engine]
-
-
-def shared_fields(server: BackendServer) -> tuple[object, ...]:
-    """Return the fields of a server that instances other than its owner need."""
-    models = tuple(model.name for model in server.models)
-    return (
-        server.key,
-        server.service,
-        server.address,
-        server.state,
-        server.time_until_removal,
-        server.software_version,
-        models,
-    )
--- /dev/null
+++ b/src/magnoliatrail/membership/server_list.py
@@ -0,0 +1,212 @@
+"""Backend servers as their rows, and what else is known of them, describe them."""
+
+from dataclasses import dataclass, replace
+from datetime import timedelta
+
+from expression import Result
+
+from magnoliatrail.backends import BackendServer, ServerState
+from magnoliatrail.clock import Clock
+from magnoliatrail.ids import ServerId
+from magnoliatrail.logs import EventLog
+from magnoliatrail.membership.departures import DepartureKind, Departures
+from magnoliatrail.membership.table_view import TableView
+from magnoliatrail.platform.rows import StoredRow
+from magnoliatrail.platform.server_rows import decode_server
+from magnoliatrail.platform.store_versions import era_of
+
+log = EventLog("membership")
+
+# Running servers that lapsed in a store outage are listed again within this time.
+RELISTING_GRACE = timedelta(seconds=2)
+
+# The first versions of a row after the store came back from a copy; peers get each.
+UNCONFIRMED_VERSIONS = 2
+
+
+@dataclass(frozen=True, slots=True)
+class LapsedServer:
+    """A server that the list dropped during a store outage."""
+
+    server: BackendServer
+    until: timedelta
+    # Version of the store at which the list no longer had it.
+    version: int
+
+
+class ServerList:
+    """Servers that rows of the store list, and those that may get new requests."""
+
+    def __init__(self, clock: Clock, table: TableView) -> None:
+        self.clock = clock
+        self.table = table
+        self.servers: dict[ServerId, BackendServer] = {}
+        # The servers as their rows describe them, whatever else is known of them.
+        self.listed: dict[ServerId, BackendServer] = {}
+        # How many versions of a server's row were read, in which era of the store.
+        self.versions_read: dict[ServerId, tuple[int, int]] = {}
+        self.lapsed: dict[ServerId, LapsedServer] = {}
+        self.departures = Departures()
+
+    def apply_row(
+        self, row: StoredRow, *, store_was_unavailable: bool, source: str
+    ) -> None:
+        """Apply a server's description or its removal."""
+        id_ = ServerId(row.key)
+        if row.value is None:
+            self.table.changed_at[row.key] = row.version
+        known, before = self.servers.get(id_), self.listed.get(id_)
+        if row.value is None:
+            self.listed.pop(id_, None)
+            self.versions_read.pop(id_, None)
+            self.drop_server(
+                id_,
+                row.version,
+                store_was_unavailable=store_was_unavailable,
+                source=source,
+            )
+            return
+        match decode_server(row.key, row.value):
+            case Result(tag="ok", ok=found):
+                self.listed[id_] = found
+                unconfirmed = self.record_version(id_, row.version)
+                unchanged = before and shared_fields(before) == shared_fields(found)
+                if unconfirmed or not unchanged:
+                    self.table.changed_at[row.key] = row.version
+                state = self.departures.state_of(found, row.version)
+                if state is None:
+                    log.info(
+                        "departed_server_listed",
+                        server=id_,
+                        born=found.born,
+                        source=source,
+                    )
+                    return
+                self.lapsed.pop(id_, None)
+                self.servers[id_] = server = replace(found, state=state)
+                fields = self.described(server, source, row.version)
+                if known is None or known.born != server.born:
+                    log.info("server_listed", **fields)
+                elif known.state is not server.state or (
+                    before is not None and before.state is not found.state
+                ):
+                    log.info("server_state", **fields)
+            case Result(error=failure):
+                # The row describes no usable server; a known one with this id stays.
+                log.warning("row_unreadable", key=row.key, reason=failure.message)
+
+    def record_version(self, id_: ServerId, version: int) -> bool:
+        """Count a version of a row, and return whether its server may be gone.
+
+        In the first one after the store came back from a copy, the server may be listed
+        as of before. Peers that know it as gone use it from the second one on.
+        """
+        era = era_of(version)
+        known_era, count = self.versions_read.get(id_, (era, 0))
+        count = count + 1 if known_era == era else 1
+        self.versions_read[id_] = era, count
+        return era > 0 and count <= UNCONFIRMED_VERSIONS
+
+    def drop_server(
+        self,
+        id_: ServerId,
+        version: int,
+        *,
+        store_was_unavailable: bool,
+        source: str,
+    ) -> None:
+        """Remove a server, after a grace period if a store outage may be the cause."""
+        server = self.servers.get(id_)
+        if server is None:
+            return
+        if store_was_unavailable and server.state is ServerState.READY:
+            until = self.clock.monotonic() + RELISTING_GRACE
+            self.lapsed[id_] = LapsedServer(server, until, version)
+            log.info("server_lapsed", **self.described(server, source, version))
+            return
+        self.departures.record_row(server.key, DepartureKind.REMOVED, version)
+        del self.servers[id_]
+        log.info("server_gone", **self.described(server, source, version))
+
+    def expire_lapsed(self) -> None:
+        """Remove the lapsed servers that were not listed again in time."""
+        now = self.clock.monotonic()
+        for id_, lapsed in list(self.lapsed.items()):
+            if now >= lapsed.until:
+                del self.lapsed[id_]
+                self.servers.pop(id_, None)
+                self.departures.record_row(
+                    lapsed.server.key, DepartureKind.REMOVED, lapsed.version
+                )
+                fields = self.described(lapsed.server, "lapse", lapsed.version)
+                log.info("server_gone", **fields)
+
+    def described(
+        self, server: BackendServer, source: str, row_version: int = 0
+    ) -> dict[str, object]:
+        """Return what a line says of a server, of its row, and of where it is from."""
+        listed = self.listed.get(server.id)
+        return {
+            "server": server.id,
+            "born": server.born,
+            "service": server.service,
+            "address": server.address,
+            "state": server.state,
+            "row_state": listed.state if listed else "",
+            "row_version": row_version,
+            "software_version": server.software_version,
+            "source": source,
+        }
+
+    def usable(self, service: str) -> list[BackendServer]:
+        """Return the servers of a service that accept new requests."""
+        self.expire_lapsed()
+        return [
+            server
+            for server in self.servers.values()
+            if server.service == service and server.state is ServerState.READY
+        ]
+
+    def is_usable(self, server: BackendServer) -> bool:
+        """Return whether a server run, as it was chosen, still accepts new requests."""
+        self.expire_lapsed()
+        known = self.servers.get(server.id)
+        return (
+            known is not None
+            and known.state is ServerState.READY
+            and (known.key, known.address) == (server.key, server.address)
+        )
+
+    def addresses(self) -> set[str]:
+        """Return the addresses of the servers that accept new requests."""
+        self.expire_lapsed()
+        return {
+            server.address
+            for server in self.servers.values()
+            if server.state is ServerState.READY
+        }
+
+    def record_answer(self, server: BackendServer) -> bool:
+        """Record that a run said in an answer that it leaves; return if that is new."""
+        if not self.departures.record_answer(server.key):
+            return False
+        known = self.servers.get(server.id)
+        if known is None or known.key != server.key:
+            return False
+        self.servers[server.id] = replace(known, state=ServerState.LEAVING)
+        log.info("server_state", **self.described(self.servers[server.id], "answer"))
+        return True
+
+
+def shared_fields(server: BackendServer) -> tuple[object, ...]:
+    """Return the fields of a server that instances other than its owner need."""
+    models = tuple(model.name for model in server.models)
+    return (
+        server.key,
+        server.service,
+        server.address,
+        server.state,
+        server.time_until_removal,
+        server.software_version,
+        models,
+    )
--- a/tests/platform/test_odd_rows.py
+++ b/tests/platform/test_odd_rows.py
@@ -138,7 +138,7 @@
         raise RuntimeError("a fault in the code that applies a row")
 
     with monkeypatch.context() as patched:
-        patched.setattr(view, "apply_server_row", fail)
+        patched.setattr(view.server_list, "apply_row", fail)
         with pytest.raises(RuntimeError):
             view.apply(SERVERS_TABLE, rows, NOW, "store")
     assert view.tables[SERVERS_TABLE].fresh_at is None
