Log who dated the list of servers, whole reads, and rows that others replace

`list_age` didn't tell whether an instance took its list for fresh by its own read or by another instance's update, and a row that says that a server leaves and is not the newest of its read wrote no line. `server_lapsed` names what the outage was concluded from.

--- a/src/magnoliatrail/forwarding/attempt.py
+++ b/src/magnoliatrail/forwarding/attempt.py
@@ -51,6 +51,8 @@
     sent: bool = False
     # Age of the list of servers, and time since the request's start, as it was written.
     list_age: timedelta | None = None
+    # Whose read or update the list of servers had its age from.
+    list_source: str = ""
     written_after: timedelta | None = None
     started: bool = False
     reused: bool = False
--- a/src/magnoliatrail/forwarding/context.py
+++ b/src/magnoliatrail/forwarding/context.py
@@ -265,6 +265,7 @@
         started=attempt.started,
         reused=attempt.reused,
         list_age="" if attempt.list_age is None else attempt.list_age,
+        list_source=attempt.list_source,
         written_after="" if attempt.written_after is None else attempt.written_after,
         framing=attempt.framing or "",
         body_bytes=attempt.body_bytes,
--- a/src/magnoliatrail/membership/fleet_view.py
+++ b/src/magnoliatrail/membership/fleet_view.py
@@ -76,6 +76,17 @@
             log.warning("table_restored", table=table, source=source)
         unavailable = restored or self.store_was_unavailable(table, asked_at)
         updates = view.updates_in(read)
+        if table == SERVERS_TABLE:
+            self.server_list.log_superseded(view.superseded_in(read), source)
+        if read.whole:
+            log.info(
+                "table_read_whole",
+                table=table,
+                version=read.version,
+                before=view.version,
+                rows=len(read.rows),
+                source=source,
+            )
         for row in updates:
             if table == OPERATOR_TABLE:
                 self.apply_operator_row(row, asked_at, source)
@@ -86,7 +97,7 @@
         # Only now, so that a row that fails to apply is read again.
         if read.version > view.version:
             view.learned_at = self.clock.monotonic()
-        view.record(read, updates, asked_at)
+        view.record(read, updates, asked_at, source=source)
         self.server_list.expire_lapsed()
         if updates:
             for notify in self.on_change:
--- a/src/magnoliatrail/membership/server_list.py
+++ b/src/magnoliatrail/membership/server_list.py
@@ -1,5 +1,6 @@
 """Backend servers as their rows, and what else is known of them, describe them."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from datetime import timedelta
 
@@ -95,6 +96,28 @@
                 # The row describes no usable server; a known one with this id stays.
                 log.warning("row_unreadable", key=row.key, reason=failure.message)
 
+    def log_superseded(self, rows: Iterable[StoredRow], source: str) -> None:
+        """Log the states of servers that a later row of the same read replaced."""
+        for row in rows:
+            found = None if row.value is None else decode_server(row.key, row.value)
+            if found is not None and found.is_ok():
+                log.info(
+                    "server_row_superseded",
+                    server=row.key,
+                    born=found.ok.born,
+                    row_state=found.ok.state,
+                    row_version=row.version,
+                    source=source,
+                )
+
+    def outage_signs(self) -> dict[str, object]:
+        """Return what a line says of how an outage of the store was concluded."""
+        now, failed_at = self.clock.monotonic(), self.table.failed_at
+        return {
+            "list_age": self.table.age(now),
+            "read_failed_before": "" if failed_at is None else now - failed_at,
+        }
+
     def record_version(self, id_: ServerId, version: int) -> bool:
         """Count a version of a row, and return whether its server may be gone.
 
@@ -122,7 +145,8 @@
         if store_was_unavailable and server.state is ServerState.READY:
             until = self.clock.monotonic() + RELISTING_GRACE
             self.lapsed[id_] = LapsedServer(server, until, version)
-            log.info("server_lapsed", **self.described(server, source, version))
+            fields = self.described(server, source, version)
+            log.info("server_lapsed", **fields, **self.outage_signs())
             return
         self.departures.record_row(server.key, DepartureKind.REMOVED, version)
         del self.servers[id_]
--- a/src/magnoliatrail/membership/table_view.py
+++ b/src/magnoliatrail/membership/table_view.py
@@ -32,6 +32,8 @@
         )
         # When the view was last certain to be complete; None before the first read.
         self.fresh_at: timedelta | None = None
+        # Whose read or update showed that; a name in the log.
+        self.dated_by = ""
         # When this instance last failed to read the table from the store.
         self.failed_at: timedelta | None = None
 
@@ -42,7 +44,7 @@
     def apply(self, read: RowsRead, asked_at: timedelta) -> list[StoredRow]:
         """Apply rows that were complete at a time, and return those that were newer."""
         updates = self.updates_in(read)
-        self.record(read, updates, asked_at)
+        self.record(read, updates, asked_at, source="")
         return updates
 
     def updates_in(self, read: RowsRead) -> list[StoredRow]:
@@ -61,8 +63,19 @@
             updates.extend(self.removals(set(newest), read.version))
         return updates
 
+    def superseded_in(self, read: RowsRead) -> list[StoredRow]:
+        """Return the rows of a read that are not its newest of their key, in order."""
+        rows = sorted(read.rows, key=lambda row: row.version)
+        newest = {row.key: row.version for row in rows}
+        return [row for row in rows if row.version < newest[row.key]]
+
     def record(
-        self, read: RowsRead, updates: Iterable[StoredRow], asked_at: timedelta
+        self,
+        read: RowsRead,
+        updates: Iterable[StoredRow],
+        asked_at: timedelta,
+        *,
+        source: str,
     ) -> None:
         """Record the newer rows of a read, its version, and when it was complete.
 
@@ -76,7 +89,7 @@
             return
         self.version = read.version
         if self.fresh_at is None or asked_at > self.fresh_at:
-            self.fresh_at = asked_at
+            self.fresh_at, self.dated_by = asked_at, source
 
     def replace(self, row: StoredRow) -> None:
         """Replace a row, and keep its value if it is large."""
