--- a/tests/platform/test_departures.py
+++ b/tests/platform/test_departures.py
@@ -74,6 +74,7 @@
         metrics = TextMetrics()
         self.sender = TableUpdateSender(self.view, clock, metrics, link_mbps=1000.0)
         self.receiver = TableUpdateReceiver(self.view)
+        self.first_read = None
 
     @property
     def table(self):
@@ -87,29 +88,34 @@
         """Read the store."""
         whole = whole or self.table.fresh_at is None
         read = store.read(None if whole else self.table.version)
+        self.first_read = self.first_read or read
         self.apply(read, self.clock.monotonic())
 
+    def report(self):
+        """Return a report to another instance."""
+        return InstanceReport(
+            cell="0",
+            instance="other",
+            incarnation="1",
+            address="127.0.0.1:1",
+            started=[],
+            ended=[],
+            running=[],
+            full=False,
+            store_answers=True,
+            leaving=False,
+            versions={SERVERS_TABLE: self.table.version},
+            held_rows={},
+            instances_digest=0,
+            limits=[],
+        )
+
     def updates_for(self, other):
         """Return the table updates that another instance gets."""
-        versions = {SERVERS_TABLE: other.table.version}
-        return self.sender.since(
-            InstanceReport(
-                cell="0",
-                instance="other",
-                incarnation="1",
-                address="127.0.0.1:1",
-                started=[],
-                ended=[],
-                running=[],
-                full=False,
-                store_answers=True,
-                leaving=False,
-                versions=versions,
-                held_rows={},
-                instances_digest=0,
-                limits=[],
-            )
-        )
+        return self.sender.since(other.report())
+
+    def report_to(self, other):
+        """Send a report, of which only what it says of servers is applied."""
 
     def ask(self, other):
         """Get the table updates of another instance."""
