Date the list of servers only by updates that have all changes

Callers' requests reached servers up to several seconds after the store had removed their rows (DRAIN). An instance that starts, or that reads the table whole, knows the rows that are left and not what was removed before. As the next reader of the store it sent 'changes since' versions from which it did not have them, and the others dated their lists as complete by that, so none of them ever learned of the removal.

An update now says after which version of the store it has all changes, or that it is the whole table.

--- a/src/magnoliatrail/cells/table_updates.py
+++ b/src/magnoliatrail/cells/table_updates.py
@@ -23,12 +23,14 @@
 from magnoliatrail.generated.cells import (
     InstanceReport,
     RowUpdate,
+    TableEvidence,
     TableUpdate,
 )
 from magnoliatrail.logs import EventLog
 from magnoliatrail.membership.fleet_view import FleetView
 from magnoliatrail.membership.table_view import LARGE_VALUE_BYTES, TableView
 from magnoliatrail.metrics import Metrics
+from magnoliatrail.platform.protocol import OPERATOR_TABLE
 from magnoliatrail.platform.rows import RowsRead, StoredRow
 
 log = EventLog("cells")
@@ -85,7 +87,8 @@
         for name, table in self.view.tables.items():
             if table.fresh_at is None:
                 continue
-            read = table.since(report.versions.get(name, 0))
+            version = report.versions.get(name, 0)
+            read = table.since(version)
             age = table.age(now).total_seconds() * 1000
             rows = [self.update_of(name, row, report) for row in read.rows]
             sent = sum(size_of(row) for row in rows)
@@ -96,7 +99,13 @@
             if sent:
                 self.metrics.count("table_updates.bytes", sent)
             found.append(
-                TableUpdate(table=name, version=read.version, age_ms=age, rows=rows)
+                TableUpdate(
+                    table=name,
+                    version=read.version,
+                    age_ms=age,
+                    rows=rows,
+                    evidence=evidence_of(table, version),
+                )
             )
         return found
 
@@ -129,6 +138,8 @@
         self.view = view
         # Rows whose last difference did not fit; they are requested in full.
         self.requested_in_full: set[str] = set()
+        # Senders whose last update did not have all changes of a table.
+        self.incomplete: set[tuple[str, str]] = set()
 
     def held_rows(self) -> dict[str, int]:
         """Return the versions of the large rows held here, for a report."""
@@ -151,7 +162,11 @@
             match self.read_of(update, table):
                 case Result(tag="ok", ok=read):
                     known_at = requested_at - timedelta(milliseconds=update.age_ms)
-                    self.view.apply(update.table, read, known_at, source)
+                    complete = is_complete(update, table)
+                    self.log_completeness(update, source, complete=complete)
+                    self.view.apply(
+                        update.table, read, known_at, source, complete=complete
+                    )
                 case Result(error=failure):
                     # Without all rows, the table keeps its version and its age.
                     log.warning(
@@ -162,6 +177,27 @@
                         reason=failure.message,
                     )
 
+    def log_completeness(
+        self, update: TableUpdate, source: str, *, complete: bool
+    ) -> None:
+        """Log that the updates of an instance are no longer complete."""
+        sender = update.table, source
+        if complete:
+            self.incomplete.discard(sender)
+        elif sender not in self.incomplete:
+            self.incomplete.add(sender)
+            evidence = update.evidence
+            log.info(
+                "table_update_incomplete",
+                table=update.table,
+                version=update.version,
+                before=self.view.tables[update.table].version,
+                complete_after=""
+                if isinstance(evidence, UnsetType)
+                else evidence.complete_after,
+                source=source,
+            )
+
     def read_of(
         self, update: TableUpdate, table: TableView
     ) -> Result[RowsRead, Failure]:
@@ -176,7 +212,34 @@
                 case Result(error=failure):
                     self.requested_in_full.add(name)
                     return Error(failure)
-        return Ok(RowsRead(tuple(rows), update.version, whole=False))
+        return Ok(RowsRead(tuple(rows), update.version, whole=is_whole(update)))
+
+
+def evidence_of(table: TableView, version: int) -> TableEvidence:
+    """Return what an update proves to an instance that has a version of a table."""
+    return TableEvidence(
+        complete_after=max(version, table.complete_after) if version else 0
+    )
+
+
+def is_whole(update: TableUpdate) -> bool:
+    """Return whether an update is known to have all rows of its table."""
+    evidence = update.evidence
+    return not isinstance(evidence, UnsetType) and evidence.complete_after == 0
+
+
+def is_complete(update: TableUpdate, table: TableView) -> bool:
+    """Return whether an update has all changes since a view of its table.
+
+    Rows of the operators are only replaced by newer ones, so that the rows which are
+    left have it all.
+    """
+    if update.table == OPERATOR_TABLE:
+        return True
+    evidence = update.evidence
+    if isinstance(evidence, UnsetType):
+        return False
+    return evidence.complete_after <= table.version
 
 
 def row_name(table: str, key: str) -> str:
--- a/src/magnoliatrail/membership/fleet_view.py
+++ b/src/magnoliatrail/membership/fleet_view.py
@@ -67,9 +67,19 @@
         return self.tables[SERVERS_TABLE].age(self.clock.monotonic())
 
     def apply(
-        self, table: str, read: RowsRead, asked_at: timedelta, source: str
+        self,
+        table: str,
+        read: RowsRead,
+        asked_at: timedelta,
+        source: str,
+        *,
+        complete: bool = True,
     ) -> None:
-        """Apply updates of a table; `source` names their sender in the log."""
+        """Apply updates of a table; `source` names their sender in the log.
+
+        Rows that may not be all changes since the table's version are applied, but show
+        neither a newer version nor its age.
+        """
         view = self.tables[table]
         restored = bool(view.version) and era_of(read.version) > era_of(view.version)
         if restored:
@@ -95,9 +105,9 @@
                     row, store_was_unavailable=unavailable, source=source
                 )
         # Only now, so that a row that fails to apply is read again.
-        if read.version > view.version:
+        if complete and read.version > view.version:
             view.learned_at = self.clock.monotonic()
-        view.record(read, updates, asked_at, source=source)
+        view.record(read, updates, asked_at, source=source, complete=complete)
         self.server_list.expire_lapsed()
         if updates:
             for notify in self.on_change:
--- a/src/magnoliatrail/membership/table_view.py
+++ b/src/magnoliatrail/membership/table_view.py
@@ -20,6 +20,9 @@
         self.rows: dict[str, StoredRow] = {}
         # The view includes all changes up to this version of the store.
         self.version = 0
+        # All changes after this version are known here, removals among them. A whole
+        # read shows the rows that are left, and not what was removed before.
+        self.complete_after = 0
         # When this instance learned of that version.
         self.learned_at = timedelta()
         # Version at which a row last changed in fields that peers need, where tracked.
@@ -76,18 +79,22 @@
         asked_at: timedelta,
         *,
         source: str,
+        complete: bool = True,
     ) -> None:
         """Record the newer rows of a read, its version, and when it was complete.
 
-        An older version does not show how fresh this one is.
+        Neither an older version nor rows that may be incomplete show how fresh this
+        view is.
         """
         if era_of(read.version) < era_of(self.version):
             return
         for row in updates:
             self.replace(row)
-        if read.version < self.version:
+        if read.version < self.version or not complete:
             return
         self.version = read.version
+        if read.whole:
+            self.complete_after = read.version
         if self.fresh_at is None or asked_at > self.fresh_at:
             self.fresh_at, self.dated_by = asked_at, source
 
