Ignore rows of earlier runs of a server

What rows say of departures is now kept by server, for its latest run, and a run ends as a later one is known.

--- a/src/magnoliatrail/membership/departures.py
+++ b/src/magnoliatrail/membership/departures.py
@@ -25,8 +25,10 @@
 
 @dataclass(slots=True)
 class Departure:
-    """A server run that is known to leave or to be gone."""
+    """The latest run of a server that is known to leave or to be gone."""
 
+    # Start time of the run.
+    born: int
     kind: DepartureKind
     # Version of the row that said so.
     version: int
@@ -38,11 +40,12 @@
     """Server runs that are known to leave or to be gone.
 
     What is known of a run outlives its row: a heartbeat may be carried out late, and a
-    store that comes back from a copy lists servers as they were before.
+    store that comes back from a copy lists servers as they were before. A run has ended
+    once a later one of the same server is known.
     """
 
     def __init__(self) -> None:
-        self.by_rows: dict[RunKey, Departure] = {}
+        self.by_rows: dict[ServerId, Departure] = {}
         # Server runs that said in an answer that they leave, the oldest first.
         self.by_answers: dict[RunKey, None] = {}
 
@@ -57,23 +60,36 @@
 
     def record_row(self, run: RunKey, kind: DepartureKind, version: int) -> None:
         """Record that a server run leaves or is gone, by a version of its row."""
-        known = self.by_rows.pop(run, None)
-        if known is not None and known.kind is DepartureKind.LEAVING:
-            kind = DepartureKind.LEAVING
-        self.by_rows[run] = Departure(kind, version)
+        id_, born = run
+        known = self.by_rows.get(id_)
+        if known is not None and known.born > born:
+            return
+        if known is not None and known.born == born:
+            # A run does not take back that it leaves.
+            kind = known.kind if known.kind is DepartureKind.LEAVING else kind
+            del self.by_rows[id_]
+        self.by_rows[id_] = Departure(born, kind, version)
         if len(self.by_rows) > MAX_RUNS:
             del self.by_rows[next(iter(self.by_rows))]
 
+    def has_ended(self, run: RunKey) -> bool:
+        """Return whether a later run of the server is known to leave or to be gone."""
+        id_, born = run
+        departure = self.by_rows.get(id_)
+        return departure is not None and born < departure.born
+
     def state_of(self, listed: BackendServer, version: int) -> ServerState | None:
-        """Return the state of a listed run, None if its row is no sign that it runs."""
-        run = listed.key
-        departure = self.by_rows.get(run)
+        """Return the state of a listed run that has not ended.
+
+        None if its row is no sign that it runs.
+        """
         if listed.state is ServerState.LEAVING:
-            self.record_row(run, DepartureKind.LEAVING, version)
+            self.record_row(listed.key, DepartureKind.LEAVING, version)
             return ServerState.LEAVING
-        if run in self.by_answers:
+        if listed.key in self.by_answers:
             return ServerState.LEAVING
-        if departure is None:
+        departure = self.by_rows.get(listed.id)
+        if departure is None or departure.born < listed.born:
             return ServerState.READY
         if departure.kind is DepartureKind.LEAVING:
             return ServerState.LEAVING
@@ -83,5 +99,5 @@
             # The restored store lists it as of before; it may be gone.
             departure.relisted_at = version
             return None
-        del self.by_rows[run]
+        del self.by_rows[listed.id]
         return ServerState.READY
--- a/src/magnoliatrail/membership/server_list.py
+++ b/src/magnoliatrail/membership/server_list.py
@@ -77,6 +77,11 @@
                 unchanged = before and shared_fields(before) == shared_fields(found)
                 if unconfirmed or not unchanged:
                     self.table.changed_at[row.key] = row.version
+                if self.has_ended(found.key):
+                    log.info(
+                        "ended_run_listed", server=id_, born=found.born, source=source
+                    )
+                    return
                 state = self.departures.state_of(found, row.version)
                 if state is None:
                     log.info(
@@ -99,6 +104,16 @@
                 # The row describes no usable server; a known one with this id stays.
                 log.warning("row_unreadable", key=row.key, reason=failure.message)
 
+    def has_ended(self, run: RunKey) -> bool:
+        """Return whether a later run of the server is known.
+
+        A row of the earlier one was written late, or is from a copy of the store.
+        """
+        known = self.servers.get(run[0])
+        if known is not None and run[1] < known.born:
+            return True
+        return self.departures.has_ended(run)
+
     def apply_replaced(self, row: StoredRow, source: str) -> bool:
         """Apply what still holds of a row that a newer one has replaced.
 
