Pass on departures that the newest rows don't show

An instance that had seen a server leave kept it out of use itself, but the others get the newest rows alone: after a heartbeat that the store carried out late, or an unreadable row, they used it (DRAIN). The same for a server that a store restored from a copy lists again.

The reader of the store learns of them by reports, also one that has just started.

--- a/src/magnoliatrail/cells/link.py
+++ b/src/magnoliatrail/cells/link.py
@@ -7,6 +7,7 @@
 from datetime import timedelta
 
 from expression import Result
+from msgspec import UNSET
 from msgspec.structs import replace
 
 from magnoliatrail.cells.lease import Identity
@@ -17,6 +18,7 @@
     InstanceReport,
     ReportAnswer,
     RunningRequest,
+    ServerDeparture,
     ServerLimit,
     SlotAnswer,
     SlotDecision,
@@ -210,6 +212,7 @@
         store_answers: bool,
         leaving: bool,
         limits: list[ServerLimit],
+        departures: list[ServerDeparture],
     ) -> ReportAnswer | None:
         """Send the owner a report; None if it does not answer."""
         if not self.address:
@@ -232,6 +235,7 @@
             held_rows=held_rows,
             instances_digest=self.instances_digest,
             limits=limits,
+            departures=departures or UNSET,
         )
         if self.local_report_handler:
             answer = self.local_report_handler(message)
--- a/src/magnoliatrail/cells/member.py
+++ b/src/magnoliatrail/cells/member.py
@@ -6,6 +6,8 @@
 from contextlib import suppress
 from datetime import timedelta
 
+from msgspec import UnsetType
+
 from magnoliatrail.cells.announcement import OwnershipAnnouncer
 from magnoliatrail.cells.claim_turn import claim_turn
 from magnoliatrail.cells.layout import cell_of
@@ -21,6 +23,7 @@
 from magnoliatrail.cells.owner import CellOwner
 from magnoliatrail.cells.owner_status import request_owner_status
 from magnoliatrail.cells.reported_limits import reported_limits
+from magnoliatrail.cells.server_departures import apply_departures, departures_of
 from magnoliatrail.cells.table_updates import (
     TableUpdateReceiver,
     TableUpdateSender,
@@ -301,11 +304,11 @@
         store_answers = self.store_answers()
         if not store_answers:
             self.takeover.outage_reported_at = requested_at
+        reads_tables = self.cell == STORE_READER_CELL
         answer = await self.link.report(
             versions,
-            held_rows=self.update_receiver.held_rows()
-            if self.cell == STORE_READER_CELL
-            else {},
+            held_rows=self.update_receiver.held_rows() if reads_tables else {},
+            departures=departures_of(self.view) if reads_tables else [],
             store_answers=store_answers,
             leaving=self.stopping,
             limits=reported_limits(self.view.request_limits),
@@ -324,6 +327,8 @@
             self.renew_now.set()
         count = self.answer_counts.get(message.instance, 0)
         self.answer_counts[message.instance] = count + 1
+        if not isinstance(message.departures, UnsetType):
+            apply_departures(self.view, message.departures, message.instance)
         owner = self.owner
         if owner:
             owner.apply_report(message)
--- a/src/magnoliatrail/cells/table_requests.py
+++ b/src/magnoliatrail/cells/table_requests.py
@@ -6,10 +6,12 @@
 from datetime import timedelta
 
 from expression import Result
+from msgspec import UNSET
 
 from magnoliatrail.cells.lease import Identity
 from magnoliatrail.cells.link import REPORT_LIMITS, REPORT_PATH
 from magnoliatrail.cells.member import STORE_READER_CELL
+from magnoliatrail.cells.server_departures import departures_of
 from magnoliatrail.cells.table_updates import TableUpdateReceiver
 from magnoliatrail.clock import Clock
 from magnoliatrail.generated.cells import InstanceReport, ReportAnswer
@@ -122,4 +124,5 @@
             held_rows=self.receiver.held_rows(),
             instances_digest=0,
             limits=[],
+            departures=departures_of(self.view) or UNSET,
         )
--- a/src/magnoliatrail/cells/table_updates.py
+++ b/src/magnoliatrail/cells/table_updates.py
@@ -13,6 +13,7 @@
 from expression import Error, Ok, Result
 from msgspec import UnsetType
 
+from magnoliatrail.cells.server_departures import apply_departures, departures_of
 from magnoliatrail.cells.value_differences import (
     BYTE_ENCODING,
     apply_difference,
@@ -30,7 +31,7 @@
 from magnoliatrail.membership.fleet_view import FleetView
 from magnoliatrail.membership.table_view import LARGE_VALUE_BYTES, TableView
 from magnoliatrail.metrics import Metrics
-from magnoliatrail.platform.protocol import OPERATOR_TABLE
+from magnoliatrail.platform.protocol import OPERATOR_TABLE, SERVERS_TABLE
 from magnoliatrail.platform.rows import RowsRead, StoredRow
 
 log = EventLog("cells")
@@ -104,7 +105,7 @@
                     version=read.version,
                     age_ms=age,
                     rows=rows,
-                    evidence=evidence_of(table, version),
+                    evidence=evidence_of(self.view, name, version),
                 )
             )
         return found
@@ -156,6 +157,8 @@
         """Apply table updates, dated back to when they were requested."""
         for update in updates:
             table = self.view.tables.get(update.table)
+            if not isinstance(update.evidence, UnsetType):
+                apply_departures(self.view, update.evidence.departures, source)
             # An older version doesn't show how fresh the newer local one is.
             if table is None or update.version < table.version:
                 continue
@@ -215,10 +218,12 @@
         return Ok(RowsRead(tuple(rows), update.version, whole=is_whole(update)))
 
 
-def evidence_of(table: TableView, version: int) -> TableEvidence:
+def evidence_of(view: FleetView, table: str, version: int) -> TableEvidence:
     """Return what an update proves to an instance that has a version of a table."""
+    complete_after = view.tables[table].complete_after
     return TableEvidence(
-        complete_after=max(version, table.complete_after) if version else 0
+        complete_after=max(version, complete_after) if version else 0,
+        departures=departures_of(view) if table == SERVERS_TABLE else [],
     )
 
 
--- a/src/magnoliatrail/membership/departures.py
+++ b/src/magnoliatrail/membership/departures.py
@@ -72,6 +72,17 @@
         if len(self.by_rows) > MAX_RUNS:
             del self.by_rows[next(iter(self.by_rows))]
 
+    def is_news(self, server: ServerId, departure: Departure) -> bool:
+        """Return whether a departure says more than is known of a server."""
+        known = self.by_rows.get(server)
+        if known is None or known.born != departure.born:
+            return known is None or known.born < departure.born
+        # A removed row may be written again, and one that says that it leaves may not.
+        return (known.kind, departure.kind) == (
+            DepartureKind.REMOVED,
+            DepartureKind.LEAVING,
+        )
+
     def has_ended(self, run: RunKey) -> bool:
         """Return whether a later run of the server is known to leave or to be gone."""
         id_, born = run
--- a/src/magnoliatrail/membership/fleet_view.py
+++ b/src/magnoliatrail/membership/fleet_view.py
@@ -13,6 +13,7 @@
 from magnoliatrail.clock import Clock
 from magnoliatrail.ids import ServerId
 from magnoliatrail.logs import EventLog
+from magnoliatrail.membership.departures import Departure
 from magnoliatrail.membership.request_limits import RequestLimits
 from magnoliatrail.membership.server_list import ServerList
 from magnoliatrail.membership.server_refusals import ServerRefusals
@@ -199,6 +200,14 @@
             for changed in self.on_change:
                 changed()
 
+    def apply_departure(
+        self, server: ServerId, departure: Departure, source: str
+    ) -> None:
+        """Apply a departure that another instance knows."""
+        if self.server_list.apply_departure(server, departure, source):
+            for changed in self.on_change:
+                changed()
+
     def accepting(self, service: str) -> list[BackendServer]:
         """Return the usable servers of a service that want requests from here now."""
         return [
--- a/src/magnoliatrail/membership/server_list.py
+++ b/src/magnoliatrail/membership/server_list.py
@@ -10,6 +10,7 @@
 from magnoliatrail.ids import ServerId
 from magnoliatrail.logs import EventLog
 from magnoliatrail.membership.departures import (
+    Departure,
     DepartureKind,
     Departures,
     RunKey,
@@ -51,6 +52,8 @@
         self.versions_read: dict[ServerId, tuple[int, int]] = {}
         self.lapsed: dict[ServerId, LapsedServer] = {}
         self.departures = Departures()
+        # Departures that the newest rows of the servers don't show; peers get them.
+        self.withheld: dict[ServerId, Departure] = {}
 
     def apply_row(
         self, row: StoredRow, *, store_was_unavailable: bool, source: str
@@ -59,10 +62,10 @@
         id_ = ServerId(row.key)
         if row.value is None:
             self.table.changed_at[row.key] = row.version
-        known, before = self.servers.get(id_), self.listed.get(id_)
         if row.value is None:
             self.listed.pop(id_, None)
             self.versions_read.pop(id_, None)
+            self.withheld.pop(id_, None)
             self.drop_server(
                 id_,
                 row.version,
@@ -72,37 +75,120 @@
             return
         match decode_server(row.key, row.value):
             case Result(tag="ok", ok=found):
-                self.listed[id_] = found
-                unconfirmed = self.record_version(id_, row.version)
-                unchanged = before and shared_fields(before) == shared_fields(found)
-                if unconfirmed or not unchanged:
-                    self.table.changed_at[row.key] = row.version
-                if self.has_ended(found.key):
-                    log.info(
-                        "ended_run_listed", server=id_, born=found.born, source=source
-                    )
-                    return
-                state = self.departures.state_of(found, row.version)
-                if state is None:
-                    log.info(
-                        "departed_server_listed",
-                        server=id_,
-                        born=found.born,
-                        source=source,
-                    )
-                    return
-                self.lapsed.pop(id_, None)
-                self.servers[id_] = server = replace(found, state=state)
-                fields = self.described(server, source, row.version)
-                if known is None or known.born != server.born:
-                    log.info("server_listed", **fields)
-                elif known.state is not server.state or (
-                    before is not None and before.state is not found.state
-                ):
-                    log.info("server_state", **fields)
+                self.apply_description(found, row.version, source)
+                self.update_withheld(id_, found)
             case Result(error=failure):
                 # The row describes no usable server; a known one with this id stays.
                 log.warning("row_unreadable", key=row.key, reason=failure.message)
+                self.update_withheld(id_, None)
+
+    def apply_description(
+        self, found: BackendServer, row_version: int, source: str
+    ) -> None:
+        """Apply the description of a server in its newest row."""
+        id_ = found.id
+        known, before = self.servers.get(id_), self.listed.get(id_)
+        self.listed[id_] = found
+        unconfirmed = self.record_version(id_, row_version)
+        unchanged = before and shared_fields(before) == shared_fields(found)
+        if unconfirmed or not unchanged:
+            self.table.changed_at[id_] = row_version
+        if self.has_ended(found.key):
+            log.info("ended_run_listed", server=id_, born=found.born, source=source)
+            return
+        state = self.departures.state_of(found, row_version)
+        if state is None:
+            log.info(
+                "departed_server_listed", server=id_, born=found.born, source=source
+            )
+            return
+        self.lapsed.pop(id_, None)
+        self.servers[id_] = server = replace(found, state=state)
+        fields = self.described(server, source, row_version)
+        if known is None or known.born != server.born:
+            log.info("server_listed", **fields)
+        elif known.state is not server.state or (
+            before is not None and before.state is not found.state
+        ):
+            log.info("server_state", **fields)
+
+    def update_withheld(self, id_: ServerId, listed: BackendServer | None) -> None:
+        """Update whether a departure must be passed on beside a server's newest row.
+
+        `listed` is what that row describes, None if it can't be read.
+        """
+        departure = self.departures.by_rows.get(id_)
+        shown = departure is None or (
+            listed is not None
+            and (
+                listed.born > departure.born
+                or (listed.born, listed.state) == (departure.born, ServerState.LEAVING)
+            )
+        )
+        if departure is None or shown:
+            self.withheld.pop(id_, None)
+        else:
+            self.withheld[id_] = departure
+
+    def refresh_withheld(self, id_: ServerId) -> None:
+        """Update the same by the newest row that is known."""
+        row = self.table.rows.get(id_)
+        if row is not None and row.value is not None:
+            listed = decode_server(row.key, row.value)
+            self.update_withheld(id_, listed.ok if listed.is_ok() else None)
+
+    def apply_departure(self, id_: ServerId, departure: Departure, source: str) -> bool:
+        """Apply a departure that another instance knows.
+
+        Return whether a server leaves or is gone by it that did not before.
+        """
+        removed = departure.kind is DepartureKind.REMOVED
+        if not self.departures.is_news(id_, departure) or (
+            removed and self.is_listed_since(id_, departure)
+        ):
+            return False
+        log.info(
+            "departure_learned",
+            server=id_,
+            born=departure.born,
+            kind=departure.kind,
+            row_version=departure.version,
+            source=source,
+        )
+        run = id_, departure.born
+        if not removed:
+            return self.record_leaving(run, departure.version, source)
+        self.departures.record_row(run, departure.kind, departure.version)
+        self.refresh_withheld(id_)
+        known = self.servers.get(id_)
+        if known is None or known.born > departure.born:
+            return False
+        self.lapsed.pop(id_, None)
+        del self.servers[id_]
+        log.info("server_gone", **self.described(known, source, departure.version))
+        return True
+
+    def record_leaving(self, run: RunKey, row_version: int, source: str) -> bool:
+        """Record that a row said that a run leaves; earlier runs have ended.
+
+        Return whether a server leaves by it that did not before.
+        """
+        id_, born = run
+        self.departures.record_row(run, DepartureKind.LEAVING, row_version)
+        self.refresh_withheld(id_)
+        known = self.servers.get(id_)
+        if known is None or known.born > born:
+            return False
+        return self.mark_leaving(known.key, source, row_version)
+
+    def is_listed_since(self, id_: ServerId, removal: Departure) -> bool:
+        """Return whether a run has written its row since it was removed."""
+        row = self.table.rows.get(id_)
+        if row is None or row.value is None or row.version < removal.version:
+            return False
+        era, versions = self.versions_read.get(id_, (era_of(row.version), 0))
+        # The first version in a restored store is that of the copy.
+        return era == era_of(removal.version) or versions >= UNCONFIRMED_VERSIONS
 
     def has_ended(self, run: RunKey) -> bool:
         """Return whether a later run of the server is known.
@@ -133,8 +219,7 @@
         )
         if server.state is not ServerState.LEAVING:
             return False
-        self.departures.record_row(server.key, DepartureKind.LEAVING, row.version)
-        return self.mark_leaving(server.key, source, row.version)
+        return self.record_leaving(server.key, row.version, source)
 
     def mark_leaving(self, run: RunKey, source: str, row_version: int = 0) -> bool:
         """Let a run leave if it is listed as ready; return whether it was."""
--- a/tests/platform/test_departures.py
+++ b/tests/platform/test_departures.py
@@ -10,6 +10,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from magnoliatrail.backends import ServerNotice
+from magnoliatrail.cells.server_departures import apply_departures, departures_of
 from magnoliatrail.cells.table_updates import TableUpdateReceiver, TableUpdateSender
 from magnoliatrail.clock import ManualClock
 from magnoliatrail.generated.cells import InstanceReport
@@ -108,6 +109,7 @@
             held_rows={},
             instances_digest=0,
             limits=[],
+            departures=departures_of(self.view),
         )
 
     def updates_for(self, other):
@@ -116,6 +118,7 @@
 
     def report_to(self, other):
         """Send a report, of which only what it says of servers is applied."""
+        apply_departures(other.view, self.report().departures, "peer")
 
     def ask(self, other):
         """Get the table updates of another instance."""
