Let a row's key and state be enough to say that its server leaves

A row that says 'draining' and has one other field that can't be used (no slots, a negative remaining time, no address, ten forms tried) was refused as a whole, and its server stayed ready (DRAIN). Without a start time the row is about the latest known run. Rows that say nothing of leaving cost no server, as before.

--- a/src/magnoliatrail/membership/server_list.py
+++ b/src/magnoliatrail/membership/server_list.py
@@ -17,7 +17,7 @@
 )
 from magnoliatrail.membership.table_view import TableView
 from magnoliatrail.platform.rows import StoredRow
-from magnoliatrail.platform.server_rows import decode_server
+from magnoliatrail.platform.server_rows import decode_departure, decode_server
 from magnoliatrail.platform.store_versions import era_of
 
 log = EventLog("membership")
@@ -80,6 +80,7 @@
             case Result(error=failure):
                 # The row describes no usable server; a known one with this id stays.
                 log.warning("row_unreadable", key=row.key, reason=failure.message)
+                self.apply_odd_row(id_, row, source)
                 self.update_withheld(id_, None)
 
     def apply_description(
@@ -205,9 +206,11 @@
 
         A departure does; return whether a server leaves by it that did not before.
         """
-        found = None if row.value is None else decode_server(row.key, row.value)
-        if found is None or found.is_error():
+        if row.value is None:
             return False
+        found = decode_server(row.key, row.value)
+        if found.is_error():
+            return self.apply_odd_row(ServerId(row.key), row, source)
         server = found.ok
         log.info(
             "server_row_replaced",
@@ -221,6 +224,28 @@
             return False
         return self.record_leaving(server.key, row.version, source)
 
+    def apply_odd_row(self, id_: ServerId, row: StoredRow, source: str) -> bool:
+        """Apply what a row says of a departure that describes no usable server.
+
+        Its key and its state are enough. Without a start time it is about the latest
+        run that is known.
+        """
+        departure = None if row.value is None else decode_departure(row.value)
+        if departure is None:
+            return False
+        born = departure.born
+        if born is None:
+            born = self.latest_run(id_)
+        if born is None:
+            return False
+        return self.record_leaving((id_, born), row.version, source)
+
+    def latest_run(self, id_: ServerId) -> int | None:
+        """Return the start time of the latest known run of a server."""
+        known, departure = self.servers.get(id_), self.departures.by_rows.get(id_)
+        starts = [item.born for item in (known, departure) if item is not None]
+        return max(starts, default=None)
+
     def mark_leaving(self, run: RunKey, source: str, row_version: int = 0) -> bool:
         """Let a run leave if it is listed as ready; return whether it was."""
         known = self.servers.get(run[0])
--- a/src/magnoliatrail/platform/server_rows.py
+++ b/src/magnoliatrail/platform/server_rows.py
@@ -1,5 +1,6 @@
 """Decoding of the rows that backend servers write about themselves."""
 
+from dataclasses import dataclass
 from datetime import timedelta
 from ipaddress import IPv4Address
 from typing import Annotated
@@ -53,6 +54,38 @@
     version: str = ""
 
 
+class WireDeparture(msgspec.Struct):
+    """The fields of a server's row that matter if the server leaves."""
+
+    state: object = None
+    born: object = None
+
+
+@dataclass(frozen=True, slots=True)
+class RowDeparture:
+    """What a row that describes no usable server says of its departure."""
+
+    # Start time of the run, None if it can't be read.
+    born: int | None
+
+
+def decode_departure(value: bytes) -> RowDeparture | None:
+    """Return that a row says that its server leaves, whatever else it says."""
+    match decode(value, WireDeparture):
+        case Result(tag="ok", ok=WireDeparture(state=str(state), born=born)):
+            if STATES.get(state) is not ServerState.LEAVING:
+                return None
+            return RowDeparture(start_time(born))
+    return None
+
+
+def start_time(value: object) -> int | None:
+    """Return a start time as a server writes it, None if it is no such."""
+    if not isinstance(value, int) or isinstance(value, bool):
+        return None
+    return value if 0 <= value <= MAX_INTEGER else None
+
+
 def decode_server(key: str, value: bytes) -> Result[BackendServer, Failure]:
     """Decode a server's row; an invalid row is an error."""
     match decode(value, WireServer):
--- a/tests/platform/test_list_evidence.py
+++ b/tests/platform/test_list_evidence.py
@@ -232,6 +232,31 @@
     assert RUN not in other.usable()
 
 
+# Guards against a departure that peers miss, as an odd row replaces the one they lack.
+def test_a_departure_is_passed_on_though_an_odd_row_says_it_again():
+    _, store, reader, other = two_peers()
+    store.put("s1", state="draining", born=1)
+    reader.read(store)
+    store.put("s1", state="draining", born=1, slots=0)
+    reader.read(store)
+    other.ask(reader)
+    assert RUN not in other.usable()
+
+
+# Guards against a departure that a server keeps for its next run.
+def test_an_odd_row_of_a_later_run_ends_the_known_one():
+    _, store, reader, other = two_peers()
+    store.put("s1", state="draining", born=4, slots=0)
+    reader.read(store)
+    other.ask(reader)
+    assert not reader.usable()
+    assert not other.usable()
+    store.put("s1", state="ready", born=5)
+    reader.read(store)
+    other.ask(reader)
+    assert reader.usable() == other.usable() == {("s1", 5)}
+
+
 def test_an_odd_row_that_names_no_departure_costs_no_server():
     _, store, reader, other = two_peers()
     for fields in ({"state": "leaving"}, {"state": ["draining"]}, {"slots": 0}):
