Take a removal for a lapse only in an outage that nobody disproves

One instance was turned away once by the store, while another one read it all the time. When it then learned that a row was removed, it took that for a lapse in an outage and used the server for 2 s more: up to 3.9 s after the store's acknowledgement (DRAIN). The grace also counted from when the removal was learned, so that it was longer at instances that heard late.

Updates now tell since when their sender knows the table without a gap in which the store may have been away. That disproves an outage that another instance has concluded from its own failed reads, also after the fact, and the grace counts from the store's return at all instances.

--- a/src/magnoliatrail/cells/table_updates.py
+++ b/src/magnoliatrail/cells/table_updates.py
@@ -28,6 +28,7 @@
     TableUpdate,
 )
 from magnoliatrail.logs import EventLog
+from magnoliatrail.membership.evidence import Evidence
 from magnoliatrail.membership.fleet_view import FleetView
 from magnoliatrail.membership.table_view import LARGE_VALUE_BYTES, TableView
 from magnoliatrail.metrics import Metrics
@@ -165,10 +166,10 @@
             match self.read_of(update, table):
                 case Result(tag="ok", ok=read):
                     known_at = requested_at - timedelta(milliseconds=update.age_ms)
-                    complete = is_complete(update, table)
-                    self.log_completeness(update, source, complete=complete)
+                    evidence = self.evidence_in(update, requested_at)
+                    self.log_completeness(update, source, complete=evidence.complete)
                     self.view.apply(
-                        update.table, read, known_at, source, complete=complete
+                        update.table, read, known_at, source, evidence=evidence
                     )
                 case Result(error=failure):
                     # Without all rows, the table keeps its version and its age.
@@ -180,6 +181,14 @@
                         reason=failure.message,
                     )
 
+    def evidence_in(self, update: TableUpdate, requested_at: timedelta) -> Evidence:
+        """Return what an update proves, dated back to when it was requested."""
+        complete = is_complete(update, self.view.tables[update.table])
+        if isinstance(update.evidence, UnsetType):
+            return Evidence(complete, unbroken_since=None)
+        unbroken = timedelta(milliseconds=update.evidence.unbroken_ms)
+        return Evidence(complete, unbroken_since=requested_at - unbroken)
+
     def log_completeness(
         self, update: TableUpdate, source: str, *, complete: bool
     ) -> None:
@@ -220,9 +229,12 @@
 
 def evidence_of(view: FleetView, table: str, version: int) -> TableEvidence:
     """Return what an update proves to an instance that has a version of a table."""
-    complete_after = view.tables[table].complete_after
+    known = view.tables[table]
+    since = known.fresh_at if known.unbroken_since is None else known.unbroken_since
+    unbroken = timedelta() if since is None else view.clock.monotonic() - since
     return TableEvidence(
-        complete_after=max(version, complete_after) if version else 0,
+        complete_after=max(version, known.complete_after) if version else 0,
+        unbroken_ms=unbroken.total_seconds() * 1000,
         departures=departures_of(view) if table == SERVERS_TABLE else [],
     )
 
--- a/src/magnoliatrail/membership/fleet_view.py
+++ b/src/magnoliatrail/membership/fleet_view.py
@@ -14,6 +14,12 @@
 from magnoliatrail.ids import ServerId
 from magnoliatrail.logs import EventLog
 from magnoliatrail.membership.departures import Departure
+from magnoliatrail.membership.evidence import (
+    OWN_READ,
+    Evidence,
+    outage_before,
+    unbroken_since,
+)
 from magnoliatrail.membership.request_limits import RequestLimits
 from magnoliatrail.membership.server_list import ServerList
 from magnoliatrail.membership.server_refusals import ServerRefusals
@@ -24,15 +30,12 @@
 )
 from magnoliatrail.platform.protocol import CONFIG_KEY, OPERATOR_TABLE, SERVERS_TABLE
 from magnoliatrail.platform.rows import RowsRead, StoredRow
-from magnoliatrail.platform.store_versions import era_of
 from magnoliatrail.routes import RouteTable
 
 log = EventLog("membership")
 
 # The version of every adapter for which the store has no row.
 FIRST_VERSION = 1
-# A store without a successful read for this long may have dropped running servers.
-STORE_OUTAGE_THRESHOLD = timedelta(seconds=1.8)
 
 
 class FleetView:
@@ -74,7 +77,7 @@
         asked_at: timedelta,
         source: str,
         *,
-        complete: bool = True,
+        evidence: Evidence = OWN_READ,
     ) -> None:
         """Apply updates of a table; `source` names their sender in the log.
 
@@ -82,10 +85,10 @@
         neither a newer version nor its age.
         """
         view = self.tables[table]
-        restored = bool(view.version) and era_of(read.version) > era_of(view.version)
-        if restored:
+        outage = outage_before(view, read, asked_at, evidence)
+        if outage is not None and outage.began is None:
             log.warning("table_restored", table=table, source=source)
-        unavailable = restored or self.store_was_unavailable(table, asked_at)
+        since = unbroken_since(view, asked_at, evidence, outage)
         updates = view.updates_in(read)
         changed = bool(updates)
         if table == SERVERS_TABLE:
@@ -104,30 +107,25 @@
             if table == OPERATOR_TABLE:
                 self.apply_operator_row(row, asked_at, source)
             else:
-                self.server_list.apply_row(
-                    row, store_was_unavailable=unavailable, source=source
-                )
+                self.server_list.apply_row(row, outage=outage, source=source)
         # Only now, so that a row that fails to apply is read again.
-        if complete and read.version > view.version:
+        if evidence.complete and read.version > view.version:
             view.learned_at = self.clock.monotonic()
-        view.record(read, updates, asked_at, source=source, complete=complete)
+        view.record(
+            read,
+            updates,
+            asked_at,
+            source=source,
+            complete=evidence.complete,
+            unbroken_since=since,
+        )
+        if evidence.unbroken_since is not None and evidence.complete:
+            changed |= self.server_list.end_lapses(evidence.unbroken_since, source)
         self.server_list.expire_lapsed()
         if changed:
             for notify in self.on_change:
                 notify()
 
-    def store_was_unavailable(self, table: str, asked_at: timedelta) -> bool:
-        """Return whether a read from the store failed since a table was last current.
-
-        Updates that are only late, because a peer sent none, are no sign of a store
-        outage.
-        """
-        fresh_at, failed_at = self.tables[table].fresh_at, self.tables[table].failed_at
-        if fresh_at is None:
-            return True
-        failed = failed_at is not None and failed_at >= fresh_at
-        return failed and asked_at - fresh_at > STORE_OUTAGE_THRESHOLD
-
     def apply_operator_row(
         self, row: StoredRow, asked_at: timedelta, source: str
     ) -> None:
--- a/src/magnoliatrail/membership/server_list.py
+++ b/src/magnoliatrail/membership/server_list.py
@@ -15,6 +15,7 @@
     Departures,
     RunKey,
 )
+from magnoliatrail.membership.evidence import Outage
 from magnoliatrail.membership.table_view import TableView
 from magnoliatrail.platform.rows import StoredRow
 from magnoliatrail.platform.server_rows import decode_departure, decode_server
@@ -31,13 +32,18 @@
 
 @dataclass(frozen=True, slots=True)
 class LapsedServer:
-    """A server that the list dropped during a store outage."""
+    """A server that the list dropped, perhaps only for an outage of the store."""
 
     server: BackendServer
-    until: timedelta
+    outage: Outage
     # Version of the store at which the list no longer had it.
     version: int
 
+    @property
+    def until(self) -> timedelta:
+        """Return until when a running server has written its row again."""
+        return self.outage.ended + RELISTING_GRACE
+
 
 class ServerList:
     """Servers that rows of the store list, and those that may get new requests."""
@@ -55,9 +61,7 @@
         # Departures that the newest rows of the servers don't show; peers get them.
         self.withheld: dict[ServerId, Departure] = {}
 
-    def apply_row(
-        self, row: StoredRow, *, store_was_unavailable: bool, source: str
-    ) -> None:
+    def apply_row(self, row: StoredRow, *, outage: Outage | None, source: str) -> None:
         """Apply a server's description or its removal."""
         id_ = ServerId(row.key)
         if row.value is None:
@@ -66,12 +70,7 @@
             self.listed.pop(id_, None)
             self.versions_read.pop(id_, None)
             self.withheld.pop(id_, None)
-            self.drop_server(
-                id_,
-                row.version,
-                store_was_unavailable=store_was_unavailable,
-                source=source,
-            )
+            self.drop_server(id_, row.version, outage=outage, source=source)
             return
         match decode_server(row.key, row.value):
             case Result(tag="ok", ok=found):
@@ -256,12 +255,13 @@
         log.info("server_state", **self.described(leaving, source, row_version))
         return True
 
-    def outage_signs(self) -> dict[str, object]:
+    def outage_signs(self, outage: Outage) -> dict[str, object]:
         """Return what a line says of how an outage of the store was concluded."""
         now, failed_at = self.clock.monotonic(), self.table.failed_at
         return {
             "list_age": self.table.age(now),
             "read_failed_before": "" if failed_at is None else now - failed_at,
+            "readable_again_before": now - outage.ended,
         }
 
     def record_version(self, id_: ServerId, version: int) -> bool:
@@ -281,18 +281,17 @@
         id_: ServerId,
         version: int,
         *,
-        store_was_unavailable: bool,
+        outage: Outage | None,
         source: str,
     ) -> None:
         """Remove a server, after a grace period if a store outage may be the cause."""
         server = self.servers.get(id_)
         if server is None:
             return
-        if store_was_unavailable and server.state is ServerState.READY:
-            until = self.clock.monotonic() + RELISTING_GRACE
-            self.lapsed[id_] = LapsedServer(server, until, version)
+        if outage is not None and server.state is ServerState.READY:
+            self.lapsed[id_] = LapsedServer(server, outage, version)
             fields = self.described(server, source, version)
-            log.info("server_lapsed", **fields, **self.outage_signs())
+            log.info("server_lapsed", **fields, **self.outage_signs(outage))
             return
         self.departures.record_row(server.key, DepartureKind.REMOVED, version)
         del self.servers[id_]
@@ -301,15 +300,32 @@
     def expire_lapsed(self) -> None:
         """Remove the lapsed servers that were not listed again in time."""
         now = self.clock.monotonic()
-        for id_, lapsed in list(self.lapsed.items()):
+        for lapsed in list(self.lapsed.values()):
             if now >= lapsed.until:
-                del self.lapsed[id_]
-                self.servers.pop(id_, None)
-                self.departures.record_row(
-                    lapsed.server.key, DepartureKind.REMOVED, lapsed.version
-                )
-                fields = self.described(lapsed.server, "lapse", lapsed.version)
-                log.info("server_gone", **fields)
+                self.end_lapse(lapsed, "lapse")
+
+    def end_lapses(self, readable_since: timedelta, source: str) -> bool:
+        """Remove the servers that lapsed in what turns out not to be an outage.
+
+        Another instance could read the store since a time; return whether that ends
+        any lapse.
+        """
+        ended = [
+            lapsed
+            for lapsed in self.lapsed.values()
+            if lapsed.outage.began is not None and readable_since <= lapsed.outage.began
+        ]
+        for lapsed in ended:
+            self.end_lapse(lapsed, source)
+        return bool(ended)
+
+    def end_lapse(self, lapsed: LapsedServer, source: str) -> None:
+        """Remove a lapsed server."""
+        server = lapsed.server
+        del self.lapsed[server.id]
+        self.servers.pop(server.id, None)
+        self.departures.record_row(server.key, DepartureKind.REMOVED, lapsed.version)
+        log.info("server_gone", **self.described(server, source, lapsed.version))
 
     def described(
         self, server: BackendServer, source: str, row_version: int = 0
--- a/src/magnoliatrail/membership/table_view.py
+++ b/src/magnoliatrail/membership/table_view.py
@@ -37,6 +37,9 @@
         self.fresh_at: timedelta | None = None
         # Whose read or update showed that; a name in the log.
         self.dated_by = ""
+        # Since when the view has been known without a gap in which the store may have
+        # been away.
+        self.unbroken_since: timedelta | None = None
         # When this instance last failed to read the table from the store.
         self.failed_at: timedelta | None = None
 
@@ -84,6 +87,7 @@
         *,
         source: str,
         complete: bool = True,
+        unbroken_since: timedelta | None = None,
     ) -> None:
         """Record the newer rows of a read, its version, and when it was complete.
 
@@ -101,6 +105,7 @@
             self.complete_after = read.version
         if self.fresh_at is None or asked_at > self.fresh_at:
             self.fresh_at, self.dated_by = asked_at, source
+            self.unbroken_since = unbroken_since
 
     def replace(self, row: StoredRow) -> None:
         """Replace a row, and keep its value if it is large."""
--- a/tests/platform/test_list_evidence.py
+++ b/tests/platform/test_list_evidence.py
@@ -296,6 +296,21 @@
     assert not other.usable()
 
 
+# Guards against the same where the instance read the store itself before it heard.
+def test_a_lapse_ends_as_another_instance_shows_that_there_was_no_outage():
+    clock, store, reader, other = two_peers()
+    other.table.failed_at = clock.monotonic()
+    for _ in range(4):
+        clock.advance(SECOND * 0.6)
+        reader.read(store)
+    store.put("s1")
+    other.read(store)
+    assert other.usable() == {RUN}
+    reader.read(store)
+    other.ask(reader)
+    assert not other.usable()
+
+
 # Guards against a grace that is longer at instances that learn later of the removal.
 def test_the_grace_after_an_outage_counts_from_the_return_of_the_store():
     clock, reader, other = turned_away_once(outage=True)
