Don't date a table by an answer older than the version asked for

For the changes after a version, the store may answer from a copy that is behind that version. Such an answer was recorded with the version asked for, as complete now, unless this instance had learned of a newer one elsewhere: the list of servers passed for fresh by up to the interval between renewals too much (DRAIN). It keeps its own version now, which dates nothing. The test failed before.

--- a/src/magnoliatrail/platform/rows.py
+++ b/src/magnoliatrail/platform/rows.py
@@ -151,7 +151,10 @@
     async def changes(
         self, table: str, after: int, wait: timedelta
     ) -> Result[RowsRead | None, Failure]:
-        """Read the changes after a version; None if that history is not available."""
+        """Read the changes after a version; None if that history is not available.
+
+        An answer that lags names an earlier version, and no changes.
+        """
         query = {"table": table, "after": str(number_of(after))}
         if wait:
             query["wait_ms"] = str(round(wait.total_seconds() * 1000))
@@ -160,7 +163,7 @@
                 if era_of(answer.row_version) != era_of(after):
                     return Ok(None)
                 rows = tuple(decode_stored_row(row) for row in answer.rows)
-                return Ok(RowsRead(rows, max(after, answer.row_version), whole=False))
+                return Ok(RowsRead(rows, answer.row_version, whole=False))
             case Result(tag="ok", ok=(status, _)) if status == HTTP_GONE:
                 return Ok(None)
             case Result(tag="ok", ok=(status, _)):
