End the exemption from the bound on a table's age with the failing reads

One failed read lifted the bound on the age of an instance's tables until it read the store again, however long ago the failure was; an instance that gets updates reads it only when they are late. It now holds for 2 s after a failed read, in which the next one has failed too. The test failed before.

--- a/src/magnoliatrail/membership/store_reader.py
+++ b/src/magnoliatrail/membership/store_reader.py
@@ -27,6 +27,9 @@
 COSTLY_ROW_BYTES = 64 * 1024
 # Longest wait of a request for a read of tables that are nearly too old.
 STALE_READ_TIMEOUT = timedelta(milliseconds=300)
+# A read that fails or lags shows for this long that the store is disturbed; meanwhile,
+# the next one has failed or lagged too.
+DISTURBANCE_VALIDITY = timedelta(seconds=2)
 # Bounds on the wait of an inactive reader before it checks its tables' age again.
 MIN_IDLE_WAIT = timedelta(seconds=0.1)
 MAX_IDLE_WAIT = timedelta(seconds=0.4)
@@ -223,14 +226,23 @@
     def outdated_tables(
         self, bounds: TableBounds, used_at: Mapping[str, timedelta]
     ) -> list[str]:
-        """Return the tables that are too old, unless the store cannot be read."""
+        """Return the tables that are too old, unless the store can't be read now."""
         return [
             name
             for name, at in used_at.items()
-            if name not in self.failing
+            if not self.is_unreadable(name)
             and self.view.tables[name].age(at) > self.max_age(name, bounds)
         ]
 
+    def is_unreadable(self, table: str) -> bool:
+        """Return whether the last read of a table failed, a short time ago."""
+        failed_at = self.view.tables[table].failed_at
+        return (
+            table in self.failing
+            and failed_at is not None
+            and self.clock.monotonic() - failed_at < DISTURBANCE_VALIDITY
+        )
+
     def max_age(self, table: str, bounds: TableBounds) -> timedelta:
         """Return the age from which a table is not used.
 
@@ -247,7 +259,7 @@
         stale = [
             name
             for name, table in self.view.tables.items()
-            if table.age(now) > oldest and name not in self.failing
+            if table.age(now) > oldest and not self.is_unreadable(name)
         ]
         if not stale:
             return
