Widen the bound on the list of servers only while reads of the store lag

A read that lagged widened the bound on the age of both tables by 5 s for 5 s. For the list, the wider bound now ends 2 s after the last lagging read.

--- a/src/magnoliatrail/membership/store_reader.py
+++ b/src/magnoliatrail/membership/store_reader.py
@@ -246,11 +246,16 @@
     def max_age(self, table: str, bounds: TableBounds) -> timedelta:
         """Return the age from which a table is not used.
 
-        The bound is wider while the store gives reads that lag behind.
+        The bound is wider while the store gives reads that lag behind, and for
+        configurations a while longer, as the platform allows.
         """
         seen_at = self.outdated_at.get(table)
-        now = self.clock.monotonic()
-        lags = seen_at is not None and now - seen_at < bounds.extension
+        if seen_at is None:
+            return bounds.max_ages[table]
+        wider_for = (
+            bounds.extension if table == OPERATOR_TABLE else DISTURBANCE_VALIDITY
+        )
+        lags = self.clock.monotonic() - seen_at < wider_for
         return bounds.max_ages[table] + (bounds.extension if lags else timedelta())
 
     async def read_tables_older_than(self, oldest: timedelta) -> None:
