--- a/src/magnoliatrail/forwarding/send_check.py
+++ b/src/magnoliatrail/forwarding/send_check.py
@@ -11,7 +11,6 @@
     check_key,
 )
 from magnoliatrail.forwarding.server_call import OutdatedChoice, SendCheck
-from magnoliatrail.platform.protocol import SERVERS_TABLE
 from magnoliatrail.platform.request_headers import set_account
 
 LEFT = "the server leaves or is gone since it was chosen"
@@ -43,7 +42,7 @@
     def check(attempt: Attempt, fields: HTTPHeaders) -> HeadAnswer | None:
         request = routed.request
         attempt.list_age = context.view.list_age()
-        attempt.list_source = context.view.tables[SERVERS_TABLE].dated_by
+        attempt.list_source = context.view.list_source
         attempt.written_after = context.clock.monotonic() - request.received_at
         if not context.answered_in_time(request, routed.route):
             return ENDING
--- a/src/magnoliatrail/membership/fleet_view.py
+++ b/src/magnoliatrail/membership/fleet_view.py
@@ -70,6 +70,11 @@
         """Return the greatest possible age of the list of servers."""
         return self.tables[SERVERS_TABLE].age(self.clock.monotonic())
 
+    @property
+    def list_source(self) -> str:
+        """Return whose read or update the list of servers has its age from."""
+        return self.tables[SERVERS_TABLE].dated_by
+
     def apply(
         self,
         table: str,
