Apply all rows of a server in one read, in their order

A row of an earlier run that came in the same read after the first row of a later one hid that run, as only the newest row described the server: the earlier run was listed. Each newer row is now applied in order.

The feed of the stand-in store gives each version of a row, as the protocol does; before, it gave the newest of each.

--- a/src/magnoliatrail/membership/fleet_view.py
+++ b/src/magnoliatrail/membership/fleet_view.py
@@ -97,8 +97,8 @@
         updates = view.updates_in(read)
         changed = bool(updates)
         if table == SERVERS_TABLE:
-            for row in view.replaced_in(read):
-                changed |= self.server_list.apply_replaced(row, source)
+            for row in view.older_in(read):
+                changed |= self.server_list.apply_older(row, source)
         if read.whole:
             log.info(
                 "table_read_whole",
@@ -108,10 +108,11 @@
                 rows=len(read.rows),
                 source=source,
             )
-        for row in updates:
-            if table == OPERATOR_TABLE:
+        if table == OPERATOR_TABLE:
+            for row in updates:
                 self.apply_operator_row(row, asked_at, source)
-            else:
+        else:
+            for row in view.steps_in(read, updates):
                 self.server_list.apply_row(row, outage=outage, source=source)
         # Only now, so that a row that fails to apply is read again.
         if evidence.complete and read.version > view.version:
--- a/src/magnoliatrail/membership/server_list.py
+++ b/src/magnoliatrail/membership/server_list.py
@@ -200,8 +200,8 @@
             return True
         return self.departures.has_ended(run)
 
-    def apply_replaced(self, row: StoredRow, source: str) -> bool:
-        """Apply what still holds of a row that a newer one has replaced.
+    def apply_older(self, row: StoredRow, source: str) -> bool:
+        """Apply what still holds of a row that is older than the known one.
 
         A departure does; return whether a server leaves by it that did not before.
         """
@@ -212,7 +212,7 @@
             return self.apply_odd_row(ServerId(row.key), row, source)
         server = found.ok
         log.info(
-            "server_row_replaced",
+            "older_server_row",
             server=row.key,
             born=server.born,
             row_state=server.state,
--- a/src/magnoliatrail/membership/table_view.py
+++ b/src/magnoliatrail/membership/table_view.py
@@ -69,15 +69,27 @@
             updates.extend(self.removals(set(newest), read.version))
         return updates
 
-    def replaced_in(self, read: RowsRead) -> list[StoredRow]:
-        """Return the rows of a read that newer rows have replaced, in their order."""
-        newest: dict[str, int] = {}
-        for row in read.rows:
-            known = self.rows.get(row.key)
-            before = newest.get(row.key, known.version if known else 0)
-            newest[row.key] = max(row.version, before)
-        rows = sorted(read.rows, key=lambda row: row.version)
-        return [row for row in rows if row.version < newest[row.key]]
+    def older_in(self, read: RowsRead) -> list[StoredRow]:
+        """Return the rows of a read that are older than the known ones, in order."""
+        found = [row for row in read.rows if self.is_older(row)]
+        return sorted(found, key=lambda row: row.version)
+
+    def is_older(self, row: StoredRow) -> bool:
+        """Return whether a newer row than this one is known."""
+        known = self.rows.get(row.key)
+        return known is not None and row.version < known.version
+
+    def steps_in(self, read: RowsRead, updates: Iterable[StoredRow]) -> list[StoredRow]:
+        """Return all newer rows of a read in order, those that it replaces too."""
+        newest = {row.key: row for row in updates}
+        replaced = [
+            row
+            for row in read.rows
+            if row.key in newest
+            and row.version < newest[row.key].version
+            and self.is_newer(row)
+        ]
+        return sorted([*replaced, *newest.values()], key=lambda row: row.version)
 
     def record(
         self,
--- a/src/magnoliatrail/standins/row_store.py
+++ b/src/magnoliatrail/standins/row_store.py
@@ -4,6 +4,7 @@
 import base64
 import copy
 import json
+from collections import deque
 from dataclasses import dataclass, field
 from typing import Any, cast
 
@@ -13,6 +14,8 @@
 
 STORE_ERA = "Store-Era"
 FEED_POLL_SECONDS = 0.01
+# Versions of rows to keep for feeds.
+MAX_HISTORY = 20_000
 
 
 @dataclass
@@ -32,6 +35,10 @@
     tables: dict[str, dict[str, StoredValue]] = field(default_factory=dict)
     version: int = 0
     calls: int = 0
+    # All versions of all rows, the oldest first, for feeds.
+    history: deque[tuple[str, str, StoredValue]] = field(
+        default_factory=lambda: deque(maxlen=MAX_HISTORY)
+    )
     # Refuses all calls with 503.
     down: bool = False
     # Feeds that ask for changes after an older version get 410.
@@ -48,6 +55,8 @@
     def restore(self, rows: dict[str, dict[str, StoredValue]], version: int) -> None:
         """Come back from a copy: later writes are lost, versions are reused."""
         self.tables, self.version = copy.deepcopy(rows), version
+        self.history.clear()
+        self.feed_start_version = version
         self.era += 1
 
     def put(self, table: str, key: str, value: bytes | None, part: str = "") -> int:
@@ -56,6 +65,10 @@
         text = "" if value is None else base64.b64encode(value).decode()
         row = StoredValue(text, self.version, removed=value is None, part=part)
         self.tables.setdefault(table, {})[key] = row
+        if len(self.history) == MAX_HISTORY:
+            _, _, forgotten = self.history[0]
+            self.feed_start_version = max(self.feed_start_version, forgotten.version)
+        self.history.append((table, key, row))
         return self.version
 
     def put_json(self, table: str, key: str, message: object) -> int:
@@ -79,26 +92,32 @@
             self.put(row["table"], row["key"], None, row["part"])
         return True
 
-    def list_rows(self, table: str, after: int = -1) -> list[dict[str, Any]]:
-        """Return the rows of a table, or its changes after a version.
-
-        Removed rows are included only in changes.
-        """
+    def list_rows(self, table: str) -> list[dict[str, Any]]:
+        """Return the rows of a table."""
         rows = sorted(self.tables.get(table, {}).items())
+        return [wire_row(table, key, row) for key, row in rows if not row.removed]
+
+    def list_changes(self, table: str, after: int) -> list[dict[str, Any]]:
+        """Return all versions of the rows of a table after a version, in order."""
         return [
-            {
-                "table": table,
-                "part": row.part,
-                "key": key,
-                "value": row.value,
-                "row_version": row.version,
-                **({"removed": True} if row.removed else {}),
-            }
-            for key, row in rows
-            if row.version > after and (after >= 0 or not row.removed)
+            wire_row(table, key, row)
+            for name, key, row in self.history
+            if name == table and row.version > after
         ]
 
 
+def wire_row(table: str, key: str, row: StoredValue) -> dict[str, Any]:
+    """Return a row in the form of an answer."""
+    return {
+        "table": table,
+        "part": row.part,
+        "key": key,
+        "value": row.value,
+        "row_version": row.version,
+        **({"removed": True} if row.removed else {}),
+    }
+
+
 class RowStoreHandler(RequestHandler):
     """Base handler that counts calls and injects outages."""
 
@@ -141,7 +160,7 @@
             self.set_status(410)
             return
         until = asyncio.get_running_loop().time() + wait
-        while not (rows := self.state.list_rows(table, after)):
+        while not (rows := self.state.list_changes(table, after)):
             if asyncio.get_running_loop().time() >= until:
                 break
             await asyncio.sleep(FEED_POLL_SECONDS)
--- a/tests/platform/test_list_evidence.py
+++ b/tests/platform/test_list_evidence.py
@@ -206,6 +206,15 @@
     assert not other.usable()
 
 
+# Guards against the same where both rows come in one read.
+def test_a_later_run_counts_though_a_row_of_the_earlier_one_replaces_its_row():
+    _, store, reader, _ = two_peers()
+    store.put("s1", state="ready", born=5)
+    store.put("s1", state="ready", born=1)
+    reader.read(store)
+    assert reader.usable() == {("s1", 5)}
+
+
 ODD_FIELDS = {
     "no slots": {"slots": 0},
     "slots missing": {"slots": None},
