--- a/src/magnoliatrail/membership/server_list.py
+++ b/src/magnoliatrail/membership/server_list.py
@@ -118,14 +118,13 @@
         `listed` is what that row describes, None if it can't be read.
         """
         departure = self.departures.by_rows.get(id_)
-        shown = departure is None or (
-            listed is not None
-            and (
-                listed.born > departure.born
-                or (listed.born, listed.state) == (departure.born, ServerState.LEAVING)
-            )
-        )
-        if departure is None or shown:
+        known = self.servers.get(id_)
+        if listed is not None and known is not None and listed.born < known.born:
+            # The row is of an earlier run; peers may not have seen one of this run.
+            ended = Departure(listed.born, DepartureKind.LEAVING, self.table.version)
+            if departure is None or departure.born < listed.born:
+                departure = ended
+        if departure is None or shows(listed, departure):
             self.withheld.pop(id_, None)
         else:
             self.withheld[id_] = departure
@@ -379,6 +378,14 @@
         return self.mark_leaving(server.key, "answer")
 
 
+def shows(listed: BackendServer | None, departure: Departure) -> bool:
+    """Return whether a row, None if it can't be read, shows that a run has left."""
+    if listed is None or listed.born < departure.born:
+        return False
+    leaving = listed.state is ServerState.LEAVING
+    return listed.born > departure.born or leaving
+
+
 def shared_fields(server: BackendServer) -> tuple[object, ...]:
     """Return the fields of a server that instances other than its owner need."""
     models = tuple(model.name for model in server.models)
