Get the whole table from an instance that has not seen all changes

An instance that the store turns away, and whose updates come from one that has started since, had nothing to date its list by: it used the list at any age while its reads failed, a server that was gone among it (DRAIN). When it asks others for their tables, it now asks for the whole table where the changes are not all known. The test, with two of three instances turned away and the third one without a memory, fails on, where the updates of that one dated the lists.

--- a/src/magnoliatrail/cells/table_requests.py
+++ b/src/magnoliatrail/cells/table_requests.py
@@ -20,6 +20,7 @@
 from magnoliatrail.membership.fleet_view import FleetView
 from magnoliatrail.metrics import Metrics
 from magnoliatrail.peers.client import PeerClient
+from magnoliatrail.platform.protocol import SERVERS_TABLE
 
 log = EventLog("cells")
 
@@ -96,10 +97,21 @@
 
     async def ask_one(self, instance: InstanceId, address: str) -> None:
         """Ask one instance, and apply what it sends."""
-        requested_at = self.clock.monotonic()
         url = f"http://{address}{REPORT_PATH}"
+        versions = {name: item.version for name, item in self.view.tables.items()}
+        await self.ask_since(instance, url, versions)
+        if self.receiver.complete_after(SERVERS_TABLE, instance) is not None:
+            # It has not seen all changes since the version here, but all rows.
+            await self.ask_since(instance, url, {**versions, SERVERS_TABLE: 0})
+
+    async def ask_since(
+        self, instance: InstanceId, url: str, versions: dict[str, int]
+    ) -> None:
+        """Ask one instance for the changes since versions of the tables."""
+        requested_at = self.clock.monotonic()
+        report = self.report(versions)
         # A report is answered with the tables by any instance, also of the last build.
-        match await self.peers.ask(url, self.report(), ReportAnswer, REPORT_LIMITS):
+        match await self.peers.ask(url, report, ReportAnswer, REPORT_LIMITS):
             case Result(tag="ok", ok=answer):
                 self.receiver.apply(answer.news, requested_at, instance)
             case Result(error=failure):
@@ -107,7 +119,7 @@
                     "table_request_failed", instance=instance, reason=failure.message
                 )
 
-    def report(self) -> InstanceReport:
+    def report(self, versions: dict[str, int]) -> InstanceReport:
         """Return a report without events, which asks for the tables."""
         return InstanceReport(
             cell=STORE_READER_CELL,
@@ -120,7 +132,7 @@
             full=False,
             store_answers=self.store_answers(),
             leaving=self.leaving(),
-            versions={name: item.version for name, item in self.view.tables.items()},
+            versions=versions,
             held_rows=self.receiver.held_rows(),
             instances_digest=0,
             limits=[],
--- a/src/magnoliatrail/cells/table_updates.py
+++ b/src/magnoliatrail/cells/table_updates.py
@@ -140,8 +140,9 @@
         self.view = view
         # Rows whose last difference did not fit; they are requested in full.
         self.requested_in_full: set[str] = set()
-        # Senders whose last update did not have all changes of a table.
-        self.incomplete: set[tuple[str, str]] = set()
+        # Senders whose last update of a table did not have all changes, and the version
+        # after which they have them; None if they don't say.
+        self.incomplete: dict[tuple[str, str], int | None] = {}
 
     def held_rows(self) -> dict[str, int]:
         """Return the versions of the large rows held here, for a report."""
@@ -167,7 +168,7 @@
                 case Result(tag="ok", ok=read):
                     known_at = requested_at - timedelta(milliseconds=update.age_ms)
                     evidence = self.evidence_in(update, requested_at)
-                    self.log_completeness(update, source, complete=evidence.complete)
+                    self.record_completeness(update, source, complete=evidence.complete)
                     self.view.apply(
                         update.table, read, known_at, source, evidence=evidence
                     )
@@ -189,26 +190,35 @@
         unbroken = timedelta(milliseconds=update.evidence.unbroken_ms)
         return Evidence(complete, unbroken_since=requested_at - unbroken)
 
-    def log_completeness(
+    def record_completeness(
         self, update: TableUpdate, source: str, *, complete: bool
     ) -> None:
-        """Log that the updates of an instance are no longer complete."""
+        """Record, and log once, whether the updates of an instance are complete."""
         sender = update.table, source
         if complete:
-            self.incomplete.discard(sender)
-        elif sender not in self.incomplete:
-            self.incomplete.add(sender)
-            evidence = update.evidence
+            self.incomplete.pop(sender, None)
+            return
+        evidence = update.evidence
+        complete_after = (
+            None if isinstance(evidence, UnsetType) else evidence.complete_after
+        )
+        if sender not in self.incomplete:
             log.info(
                 "table_update_incomplete",
                 table=update.table,
                 version=update.version,
                 before=self.view.tables[update.table].version,
-                complete_after=""
-                if isinstance(evidence, UnsetType)
-                else evidence.complete_after,
+                complete_after="" if complete_after is None else complete_after,
                 source=source,
             )
+        self.incomplete[sender] = complete_after
+
+    def complete_after(self, table: str, source: str) -> int | None:
+        """Return after which version an instance has all changes of a table.
+
+        None if its last update had all that are missing here, or if it doesn't say.
+        """
+        return self.incomplete.get((table, source))
 
     def read_of(
         self, update: TableUpdate, table: TableView
--- a/tests/platform/test_list_evidence_machine.py
+++ b/tests/platform/test_list_evidence_machine.py
@@ -113,10 +113,12 @@
         Knowledge.remove(self, key=key)
         self.record_departures()
 
-    @rule(at=instances)
-    def restart_instance(self, at):
+    @rule(at=instances, reads=st.booleans())
+    def restart_instance(self, at, reads):
         self.peers[at] = Peer(self.clock)
         self.heard[at], self.hidden[at], self.lapsed[at] = set(), set(), set()
+        if reads:
+            self.read_store(at, whole=True, late=False)
 
     @rule(at=instances)
     def turn_away(self, at):
@@ -145,6 +147,10 @@
 
     @rule(at=instances, whole=st.booleans(), late=st.booleans())
     def read(self, at, whole, late):
+        self.read_store(at, whole=whole, late=late)
+
+    def read_store(self, at, *, whole, late):
+        """Let an instance read the store."""
         peer = self.peers[at]
         whole = whole or peer.table.fresh_at is None
         found = self.store.read(None if whole else peer.table.version)
--- a/tests/platform/test_server_notices.py
+++ b/tests/platform/test_server_notices.py
@@ -16,7 +16,10 @@
 
 
 def plain_server(requests, more="", status="200 OK"):
-    """Return a connection handler that answers all requests with additional headers."""
+    """Return a connection handler that answers all requests with additional headers.
+
+    `more` is their text, or a function that returns it.
+    """
 
     async def handle(reader, writer):
         try:
@@ -27,8 +30,9 @@
                 await reader.readexactly(int(fields.get("content-length", 0)))
                 request = fields["magnoliatrail-request-id"]
                 requests.append(request)
+                fields = more() if callable(more) else more
                 writer.write(
-                    ANSWER.format(status=status, id=request, more=more).encode()
+                    ANSWER.format(status=status, id=request, more=fields).encode()
                 )
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
--- a/tests/platform/test_table_requests.py
+++ b/tests/platform/test_table_requests.py
@@ -8,6 +8,9 @@
 from magnoliatrail.backends import ServerState
 from magnoliatrail.cells.member import STORE_READER_CELL
 from magnoliatrail.errors import ErrorKind, Failure
+from magnoliatrail.membership.server_list import ServerList
+from magnoliatrail.membership.table_view import TableView
+from magnoliatrail.platform.protocol import SERVERS_TABLE
 from tests.platform.rig import BOUNDS, running
 from tests.platform.test_leaving_servers import add_two_servers, list_as_draining
 
@@ -75,6 +78,41 @@
     run(scenario())
 
 
+def forget_tables(daemon):
+    """Let an instance know nothing of the servers, as after a restart."""
+    view = daemon.view
+    table = view.tables[SERVERS_TABLE] = TableView()
+    view.server_list = ServerList(daemon.clock, table)
+
+
+# Guards against requests to a server that had left (DRAIN): an instance that the store
+# turns away gets updates of one that has started since, and does not know the removal.
+def test_instances_that_the_store_turns_away_get_the_whole_table(run):
+    async def scenario():
+        async with running(instances=3) as rig:
+            leaving, _ = await add_two_servers(rig)
+            await rig.until(lambda: all(knows_all(item) for item in rig.daemons))
+            reader = next(item for item in rig.daemons if owns_reader_cell(item))
+            others = [item for item in rig.daemons if item is not reader]
+            for daemon in others:
+                turn_away(daemon, hangs=False)
+            rig.store.put("servers", "leaving", None)
+            forget_tables(reader)
+            await asyncio.sleep(BOUNDS.drain.total_seconds())
+            heard = len(leaving)
+            for number in range(30):
+                for daemon in others:
+                    request = f"r{number}-{daemon.settings.instance}"
+                    answer = await rig.send(daemon, "/plain/x", request=request)
+                    assert answer.status == 200
+            assert len(leaving) == heard
+            for daemon in others:
+                assert "leaving" not in daemon.view.servers
+                assert daemon.view.list_age() < BOUNDS.drain
+
+    run(scenario())
+
+
 def test_tables_that_are_fresh_are_not_requested(run):
     async def scenario():
         async with running(instances=2) as rig:
