--- a/tests/platform/test_list_evidence_machine.py
+++ b/tests/platform/test_list_evidence_machine.py
@@ -33,8 +33,8 @@
 class Evidence(Knowledge):
     """The same with late, odd and older rows, restarts, and senders of other releases.
 
-    An instance can't know of a departure that no row shows any more when it reads the
-    table whole, until an instance that knows it has sent an update or a report.
+    An instance that reads the table whole can't know of a departure that no row shows,
+    or that a late heartbeat then takes back, until another one has told it.
     """
 
     def __init__(self):
@@ -158,7 +158,8 @@
         hidden = {
             run
             for run, left_by in self.left_by.items()
-            if left_by > version and not self.shows_departure(run)
+            if left_by > version
+            and (run in self.drained or not self.shows_departure(run))
         }
 
         def apply():
--- a/tests/processes/test_upgrade.py
+++ b/tests/processes/test_upgrade.py
@@ -10,6 +10,7 @@
 import tarfile
 from contextlib import asynccontextmanager
 from datetime import timedelta
+from functools import partial
 from pathlib import Path
 from random import Random
 
@@ -54,15 +55,19 @@
 @pytest.fixture(scope="module")
 def last_build(tmp_path_factory):
     """Return the folder of the package of the build that landed last."""
+    return build_of(LAST_LANDED, tmp_path_factory.mktemp("last-build"))
+
+
+def build_of(commit, folder):
+    """Return the folder of the package of a build that has landed."""
     found = subprocess.run(
-        ["git", "archive", LAST_LANDED, "src"],
+        ["git", "archive", commit, "src"],
         cwd=ROOT,
         capture_output=True,
         check=False,
     )
     if found.returncode:
-        pytest.skip(f"{LAST_LANDED} is not in this clone's history")
-    folder = tmp_path_factory.mktemp("last-build")
+        pytest.skip(f"{commit} is not in this clone's history")
     with tarfile.open(fileobj=io.BytesIO(found.stdout)) as archive:
         archive.extractall(folder, filter="data")
     source = folder / "src"
@@ -109,6 +114,7 @@
         self.version += 1
         routes = [
             route("stream", "/stream/", "streaming", "models", resumable=True),
+            route("plain", "/plain/", "unsafe", "desk"),
             *(
                 route(f"added-{n}", f"/added-{n}/", "streaming", "models")
                 for n in range(ROUTES + self.version)
@@ -154,10 +160,10 @@
         head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
         return f"POST {path} HTTP/1.1\r\n{head}\r\nx".encode()
 
-    async def serves_newest_route(self):
-        """Return whether all instances serve the route that was added last."""
+    async def serves_newest_route(self, instances=INSTANCES):
+        """Return whether the first instances serve the route that was added last."""
         path = f"/added-{ROUTES + self.version - 1}/x"
-        answers = [await self.ask(item, path) for item in self.instances]
+        answers = [await self.ask(item, path) for item in self.instances[:instances]]
         return all(answer is not None and answer.status == 200 for answer in answers)
 
     async def begin_stream(self, instance, request_id):
@@ -200,13 +206,18 @@
 
 
 @asynccontextmanager
-async def mixed_fleet(directory, builds):
-    """Run a fleet whose instances start with these builds."""
+async def mixed_fleet(directory, builds, *, one_by_one=False):
+    """Run a fleet whose instances start with these builds.
+
+    If they start one by one, the first of them reads the store for all.
+    """
     fleet = MixedFleet(directory, builds)
     try:
-        for instance in fleet.instances:
+        for number, instance in enumerate(fleet.instances):
             instance.starts = 1
             instance.start()
+            if one_by_one:
+                await fleet.until(partial(fleet.serves_newest_route, number + 1))
         yield fleet
     finally:
         fleet.close()
