--- a/tests/platform/test_list_evidence_machine.py
+++ b/tests/platform/test_list_evidence_machine.py
@@ -51,12 +51,19 @@
     def write(self, key, born, state):
         run = key, born
         if state == "draining":
-            self.drained.add(run)
+            self.record_draining(run)
         elif not self.shows_ready(run):
             self.listed_at[run] = self.clock.monotonic()
         super().write(key, born, state)
         self.record_departures()
 
+    def record_draining(self, run):
+        """Record that a row says that a run leaves, which also ends a removal."""
+        if run not in self.drained:
+            self.drained.add(run)
+            self.left_at[run] = self.clock.monotonic()
+            self.left_by.pop(run, None)
+
     def record_departures(self):
         """Record the store's version for new departures."""
         for run in self.left_at:
@@ -86,15 +93,19 @@
             row["born"] > run[1]
         )
 
-    @rule(key=servers)
-    def late_heartbeat(self, key):
+    @rule(key=servers, at_once=st.booleans())
+    def late_heartbeat(self, key, at_once):
         """Let the store carry out a heartbeat late that was sent before a departure."""
         run = self.run_of(key)
+        if at_once:
+            self.drain(key=key)
         if run in self.drained:
             super().write(*run, "ready")
 
-    @rule(key=servers)
-    def row_of_an_earlier_run(self, key):
+    @rule(key=servers, at_once=st.booleans())
+    def row_of_an_earlier_run(self, key, at_once):
+        if at_once:
+            self.restart(key=key)
         if self.born[key] > 1:
             super().write(key, self.born[key] - 1, "ready")
 
@@ -102,8 +113,7 @@
     def odd_row(self, key, fields, leaves):
         run = self.run_of(key)
         if leaves:
-            self.left_at.setdefault(run, self.clock.monotonic())
-            self.drained.add(run)
+            self.record_draining(run)
         row = {"state": "draining" if leaves else "ready", "born": run[1], "odd": True}
         self.store.put(key, **{**row, **fields})
         self.record_departures()
@@ -271,6 +281,6 @@
 
 
 Evidence.TestCase.settings = settings(
-    derandomize=True, max_examples=300, stateful_step_count=40, deadline=None
+    derandomize=True, max_examples=500, stateful_step_count=40, deadline=None
 )
 test_any_order_of_rows_messages_and_restarts = Evidence.TestCase
