--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -34,7 +34,13 @@
 from tests.soak.lost_streams import TakenUp
 from tests.soak.processes import Exit, Instance
 from tests.soak.releases import DRAIN_SECONDS, Releases
-from tests.soak.servers import EVENT_SECONDS, ODD_ROWS, CheckedEngine, Server
+from tests.soak.servers import (
+    EVENT_SECONDS,
+    ODD_ROWS,
+    CheckedEngine,
+    Departure,
+    Server,
+)
 from tests.soak.stream_checks import resumed_streams
 from tests.soak.traffic import HANG_SECONDS, Caller, Ending, Exchange, RequestKind
 
@@ -394,7 +400,8 @@
     async def leave(self, fault: Fault) -> None:
         """Let a backend server leave, and come back as a new run.
 
-        It says so in its answers before its row does, after it, or not at all.
+        It says so in its answers before its row does, after it, or not at all, and in
+        its row in one of several ways.
         """
         server = self.server(fault)
         if server.listener is None or server.listed != "ready":
@@ -402,7 +409,8 @@
         if fault.target % 3 == 0:
             server.say_leaving()
             await asyncio.sleep(NOTICE_SECONDS)
-        server.list_as("draining")
+        departures = list(Departure)
+        await server.write_departure(departures[fault.target % len(departures)])
         if fault.target % 3 == 1:
             await asyncio.sleep(NOTICE_SECONDS)
             server.say_leaving()
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -5,6 +5,7 @@
 import json
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import Any, cast
 
 from tornado.http1connection import HTTP1Connection
@@ -24,6 +25,7 @@
 EVENT_SECONDS = 0.01
 FENCED = 412
 CRASH_SECONDS = 0.5
+HEARTBEAT_SECONDS = 1.0
 # What another writer may leave among the rows of the servers.
 ODD_ROW = {"service": "desk", "zone": "zone-a", "state": "ready", "born": 1}
 ODD_ROWS = [
@@ -37,6 +39,19 @@
 ]
 
 
+class Departure(Enum):
+    """How the rows of a server say that it leaves."""
+
+    DRAINING = "draining"
+    # The row is removed while the server still serves.
+    REMOVED = "removed"
+    # The row has another field that can't be used.
+    ODD_ROW = "odd_row"
+    # A row from before comes late, until the next heartbeat.
+    LATE_HEARTBEAT = "late_heartbeat"
+    EARLIER_RUN = "earlier_run"
+
+
 @dataclass(frozen=True)
 class OrderSeen:
     """One order as it arrived at an engine."""
@@ -301,7 +316,7 @@
         self.runs[-1].leaving = True
         self.said_at.setdefault(self.run_name, asyncio.get_running_loop().time())
 
-    def list_as(self, listed: str) -> None:
+    def list_as(self, listed: str, **fields: object) -> None:
         """Write the server's row, or remove it if it is not listed."""
         self.listed = listed
         if listed != "ready":
@@ -310,9 +325,28 @@
         if not listed:
             self.store.put("servers", self.name, None)
             return
-        row = {**self.runs[-1].row, "address": self.link.address, "state": listed}
+        self.write_row(state=listed, **fields)
+
+    def write_row(self, **fields: object) -> None:
+        """Write a row with some other fields, whatever the server was listed as."""
+        row = {**self.runs[-1].row, "address": self.link.address, **fields}
         self.store.put("servers", self.name, json.dumps(row).encode())
 
+    async def write_departure(self, departure: Departure) -> None:
+        """Write that the current run leaves, in one of several ways."""
+        if departure is Departure.REMOVED:
+            self.list_as("")
+            return
+        odd = {"remaining_ms": -1} if departure is Departure.ODD_ROW else {}
+        self.list_as("draining", **odd)
+        match departure:
+            case Departure.LATE_HEARTBEAT:
+                self.write_row(state="ready")
+            case Departure.EARLIER_RUN:
+                self.write_row(state="ready", born=self.runs[-1].born - 1)
+        await asyncio.sleep(HEARTBEAT_SECONDS)
+        self.list_as("draining", **odd)
+
     def close(self) -> None:
         """End the server."""
         for task in self.restarts:
