Pass on what an odd row hides, and removals and later runs in older rows

The property found four cases in which a row that can't be read, or one of an earlier run, hid another: a removal or the row of a later run that came after it, or in an update of an earlier release; the end of an earlier run; and a sound server whose row was readable again without a change. An unreadable row counts as a change now, and older rows tell of removals and later runs.

--- a/src/magnoliatrail/backends.py
+++ b/src/magnoliatrail/backends.py
@@ -75,6 +75,20 @@
         """Return the key that distinguishes this run from other runs of the server."""
         return self.id, self.born
 
+    @property
+    def shared_fields(self) -> tuple[object, ...]:
+        """Return the fields that instances other than the owner need."""
+        models = tuple(model.name for model in self.models)
+        return (
+            self.key,
+            self.service,
+            self.address,
+            self.state,
+            self.time_until_removal,
+            self.software_version,
+            models,
+        )
+
     def has_software_version(self, required: str) -> bool:
         """Return whether the software has a required version; empty allows any."""
         return required in ("", self.software_version)
--- a/src/magnoliatrail/membership/departures.py
+++ b/src/magnoliatrail/membership/departures.py
@@ -35,6 +35,12 @@
     # Version of the row of the run that a restored store listed again, 0 if none.
     relisted_at: int = 0
 
+    def is_shown_by(self, listed: BackendServer | None) -> bool:
+        """Return whether a row, None if it can't be read, shows the departure."""
+        if listed is None or listed.born < self.born:
+            return False
+        return listed.born > self.born or listed.state is ServerState.LEAVING
+
 
 class Departures:
     """Server runs that are known to leave or to be gone.
--- a/src/magnoliatrail/membership/fleet_view.py
+++ b/src/magnoliatrail/membership/fleet_view.py
@@ -98,7 +98,9 @@
         changed = bool(updates)
         if table == SERVERS_TABLE:
             for row in view.older_in(read):
-                changed |= self.server_list.apply_older(row, source)
+                changed |= self.server_list.apply_older(
+                    row, outage=outage, source=source
+                )
         if read.whole:
             log.info(
                 "table_read_whole",
--- a/src/magnoliatrail/membership/server_list.py
+++ b/src/magnoliatrail/membership/server_list.py
@@ -1,6 +1,6 @@
 """Backend servers as their rows, and what else is known of them, describe them."""
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from datetime import timedelta
 
 from expression import Result
@@ -16,6 +16,12 @@
     RunKey,
 )
 from magnoliatrail.membership.evidence import Outage
+from magnoliatrail.membership.lapsed_servers import (
+    LapsedServer,
+    disproved,
+    expired,
+    outage_signs,
+)
 from magnoliatrail.membership.table_view import TableView
 from magnoliatrail.platform.rows import StoredRow
 from magnoliatrail.platform.server_rows import decode_departure, decode_server
@@ -23,28 +29,10 @@
 
 log = EventLog("membership")
 
-# Running servers that lapsed in a store outage are listed again within this time.
-RELISTING_GRACE = timedelta(seconds=2)
-
 # The first versions of a row after the store came back from a copy; peers get each.
 UNCONFIRMED_VERSIONS = 2
 
 
-@dataclass(frozen=True, slots=True)
-class LapsedServer:
-    """A server that the list dropped, perhaps only for an outage of the store."""
-
-    server: BackendServer
-    outage: Outage
-    # Version of the store at which the list no longer had it.
-    version: int
-
-    @property
-    def until(self) -> timedelta:
-        """Return until when a running server has written its row again."""
-        return self.outage.ended + RELISTING_GRACE
-
-
 class ServerList:
     """Servers that rows of the store list, and those that may get new requests."""
 
@@ -79,6 +67,8 @@
             case Result(error=failure):
                 # The row describes no usable server; a known one with this id stays.
                 log.warning("row_unreadable", key=row.key, reason=failure.message)
+                self.listed.pop(id_, None)
+                self.table.changed_at[row.key] = row.version
                 self.apply_odd_row(id_, row, source)
                 self.update_withheld(id_, None)
 
@@ -90,27 +80,45 @@
         known, before = self.servers.get(id_), self.listed.get(id_)
         self.listed[id_] = found
         unconfirmed = self.record_version(id_, row_version)
-        unchanged = before and shared_fields(before) == shared_fields(found)
+        unchanged = before and before.shared_fields == found.shared_fields
         if unconfirmed or not unchanged:
             self.table.changed_at[id_] = row_version
         if self.has_ended(found.key):
             log.info("ended_run_listed", server=id_, born=found.born, source=source)
             return
+        self.use_description(found, row_version, source)
+        server = self.servers.get(id_)
+        if (
+            server is not None
+            and known is not None
+            and known.born == server.born
+            and (
+                known.state is not server.state
+                or (before is not None and before.state is not found.state)
+            )
+        ):
+            fields = self.described(server, source, row_version)
+            log.info("server_state", **fields)
+
+    def use_description(
+        self, found: BackendServer, row_version: int, source: str
+    ) -> None:
+        """Use what a row says of a server's latest run, unless that is gone."""
+        known = self.servers.get(found.id)
         state = self.departures.state_of(found, row_version)
         if state is None:
             log.info(
-                "departed_server_listed", server=id_, born=found.born, source=source
+                "departed_server_listed",
+                server=found.id,
+                born=found.born,
+                source=source,
             )
             return
-        self.lapsed.pop(id_, None)
-        self.servers[id_] = server = replace(found, state=state)
-        fields = self.described(server, source, row_version)
+        self.lapsed.pop(found.id, None)
+        self.servers[found.id] = server = replace(found, state=state)
         if known is None or known.born != server.born:
+            fields = self.described(server, source, row_version)
             log.info("server_listed", **fields)
-        elif known.state is not server.state or (
-            before is not None and before.state is not found.state
-        ):
-            log.info("server_state", **fields)
 
     def update_withheld(self, id_: ServerId, listed: BackendServer | None) -> None:
         """Update whether a departure must be passed on beside a server's newest row.
@@ -119,12 +127,13 @@
         """
         departure = self.departures.by_rows.get(id_)
         known = self.servers.get(id_)
-        if listed is not None and known is not None and listed.born < known.born:
-            # The row is of an earlier run; peers may not have seen one of this run.
-            ended = Departure(listed.born, DepartureKind.LEAVING, self.table.version)
-            if departure is None or departure.born < listed.born:
-                departure = ended
-        if departure is None or shows(listed, departure):
+        if known is not None and (listed is None or listed.born < known.born):
+            # Peers may not have seen that a later run has ended the earlier ones.
+            ended = known.born - 1
+            if departure is None or departure.born < ended:
+                version = self.table.version
+                departure = Departure(ended, DepartureKind.LEAVING, version)
+        if departure is None or departure.is_shown_by(listed):
             self.withheld.pop(id_, None)
         else:
             self.withheld[id_] = departure
@@ -183,7 +192,7 @@
     def is_listed_since(self, id_: ServerId, removal: Departure) -> bool:
         """Return whether a run has written its row since it was removed."""
         row = self.table.rows.get(id_)
-        if row is None or row.value is None or row.version < removal.version:
+        if row is None or id_ not in self.listed or row.version < removal.version:
             return False
         era, versions = self.versions_read.get(id_, (era_of(row.version), 0))
         # The first version in a restored store is that of the copy.
@@ -199,13 +208,22 @@
             return True
         return self.departures.has_ended(run)
 
-    def apply_older(self, row: StoredRow, source: str) -> bool:
+    def apply_older(
+        self, row: StoredRow, *, outage: Outage | None, source: str
+    ) -> bool:
         """Apply what still holds of a row that is older than the known one.
 
-        A departure does; return whether a server leaves by it that did not before.
+        A departure does, and that a later run has begun. Return whether a server
+        changes by it.
         """
         if row.value is None:
-            return False
+            # A newer row that describes the server has listed it again.
+            if ServerId(row.key) in self.listed:
+                return False
+            self.drop_server(
+                ServerId(row.key), row.version, outage=outage, source=source
+            )
+            return True
         found = decode_server(row.key, row.value)
         if found.is_error():
             return self.apply_odd_row(ServerId(row.key), row, source)
@@ -218,9 +236,22 @@
             row_version=row.version,
             source=source,
         )
-        if server.state is not ServerState.LEAVING:
+        if server.state is ServerState.LEAVING:
+            return self.record_leaving(server.key, row.version, source)
+        return self.apply_later_run(server, row.version, source)
+
+    def apply_later_run(
+        self, server: BackendServer, row_version: int, source: str
+    ) -> bool:
+        """Use a run that the newest row of its server, of an earlier run, hides."""
+        newest = self.table.rows.get(server.id)
+        latest = self.latest_run(server.id)
+        is_listed = newest is not None and newest.value is not None
+        if not is_listed or (latest is not None and latest >= server.born):
             return False
-        return self.record_leaving(server.key, row.version, source)
+        self.use_description(server, row_version, source)
+        self.refresh_withheld(server.id)
+        return True
 
     def apply_odd_row(self, id_: ServerId, row: StoredRow, source: str) -> bool:
         """Apply what a row says of a departure that describes no usable server.
@@ -254,15 +285,6 @@
         log.info("server_state", **self.described(leaving, source, row_version))
         return True
 
-    def outage_signs(self, outage: Outage) -> dict[str, object]:
-        """Return what a line says of how an outage of the store was concluded."""
-        now, failed_at = self.clock.monotonic(), self.table.failed_at
-        return {
-            "list_age": self.table.age(now),
-            "read_failed_before": "" if failed_at is None else now - failed_at,
-            "readable_again_before": now - outage.ended,
-        }
-
     def record_version(self, id_: ServerId, version: int) -> bool:
         """Count a version of a row, and return whether its server may be gone.
 
@@ -289,8 +311,11 @@
             return
         if outage is not None and server.state is ServerState.READY:
             self.lapsed[id_] = LapsedServer(server, outage, version)
-            fields = self.described(server, source, version)
-            log.info("server_lapsed", **fields, **self.outage_signs(outage))
+            fields, now = (
+                self.described(server, source, version),
+                self.clock.monotonic(),
+            )
+            log.info("server_lapsed", **fields, **outage_signs(self.table, outage, now))
             return
         self.departures.record_row(server.key, DepartureKind.REMOVED, version)
         del self.servers[id_]
@@ -298,10 +323,8 @@
 
     def expire_lapsed(self) -> None:
         """Remove the lapsed servers that were not listed again in time."""
-        now = self.clock.monotonic()
-        for lapsed in list(self.lapsed.values()):
-            if now >= lapsed.until:
-                self.end_lapse(lapsed, "lapse")
+        for lapsed in expired(self.lapsed.values(), self.clock.monotonic()):
+            self.end_lapse(lapsed, "lapse")
 
     def end_lapses(self, readable_since: timedelta, source: str) -> bool:
         """Remove the servers that lapsed in what turns out not to be an outage.
@@ -309,11 +332,7 @@
         Another instance could read the store since a time; return whether that ends
         any lapse.
         """
-        ended = [
-            lapsed
-            for lapsed in self.lapsed.values()
-            if lapsed.outage.began is not None and readable_since <= lapsed.outage.began
-        ]
+        ended = disproved(self.lapsed.values(), readable_since)
         for lapsed in ended:
             self.end_lapse(lapsed, source)
         return bool(ended)
@@ -376,25 +395,3 @@
         if not self.departures.record_answer(server.key):
             return False
         return self.mark_leaving(server.key, "answer")
-
-
-def shows(listed: BackendServer | None, departure: Departure) -> bool:
-    """Return whether a row, None if it can't be read, shows that a run has left."""
-    if listed is None or listed.born < departure.born:
-        return False
-    leaving = listed.state is ServerState.LEAVING
-    return listed.born > departure.born or leaving
-
-
-def shared_fields(server: BackendServer) -> tuple[object, ...]:
-    """Return the fields of a server that instances other than its owner need."""
-    models = tuple(model.name for model in server.models)
-    return (
-        server.key,
-        server.service,
-        server.address,
-        server.state,
-        server.time_until_removal,
-        server.software_version,
-        models,
-    )
--- a/tests/platform/test_list_evidence.py
+++ b/tests/platform/test_list_evidence.py
@@ -215,6 +215,43 @@
     assert reader.usable() == {("s1", 5)}
 
 
+# Guards against an earlier run that peers use on, as they get the newest row alone.
+@pytest.mark.parametrize("newest", [{"state": "ready", "born": 1}, {"state": "?"}])
+def test_that_an_earlier_run_has_ended_is_passed_on(newest):
+    _, store, reader, other = two_peers()
+    store.put("s1", state="ready", born=5)
+    store.put("s1", **newest)
+    reader.read(store)
+    other.ask(reader)
+    assert reader.usable() == {("s1", 5)}
+    assert not other.usable()
+
+
+# Guards against a sound server that an instance doesn't use, as it read the store when
+# an odd row had replaced the one of that server, and the next one changed nothing.
+def test_a_server_whose_row_is_readable_again_is_passed_on():
+    clock, store, reader, _ = two_peers()
+    started = Peer(clock)
+    store.put("s2", state="ready", born=1)
+    store.put("s2", state="?")
+    started.read(store)
+    store.put("s2", state="ready", born=1)
+    reader.read(store)
+    started.ask(reader)
+    assert started.usable() == {RUN, ("s2", 1)}
+
+
+# Guards against a removed server that is used on, as an odd row came after the removal.
+def test_a_removal_before_an_odd_row_that_was_known_is_not_missed():
+    clock, store, _, other = two_peers()
+    store.put("s1")
+    store.put("s1", state="?")
+    update = update_of_an_earlier_release(store)
+    other.receiver.apply([update], clock.monotonic(), "earlier release")
+    other.read(store)
+    assert not other.usable()
+
+
 ODD_FIELDS = {
     "no slots": {"slots": 0},
     "slots missing": {"slots": None},
--- a/tests/platform/test_store_restore.py
+++ b/tests/platform/test_store_restore.py
@@ -8,7 +8,7 @@
 from magnoliatrail.cells.lease_takeover import MAX_OWNERSHIP
 from magnoliatrail.clock import ManualClock
 from magnoliatrail.membership.fleet_view import FleetView
-from magnoliatrail.membership.server_list import RELISTING_GRACE
+from magnoliatrail.membership.lapsed_servers import RELISTING_GRACE
 from magnoliatrail.platform.protocol import (
     CELLS_TABLE,
     OPERATOR_TABLE,
--- a/tests/platform/test_views.py
+++ b/tests/platform/test_views.py
@@ -7,7 +7,7 @@
 from magnoliatrail.backends import ServerNotice, ServerState
 from magnoliatrail.clock import ManualClock
 from magnoliatrail.membership.fleet_view import FleetView
-from magnoliatrail.membership.server_list import RELISTING_GRACE
+from magnoliatrail.membership.lapsed_servers import RELISTING_GRACE
 from magnoliatrail.membership.table_view import TableView
 from magnoliatrail.platform.protocol import OPERATOR_TABLE, SERVERS_TABLE
 from magnoliatrail.platform.rows import RowsRead, StoredRow
