Take updates for complete across a whole read that the receiver was behind

After each whole read of the reader, as after a loss of history or a return of the store from a copy, every instance read the table itself. Only one whose version lies between that read and the version before it can lack a removal: what others know was known to the reader too, and is removed by its read. The property gives departures that were hidden from the sender as hidden from those who have them from it.

--- a/src/magnoliatrail/cells/table_updates.py
+++ b/src/magnoliatrail/cells/table_updates.py
@@ -243,7 +243,7 @@
     since = known.fresh_at if known.unbroken_since is None else known.unbroken_since
     unbroken = timedelta() if since is None else view.clock.monotonic() - since
     return TableEvidence(
-        complete_after=max(version, known.complete_after) if version else 0,
+        complete_after=known.complete_after(version) if version else 0,
         unbroken_ms=unbroken.total_seconds() * 1000,
         departures=departures_of(view) if table == SERVERS_TABLE else [],
     )
--- a/src/magnoliatrail/membership/server_list.py
+++ b/src/magnoliatrail/membership/server_list.py
@@ -246,10 +246,14 @@
         """Use a run that the newest row of its server, of an earlier run, hides."""
         newest = self.table.rows.get(server.id)
         latest = self.latest_run(server.id)
-        is_listed = newest is not None and newest.value is not None
-        if not is_listed or (latest is not None and latest >= server.born):
+        if newest is None or newest.value is None:
+            return False
+        if latest is not None and latest >= server.born:
             return False
         self.use_description(server, row_version, source)
+        if server.id not in self.listed:
+            # A newest row that can't be read may say that this run leaves.
+            self.apply_odd_row(server.id, newest, source)
         self.refresh_withheld(server.id)
         return True
 
@@ -311,11 +315,9 @@
             return
         if outage is not None and server.state is ServerState.READY:
             self.lapsed[id_] = LapsedServer(server, outage, version)
-            fields, now = (
-                self.described(server, source, version),
-                self.clock.monotonic(),
-            )
-            log.info("server_lapsed", **fields, **outage_signs(self.table, outage, now))
+            fields = self.described(server, source, version)
+            signs = outage_signs(self.table, outage, self.clock.monotonic())
+            log.info("server_lapsed", **fields, **signs)
             return
         self.departures.record_row(server.key, DepartureKind.REMOVED, version)
         del self.servers[id_]
--- a/src/magnoliatrail/membership/table_view.py
+++ b/src/magnoliatrail/membership/table_view.py
@@ -11,6 +11,8 @@
 LARGE_VALUE_BYTES = 2048
 # Earlier values of a large row to keep, as the base of differences.
 MAX_EARLIER_VALUES = 8
+# Gaps to tell apart in what is known of a table.
+MAX_GAPS = 8
 
 
 class TableView:
@@ -20,9 +22,9 @@
         self.rows: dict[str, StoredRow] = {}
         # The view includes all changes up to this version of the store.
         self.version = 0
-        # All changes after this version are known here, removals among them. A whole
-        # read shows the rows that are left, and not what was removed before.
-        self.complete_after = 0
+        # Versions before and after whole reads, between which what was written and
+        # removed again is not known here.
+        self.gaps: list[tuple[int, int]] = []
         # When this instance learned of that version.
         self.learned_at = timedelta()
         # Version at which a row last changed in fields that peers need, where tracked.
@@ -112,13 +114,28 @@
             self.replace(row)
         if read.version < self.version or not complete:
             return
-        self.version = read.version
         if read.whole:
-            self.complete_after = read.version
+            self.record_gap(self.version, read.version)
+        self.version = read.version
         if self.fresh_at is None or asked_at > self.fresh_at:
             self.fresh_at, self.dated_by = asked_at, source
             self.unbroken_since = unbroken_since
 
+    def record_gap(self, before: int, after: int) -> None:
+        """Record a whole read; the oldest gaps are taken for one if there are many."""
+        self.gaps.append((before, after))
+        if len(self.gaps) > MAX_GAPS:
+            (first, _), (_, last), *rest = self.gaps
+            self.gaps = [(first, last), *rest]
+
+    def complete_after(self, version: int) -> int:
+        """Return after which version all changes are known here, for a peer's version.
+
+        A peer that had a version before a gap knows no row that is not known here.
+        """
+        ends = [after for before, after in self.gaps if before < version < after]
+        return max(ends, default=version)
+
     def replace(self, row: StoredRow) -> None:
         """Replace a row, and keep its value if it is large."""
         if row.key in self.large_rows:
--- a/tests/platform/test_list_evidence.py
+++ b/tests/platform/test_list_evidence.py
@@ -11,6 +11,7 @@
 from magnoliatrail.membership.fleet_view import FleetView
 from magnoliatrail.membership.store_reader import StoreReader
 from magnoliatrail.membership.table_bounds import TableBounds
+from magnoliatrail.membership.table_view import MAX_GAPS
 from magnoliatrail.platform.protocol import OPERATOR_TABLE, SERVERS_TABLE
 from magnoliatrail.platform.rows import RowsRead, RowStore, WireRows
 from magnoliatrail.wire import CallLimits
@@ -64,6 +65,29 @@
     assert other.usable() == {RUN}
 
 
+# Guards against a read of the store by each instance after each whole read of one.
+def test_a_whole_read_has_all_removals_for_a_peer_that_is_behind_it():
+    clock, store, reader, other = two_peers()
+    clock.advance(SECOND)
+    store.put("s1")
+    reader.read(store, whole=True)
+    other.ask(reader)
+    assert takes_for_fresh(other)
+    assert not other.usable()
+
+
+def test_many_gaps_are_taken_for_fewer_longer_ones():
+    view = FleetView(ManualClock())
+    table = view.tables[SERVERS_TABLE]
+    for version in range(10, 10 * 2 * MAX_GAPS, 10):
+        view.apply(SERVERS_TABLE, RowsRead((), version, whole=True), SECOND, "store")
+    assert len(table.gaps) == MAX_GAPS
+    # Between two whole reads, the changes are not known.
+    assert table.complete_after(table.version - 5) == table.version
+    assert table.complete_after(table.version) == table.version
+    assert table.complete_after(15) > 20
+
+
 def test_the_first_update_of_an_instance_is_the_whole_table():
     clock, store, reader, _ = two_peers()
     clock.advance(SECOND)
