--- a/src/magnoliatrail/cells/table_updates.py
+++ b/src/magnoliatrail/cells/table_updates.py
@@ -11,7 +11,7 @@
 from datetime import timedelta
 
 from expression import Error, Ok, Result
-from msgspec import UnsetType
+from msgspec import UNSET, UnsetType
 
 from magnoliatrail.cells.server_departures import apply_departures, departures_of
 from magnoliatrail.cells.value_differences import (
@@ -106,7 +106,9 @@
                     version=read.version,
                     age_ms=age,
                     rows=rows,
-                    evidence=evidence_of(self.view, name, version),
+                    evidence=evidence_of(self.view, version)
+                    if name == SERVERS_TABLE
+                    else UNSET,
                 )
             )
         return found
@@ -160,7 +162,7 @@
         for update in updates:
             table = self.view.tables.get(update.table)
             if not isinstance(update.evidence, UnsetType):
-                apply_departures(self.view, update.evidence.departures, source)
+                apply_departures(self.view, update.evidence.departures or [], source)
             # An older version doesn't show how fresh the newer local one is.
             if table is None or update.version < table.version:
                 continue
@@ -237,15 +239,15 @@
         return Ok(RowsRead(tuple(rows), update.version, whole=is_whole(update)))
 
 
-def evidence_of(view: FleetView, table: str, version: int) -> TableEvidence:
-    """Return what an update proves to an instance that has a version of a table."""
-    known = view.tables[table]
+def evidence_of(view: FleetView, version: int) -> TableEvidence:
+    """Return what an update proves to an instance that has a version of the list."""
+    known = view.tables[SERVERS_TABLE]
     since = known.fresh_at if known.unbroken_since is None else known.unbroken_since
     unbroken = timedelta() if since is None else view.clock.monotonic() - since
     return TableEvidence(
         complete_after=known.complete_after(version) if version else 0,
-        unbroken_ms=unbroken.total_seconds() * 1000,
-        departures=departures_of(view) if table == SERVERS_TABLE else [],
+        unbroken_ms=unbroken // timedelta(milliseconds=1),
+        departures=departures_of(view) or UNSET,
     )
 
 
--- a/tests/platform/test_list_evidence_machine.py
+++ b/tests/platform/test_list_evidence_machine.py
@@ -216,7 +216,7 @@
                 )
                 if update.evidence.complete_after <= peer.table.version:
                     self.hidden[at] |= hidden
-                self.learn(at, update.evidence.departures)
+                self.learn(at, update.evidence.departures or [])
                 self.follow_lapses(
                     at,
                     lambda: peer.receiver.apply(updates, now, "peer"),
