Pass on that a removed run has ended, not only that its row was removed

A removal is taken back by a later row of the run, and that a later run has begun is not. An instance that knew both passed on the removal alone, and its peers used the earlier run again by a late row.

--- a/src/magnoliatrail/membership/server_list.py
+++ b/src/magnoliatrail/membership/server_list.py
@@ -130,7 +130,7 @@
         if known is not None and (listed is None or listed.born < known.born):
             # Peers may not have seen that a later run has ended the earlier ones.
             ended = known.born - 1
-            if departure is None or departure.born < ended:
+            if departure is None or departure.born <= ended:
                 version = self.table.version
                 departure = Departure(ended, DepartureKind.LEAVING, version)
         if departure is None or departure.is_shown_by(listed):
--- a/tests/platform/test_list_evidence.py
+++ b/tests/platform/test_list_evidence.py
@@ -251,6 +251,18 @@
     assert not other.usable()
 
 
+# Guards against the same after a removal, which alone a later row takes back.
+def test_that_an_earlier_run_has_ended_is_passed_on_after_its_removal():
+    _, store, reader, other = two_peers()
+    store.put("s1")
+    store.put("s1", state="ready", born=2)
+    store.put("s1", state="ready", born=1)
+    reader.read(store)
+    other.ask(reader)
+    assert reader.usable() == {("s1", 2)}
+    assert not other.usable()
+
+
 # Guards against a sound server that an instance doesn't use, as it read the store when
 # an odd row had replaced the one of that server, and the next one changed nothing.
 def test_a_server_whose_row_is_readable_again_is_passed_on():
