--- a/tests/processes/test_departures_in_upgrades.py
+++ b/tests/processes/test_departures_in_upgrades.py
@@ -121,7 +121,8 @@
     run(scenario())
 
 
-# Guards against the same after a restart of the reader, which has not seen the removal.
+# The same after a restart of the reader, which has not seen the removal. The others may
+# read the store first; test_table_requests.py has the case without that.
 @pytest.mark.parametrize("reader", ["landed", "this"])
 def test_a_removal_while_the_reader_restarts(run, tmp_path, landed, reader):
     builds = builds_of(landed, reader)
